--- /dev/null
+++ b/caller/shape.go
@@ -0,0 +1,88 @@
+package caller
+
+import (
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/request"
+)
+
+// shape is one of the two forms of answers.
+type shape struct {
+	whole string
+	chunk string
+	chat  bool
+}
+
+var (
+	chatShape = shape{whole: "chat.completion", chunk: "chat.completion.chunk", chat: true}
+	textShape = shape{whole: "text_completion", chunk: "text_completion"}
+)
+
+// answerBody is a completion, whole or one chunk of a stream.
+type answerBody struct {
+	ID      string         `json:"id"`
+	Object  string         `json:"object"`
+	Created int64          `json:"created"`
+	Model   string         `json:"model"`
+	Choices []answerChoice `json:"choices"`
+	Usage   *answerUsage   `json:"usage,omitempty"`
+	// Outcome is set on a whole answer and on the last chunk.
+	Outcome reason.Outcome `json:"outcome,omitempty"`
+}
+
+type answerChoice struct {
+	Index        int            `json:"index"`
+	Message      *answerMessage `json:"message,omitempty"`
+	Delta        *answerMessage `json:"delta,omitempty"`
+	Text         *string        `json:"text,omitempty"`
+	FinishReason *string        `json:"finish_reason"`
+}
+
+type answerMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type answerUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+const roleAssistant = "assistant"
+
+// finishLength is the finish reason of answers, which always run to the
+// length that was asked for.
+var finishLength = "length"
+
+func (s shape) wholeChoice(text string) answerChoice {
+	choice := answerChoice{FinishReason: &finishLength}
+	if s.chat {
+		choice.Message = &answerMessage{Role: roleAssistant, Content: text}
+		return choice
+	}
+	choice.Text = &text
+	return choice
+}
+
+func (s shape) chunkChoice(text string, first, last bool) answerChoice {
+	choice := answerChoice{}
+	if last {
+		choice.FinishReason = &finishLength
+	}
+	if !s.chat {
+		choice.Text = &text
+		return choice
+	}
+	choice.Delta = &answerMessage{Content: text}
+	if first {
+		choice.Delta.Role = roleAssistant
+	}
+	return choice
+}
+
+func usageOf(result request.Result) *answerUsage {
+	return &answerUsage{
+		PromptTokens: result.PromptTokens, CompletionTokens: result.Tokens,
+		TotalTokens: result.PromptTokens + result.Tokens,
+	}
+}
--- /dev/null
+++ b/cmd/mastwheel/operator.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/olekukonko/tablewriter"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mastwheel/mastwheel/httpjson"
+	"github.com/mastwheel/mastwheel/operator"
+	"github.com/mastwheel/mastwheel/route"
+	"github.com/mastwheel/mastwheel/table"
+	"github.com/mastwheel/mastwheel/trace"
+)
+
+// ask gets one value from the operators' interface.
+func ask(ctx context.Context, command *cli.Command, path string, into any) error {
+	c := httpjson.New(command.String("token"))
+	defer c.Close()
+	status, raw, err := c.Do(ctx, http.MethodGet, "http://"+command.String("operator")+path, nil, into)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return errors.Errorf("%s: status %d: %s", path, status, strings.TrimSpace(string(raw)))
+	}
+	return nil
+}
+
+func tableCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "table",
+		Usage: "look at the operators' table",
+		Commands: []*cli.Command{{
+			Name:   "show",
+			Usage:  "show the table in force",
+			Flags:  append(operatorFlags(), &cli.BoolFlag{Name: "toml", Usage: "print TOML"}),
+			Action: runTableShow,
+		}},
+	}
+}
+
+func runTableShow(ctx context.Context, command *cli.Command) error {
+	var current table.Table
+	if err := ask(ctx, command, operator.PathTable, &current); err != nil {
+		return err
+	}
+	out := command.Root().Writer
+	switch {
+	case command.Bool("json"):
+		printJSON(out, &current)
+	case command.Bool("toml"):
+		text, err := current.TOML()
+		if err != nil {
+			return err
+		}
+		out.Write(text)
+	default:
+		fmt.Fprintf(out, "revision %d\n", current.Revision)
+		for _, kind := range table.Kinds {
+			if err := printKind(out, &current, kind); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func printKind(out io.Writer, t *table.Table, kind table.Kind) error {
+	columns := table.Columns(kind)
+	header := []string{string(kind)}
+	for _, column := range columns {
+		header = append(header, string(column))
+	}
+	return printRows(out, header, func(add func([]string) error) error {
+		for _, key := range t.Keys(kind) {
+			row, _ := t.Row(key)
+			cells := []string{key.Name}
+			for _, column := range columns {
+				cells = append(cells, row.Cells[column])
+			}
+			if err := add(cells); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func printRows(out io.Writer, header []string, fill func(add func([]string) error) error) error {
+	writer := tablewriter.NewWriter(out)
+	writer.Header(header)
+	if err := fill(func(row []string) error { return writer.Append(row) }); err != nil {
+		return errors.Wrap(err, "print table")
+	}
+	return errors.Wrap(writer.Render(), "print table")
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show an instance, its siblings and its backend servers",
+		Flags: operatorFlags(),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			var status operator.Status
+			if err := ask(ctx, command, operator.PathStatus, &status); err != nil {
+				return err
+			}
+			if command.Bool("json") {
+				printJSON(command.Root().Writer, status)
+				return nil
+			}
+			return printStatus(command.Root().Writer, status)
+		},
+	}
+}
+
+func printStatus(out io.Writer, s operator.Status) error {
+	state := "ready"
+	if !s.Ready {
+		state = "not ready: " + s.Why
+	}
+	fmt.Fprintf(out, "%s in %s, %s, up %s, table revision %d (%s), %d requests in flight\n",
+		s.Self.Member(), s.Self.Zone, state, s.Self.Uptime.Round(time.Second), s.Self.Revision, s.Hash, s.Self.InFlight)
+	header := []string{"sibling", "zone", "state", "callers", "revision", "in flight"}
+	err := printRows(out, header, func(add func([]string) error) error {
+		for _, sibling := range s.Siblings {
+			row := []string{
+				sibling.Member().String(), sibling.Zone, string(sibling.State), sibling.Caller,
+				fmt.Sprint(sibling.Revision), fmt.Sprint(sibling.InFlight),
+			}
+			if err := add(row); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	header = []string{"backend server", "pool", "zone", "breaker", "in flight here", "waiting tokens", "free pieces", "leaving", "steward"}
+	return printRows(out, header, func(add func([]string) error) error {
+		for _, b := range s.Backends {
+			row := []string{
+				b.Name, b.Pool, b.Zone, b.Breaker, fmt.Sprint(b.InFlight), fmt.Sprint(b.WaitingTokens),
+				fmt.Sprint(b.FreePieces), fmt.Sprint(b.Leaving), b.Steward,
+			}
+			if err := add(row); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "show why a request went where it did",
+		ArgsUsage: "REQUEST-ID",
+		Flags:     operatorFlags(),
+		Action: func(ctx context.Context, command *cli.Command) error {
+			if command.Args().Len() != 1 {
+				return errors.New("explain: give one REQUEST-ID")
+			}
+			var raw json.RawMessage
+			if err := ask(ctx, command, operator.PathRequests+"/"+command.Args().First(), &raw); err != nil {
+				return err
+			}
+			if command.Bool("json") {
+				printJSON(command.Root().Writer, raw)
+				return nil
+			}
+			var record trace.Request
+			if err := json.Unmarshal(raw, &record); err != nil {
+				return errors.Wrap(err, "read record")
+			}
+			printRecord(command.Root().Writer, &record)
+			return nil
+		},
+	}
+}
+
+func printRecord(out io.Writer, r *trace.Request) {
+	fmt.Fprintf(out, "request %s, service %s, team %s, home %s, table revision %d\n", r.ID, r.Service, r.Team, r.Home, r.Revision)
+	fmt.Fprintf(out, "outcome %s %s, prompt %d tokens, answer %d tokens\n", r.Outcome, r.Reason, r.Prompt, r.Tokens)
+	for _, step := range r.Steps {
+		fmt.Fprintf(out, "%9.3f ms  attempt %d  %-12s %s %s\n",
+			float64(step.At)/1000, step.Attempt, step.State, step.Server, step.Reason)
+		if step.Choice != nil {
+			printChoice(out, step.Choice)
+		}
+	}
+}
+
+func printChoice(out io.Writer, d *route.Decision) {
+	for _, rated := range d.Rated {
+		if rated.DroppedBy != "" {
+			fmt.Fprintf(out, "%16s  %-20s dropped by %s\n", "", rated.Name, rated.DroppedBy)
+			continue
+		}
+		mark := " "
+		if rated.Name == d.Pick {
+			mark = "*"
+		}
+		parts := make([]string, 0, len(rated.Parts))
+		for _, part := range rated.Parts {
+			parts = append(parts, fmt.Sprintf("%s %.2f", part.Scorer, part.Score))
+		}
+		fmt.Fprintf(out, "%16s%s %-20s %.3f = %s\n", "", mark, rated.Name, rated.Total, strings.Join(parts, ", "))
+	}
+}
--- /dev/null
+++ b/connwatch/connwatch.go
@@ -0,0 +1,97 @@
+// Package connwatch notices a caller that goes away while its request is
+// being worked on. An HTTP server does not read from the connection in that
+// time, so nothing else would tell until the next write fails.
+package connwatch
+
+import (
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// writeTimeout bounds one write to a caller that no longer reads.
+const writeTimeout = 10 * time.Second
+
+// Listener hands out connections that can be watched.
+type Listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: conn}, nil
+}
+
+// Conn is a connection that can be watched between its reads.
+type Conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// early is a byte that arrived while the connection was watched: the
+	// begin of a pipelined request.
+	early    byte
+	hasEarly bool
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.hasEarly && len(p) > 0 {
+		p[0] = c.early
+		c.hasEarly = false
+		c.mu.Unlock()
+		return 1, nil
+	}
+	c.mu.Unlock()
+	return c.Conn.Read(p)
+}
+
+// Write implements net.Conn; a caller that has stopped reading ends it.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, errors.Wrap(err, "set write deadline")
+	}
+	return c.Conn.Write(p)
+}
+
+// Watch calls gone, once, if the caller closes its side before stop is
+// called. A caller that closes only its sending side counts as gone too, as
+// it does for other HTTP servers. Nobody may read until stop has returned.
+func (c *Conn) Watch(gone func()) (stop func()) {
+	c.mu.Lock()
+	watchable := !c.hasEarly
+	c.mu.Unlock()
+	if !watchable || c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.awaitByte(gone)
+	}()
+	return func() {
+		// A deadline in the past ends the pending read.
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+func (c *Conn) awaitByte(gone func()) {
+	var buffer [1]byte
+	n, err := c.Conn.Read(buffer[:])
+	if n == 1 {
+		c.mu.Lock()
+		c.early, c.hasEarly = buffer[0], true
+		c.mu.Unlock()
+		return
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		gone()
+	}
+}
--- /dev/null
+++ b/engine/http.go
@@ -0,0 +1,209 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Paths of the engine interface.
+const (
+	PathPrefill     = "/v1/prefill"
+	PathImport      = "/v1/kv/import"
+	PathDecode      = "/v1/decode"
+	PathCancel      = "/v1/cancel"
+	PathLoad        = "/v1/load"
+	PathCacheEvents = "/v1/cache-events"
+)
+
+// Status codes with a meaning of their own.
+const (
+	StatusRefused  = http.StatusServiceUnavailable
+	StatusNoMemory = http.StatusInsufficientStorage
+	StatusExpired  = http.StatusGone
+)
+
+const (
+	// dialTimeout bounds a connection set-up inside one region.
+	dialTimeout = 500 * time.Millisecond
+	// maxIdlePerEngine keeps connections for the streams of one engine.
+	maxIdlePerEngine = 64
+	// maxControlBody bounds a control answer, in bytes.
+	maxControlBody = 1 << 20
+)
+
+// HTTP is the Client that speaks JSON and server-sent events over HTTP. It
+// uses net/http because a decode stream must end as soon as its context does,
+// which fasthttp's client cannot express.
+type HTTP struct {
+	client *http.Client
+}
+
+// NewHTTP returns a Client over HTTP.
+func NewHTTP() *HTTP {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdlePerEngine,
+		DisableCompression:  true,
+	}
+	return &HTTP{client: &http.Client{Transport: transport}}
+}
+
+// Close drops idle connections.
+func (h *HTTP) Close() { h.client.CloseIdleConnections() }
+
+// Prefill implements Client.
+func (h *HTTP) Prefill(ctx context.Context, address string, order PrefillOrder) (PrefillResult, error) {
+	var result PrefillResult
+	err := h.call(ctx, address, PathPrefill, order, &result)
+	return result, err
+}
+
+// Import implements Client.
+func (h *HTTP) Import(ctx context.Context, address string, order ImportOrder) error {
+	return h.call(ctx, address, PathImport, order, nil)
+}
+
+// Cancel implements Client.
+func (h *HTTP) Cancel(ctx context.Context, address string, attempt Attempt) error {
+	return h.call(ctx, address, PathCancel, attempt, nil)
+}
+
+// Load implements Client.
+func (h *HTTP) Load(ctx context.Context, address string) (Load, error) {
+	var load Load
+	err := h.call(ctx, address, PathLoad, nil, &load)
+	return load, err
+}
+
+// CacheEvents implements Client.
+func (h *HTTP) CacheEvents(ctx context.Context, address string, after int64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	path := PathCacheEvents + "?after=" + strconv.FormatInt(after, 10)
+	err := h.call(ctx, address, path, nil, &events)
+	return events, err
+}
+
+// Decode implements Client.
+func (h *HTTP) Decode(ctx context.Context, address string, order DecodeOrder) (Stream, error) {
+	response, err := h.send(ctx, address, PathDecode, order)
+	if err != nil {
+		return nil, err
+	}
+	if err := statusError(response.StatusCode); err != nil {
+		response.Body.Close()
+		return nil, err
+	}
+	return &sseStream{body: response.Body, reader: bufio.NewReader(response.Body)}, nil
+}
+
+func (h *HTTP) call(ctx context.Context, address, path string, order, result any) error {
+	response, err := h.send(ctx, address, path, order)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxControlBody))
+	if err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	if err := statusError(response.StatusCode); err != nil {
+		return err
+	}
+	if result == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, result); err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	return nil
+}
+
+func (h *HTTP) send(ctx context.Context, address, path string, order any) (*http.Response, error) {
+	method, body := http.MethodGet, []byte(nil)
+	if order != nil {
+		encoded, err := json.Marshal(order)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode engine order")
+		}
+		method, body = http.MethodPost, encoded
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build engine order")
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return nil, transportError(err)
+	}
+	return response, nil
+}
+
+// transportError tells a connection that was never made, where no byte was
+// sent, from one that failed later.
+func transportError(err error) error {
+	var opErr *net.OpError
+	if errors.As(err, &opErr) && opErr.Op == "dial" {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	return errors.Wrap(ErrBroken, err.Error())
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case StatusRefused:
+		return ErrRefused
+	case StatusNoMemory:
+		return ErrNoMemory
+	case StatusExpired:
+		return ErrExpired
+	default:
+		return errors.Wrapf(ErrBroken, "status %d", status)
+	}
+}
+
+// sseStream reads tokens from a body of server-sent events.
+type sseStream struct {
+	body   io.ReadCloser
+	reader *bufio.Reader
+	last   bool
+}
+
+var dataPrefix = []byte("data: ")
+
+// Next implements Stream.
+func (s *sseStream) Next() (Token, error) {
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		if err != nil && s.last {
+			return Token{}, io.EOF
+		}
+		if err != nil {
+			return Token{}, errors.Wrap(ErrBroken, err.Error())
+		}
+		data, isData := bytes.CutPrefix(bytes.TrimSpace(line), dataPrefix)
+		if !isData {
+			continue
+		}
+		var token Token
+		if err := json.Unmarshal(data, &token); err != nil {
+			return Token{}, errors.Wrap(ErrBroken, err.Error())
+		}
+		s.last = token.Last
+		return token, nil
+	}
+}
+
+// Close implements Stream.
+func (s *sseStream) Close() { s.body.Close() }
--- /dev/null
+++ b/instance/entry.go
@@ -0,0 +1,176 @@
+package instance
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/operation"
+	"github.com/mastwheel/mastwheel/peer"
+	"github.com/mastwheel/mastwheel/reason"
+)
+
+// Entry answers a caller that asks which address to use.
+type Entry struct {
+	// Address is where to connect, "ip:port", and Instance who that is.
+	Address  string `json:"address"`
+	Instance string `json:"instance"`
+	Zone     string `json:"zone"`
+	// KeepSeconds is how long the answer may be kept.
+	KeepSeconds int `json:"keep_seconds"`
+	// Operation is what an operation id needs; nil with no witness at hand.
+	Operation *EntryOperation `json:"operation,omitempty"`
+}
+
+// EntryOperation says how to make operation ids for the named instance.
+type EntryOperation struct {
+	// Prefix is the begin of each id; a nonce of the caller's follows, of up
+	// to 64 letters, digits, "-" and "_".
+	Prefix string `json:"prefix"`
+	// Witness is whom to ask for an outcome when the instance is lost.
+	Witness string `json:"witness"`
+	// ExpiresSeconds is how long ids with the prefix are good.
+	ExpiresSeconds int `json:"expires_seconds"`
+}
+
+// Entry names an instance for a caller: one that is alive, in the caller's
+// availability zone if there is one, with the fewest requests of two drawn.
+func (i *Instance) Entry(zone string) Entry {
+	info := i.chooseEntry(zone)
+	entry := Entry{
+		Address: info.Caller, Instance: info.Name, Zone: info.Zone,
+		KeepSeconds: int(i.config.KeepAnswer / time.Second),
+	}
+	witness, ok := i.chooseWitness(info)
+	if !ok {
+		return entry
+	}
+	id := operation.ID{
+		Home:          info.Member(),
+		Witness:       witness.Member(),
+		HomeExpiry:    info.Uptime + i.config.OperationLife,
+		WitnessExpiry: witness.Uptime + i.config.OperationLife,
+	}
+	entry.Operation = &EntryOperation{
+		Prefix: id.Prefix(), Witness: witness.Caller,
+		ExpiresSeconds: int(i.config.OperationLife / time.Second),
+	}
+	return entry
+}
+
+// candidates returns the instances that may be named: the alive siblings, and
+// this one unless it drains.
+func (i *Instance) candidates() []member.Info {
+	var infos []member.Info
+	if !i.draining.Load() {
+		infos = append(infos, i.Info())
+	}
+	for _, sibling := range i.members.View().Siblings {
+		if sibling.State == member.Alive {
+			infos = append(infos, sibling.Info)
+		}
+	}
+	return infos
+}
+
+func (i *Instance) chooseEntry(zone string) member.Info {
+	candidates := i.candidates()
+	var near []member.Info
+	for _, info := range candidates {
+		if info.Zone == zone {
+			near = append(near, info)
+		}
+	}
+	if len(near) > 0 {
+		candidates = near
+	}
+	if len(candidates) == 0 {
+		return i.Info()
+	}
+	one, other := i.draw(candidates), i.draw(candidates)
+	if other.InFlight < one.InFlight {
+		return other
+	}
+	return one
+}
+
+// chooseWitness draws a witness for a home, in another zone if there is one.
+func (i *Instance) chooseWitness(home member.Info) (member.Info, bool) {
+	var far, any []member.Info
+	for _, info := range i.candidates() {
+		if info.Name == home.Name {
+			continue
+		}
+		any = append(any, info)
+		if info.Zone != home.Zone {
+			far = append(far, info)
+		}
+	}
+	if len(far) > 0 {
+		return i.draw(far), true
+	}
+	if len(any) > 0 {
+		return i.draw(any), true
+	}
+	return member.Info{}, false
+}
+
+func (i *Instance) draw(infos []member.Info) member.Info {
+	return infos[int(i.deps.Random()*float64(len(infos)))]
+}
+
+// AskOperation answers a caller that asks what became of an operation. Asked
+// at its home or witness it answers from there; elsewhere it asks the home
+// and, when that does not answer, the witness.
+func (i *Instance) AskOperation(ctx context.Context, id operation.ID) operation.Status {
+	if id.Home == i.self {
+		return i.operations.Ask(id, i.Uptime())
+	}
+	if status, ok := i.askMember(ctx, id.Home, id); ok {
+		return status
+	}
+	if id.Witness == i.self {
+		return i.witness.Ask(id, i.Uptime())
+	}
+	if status, ok := i.askMember(ctx, id.Witness, id); ok {
+		return status
+	}
+	return operation.Status{Outcome: reason.Unknown, Reason: reason.NoWitness}
+}
+
+func (i *Instance) askMember(ctx context.Context, whom operation.Member, id operation.ID) (operation.Status, bool) {
+	sibling, known := i.members.View().Find(whom.Name)
+	if !known || sibling.Incarnation != whom.Incarnation || sibling.State == member.Dead {
+		return operation.Status{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, i.config.Request.ReserveTimeout)
+	defer cancel()
+	question := &peer.Message{AskOperation: &peer.AskOperation{Operation: id.String()}}
+	answer, err := i.deps.Peers.Call(ctx, sibling.Peer, question)
+	if err != nil || answer.OperationAnswer == nil {
+		return operation.Status{}, false
+	}
+	return answer.OperationAnswer.Status, true
+}
+
+// Explain returns the record of a request as JSON, from its home if need be;
+// nil when it is not kept.
+func (i *Instance) Explain(ctx context.Context, requestID string) []byte {
+	if answer := i.traceHere(requestID); answer.JSON != nil {
+		return answer.JSON
+	}
+	name, _, _ := strings.Cut(requestID, ".")
+	sibling, known := i.members.View().Find(name)
+	if !known {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, siblingTimeout)
+	defer cancel()
+	question := &peer.Message{AskTrace: &peer.AskTrace{RequestID: requestID}}
+	answer, err := i.deps.Peers.Call(ctx, sibling.Peer, question)
+	if err != nil || answer.TraceAnswer == nil {
+		return nil
+	}
+	return answer.TraceAnswer.JSON
+}
--- /dev/null
+++ b/instance/keeper.go
@@ -0,0 +1,206 @@
+package instance
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/oplog"
+	"github.com/mastwheel/mastwheel/peer"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+const (
+	// readBatch is how many log records one read asks for.
+	readBatch = 256
+	// keptRecords is how many records are kept for siblings that lag.
+	keptRecords = 1024
+	// logRetryPause is the pause after a read of the log that failed.
+	logRetryPause = 500 * time.Millisecond
+)
+
+// keeper holds the fold, the tables that it made, and the last records.
+type keeper struct {
+	mu      sync.Mutex
+	fold    *table.Fold
+	records [][]byte
+	// first is the offset of the first of records.
+	first uint64
+
+	current atomic.Pointer[inForce]
+}
+
+// inForce is a table with its compiled form and its place on the log.
+type inForce struct {
+	table *table.Table
+	view  *table.View
+	next  uint64
+}
+
+func newKeeper() *keeper {
+	k := &keeper{fold: table.NewFold(), first: 1}
+	k.publish()
+	return k
+}
+
+// Table returns the table in force.
+func (k *keeper) Table() *table.Table { return k.current.Load().table }
+
+// View returns the table in force, compiled.
+func (k *keeper) View() *table.View { return k.current.Load().view }
+
+// Next returns the log offset that is needed next.
+func (k *keeper) Next() uint64 { return k.current.Load().next }
+
+// Verdict returns what was decided about an edit, if its record was seen.
+func (k *keeper) Verdict(editID string) (table.Verdict, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fold.Verdict(editID)
+}
+
+// add folds records that begin at an offset; those already folded are passed
+// over.
+func (k *keeper) add(first uint64, records [][]byte) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for n, data := range records {
+		offset := first + uint64(n)
+		if offset < k.fold.Next() {
+			continue
+		}
+		if err := k.fold.Add(offset, data); err != nil {
+			return err
+		}
+		k.keepLocked(offset, data)
+	}
+	k.publish()
+	return nil
+}
+
+func (k *keeper) keepLocked(offset uint64, data []byte) {
+	if len(k.records) == 0 {
+		k.first = offset
+	}
+	k.records = append(k.records, data)
+	if len(k.records) > keptRecords {
+		k.records = k.records[1:]
+		k.first++
+	}
+}
+
+// restore takes a whole snapshot from a sibling.
+func (k *keeper) restore(snapshot []byte) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.fold.Restore(snapshot); err != nil {
+		return err
+	}
+	k.records = nil
+	k.first = k.fold.Next()
+	k.publish()
+	return nil
+}
+
+func (k *keeper) publish() {
+	now := k.fold.Table()
+	if current := k.current.Load(); current != nil && current.table == now {
+		k.current.Store(&inForce{table: now, view: current.view, next: k.fold.Next()})
+		return
+	}
+	k.current.Store(&inForce{table: now, view: now.Compile(), next: k.fold.Next()})
+}
+
+// answer returns records from an offset on, or a snapshot when those are no
+// longer kept.
+func (k *keeper) answer(from uint64) *peer.Records {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	answer := &peer.Records{Next: k.fold.Next()}
+	if from >= answer.Next {
+		return answer
+	}
+	if from < k.first || len(k.records) == 0 {
+		if snapshot, err := k.fold.Snapshot(); err == nil {
+			answer.Snapshot = snapshot
+		}
+		return answer
+	}
+	answer.First = from
+	answer.Records = append(answer.Records, k.records[from-k.first:]...)
+	return answer
+}
+
+// followLog folds the log as it grows.
+func (i *Instance) followLog(ctx context.Context) error {
+	for ctx.Err() == nil {
+		batch, err := i.deps.Log.Read(ctx, i.keeper.Next(), readBatch)
+		if err == nil {
+			i.refresh()
+			err = i.fold(batch)
+		}
+		if err != nil {
+			sleepFor(ctx, logRetryPause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (i *Instance) fold(batch oplog.Batch) error {
+	if len(batch.Records) == 0 {
+		return nil
+	}
+	data := make([][]byte, 0, len(batch.Records))
+	for _, record := range batch.Records {
+		data = append(data, record.Data)
+	}
+	return i.adopt(func() error { return i.keeper.add(batch.Records[0].Offset, data) })
+}
+
+// adopt takes in a change of the table and lets everything follow it.
+func (i *Instance) adopt(change func() error) error {
+	if err := change(); err != nil {
+		return err
+	}
+	i.fleet.Adopt(i.keeper.View())
+	return nil
+}
+
+// catchUp asks a sibling for the records that this instance lacks.
+func (i *Instance) catchUp(ctx context.Context, address string) error {
+	question := &peer.Message{AskRecords: &peer.AskRecords{From: i.keeper.Next()}}
+	answer, err := i.deps.Peers.Call(ctx, address, question)
+	if err != nil {
+		return err
+	}
+	if answer.Records == nil {
+		return errors.New("sibling sent no records")
+	}
+	if answer.Records.Snapshot != nil {
+		return i.adopt(func() error { return i.keeper.restore(answer.Records.Snapshot) })
+	}
+	return i.adopt(func() error { return i.keeper.add(answer.Records.First, answer.Records.Records) })
+}
+
+// Append puts an edit's record on the log and waits until its verdict is
+// known here, or ctx ends. The error says that the verdict is not known yet.
+func (i *Instance) Append(ctx context.Context, editID string, record []byte) (table.Verdict, error) {
+	_, appendErr := i.deps.Log.Append(ctx, record)
+	if errors.Is(appendErr, oplog.ErrTooFast) {
+		return table.Verdict{}, appendErr
+	}
+	for {
+		if verdict, known := i.keeper.Verdict(editID); known {
+			return verdict, nil
+		}
+		if !sleepFor(ctx, verdictPoll) {
+			return table.Verdict{}, errors.New("the log has not answered; ask again with the same edit id")
+		}
+	}
+}
+
+// verdictPoll is how often a waiting operator's edit is looked for.
+const verdictPoll = 10 * time.Millisecond
--- /dev/null
+++ b/instance/siblings.go
@@ -0,0 +1,163 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/mastwheel/mastwheel/instancelist"
+	"github.com/mastwheel/mastwheel/operation"
+	"github.com/mastwheel/mastwheel/peer"
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/route"
+)
+
+// siblingTimeout bounds one question to a sibling in the background.
+const siblingTimeout = time.Second
+
+// readList takes in the platform's list: whom to greet, and who is leaving.
+func (i *Instance) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, siblingTimeout)
+	defer cancel()
+	entries, err := i.deps.List.List(ctx)
+	if err != nil {
+		return
+	}
+	leaving := make(map[string]bool)
+	beat := i.greeting()
+	for _, entry := range entries {
+		if entry.State == instancelist.Leaving {
+			leaving[entry.Name] = true
+		}
+		if _, known := i.members.View().Find(entry.Name); !known && entry.Name != i.self.Name {
+			i.deps.Peers.Send(entry.Peer, beat)
+		}
+	}
+	i.members.MarkLeaving(leaving, time.Now())
+}
+
+func (i *Instance) greeting() *peer.Message {
+	return &peer.Message{Heartbeat: &peer.Heartbeat{Info: i.Info()}}
+}
+
+// heartbeat tells every sibling that this instance lives, and what its
+// workers report.
+func (i *Instance) heartbeat(context.Context) {
+	now := time.Now()
+	i.members.Tick(now)
+	serving := len(i.members.View().Serving())
+	i.admission.SetInstances(serving + 1)
+	i.operations.Expire(i.Uptime())
+	i.witness.Expire(i.Uptime())
+	beat := i.greeting()
+	beat.Heartbeat.Loads = i.ownLoads()
+	for _, sibling := range i.members.View().Siblings {
+		i.deps.Peers.Send(sibling.Peer, beat)
+	}
+}
+
+// handle answers one message from a sibling.
+func (i *Instance) handle(ctx context.Context, message *peer.Message) *peer.Message {
+	switch {
+	case message.Heartbeat != nil:
+		i.heard(ctx, message.Heartbeat)
+		return nil
+	case message.Reserve != nil:
+		return &peer.Message{Reserved: i.reserveHere(message.Reserve)}
+	case message.Release != nil:
+		key := route.HoldKey{RequestID: message.Release.RequestID, Attempt: message.Release.Attempt}
+		i.steward.Release(message.Release.Worker, key, time.Now())
+		return nil
+	case message.Intent != nil:
+		return &peer.Message{IntentAnswer: i.intentHere(message.Intent)}
+	case message.Settle != nil:
+		if id, err := operation.ParseID(message.Settle.Operation); err == nil {
+			i.witness.Settle(id, message.Settle.Status)
+		}
+		return nil
+	case message.AskOperation != nil:
+		return &peer.Message{OperationAnswer: i.operationHere(message.AskOperation)}
+	case message.AskTrace != nil:
+		return &peer.Message{TraceAnswer: i.traceHere(message.AskTrace.RequestID)}
+	case message.AskRecords != nil:
+		return &peer.Message{Records: i.keeper.answer(message.AskRecords.From)}
+	default:
+		return nil
+	}
+}
+
+func (i *Instance) heard(ctx context.Context, beat *peer.Heartbeat) {
+	now := time.Now()
+	_, known := i.members.View().Find(beat.Info.Name)
+	i.members.Heard(beat.Info, now)
+	if !known {
+		i.deps.Peers.Send(beat.Info.Peer, i.greeting())
+	}
+	i.observeLoads(beat.Loads, now)
+	if beat.Info.Next <= i.keeper.Next() {
+		i.refresh()
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, siblingTimeout)
+		defer cancel()
+		if i.catchUp(ctx, beat.Info.Peer) == nil {
+			i.refresh()
+		}
+	}()
+}
+
+func (i *Instance) intentHere(intent *peer.Intent) *peer.IntentAnswer {
+	id, err := operation.ParseID(intent.Operation)
+	if err != nil {
+		return &peer.IntentAnswer{Refused: reason.Malformed}
+	}
+	return &peer.IntentAnswer{Refused: i.witness.Intent(id, i.Uptime())}
+}
+
+func (i *Instance) operationHere(ask *peer.AskOperation) *peer.OperationAnswer {
+	id, err := operation.ParseID(ask.Operation)
+	if err != nil {
+		return &peer.OperationAnswer{Status: operation.Status{Outcome: reason.Unknown, Reason: reason.Malformed}}
+	}
+	if id.Home == i.self {
+		return &peer.OperationAnswer{Status: i.operations.Ask(id, i.Uptime())}
+	}
+	return &peer.OperationAnswer{Status: i.witness.Ask(id, i.Uptime())}
+}
+
+func (i *Instance) traceHere(requestID string) *peer.TraceAnswer {
+	record := i.Traces.Find(requestID)
+	if record == nil {
+		return &peer.TraceAnswer{}
+	}
+	encoded, err := json.Marshal(record)
+	if err != nil {
+		return &peer.TraceAnswer{}
+	}
+	return &peer.TraceAnswer{JSON: encoded}
+}
+
+// witnesses reaches witnesses for the runner.
+type witnesses struct{ *Instance }
+
+// Intent implements request.Witnesses.
+func (w witnesses) Intent(ctx context.Context, id operation.ID) reason.Reason {
+	sibling, known := w.members.View().Find(id.Witness.Name)
+	if !known || sibling.Incarnation != id.Witness.Incarnation {
+		return reason.NoWitness
+	}
+	question := &peer.Message{Intent: &peer.Intent{Operation: id.String()}}
+	answer, err := w.deps.Peers.Call(ctx, sibling.Peer, question)
+	if err != nil || answer.IntentAnswer == nil {
+		return reason.NoWitness
+	}
+	return answer.IntentAnswer.Refused
+}
+
+// Settle implements request.Witnesses.
+func (w witnesses) Settle(id operation.ID, status operation.Status) {
+	if sibling, known := w.members.View().Find(id.Witness.Name); known {
+		w.deps.Peers.Send(sibling.Peer, &peer.Message{Settle: &peer.Settle{Operation: id.String(), Status: status}})
+	}
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,221 @@
+// Package member decides which sibling instances are alive, from their
+// heartbeats and from the platform's lagging list. It does no I/O and reads no
+// clock.
+package member
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mastwheel/mastwheel/operation"
+)
+
+// State is what this instance believes of a sibling.
+type State string
+
+const (
+	Alive State = "alive"
+	// Suspect has been silent for a while: it gets no new work and keeps what
+	// it has.
+	Suspect State = "suspect"
+	// Dead has been silent for long: what it left behind is cleaned up.
+	Dead State = "dead"
+	// Leaving drains: it is not named to callers, and it still serves.
+	Leaving State = "leaving"
+)
+
+// Config tunes failure detection.
+type Config struct {
+	// HeartbeatEvery is the period of heartbeats. Shorter finds failures
+	// sooner and costs bytes in proportion to the members of a cell.
+	HeartbeatEvery time.Duration
+	// SuspectAfter is the silence after which a member gets no new work. It
+	// should outlast a few lost heartbeats and an ordinary pause.
+	SuspectAfter time.Duration
+	// DeadAfter is the silence after which a member's streams are cancelled.
+	// Too short cancels the work of an instance that was merely paused; too
+	// long holds decode memory for callers that are gone.
+	DeadAfter time.Duration
+	// ForgetAfter is how long a dead member is remembered, so that its
+	// incarnation is known to be dead and not merely unknown.
+	ForgetAfter time.Duration
+}
+
+// DefaultRegion suits instances of one region, a few milliseconds apart.
+func DefaultRegion() Config {
+	return Config{
+		HeartbeatEvery: 500 * time.Millisecond,
+		SuspectAfter:   2 * time.Second,
+		DeadAfter:      5 * time.Second,
+		ForgetAfter:    10 * time.Minute,
+	}
+}
+
+// Info is what an instance says about itself in a heartbeat.
+type Info struct {
+	Name        string                `cbor:"1,keyasint" json:"name"`
+	Incarnation operation.Incarnation `cbor:"2,keyasint" json:"incarnation"`
+	Zone        string                `cbor:"3,keyasint" json:"zone"`
+	// Caller is the TCP address for callers, and Peer the UDP address for
+	// siblings, each "ip:port".
+	Caller string `cbor:"4,keyasint" json:"caller"`
+	Peer   string `cbor:"5,keyasint" json:"peer"`
+	// Draining is set once the instance has begun a graceful shutdown.
+	Draining bool `cbor:"6,keyasint,omitempty" json:"draining,omitempty"`
+	// Uptime is the instance's monotonic clock when it sent the heartbeat.
+	Uptime time.Duration `cbor:"7,keyasint" json:"uptime"`
+	// Revision is the table revision in force there, and Next the log offset
+	// that it needs next.
+	Revision uint64 `cbor:"8,keyasint" json:"revision"`
+	Next     uint64 `cbor:"10,keyasint" json:"next_offset"`
+	// InFlight is the number of requests that it is the home of.
+	InFlight int `cbor:"9,keyasint" json:"in_flight"`
+}
+
+// Member returns the identity of this run of the instance.
+func (i Info) Member() operation.Member {
+	return operation.Member{Name: i.Name, Incarnation: i.Incarnation}
+}
+
+// Sibling is one member as this instance sees it.
+type Sibling struct {
+	Info
+	State State `json:"state"`
+	// Heard is when its last heartbeat arrived.
+	Heard time.Time `json:"heard"`
+}
+
+// View is an immutable picture of the members, sorted by name.
+type View struct {
+	Siblings []Sibling
+}
+
+// Members tracks the siblings of one instance. Writers hold a lock and swap a
+// new View in; readers load it without one.
+type Members struct {
+	config Config
+	self   operation.Member
+
+	mu       sync.Mutex
+	siblings map[string]Sibling
+	leaving  map[string]bool
+	view     atomic.Pointer[View]
+}
+
+// New returns the members of an instance that has heard of nobody.
+func New(self operation.Member, config Config) *Members {
+	m := &Members{
+		config:   config,
+		self:     self,
+		siblings: make(map[string]Sibling),
+		leaving:  make(map[string]bool),
+	}
+	m.view.Store(&View{})
+	return m
+}
+
+// View returns the current picture.
+func (m *Members) View() *View { return m.view.Load() }
+
+// Heard takes a heartbeat. One of an earlier incarnation changes nothing.
+func (m *Members) Heard(info Info, now time.Time) {
+	if info.Name == m.self.Name {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.siblings[info.Name]
+	if ok && known.Incarnation > info.Incarnation {
+		return
+	}
+	if ok && known.Incarnation == info.Incarnation && known.Uptime > info.Uptime {
+		return
+	}
+	m.siblings[info.Name] = Sibling{Info: info, Heard: now, State: m.stateAt(info, now, now)}
+	m.publish()
+}
+
+// MarkLeaving takes the platform's word that instances are leaving. The list
+// lags, so it can only add to what a heartbeat says, never bring one back.
+func (m *Members) MarkLeaving(names map[string]bool, now time.Time) {
+	m.mu.Lock()
+	m.leaving = names
+	m.mu.Unlock()
+	m.Tick(now)
+}
+
+// Tick recomputes every state at now, and forgets those long dead.
+func (m *Members) Tick(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, sibling := range m.siblings {
+		if now.Sub(sibling.Heard) > m.config.ForgetAfter {
+			delete(m.siblings, name)
+			continue
+		}
+		sibling.State = m.stateAt(sibling.Info, sibling.Heard, now)
+		m.siblings[name] = sibling
+	}
+	m.publish()
+}
+
+func (m *Members) stateAt(info Info, heard, now time.Time) State {
+	silence := now.Sub(heard)
+	switch {
+	case silence > m.config.DeadAfter:
+		return Dead
+	case silence > m.config.SuspectAfter:
+		return Suspect
+	case info.Draining || m.leaving[info.Name]:
+		return Leaving
+	default:
+		return Alive
+	}
+}
+
+func (m *Members) publish() {
+	next := &View{Siblings: make([]Sibling, 0, len(m.siblings))}
+	for _, sibling := range m.siblings {
+		next.Siblings = append(next.Siblings, sibling)
+	}
+	slices.SortFunc(next.Siblings, func(a, b Sibling) int { return cmp.Compare(a.Name, b.Name) })
+	m.view.Store(next)
+}
+
+// Find returns the sibling of that name.
+func (v *View) Find(name string) (Sibling, bool) {
+	i, found := slices.BinarySearchFunc(v.Siblings, name, func(s Sibling, n string) int {
+		return cmp.Compare(s.Name, n)
+	})
+	if !found {
+		return Sibling{}, false
+	}
+	return v.Siblings[i], true
+}
+
+// Serving returns the siblings that still serve: alive or leaving.
+func (v *View) Serving() []Sibling {
+	var serving []Sibling
+	for _, s := range v.Siblings {
+		if s.State == Alive || s.State == Leaving {
+			serving = append(serving, s)
+		}
+	}
+	return serving
+}
+
+// IsDead says whether a run of an instance is known to have ended: it has
+// been silent for long, or a later incarnation of it was heard.
+func (v *View) IsDead(member operation.Member) bool {
+	sibling, known := v.Find(member.Name)
+	if !known {
+		return false
+	}
+	if sibling.Incarnation > member.Incarnation {
+		return true
+	}
+	return sibling.Incarnation == member.Incarnation && sibling.State == Dead
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,97 @@
+// Package metrics holds the counters that one instance exports.
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mastwheel/mastwheel/reason"
+)
+
+// Labels.
+const (
+	labelService = "service"
+	labelOutcome = "outcome"
+	labelReason  = "reason"
+)
+
+// Set is the metrics of one instance, on a registry of its own so that
+// several instances fit into one process.
+type Set struct {
+	Registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	dropped  *prometheus.CounterVec
+	// FirstToken and BetweenTokens are in seconds.
+	FirstToken    *prometheus.HistogramVec
+	BetweenTokens *prometheus.HistogramVec
+	// CancelsPending counts attempts whose cancel no engine has confirmed.
+	CancelsPending prometheus.Gauge
+	// CancelTries counts cancel orders sent, repeats included.
+	CancelTries prometheus.Counter
+	// Orphans counts streams of dead homes that this instance cancelled.
+	Orphans prometheus.Counter
+	// Strangers counts sibling connections refused for want of a valid key.
+	Strangers prometheus.Counter
+}
+
+// firstTokenBuckets surround the first-token target of 1.1 s.
+var firstTokenBuckets = []float64{0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.1, 1.3, 1.6, 2, 3, 5}
+
+// betweenBuckets surround the between-token target of 41 ms.
+var betweenBuckets = []float64{0.01, 0.02, 0.03, 0.035, 0.041, 0.05, 0.07, 0.1, 0.2, 0.5}
+
+// New returns the metrics of one instance. Every reason's series exists from
+// the start, so that a rate over it is never missing.
+func New() *Set {
+	s := &Set{
+		Registry: prometheus.NewRegistry(),
+		requests: counters("requests_total", "Requests that ended, by outcome.", labelService, labelOutcome),
+		refusals: counters("refusals_total", "Requests that ended other than done, by reason.", labelReason),
+		retries:  counters("retries_total", "Attempts that were followed by another, by reason.", labelReason),
+		dropped:  counters("dropped_answers_total", "Answers and tokens that were dropped, by reason.", labelReason),
+		FirstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "first_token_seconds", Help: "Time to the first token.", Buckets: firstTokenBuckets,
+		}, []string{labelService}),
+		BetweenTokens: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "between_tokens_seconds", Help: "Mean time between tokens of one answer.", Buckets: betweenBuckets,
+		}, []string{labelService}),
+		CancelsPending: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "cancels_pending", Help: "Attempts whose cancel is not yet confirmed.",
+		}),
+		CancelTries: counter("cancel_tries_total", "Cancel orders sent."),
+		Orphans:     counter("orphans_cancelled_total", "Streams of dead homes that were cancelled."),
+		Strangers:   counter("peer_strangers_total", "Sibling connections refused for want of a valid key."),
+	}
+	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.dropped, s.FirstToken, s.BetweenTokens,
+		s.CancelsPending, s.CancelTries, s.Orphans, s.Strangers)
+	for _, info := range reason.All {
+		s.refusals.WithLabelValues(string(info.Reason))
+		s.retries.WithLabelValues(string(info.Reason))
+	}
+	return s
+}
+
+const namespace = "mastwheel"
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+// Ended counts a request that ended.
+func (s *Set) Ended(service string, outcome reason.Outcome, why reason.Reason) {
+	s.requests.WithLabelValues(service, string(outcome)).Inc()
+	if outcome != reason.Done {
+		s.refusals.WithLabelValues(string(why)).Inc()
+	}
+}
+
+// Retried counts an attempt that was followed by another.
+func (s *Set) Retried(why reason.Reason) { s.retries.WithLabelValues(string(why)).Inc() }
+
+// Dropped counts an answer or token that was not passed on.
+func (s *Set) Dropped(why reason.Reason) { s.dropped.WithLabelValues(string(why)).Inc() }
--- /dev/null
+++ b/reason/reason.go
@@ -0,0 +1,97 @@
+package reason
+
+// Reason names why a request was refused, retried, cancelled or lost.
+type Reason string
+
+// Refusals: the request did not run.
+const (
+	None             Reason = ""
+	Malformed        Reason = "malformed"
+	TooLarge         Reason = "too_large"
+	UnknownService   Reason = "unknown_service"
+	Draining         Reason = "draining"
+	StaleTable       Reason = "stale_table"
+	QueueFull        Reason = "queue_full"
+	TeamCap          Reason = "team_cap"
+	ServiceCap       Reason = "service_cap"
+	NoBackend        Reason = "no_backend"
+	NoDecodeMemory   Reason = "no_decode_memory"
+	DeadlineTooClose Reason = "deadline_too_close"
+	RetryBudget      Reason = "retry_budget"
+	OperationClosed  Reason = "operation_closed"
+	OperationExpired Reason = "operation_expired"
+	OperationForeign Reason = "operation_foreign"
+	NoWitness        Reason = "no_witness"
+)
+
+// Retries: an attempt was abandoned and the next one took its place.
+const (
+	ReserveRefused   Reason = "reserve_refused"
+	StewardUnreached Reason = "steward_unreached"
+	PrefillFailed    Reason = "prefill_failed"
+	PrefillRefused   Reason = "prefill_refused"
+	HandoffExpired   Reason = "handoff_expired"
+	HandoffRefused   Reason = "handoff_refused"
+	HandoffFailed    Reason = "handoff_failed"
+	DecodeFailed     Reason = "decode_failed"
+	StreamBroken     Reason = "stream_broken"
+	ConnectFailed    Reason = "connect_failed"
+	BackendRefused   Reason = "backend_refused"
+)
+
+// Other endings of a request or of an attempt.
+const (
+	CallerGone      Reason = "caller_gone"
+	HomeDead        Reason = "home_dead"
+	AnswerLost      Reason = "answer_lost"
+	WrongAnswer     Reason = "wrong_answer"
+	StaleToken      Reason = "stale_token"
+	DeadlineMissed  Reason = "deadline_missed"
+	AlreadyAnswered Reason = "already_answered"
+)
+
+// Info explains one reason to an operator.
+type Info struct {
+	Reason  Reason
+	Meaning string
+	// Cell is the table cell, or the settings key, that governs the reason.
+	Cell string
+}
+
+// All lists every reason with its meaning, in the order of the pages.
+var All = []Info{
+	{Malformed, "the request could not be read", "none"},
+	{TooLarge, "the request is larger than limits.max_body_bytes", "limits.max_body_bytes (settings)"},
+	{UnknownService, "no service row has this name", "service rows"},
+	{Draining, "the instance is shutting down and takes no new callers", "none"},
+	{StaleTable, "the instance has heard neither the log nor a sibling for too long", "limits.stale_after_seconds (settings)"},
+	{QueueFull, "too many requests already wait at this instance", "service.queue"},
+	{TeamCap, "the team has as many requests in flight as its cap allows", "team.in_flight"},
+	{ServiceCap, "the service has as many requests in flight as its cap allows", "service.in_flight"},
+	{NoBackend, "every backend server of the pool was filtered out", "backend.drain, pool rows"},
+	{NoDecodeMemory, "no decode engine promised memory before the first-token target passed", "backend.pieces"},
+	{DeadlineTooClose, "the first-token target can no longer be met", "service.ttft_ms"},
+	{RetryBudget, "the retry budget of the service is spent", "service.retry_percent"},
+	{OperationClosed, "the operation id was closed before the call was sent", "none"},
+	{OperationExpired, "the operation id is older than its home allows", "limits.operation_seconds (settings)"},
+	{OperationForeign, "the operation id names another home or an earlier incarnation", "none"},
+	{NoWitness, "the witness did not acknowledge the intent, so the call was not sent", "none"},
+	{ReserveRefused, "the steward had no room at the decode engine", "backend.pieces"},
+	{StewardUnreached, "the steward of the decode engine did not answer", "none"},
+	{PrefillFailed, "the prefill engine failed in the middle of a prefill", "none"},
+	{PrefillRefused, "the prefill engine did not take the prefill", "none"},
+	{HandoffExpired, "the prefill result expired before the transfer began", "none"},
+	{HandoffRefused, "the decode engine had no memory for the transfer", "backend.pieces"},
+	{HandoffFailed, "the transfer failed or stalled", "backend.link_mb_per_s"},
+	{DecodeFailed, "the decode engine did not begin the stream", "none"},
+	{StreamBroken, "the decode stream ended before its last token", "none"},
+	{ConnectFailed, "no connection to the backend server; no byte was sent", "none"},
+	{BackendRefused, "the backend server said that it did not run the request", "none"},
+	{CallerGone, "the caller closed its connection", "none"},
+	{HomeDead, "the request's home instance died; its steward cancelled the work", "none"},
+	{AnswerLost, "a byte reached the backend server and no whole answer came back", "none"},
+	{WrongAnswer, "an answer carried another request id or attempt and was dropped", "none"},
+	{StaleToken, "a token position was already delivered and was dropped", "none"},
+	{DeadlineMissed, "the answer arrived after its target", "service.ttft_ms, service.tbt_ms"},
+	{AlreadyAnswered, "the operation was already answered; the caller learns its outcome only", "none"},
+}
--- /dev/null
+++ b/route/decide.go
@@ -0,0 +1,133 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// Query is what a decision needs to know of a request.
+type Query struct {
+	RequestID    string
+	Zone         string
+	PromptTokens int
+	Pieces       int
+	// Prefixes are hashes of the prompt's prefixes, the longest last.
+	Prefixes []uint64
+	// Exclude names servers that this request has already tried in vain.
+	Exclude []string
+	// Partner is the other server of the pair, once chosen; nil before.
+	Partner *table.BackendView
+	Now     time.Time
+}
+
+// Candidate is one backend server under consideration.
+type Candidate struct {
+	Backend *table.BackendView
+	Server  *Server
+}
+
+// Filter drops candidates that may not be used.
+type Filter interface {
+	Name() string
+	Keep(q *Query, c Candidate) bool
+}
+
+// Scorer rates a candidate from 0 (worst) to 1 (best).
+type Scorer interface {
+	Name() string
+	Score(q *Query, c Candidate) float64
+}
+
+// Weighted is a scorer with its weight in the sum.
+type Weighted struct {
+	Scorer
+	Weight float64
+}
+
+// Picker chooses among rated candidates.
+type Picker interface {
+	Name() string
+	// Pick returns an index into rated, which is never empty.
+	Pick(q *Query, rated []Rated) int
+}
+
+// Part is what one scorer contributed.
+type Part struct {
+	Scorer string  `json:"scorer"`
+	Score  float64 `json:"score"`
+}
+
+// Rated is one candidate with what the decision saw of it.
+type Rated struct {
+	Candidate `json:"-"`
+	Name      string `json:"name"`
+	// DroppedBy names the filter that dropped it; empty when it was kept.
+	DroppedBy string  `json:"dropped_by,omitempty"`
+	Parts     []Part  `json:"parts,omitempty"`
+	Total     float64 `json:"total"`
+}
+
+// Decision is a choice with everything that led to it.
+type Decision struct {
+	// Chosen is the picked candidate; nil when every one was dropped.
+	Chosen *Rated `json:"-"`
+	// Pick is its name, for the record.
+	Pick   string  `json:"pick,omitempty"`
+	Picker string  `json:"picker"`
+	Rated  []Rated `json:"rated"`
+}
+
+// Profile is the recipe of a decision: filters, then scorers, then a picker.
+type Profile struct {
+	Filters []Filter
+	Scorers []Weighted
+	Picker  Picker
+}
+
+// Decide runs the profile over the backend servers of a pool. Candidates that
+// were kept come first in the decision's list.
+func (p *Profile) Decide(q *Query, fleet *Fleet, pool []*table.BackendView) Decision {
+	decision := Decision{Picker: p.Picker.Name(), Rated: make([]Rated, 0, len(pool))}
+	dropped := make([]Rated, 0, len(pool))
+	parts := make([]Part, 0, len(pool)*len(p.Scorers))
+	for _, backend := range pool {
+		candidate := Candidate{Backend: backend, Server: fleet.Server(backend.Name)}
+		rated := Rated{Candidate: candidate, Name: backend.Name}
+		if rated.DroppedBy = p.filter(q, candidate); rated.DroppedBy != "" {
+			dropped = append(dropped, rated)
+			continue
+		}
+		first := len(parts)
+		for _, scorer := range p.Scorers {
+			part := Part{Scorer: scorer.Name(), Score: scorer.Score(q, candidate)}
+			rated.Total += part.Score * scorer.Weight
+			parts = append(parts, part)
+		}
+		rated.Parts = parts[first:len(parts):len(parts)]
+		decision.Rated = append(decision.Rated, rated)
+	}
+	kept := len(decision.Rated)
+	decision.Rated = append(decision.Rated, dropped...)
+	if kept > 0 {
+		decision.Chosen = &decision.Rated[p.Picker.Pick(q, decision.Rated[:kept])]
+		decision.Pick = decision.Chosen.Name
+	}
+	return decision
+}
+
+// filter returns the name of the first filter that drops the candidate.
+func (p *Profile) filter(q *Query, c Candidate) string {
+	if c.Server == nil {
+		return "not_in_fleet"
+	}
+	for _, f := range p.Filters {
+		if !f.Keep(q, c) {
+			return f.Name()
+		}
+	}
+	return ""
+}
+
+func excluded(q *Query, name string) bool { return slices.Contains(q.Exclude, name) }
--- /dev/null
+++ b/route/filter_leaving.go
@@ -0,0 +1,17 @@
+package route
+
+// LeavingFilter drops servers that the operator drains or that say themselves
+// that they are leaving, whichever is known first.
+type LeavingFilter struct{}
+
+// Name implements Filter.
+func (LeavingFilter) Name() string { return "leaving" }
+
+// Keep implements Filter.
+func (LeavingFilter) Keep(_ *Query, c Candidate) bool {
+	if c.Backend.Drain {
+		return false
+	}
+	report := c.Server.Report()
+	return report == nil || !report.Leaving
+}
--- /dev/null
+++ b/route/scorer_idle.go
@@ -0,0 +1,16 @@
+package route
+
+// IdleScorer prefers servers with fewer requests, for plain services.
+type IdleScorer struct{}
+
+// Name implements Scorer.
+func (IdleScorer) Name() string { return "idle" }
+
+// Score implements Scorer.
+func (IdleScorer) Score(_ *Query, c Candidate) float64 {
+	running := c.Server.InFlight()
+	if report := c.Server.Report(); report != nil {
+		running = max(running, report.Running)
+	}
+	return 1 / float64(1+running)
+}
--- /dev/null
+++ b/route/scorer_prefix.go
@@ -0,0 +1,30 @@
+package route
+
+// PrefixBlockTokens is the length of prompt that one prefix hash covers more
+// than the one before it.
+const PrefixBlockTokens = 256
+
+// PrefixScorer prefers engines whose cache holds a longer part of the prompt.
+type PrefixScorer struct{}
+
+// Name implements Scorer.
+func (PrefixScorer) Name() string { return "prefix" }
+
+// Score implements Scorer.
+func (PrefixScorer) Score(q *Query, c Candidate) float64 {
+	if q.PromptTokens == 0 {
+		return 0
+	}
+	return float64(cachedTokens(q, c)) / float64(q.PromptTokens)
+}
+
+// cachedTokens returns how many tokens of the prompt the engine has cached,
+// as far as its events have arrived.
+func cachedTokens(q *Query, c Candidate) int {
+	for i := len(q.Prefixes) - 1; i >= 0; i-- {
+		if c.Server.Prefixes.Contains(q.Prefixes[i]) {
+			return min((i+1)*PrefixBlockTokens, q.PromptTokens)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/route/server.go
@@ -0,0 +1,140 @@
+// Package route holds the decisions: which backend server to use, whether to
+// admit, when to retry and when to stop trying a server. Nothing here does I/O
+// or reads a clock; state and time come in, a decision and its reasons go out.
+package route
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// Report is what a backend server last said about itself.
+type Report struct {
+	// At is when the report was taken, on this instance's clock.
+	At time.Time
+	// WaitingTokens counts prompt tokens that a prefill engine has not read.
+	WaitingTokens int
+	// Running counts requests at the server.
+	Running int
+	// FreePieces counts free memory pieces of a decode engine.
+	FreePieces int
+	// Leaving is set once the server is about to stop.
+	Leaving bool
+}
+
+// Server is what one instance knows of one backend server. Its fields are
+// atomics: the path of a request reads and writes it without locks.
+type Server struct {
+	Name    string
+	Breaker Breaker
+	// Prefixes guesses at a prefill engine's prefix cache.
+	Prefixes PrefixCache
+
+	report atomic.Pointer[Report]
+	// inFlight counts this instance's own requests at the server.
+	inFlight atomic.Int64
+	// ownTokens counts this instance's own prompt tokens there, not yet read.
+	ownTokens atomic.Int64
+	// tokenRate is the measured prefill rate, in tokens a second, as float bits.
+	tokenRate atomic.Uint64
+}
+
+const (
+	// initialTokenRate stands in until the first prefill was measured.
+	initialTokenRate = 10_000
+	// rateSmoothing is the weight of a new measurement.
+	rateSmoothing = 0.1
+)
+
+// Observe replaces the server's report.
+func (s *Server) Observe(report *Report) { s.report.Store(report) }
+
+// Report returns the last report, or nil before the first.
+func (s *Server) Report() *Report { return s.report.Load() }
+
+// InFlight returns the number of this instance's own requests at the server.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// Begin notes that this instance has sent a request with that many unread
+// prompt tokens; the returned function notes its end.
+func (s *Server) Begin(tokens int) (end func()) {
+	s.inFlight.Add(1)
+	s.ownTokens.Add(int64(tokens))
+	return func() {
+		s.inFlight.Add(-1)
+		s.ownTokens.Add(-int64(tokens))
+	}
+}
+
+// WaitingTokens returns the larger of the reported and the own unread tokens:
+// the report lags behind what this instance has just sent, and what it has
+// sent says nothing of the others.
+func (s *Server) WaitingTokens() int {
+	own := int(s.ownTokens.Load())
+	report := s.report.Load()
+	if report == nil || report.WaitingTokens < own {
+		return own
+	}
+	return report.WaitingTokens
+}
+
+// MeasurePrefill feeds the measured time of one prefill into the rate.
+func (s *Server) MeasurePrefill(tokens int, took time.Duration) {
+	if tokens <= 0 || took <= 0 {
+		return
+	}
+	measured := float64(tokens) / took.Seconds()
+	blended := (1-rateSmoothing)*s.TokenRate() + rateSmoothing*measured
+	s.tokenRate.Store(math.Float64bits(blended))
+}
+
+// TokenRate returns the prefill rate in tokens a second.
+func (s *Server) TokenRate() float64 {
+	bits := s.tokenRate.Load()
+	if bits == 0 {
+		return initialTokenRate
+	}
+	return math.Float64frombits(bits)
+}
+
+// PrefillTime estimates the time until a prompt of that many tokens is read,
+// the wait behind others included.
+func (s *Server) PrefillTime(tokens int) time.Duration {
+	seconds := float64(s.WaitingTokens()+tokens) / s.TokenRate()
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// Fleet finds the Server of each backend server. Readers load one immutable
+// map; Adopt swaps it when the table changes.
+type Fleet struct {
+	servers atomic.Pointer[map[string]*Server]
+}
+
+// NewFleet returns an empty fleet.
+func NewFleet() *Fleet {
+	f := &Fleet{}
+	f.servers.Store(&map[string]*Server{})
+	return f
+}
+
+// Server returns the state of a backend server, or nil when the table has no
+// such row.
+func (f *Fleet) Server(name string) *Server { return (*f.servers.Load())[name] }
+
+// Adopt makes the fleet match the table's backend servers. Servers that stay
+// keep their state. Only one goroutine may call it.
+func (f *Fleet) Adopt(view *table.View) {
+	old := *f.servers.Load()
+	next := make(map[string]*Server, len(view.Backends))
+	for name := range view.Backends {
+		if server, ok := old[name]; ok {
+			next[name] = server
+			continue
+		}
+		next[name] = &Server{Name: name}
+	}
+	f.servers.Store(&next)
+}
--- /dev/null
+++ b/standin/http.go
@@ -0,0 +1,209 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mastwheel/mastwheel/engine"
+	"github.com/mastwheel/mastwheel/instancelist"
+	"github.com/mastwheel/mastwheel/oplog"
+	"github.com/mastwheel/mastwheel/service"
+)
+
+// PathLedger shows a stand-in's ledger.
+const PathLedger = "/standin/ledger"
+
+// LogLedger is what really happened at the log.
+type LogLedger struct {
+	Records int `json:"records"`
+}
+
+// PlainLedger is how often each operation ran at a plain service.
+type PlainLedger struct {
+	Runs map[string]int `json:"runs"`
+}
+
+// Serve answers HTTP on a listener until the returned function is called.
+func Serve(listener net.Listener, handler fasthttp.RequestHandler) (stop func()) {
+	server := &fasthttp.Server{Handler: handler, Name: "standin", MaxRequestBodySize: 64 << 20}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		server.Serve(listener)
+	}()
+	return func() {
+		listener.Close()
+		server.Shutdown()
+		<-done
+	}
+}
+
+// EngineHandler is the engine's interface over HTTP.
+func EngineHandler(e *Engine) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == PathLedger {
+			answer(ctx, e.Ledger(), nil)
+			return
+		}
+		if e.Faults.Down.Load() {
+			ctx.Conn().Close()
+			return
+		}
+		e.route(ctx)
+	}
+}
+
+func (e *Engine) route(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case engine.PathPrefill:
+		handleOrder(ctx, e.Prefill)
+	case engine.PathImport:
+		handleOrder(ctx, func(order engine.ImportOrder) (struct{}, error) { return struct{}{}, e.Import(order) })
+	case engine.PathCancel:
+		handleOrder(ctx, func(attempt engine.Attempt) (struct{}, error) { return struct{}{}, e.Cancel(attempt) })
+	case engine.PathLoad:
+		answer(ctx, e.Load(), nil)
+	case engine.PathCacheEvents:
+		after, _ := ctx.QueryArgs().GetUint("after")
+		answer(ctx, e.CacheEvents(int64(after)), nil)
+	case engine.PathDecode:
+		e.streamDecode(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (e *Engine) streamDecode(ctx *fasthttp.RequestCtx) {
+	var order engine.DecodeOrder
+	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	tokens, err := e.Decode(order)
+	if err != nil {
+		ctx.SetStatusCode(statusOf(err))
+		return
+	}
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(out *bufio.Writer) {
+		for token := range tokens {
+			encoded, _ := json.Marshal(token)
+			out.WriteString("data: ")
+			out.Write(encoded)
+			out.WriteString("\n\n")
+			if out.Flush() != nil {
+				return
+			}
+		}
+	})
+}
+
+func handleOrder[Order, Answer any](ctx *fasthttp.RequestCtx, run func(Order) (Answer, error)) {
+	var order Order
+	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	result, err := run(order)
+	answer(ctx, result, err)
+}
+
+func answer(ctx *fasthttp.RequestCtx, value any, err error) {
+	if errors.Is(err, engine.ErrBroken) || errors.Is(err, oplog.ErrUnavailable) {
+		// What a broken server sends is nothing.
+		ctx.Conn().Close()
+		return
+	}
+	if err != nil {
+		ctx.SetStatusCode(statusOf(err))
+		return
+	}
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic("standin: answer cannot be encoded: " + err.Error())
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(encoded)
+}
+
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, engine.ErrRefused):
+		return engine.StatusRefused
+	case errors.Is(err, engine.ErrNoMemory):
+		return engine.StatusNoMemory
+	case errors.Is(err, engine.ErrExpired), errors.Is(err, oplog.ErrTruncated):
+		return engine.StatusExpired
+	case errors.Is(err, oplog.ErrTooFast):
+		return fasthttp.StatusTooManyRequests
+	default:
+		return fasthttp.StatusInternalServerError
+	}
+}
+
+// PlatformHandler is the platform's log and instance list over HTTP.
+func PlatformHandler(log *Log, list *List) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case oplog.PathRecords:
+			log.serve(ctx)
+		case instancelist.PathInstances:
+			entries, err := list.List(ctx)
+			answer(ctx, entries, err)
+		case PathLedger:
+			answer(ctx, LogLedger{Records: log.Len()}, nil)
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	}
+}
+
+// mostRecords bounds the records of one read.
+const mostRecords = 1000
+
+func (l *Log) serve(ctx *fasthttp.RequestCtx) {
+	if ctx.IsPost() {
+		handleOrder(ctx, func(order oplog.AppendRequest) (oplog.AppendAnswer, error) {
+			offset, err := l.Append(ctx, order.Data)
+			return oplog.AppendAnswer{Offset: offset}, err
+		})
+		return
+	}
+	from := uint64(ctx.QueryArgs().GetUintOrZero("from"))
+	most := min(max(ctx.QueryArgs().GetUintOrZero("max"), 1), mostRecords)
+	batch, err := l.Read(context.Background(), from, most)
+	answer(ctx, batch, err)
+}
+
+// PlainHandler is one server of a plain service over HTTP.
+func PlainHandler(p *Plain, address string) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == PathLedger {
+			answer(ctx, PlainLedger{Runs: p.Runs()}, nil)
+			return
+		}
+		call := service.Call{Method: string(ctx.Method()), Path: string(ctx.RequestURI())}
+		if key := ctx.Request.Header.Peek(HeaderOperation); len(key) > 0 {
+			call.Headers = []service.Header{{Name: HeaderOperation, Value: string(key)}}
+		}
+		result, err := p.Do(context.Background(), address, call)
+		switch {
+		case errors.Is(err, service.ErrNotRun):
+			ctx.Response.Header.Set(service.HeaderOutcome, "not_run")
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		case err != nil:
+			ctx.Conn().Close()
+		default:
+			ctx.SetStatusCode(result.Status)
+			for _, header := range result.Headers {
+				ctx.Response.Header.Set(header.Name, header.Value)
+			}
+			ctx.SetBody(result.Body)
+		}
+	}
+}
--- /dev/null
+++ b/standin/list.go
@@ -0,0 +1,61 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mastwheel/mastwheel/instancelist"
+)
+
+// List is the stand-in of the platform's list of instances. What it shows
+// lags behind what was set.
+type List struct {
+	// Lag is how late a change shows.
+	Lag time.Duration
+
+	mu      sync.Mutex
+	entries map[string]instancelist.Entry
+}
+
+// NewList returns an empty list with that lag.
+func NewList(lag time.Duration) *List {
+	return &List{Lag: lag, entries: make(map[string]instancelist.Entry)}
+}
+
+// Set shows an instance after the lag.
+func (l *List) Set(entry instancelist.Entry) {
+	l.later(func() { l.entries[entry.Name] = entry })
+}
+
+// Remove drops an instance after the lag.
+func (l *List) Remove(name string) {
+	l.later(func() { delete(l.entries, name) })
+}
+
+func (l *List) later(change func()) {
+	locked := func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		change()
+	}
+	if l.Lag == 0 {
+		locked()
+		return
+	}
+	time.AfterFunc(l.Lag, locked)
+}
+
+// List implements instancelist.Client.
+func (l *List) List(context.Context) ([]instancelist.Entry, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entries := make([]instancelist.Entry, 0, len(l.entries))
+	for _, entry := range l.entries {
+		entries = append(entries, entry)
+	}
+	slices.SortFunc(entries, func(a, b instancelist.Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return entries, nil
+}
--- /dev/null
+++ b/standin/plain.go
@@ -0,0 +1,89 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mastwheel/mastwheel/service"
+)
+
+// HeaderOperation is the header by which the ledger knows one operation from
+// another.
+const HeaderOperation = "Idempotency-Key"
+
+// Plain is the stand-in of a plain service's servers, which share one ledger:
+// how often each operation ran.
+type Plain struct {
+	// Took is how long a call takes.
+	Took time.Duration
+	// LoseReplies makes that many calls run with no answer.
+	LoseReplies atomic.Int64
+	// Refuse makes that many calls answer that they did not run.
+	Refuse atomic.Int64
+
+	mu   sync.Mutex
+	runs map[string]int
+	down map[string]bool
+}
+
+// NewPlain returns a service whose calls take that long.
+func NewPlain(took time.Duration) *Plain {
+	return &Plain{Took: took, runs: make(map[string]int), down: make(map[string]bool)}
+}
+
+// SetDown makes the server at an address unreachable, or reachable again.
+func (p *Plain) SetDown(address string, down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down[address] = down
+}
+
+// Runs returns how often each operation ran.
+func (p *Plain) Runs() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	runs := make(map[string]int, len(p.runs))
+	for operation, n := range p.runs {
+		runs[operation] = n
+	}
+	return runs
+}
+
+// Do implements service.Client.
+func (p *Plain) Do(ctx context.Context, address string, call service.Call) (service.Answer, error) {
+	p.mu.Lock()
+	down := p.down[address]
+	p.mu.Unlock()
+	if down {
+		return service.Answer{}, service.ErrUnreachable
+	}
+	if take(&p.Refuse) {
+		return service.Answer{}, service.ErrNotRun
+	}
+	operation := operationOf(call)
+	p.mu.Lock()
+	p.runs[operation]++
+	runs := p.runs[operation]
+	p.mu.Unlock()
+	if !sleep(ctx, p.Took) || take(&p.LoseReplies) {
+		return service.Answer{}, service.ErrLost
+	}
+	body := fmt.Sprintf("{\"operation\":%q,\"runs\":%d}\n", operation, runs)
+	return service.Answer{Status: http.StatusOK, Body: []byte(body), Headers: []service.Header{
+		{Name: "Content-Type", Value: "application/json"},
+	}}, nil
+}
+
+// operationOf names the operation of a call: its key, or else its target.
+func operationOf(call service.Call) string {
+	for _, header := range call.Headers {
+		if header.Name == HeaderOperation {
+			return header.Value
+		}
+	}
+	return call.Method + " " + call.Path
+}
--- /dev/null
+++ b/table/column.go
@@ -0,0 +1,166 @@
+package table
+
+import (
+	"net/netip"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Kind is the kind of a row.
+type Kind string
+
+const (
+	Service Kind = "service"
+	Pool    Kind = "pool"
+	Backend Kind = "backend"
+	Team    Kind = "team"
+)
+
+// Kinds lists the kinds in the order in which tables are shown.
+var Kinds = []Kind{Service, Pool, Backend, Team}
+
+// Column names a column. Its meaning depends on the row's kind.
+type Column string
+
+const (
+	ColType         Column = "type"
+	ColModel        Column = "model"
+	ColPrefillPool  Column = "prefill_pool"
+	ColDecodePool   Column = "decode_pool"
+	ColPool         Column = "pool"
+	ColRole         Column = "role"
+	ColAddress      Column = "address"
+	ColZone         Column = "zone"
+	ColPieces       Column = "pieces"
+	ColLink         Column = "link_mb_per_s"
+	ColTTFT         Column = "ttft_ms"
+	ColTBT          Column = "tbt_ms"
+	ColShare        Column = "share"
+	ColPriority     Column = "priority"
+	ColInFlight     Column = "in_flight"
+	ColRate         Column = "rate_per_s"
+	ColQueue        Column = "queue"
+	ColRetryPercent Column = "retry_percent"
+	ColGoodput      Column = "goodput_weight"
+	ColWaste        Column = "waste_weight"
+	ColDrain        Column = "drain"
+)
+
+// Types of a service.
+const (
+	TypeModel = "model"
+	TypePlain = "plain"
+)
+
+// Roles of a pool.
+const (
+	RolePrefill = "prefill"
+	RoleDecode  = "decode"
+	RolePlain   = "plain"
+)
+
+// check reports what is wrong with a cell's value.
+type check func(value string) error
+
+// spec describes one column of one kind of row.
+type spec struct {
+	column   Column
+	required bool
+	check    check
+	// refers is the kind of row that the value must name.
+	refers Kind
+}
+
+// columns holds the columns of each kind, in the order in which they are shown.
+var columns = map[Kind][]spec{
+	Service: {
+		{column: ColType, required: true, check: oneOf(TypeModel, TypePlain)},
+		{column: ColModel, check: anyText},
+		{column: ColPrefillPool, check: anyText, refers: Pool},
+		{column: ColDecodePool, check: anyText, refers: Pool},
+		{column: ColPool, check: anyText, refers: Pool},
+		{column: ColTTFT, check: intIn(1, 600_000)},
+		{column: ColTBT, check: intIn(1, 60_000)},
+		{column: ColShare, check: intIn(1, 1_000_000)},
+		{column: ColPriority, check: intIn(0, 9)},
+		{column: ColInFlight, check: intIn(0, 10_000_000)},
+		{column: ColQueue, check: intIn(0, 1_000_000)},
+		{column: ColRetryPercent, check: intIn(0, 100)},
+		{column: ColGoodput, check: intIn(0, 100)},
+		{column: ColWaste, check: intIn(0, 100)},
+	},
+	Pool: {
+		{column: ColRole, required: true, check: oneOf(RolePrefill, RoleDecode, RolePlain)},
+	},
+	Backend: {
+		{column: ColPool, required: true, check: anyText, refers: Pool},
+		{column: ColAddress, required: true, check: ipPort},
+		{column: ColZone, required: true, check: anyText},
+		{column: ColPieces, check: intIn(0, 1_000_000)},
+		{column: ColLink, check: intIn(1, 10_000_000)},
+		{column: ColDrain, check: oneOf("true", "false")},
+	},
+	Team: {
+		{column: ColShare, check: intIn(1, 1_000_000)},
+		{column: ColPriority, check: intIn(0, 9)},
+		{column: ColInFlight, check: intIn(0, 10_000_000)},
+		{column: ColRate, check: intIn(0, 10_000_000)},
+	},
+}
+
+// Columns returns the columns of a kind in the order in which they are shown.
+func Columns(kind Kind) []Column {
+	names := make([]Column, 0, len(columns[kind]))
+	for _, s := range columns[kind] {
+		names = append(names, s.column)
+	}
+	return names
+}
+
+func findSpec(kind Kind, column Column) (spec, bool) {
+	for _, s := range columns[kind] {
+		if s.column == column {
+			return s, true
+		}
+	}
+	return spec{}, false
+}
+
+func oneOf(allowed ...string) check {
+	return func(value string) error {
+		for _, a := range allowed {
+			if value == a {
+				return nil
+			}
+		}
+		return errors.Errorf("%q is not one of %v", value, allowed)
+	}
+}
+
+func intIn(low, high int) check {
+	return func(value string) error {
+		n, err := strconv.Atoi(value)
+		if err != nil {
+			return errors.Errorf("%q is not a whole number", value)
+		}
+		if n < low || n > high {
+			return errors.Errorf("%d is outside %d to %d", n, low, high)
+		}
+		return nil
+	}
+}
+
+func anyText(value string) error {
+	if value == "" {
+		return errors.New("is empty")
+	}
+	return nil
+}
+
+func ipPort(value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return errors.Errorf("%q is not an IP number with a port", value)
+	}
+	return nil
+}
--- /dev/null
+++ b/table/edit.go
@@ -0,0 +1,156 @@
+package table
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// Change sets one cell, empties it (Value == ""), or removes a whole row.
+type Change struct {
+	Row       RowKey `json:"row"`
+	Column    Column `json:"column,omitempty"`
+	Value     string `json:"value,omitempty"`
+	RemoveRow bool   `json:"remove_row,omitempty"`
+}
+
+// Edit is one operator's change to the table, as it stands on the log.
+type Edit struct {
+	// ID is chosen by the operator's client, so that an edit whose append
+	// reply was lost can be found again and is never applied twice.
+	ID string `json:"id"`
+	// Base is the revision that the operator looked at.
+	Base    uint64   `json:"base"`
+	Author  string   `json:"author"`
+	Reason  string   `json:"reason"`
+	Changes []Change `json:"changes"`
+}
+
+// CellError says what is wrong with one cell. Column is empty when the
+// fault is with the whole row.
+type CellError struct {
+	Row    RowKey
+	Column Column
+	Cause  error
+}
+
+// Error implements error.
+func (e *CellError) Error() string {
+	if e.Column == "" {
+		return fmt.Sprintf("row %s: %v", e.Row, e.Cause)
+	}
+	return fmt.Sprintf("row %s, column %s: %v", e.Row, e.Column, e.Cause)
+}
+
+// ConflictError says that a row changed after the edit's base revision.
+type ConflictError struct {
+	Row      RowKey
+	Base     uint64
+	Revision uint64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("row %s: changed at revision %d, after the edit's base %d", e.Row, e.Revision, e.Base)
+}
+
+// errEmptyEdit is the verdict on an edit that lacks what every edit needs.
+var errEmptyEdit = errors.New("an edit needs an id, an author and at least one change")
+
+// Apply returns the table that follows t when edit is accepted at the given
+// log offset, or the reason why it is refused: a *ConflictError, a *CellError
+// or another error. It looks at nothing but its arguments, so that every
+// instance reaches the same verdict.
+func (t *Table) Apply(edit Edit, offset uint64) (*Table, error) {
+	if edit.ID == "" || edit.Author == "" || len(edit.Changes) == 0 {
+		return nil, errEmptyEdit
+	}
+	for _, change := range edit.Changes {
+		if err := t.checkConflict(change.Row, edit.Base); err != nil {
+			return nil, err
+		}
+	}
+	next := t.with(edit.Changes, offset)
+	if err := next.Check(); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+func (t *Table) checkConflict(key RowKey, base uint64) error {
+	row, ok := t.rows[key]
+	if ok && row.Revision > base {
+		return &ConflictError{Row: key, Base: base, Revision: row.Revision}
+	}
+	return nil
+}
+
+// Check reports the first fault of the whole table: an unknown kind or
+// column, a bad value, a missing cell, or a name that no row has.
+func (t *Table) Check() error {
+	for key := range t.rows {
+		if _, ok := columns[key.Kind]; !ok {
+			return &CellError{Row: key, Cause: errors.Errorf("unknown kind %q", key.Kind)}
+		}
+	}
+	for _, kind := range Kinds {
+		for _, key := range t.Keys(kind) {
+			if err := t.checkRow(key); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (t *Table) checkRow(key RowKey) error {
+	cells := t.rows[key].Cells
+	for column := range cells {
+		if _, ok := findSpec(key.Kind, column); !ok {
+			return &CellError{Row: key, Column: column, Cause: errors.New("no such column")}
+		}
+	}
+	for _, s := range columns[key.Kind] {
+		if err := t.checkCell(key, s, cells[s.column]); err != nil {
+			return err
+		}
+	}
+	if key.Kind == Service {
+		return t.checkService(key, cells)
+	}
+	return nil
+}
+
+func (t *Table) checkCell(key RowKey, s spec, value string) error {
+	if value == "" && s.required {
+		return &CellError{Row: key, Column: s.column, Cause: errors.New("is missing")}
+	}
+	if value == "" {
+		return nil
+	}
+	if err := s.check(value); err != nil {
+		return &CellError{Row: key, Column: s.column, Cause: err}
+	}
+	if s.refers == "" {
+		return nil
+	}
+	if _, ok := t.rows[RowKey{Kind: s.refers, Name: value}]; !ok {
+		return &CellError{Row: key, Column: s.column, Cause: errors.Errorf("no %s row named %q", s.refers, value)}
+	}
+	return nil
+}
+
+// checkService demands the pools that a service of its type needs.
+func (t *Table) checkService(key RowKey, cells map[Column]string) error {
+	needed := []Column{ColModel, ColPrefillPool, ColDecodePool}
+	if cells[ColType] == TypePlain {
+		needed = []Column{ColPool}
+	}
+	for _, column := range needed {
+		if cells[column] == "" {
+			cause := errors.Errorf("is missing for type %q", cells[ColType])
+			return &CellError{Row: key, Column: column, Cause: cause}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/table/view.go
@@ -0,0 +1,160 @@
+package table
+
+import (
+	"strconv"
+	"time"
+)
+
+// ServiceView is a service row with its values parsed and its pools resolved.
+type ServiceView struct {
+	Name         string
+	Type         string
+	Model        string
+	Prefill      []*BackendView
+	Decode       []*BackendView
+	Plain        []*BackendView
+	TTFT         time.Duration
+	TBT          time.Duration
+	Share        int
+	Priority     int
+	InFlight     int
+	Queue        int
+	RetryPercent int
+}
+
+// BackendView is a backend server row with its values parsed.
+type BackendView struct {
+	Name    string
+	Pool    string
+	Role    string
+	Address string
+	Zone    string
+	// Pieces is the decode memory, in pieces; 0 for other roles.
+	Pieces int
+	// LinkBytesPerSecond is the rate of the server's link for KV transfers.
+	LinkBytesPerSecond int64
+	Drain              bool
+}
+
+// TeamView is a team row with its values parsed.
+type TeamView struct {
+	Name     string
+	Share    int
+	Priority int
+	// InFlight and Rate are caps; 0 means none.
+	InFlight int
+	Rate     int
+}
+
+// View is a table compiled for the path of a request.
+type View struct {
+	Revision uint64
+	Services map[string]*ServiceView
+	// Models finds a model service by the model's name.
+	Models   map[string]*ServiceView
+	Backends map[string]*BackendView
+	Teams    map[string]*TeamView
+}
+
+// Defaults for empty cells.
+const (
+	defaultTTFT         = 1100 * time.Millisecond
+	defaultTBT          = 41 * time.Millisecond
+	defaultShare        = 1
+	defaultQueue        = 256
+	defaultRetryPercent = 20
+	defaultLinkMB       = 1000
+	bytesPerMB          = 1_000_000
+)
+
+// Compile parses a checked table.
+func (t *Table) Compile() *View {
+	view := &View{
+		Revision: t.Revision,
+		Services: make(map[string]*ServiceView),
+		Models:   make(map[string]*ServiceView),
+		Backends: make(map[string]*BackendView),
+		Teams:    make(map[string]*TeamView),
+	}
+	pools := make(map[string][]*BackendView)
+	for _, key := range t.Keys(Backend) {
+		backend := t.backendView(key)
+		view.Backends[key.Name] = backend
+		pools[backend.Pool] = append(pools[backend.Pool], backend)
+	}
+	for _, key := range t.Keys(Service) {
+		service := t.serviceView(key, pools)
+		view.Services[key.Name] = service
+		if service.Type == TypeModel {
+			view.Models[service.Model] = service
+		}
+	}
+	for _, key := range t.Keys(Team) {
+		view.Teams[key.Name] = t.teamView(key)
+	}
+	return view
+}
+
+func (t *Table) backendView(key RowKey) *BackendView {
+	cells := t.rows[key].Cells
+	pool := cells[ColPool]
+	return &BackendView{
+		Name:               key.Name,
+		Pool:               pool,
+		Role:               t.rows[RowKey{Kind: Pool, Name: pool}].Cells[ColRole],
+		Address:            cells[ColAddress],
+		Zone:               cells[ColZone],
+		Pieces:             number(cells[ColPieces], 0),
+		LinkBytesPerSecond: int64(number(cells[ColLink], defaultLinkMB)) * bytesPerMB,
+		Drain:              cells[ColDrain] == "true",
+	}
+}
+
+func (t *Table) serviceView(key RowKey, pools map[string][]*BackendView) *ServiceView {
+	cells := t.rows[key].Cells
+	return &ServiceView{
+		Name:         key.Name,
+		Type:         cells[ColType],
+		Model:        cells[ColModel],
+		Prefill:      pools[cells[ColPrefillPool]],
+		Decode:       pools[cells[ColDecodePool]],
+		Plain:        pools[cells[ColPool]],
+		TTFT:         millis(cells[ColTTFT], defaultTTFT),
+		TBT:          millis(cells[ColTBT], defaultTBT),
+		Share:        number(cells[ColShare], defaultShare),
+		Priority:     number(cells[ColPriority], 0),
+		InFlight:     number(cells[ColInFlight], 0),
+		Queue:        number(cells[ColQueue], defaultQueue),
+		RetryPercent: number(cells[ColRetryPercent], defaultRetryPercent),
+	}
+}
+
+func (t *Table) teamView(key RowKey) *TeamView {
+	cells := t.rows[key].Cells
+	return &TeamView{
+		Name:     key.Name,
+		Share:    number(cells[ColShare], defaultShare),
+		Priority: number(cells[ColPriority], 0),
+		InFlight: number(cells[ColInFlight], 0),
+		Rate:     number(cells[ColRate], 0),
+	}
+}
+
+// number parses a cell that Check has accepted.
+func number(value string, empty int) int {
+	if value == "" {
+		return empty
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil {
+		panic("table: compiled before it was checked: " + err.Error())
+	}
+	return n
+}
+
+func millis(value string, empty time.Duration) time.Duration {
+	if value == "" {
+		return empty
+	}
+	return time.Duration(number(value, 0)) * time.Millisecond
+}
--- /dev/null
+++ b/trial/deployment.go
@@ -0,0 +1,138 @@
+// Package trial runs a whole small system in one process on loopback:
+// instances, stand-ins of the platform, of model engines and of plain
+// services, and sample traffic. It checks the promises against the stand-ins'
+// and the callers' own ledgers.
+package trial
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/load"
+	"github.com/mastwheel/mastwheel/standin"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// Deployment is one of the users' deployments, in its size of today.
+type Deployment struct {
+	Name  string
+	Zones []string
+	// Model and Plain name the services.
+	Model string
+	Plain string
+	// Prefill, Decode and Servers count workers and plain servers.
+	Prefill int
+	Decode  int
+	Servers int
+	// PlainTook is how long a plain call takes.
+	PlainTook time.Duration
+	Traffic   load.Profile
+}
+
+// Deployments are those of the brief: nine workers and three plain servers
+// each, in three availability zones.
+var Deployments = map[string]Deployment{
+	"cooperativa": {
+		Name:  "cooperativa",
+		Zones: []string{"sabana", "heredia", "cartago"},
+		Model: "dossier", Plain: "plate-desk",
+		Prefill: 3, Decode: 6, Servers: 3,
+		PlainTook: 5 * time.Millisecond,
+		Traffic: load.Profile{
+			Model: "dossier", Service: "plate-desk", Rate: 14, PlainRate: 10,
+			MedianPrompt: 2200, Spread: 0.7, MostPrompt: 24_000, MeanAnswer: 96,
+			Templates: 12, TemplateTokens: 1024,
+			Teams: []string{"counter", "notary", "dealer"}, CancelShare: 0.03,
+		},
+	},
+	"camara": {
+		Name:  "camara",
+		Zones: []string{"sala-palermo", "sala-rosario", "sala-cordoba"},
+		Model: "assistant", Plain: "booking",
+		Prefill: 3, Decode: 6, Servers: 3,
+		PlainTook: 5 * time.Millisecond,
+		Traffic: load.Profile{
+			Model: "assistant", Service: "booking", Rate: 11, PlainRate: 14,
+			MedianPrompt: 3200, Spread: 0.8, MostPrompt: 32_000, MeanAnswer: 64,
+			Templates: 24, TemplateTokens: 2048,
+			Teams: []string{"parrilla", "bodegon", "cafe"}, CancelShare: 0.05,
+		},
+	},
+}
+
+// FindDeployment returns the deployment of that name.
+func FindDeployment(name string) (Deployment, error) {
+	deployment, ok := Deployments[name]
+	if !ok {
+		return Deployment{}, errors.Errorf("no deployment %q; there are cooperativa and camara", name)
+	}
+	return deployment, nil
+}
+
+// worker is one backend server of a deployment.
+type worker struct {
+	name string
+	zone string
+	pool string
+}
+
+// workers lists the backend servers, spread over the zones in turn.
+func (d Deployment) workers() []worker {
+	var all []worker
+	add := func(count int, kind, pool string) {
+		for n := range count {
+			zone := d.Zones[n%len(d.Zones)]
+			all = append(all, worker{name: fmt.Sprintf("%s-%d", kind, n+1), zone: zone, pool: pool})
+		}
+	}
+	add(d.Prefill, d.Model+"-prefill", d.prefillPool())
+	add(d.Decode, d.Model+"-decode", d.decodePool())
+	add(d.Servers, d.Plain, d.plainPool())
+	return all
+}
+
+func (d Deployment) prefillPool() string { return d.Model + "-prefill" }
+func (d Deployment) decodePool() string  { return d.Model + "-decode" }
+func (d Deployment) plainPool() string   { return d.Plain }
+
+// instanceName names the n-th instance, counted from 0, and its zone.
+func (d Deployment) instanceName(n int) (name, zone string) {
+	zone = d.Zones[n%len(d.Zones)]
+	return zone + "-" + strconv.Itoa(n/len(d.Zones)+1), zone
+}
+
+// firstEdit is the edit that writes the whole table; addresses maps backend
+// servers to where they listen.
+func (d Deployment) firstEdit(addresses map[string]string) table.Edit {
+	edit := table.Edit{ID: "first", Author: "trial", Reason: "first table of " + d.Name}
+	set := func(kind table.Kind, row string, column table.Column, value string) {
+		key := table.RowKey{Kind: kind, Name: row}
+		edit.Changes = append(edit.Changes, table.Change{Row: key, Column: column, Value: value})
+	}
+	set(table.Pool, d.prefillPool(), table.ColRole, table.RolePrefill)
+	set(table.Pool, d.decodePool(), table.ColRole, table.RoleDecode)
+	set(table.Pool, d.plainPool(), table.ColRole, table.RolePlain)
+	set(table.Service, d.Model, table.ColType, table.TypeModel)
+	set(table.Service, d.Model, table.ColModel, d.Model)
+	set(table.Service, d.Model, table.ColPrefillPool, d.prefillPool())
+	set(table.Service, d.Model, table.ColDecodePool, d.decodePool())
+	set(table.Service, d.Model, table.ColTTFT, "1100")
+	set(table.Service, d.Model, table.ColTBT, "41")
+	set(table.Service, d.Plain, table.ColType, table.TypePlain)
+	set(table.Service, d.Plain, table.ColPool, d.plainPool())
+	for _, team := range d.Traffic.Teams {
+		set(table.Team, team, table.ColShare, "1")
+	}
+	for _, w := range d.workers() {
+		set(table.Backend, w.name, table.ColPool, w.pool)
+		set(table.Backend, w.name, table.ColAddress, addresses[w.name])
+		set(table.Backend, w.name, table.ColZone, w.zone)
+		if w.pool == d.decodePool() {
+			set(table.Backend, w.name, table.ColPieces, strconv.Itoa(standin.DefaultEngine("").Pieces))
+		}
+	}
+	return edit
+}
--- /dev/null
+++ b/trial/node.go
@@ -0,0 +1,183 @@
+package trial
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/caller"
+	"github.com/mastwheel/mastwheel/daemon"
+	"github.com/mastwheel/mastwheel/engine"
+	"github.com/mastwheel/mastwheel/instance"
+	"github.com/mastwheel/mastwheel/instancelist"
+	"github.com/mastwheel/mastwheel/operator"
+	"github.com/mastwheel/mastwheel/oplog"
+	"github.com/mastwheel/mastwheel/peer"
+	"github.com/mastwheel/mastwheel/service"
+)
+
+// Tokens are the operators' tokens of every trial.
+var Tokens = operator.Tokens{Read: "trial-read-token", Edit: "trial-edit-token"}
+
+// node is one instance of a trial, with what is needed to kill it.
+type node struct {
+	name      string
+	zone      string
+	caller    string
+	operator  string
+	line      *lifeline
+	daemon    *daemon.Daemon
+	listeners []*trackedListener
+	finished  chan error
+	drain     context.CancelFunc
+	closers   []func()
+}
+
+// trackedListener remembers its connections, to cut them off on a kill.
+type trackedListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// Accept implements net.Listener.
+func (t *trackedListener) Accept() (net.Conn, error) {
+	conn, err := t.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns = append(t.conns, conn)
+	return conn, nil
+}
+
+func (t *trackedListener) cutOff() {
+	t.Listener.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, conn := range t.conns {
+		conn.Close()
+	}
+}
+
+// nodeOptions says what to start.
+type nodeOptions struct {
+	name      string
+	zone      string
+	world     *world
+	authority *peer.Authority
+	random    *rand.Rand
+	adjust    func(*instance.Config)
+}
+
+func startNode(o nodeOptions) (*node, error) {
+	identity, err := o.authority.Identity(o.name)
+	if err != nil {
+		return nil, err
+	}
+	transport, err := peer.ListenQUIC("127.0.0.1:0", peer.NewKeys(identity), nil)
+	if err != nil {
+		return nil, err
+	}
+	callers, err := listenTracked()
+	if err != nil {
+		return nil, err
+	}
+	operators, err := listenTracked()
+	if err != nil {
+		return nil, err
+	}
+	n := &node{
+		name: o.name, zone: o.zone, caller: callers.Addr().String(), operator: operators.Addr().String(),
+		line: newLifeline(), listeners: []*trackedListener{callers, operators}, finished: make(chan error, 1),
+	}
+	config := instance.DefaultRegion()
+	config.Name, config.Zone, config.Caller, config.Peer = o.name, o.zone, n.caller, transport.Address()
+	if o.adjust != nil {
+		o.adjust(&config)
+	}
+	engineClient := engine.NewHTTP()
+	n.closers = append(n.closers, engineClient.Close)
+	n.daemon = daemon.New(daemon.Options{
+		Config: config,
+		Deps: instance.Deps{
+			Engines:  engines{n.line, engineClient},
+			Services: services{n.line, service.NewHTTP()},
+			Log:      logLine{n.line, oplog.NewHTTP(o.world.platform)},
+			List:     listLine{n.line, instancelist.NewHTTP(o.world.platform)},
+			Peers:    peers{n.line, transport},
+			Random:   lockedRandom(o.random),
+		},
+		Limits:       caller.DefaultLimits(),
+		Tokens:       Tokens,
+		Callers:      callers,
+		Operators:    operators,
+		DrainTimeout: daemon.DefaultDrainTimeout,
+	})
+	n.run(o.world)
+	return n, nil
+}
+
+func listenTracked() (*trackedListener, error) {
+	listener, err := listenLoopback()
+	if err != nil {
+		return nil, err
+	}
+	return &trackedListener{Listener: listener}, nil
+}
+
+func lockedRandom(random *rand.Rand) func() float64 {
+	var mu sync.Mutex
+	return func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.Float64()
+	}
+}
+
+func (n *node) run(w *world) {
+	stop, drain := context.WithCancel(context.Background())
+	n.drain = drain
+	w.list.Set(instancelist.Entry{
+		Name: n.name, Zone: n.zone, Peer: n.daemon.Instance.Info().Peer, State: instancelist.Live,
+	})
+	go func() { n.finished <- n.daemon.Run(n.line.ctx, stop) }()
+}
+
+// kill ends the instance at once: it sends nothing more, and its callers'
+// connections break.
+func (n *node) kill() {
+	n.line.kill()
+	for _, listener := range n.listeners {
+		listener.cutOff()
+	}
+	<-n.finished
+	n.close()
+}
+
+// pause freezes the instance towards everything outside for a while.
+func (n *node) pause(d time.Duration) {
+	n.line.pause()
+	time.Sleep(d)
+	n.line.resume()
+}
+
+// shutdown stops the instance gracefully and waits for the end.
+func (n *node) shutdown() error {
+	n.drain()
+	err := <-n.finished
+	n.line.kill()
+	n.close()
+	return errors.WithMessage(err, "graceful shutdown")
+}
+
+func (n *node) close() {
+	for _, closer := range n.closers {
+		closer()
+	}
+}
--- /dev/null
+++ b/trial/world.go
@@ -0,0 +1,130 @@
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/standin"
+)
+
+// listLag is how late the instance list shows a change.
+const listLag = 1500 * time.Millisecond
+
+// world is the stand-ins of one trial, each behind HTTP on loopback.
+type world struct {
+	deployment Deployment
+	log        *standin.Log
+	list       *standin.List
+	farm       *standin.Farm
+	plain      *standin.Plain
+	// engines and addresses are by the backend server's name.
+	engines   map[string]*standin.Engine
+	addresses map[string]string
+	platform  string
+	stops     []func()
+}
+
+func newWorld(deployment Deployment) (*world, error) {
+	w := &world{
+		deployment: deployment,
+		log:        standin.NewLog(),
+		list:       standin.NewList(listLag),
+		farm:       standin.NewFarm(),
+		plain:      standin.NewPlain(deployment.PlainTook),
+		engines:    make(map[string]*standin.Engine),
+		addresses:  make(map[string]string),
+	}
+	if err := w.start(); err != nil {
+		w.stop()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (w *world) start() error {
+	listener, err := listenLoopback()
+	if err != nil {
+		return err
+	}
+	w.platform = listener.Addr().String()
+	w.stops = append(w.stops, standin.Serve(listener, standin.PlatformHandler(w.log, w.list)))
+	for _, worker := range w.deployment.workers() {
+		if err := w.startWorker(worker); err != nil {
+			return err
+		}
+	}
+	return w.writeTable()
+}
+
+func (w *world) startWorker(worker worker) error {
+	listener, err := listenLoopback()
+	if err != nil {
+		return err
+	}
+	address := listener.Addr().String()
+	w.addresses[worker.name] = address
+	if worker.pool == w.deployment.plainPool() {
+		w.stops = append(w.stops, standin.Serve(listener, standin.PlainHandler(w.plain, address)))
+		return nil
+	}
+	engine := w.farm.Add(address, standin.DefaultEngine(worker.name))
+	w.engines[worker.name] = engine
+	w.stops = append(w.stops, standin.Serve(listener, standin.EngineHandler(engine)))
+	return nil
+}
+
+func (w *world) writeTable() error {
+	record, err := json.Marshal(w.deployment.firstEdit(w.addresses))
+	if err != nil {
+		return errors.Wrap(err, "encode first table")
+	}
+	_, err = w.log.Append(context.Background(), record)
+	return errors.Wrap(err, "write first table")
+}
+
+func (w *world) stop() {
+	for _, stop := range w.stops {
+		stop()
+	}
+}
+
+func listenLoopback() (net.Listener, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return listener, errors.Wrap(err, "listen on loopback")
+}
+
+// heldPieces counts the decode memory that is held anywhere.
+func (w *world) heldPieces() int {
+	held := 0
+	for _, engine := range w.engines {
+		held += engine.Ledger().HeldPieces
+	}
+	return held
+}
+
+// prefillTokens counts the prompt tokens that were read, and those in vain.
+func (w *world) prefillTokens() (read int64, wasted map[string]int64) {
+	wasted = make(map[string]int64)
+	for _, engine := range w.engines {
+		ledger := engine.Ledger()
+		read += ledger.PrefillTokens
+		for cause, tokens := range ledger.WastedTokens {
+			wasted[cause] += tokens
+		}
+	}
+	return read, wasted
+}
+
+// ran says whether any engine began to work on a request.
+func (w *world) ran(requestID string) bool {
+	for _, engine := range w.engines {
+		if engine.Ran(requestID) {
+			return true
+		}
+	}
+	return false
+}
