Test the path: golden sessions, properties, processes of their own

Cause: the thin path had no tests but its trial. Exploring every sequence of six steps of home, witness, caller, restarts and expiry found a fault: a goroutine that read the uptime and was then paused could begin an operation whose "closed" record had been dropped by a later reading. Sibling strangers were not counted either, as the QUIC library reports only finished handshakes.

Change: home and witness never let their clock run backwards; client certificates are verified in our own callback, which counts; golden sessions on a virtual clock; `standins` and `keys` commands, so that daemons run as processes of their own; keys are read again at SIGHUP.

--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,269 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/mastwheel/mastwheel/instance"
+	"github.com/mastwheel/mastwheel/standin"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// site is one instance with a real listener for callers and everything else
+// in memory.
+type site struct {
+	*instance.Instance
+	farm    *standin.Farm
+	plain   *standin.Plain
+	address string
+}
+
+const siteTable = `
+[pool.read]
+role = "prefill"
+[pool.write]
+role = "decode"
+[pool.desk]
+role = "plain"
+[service.dossier]
+type = "model"
+model = "dossier"
+prefill_pool = "read"
+decode_pool = "write"
+[service.plate-desk]
+type = "plain"
+pool = "desk"
+[backend.read-1]
+pool = "read"
+address = "10.0.0.1:1"
+zone = "sabana"
+[backend.write-1]
+pool = "write"
+address = "10.0.0.2:1"
+zone = "sabana"
+pieces = 40
+[backend.desk-1]
+pool = "desk"
+address = "10.0.0.4:1"
+zone = "sabana"
+[team.closed]
+in_flight = 1
+`
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{farm: standin.NewFarm(), plain: standin.NewPlain(0)}
+	s.farm.Add("10.0.0.1:1", standin.DefaultEngine("read-1"))
+	s.farm.Add("10.0.0.2:1", standin.DefaultEngine("write-1"))
+	first, err := table.ParseTOML([]byte(siteTable))
+	if err != nil {
+		t.Fatal(err)
+	}
+	record, err := json.Marshal(table.Edit{ID: "1", Author: "ana", Reason: "r", Changes: (&table.Table{}).Diff(first)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := standin.NewLog()
+	if _, err := log.Append(t.Context(), record); err != nil {
+		t.Fatal(err)
+	}
+	config := instance.DefaultRegion()
+	config.Name, config.Zone, config.Caller, config.Peer = "sabana-1", "sabana", "127.0.0.1:1", "here"
+	s.Instance = instance.New(config, instance.Deps{
+		Engines: s.farm, Services: s.plain, Log: log, List: standin.NewList(0),
+		Peers: standin.NewNetwork(0).Port("here"), Random: func() float64 { return 0.5 },
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = listener.Addr().String()
+	limits := DefaultLimits()
+	limits.ReadTimeout = 500 * time.Millisecond
+	limits.MaxBodyBytes = 64 << 10
+	server := NewServer(s.Instance, limits)
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Run(ctx)
+	go server.Serve(listener)
+	t.Cleanup(func() {
+		cancel()
+		server.Shutdown(t.Context())
+	})
+	for s.Ready() != nil || s.Steward("write-1") == "" || s.Fleet().Server("write-1").Report() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return s
+}
+
+// send sends one HTTP request and returns the answer with its body.
+func (s *site) send(method, path, body string, headers ...string) (*http.Response, string) {
+	request, err := http.NewRequest(method, "http://"+s.address+path, strings.NewReader(body))
+	So(err, ShouldBeNil)
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	So(err, ShouldBeNil)
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	So(err, ShouldBeNil)
+	return response, string(answer)
+}
+
+func TestCallers(t *testing.T) {
+	s := newSite(t)
+	Convey("A chat completion comes whole, with its outcome", t, func() {
+		body := `{"model":"dossier","messages":[{"role":"user","content":[{"type":"text","text":"hola"}]}],"max_tokens":3}`
+		response, answer := s.send("POST", PathChat, body)
+		So(response.StatusCode, ShouldEqual, 200)
+		So(response.Header.Get(HeaderOutcome), ShouldEqual, "done")
+		So(answer, ShouldContainSubstring, standin.Answer("user: hola\n", 3))
+		So(answer, ShouldContainSubstring, `"object":"chat.completion"`)
+	})
+	Convey("A stream has a chunk a token, the outcome in the last, and an end mark", t, func() {
+		response, answer := s.send("POST", PathCompletions, `{"model":"dossier","prompt":"hola","max_tokens":4,"stream":true}`)
+		So(response.Header.Get("Content-Type"), ShouldEqual, "text/event-stream")
+		So(strings.Count(answer, "data: {"), ShouldEqual, 4)
+		So(answer, ShouldContainSubstring, `"outcome":"done"`)
+		So(answer, ShouldEndWith, "data: [DONE]\n\n")
+	})
+	Convey("A plain call passes method, path, query and status through", t, func() {
+		response, answer := s.send("GET", "/services/plate-desk/plates/AB-12?full=1", "")
+		So(response.StatusCode, ShouldEqual, 200)
+		So(answer, ShouldContainSubstring, "GET /plates/AB-12?full=1")
+	})
+	Convey("Errors have the shape of their interface, and say that nothing ran", t, func() {
+		cases := []struct {
+			method, path, body string
+			status             int
+			contains           string
+		}{
+			{"POST", PathChat, `{"model":`, 400, `"code":"malformed"`},
+			{"POST", PathChat, `{"model":"dossier","messages":[]}`, 400, "messages: at least one"},
+			{"POST", PathCompletions, `{"model":"dossier","prompt":"a","max_tokens":0}`, 400, "max_tokens: 0 is outside"},
+			{"POST", PathCompletions, `{"model":"dossier","prompt":"a","n":2}`, 400, "n: only 1"},
+			{"POST", PathCompletions, `{"model":"nope","prompt":"a"}`, 404, `"code":"unknown_service"`},
+			{"GET", PathCompletions, "", 405, `"outcome":"not_run"`},
+			{"GET", "/services/nope/x", "", 404, `"type":"urn:mastwheel:reason:unknown_service"`},
+			{"GET", "/elsewhere", "", 404, `"status":404`},
+		}
+		for _, c := range cases {
+			response, answer := s.send(c.method, c.path, c.body)
+			So(response.StatusCode, ShouldEqual, c.status)
+			So(answer, ShouldContainSubstring, c.contains)
+			So(response.Header.Get(HeaderOutcome), ShouldEqual, "not_run")
+			So(response.Header.Get(HeaderRequestID), ShouldNotBeBlank)
+		}
+	})
+	Convey("Too large a body is refused before it is read whole", t, func() {
+		response, answer := s.send("POST", PathCompletions, strings.Repeat("x", 65<<10))
+		So(response.StatusCode, ShouldEqual, 413)
+		So(answer, ShouldContainSubstring, `"code":"too_large"`)
+	})
+	Convey("An idempotency key of another form is refused, and says where to get one", t, func() {
+		response, answer := s.send("POST", "/services/plate-desk/hold", "", HeaderIdempotency, "my-key")
+		So(response.StatusCode, ShouldEqual, 400)
+		So(answer, ShouldContainSubstring, PathEntry)
+	})
+	Convey("With nobody to witness it, a call with an operation id is not sent", t, func() {
+		key := "m1~sabana-1~" + strings.Split(s.Self().String(), ".")[1] + "~gone~1~zzzz~zzzz~n1"
+		response, _ := s.send("POST", "/services/plate-desk/hold", "", HeaderIdempotency, key)
+		So(response.StatusCode, ShouldEqual, 503)
+		So(response.Header.Get(HeaderReason), ShouldEqual, "no_witness")
+		So(response.Header.Get("Retry-After"), ShouldEqual, "1")
+		So(s.plain.Runs()[key], ShouldEqual, 0)
+
+		duplicate, _ := s.send("POST", "/services/plate-desk/hold", "", HeaderIdempotency, key)
+		So(duplicate.StatusCode, ShouldEqual, 409)
+		So(duplicate.Header.Get(HeaderOutcome), ShouldEqual, "not_run")
+	})
+}
+
+func TestSlowAndTruncatedInput(t *testing.T) {
+	s := newSite(t)
+	for name, input := range map[string]string{
+		"truncated": "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{",
+		"no header": "POST /v1/comp",
+		"not HTTP":  "\x16\x03\x01\x00\xa5\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", s.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write([]byte(input)); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if response.StatusCode/100 != 4 {
+			t.Errorf("%s: status %d", name, response.StatusCode)
+		}
+		conn.Close()
+	}
+}
+
+// A caller that goes away silently, at any stage, has its work cancelled.
+func TestDepartureReleasesMemory(t *testing.T) {
+	s := newSite(t)
+	for _, streamed := range []string{"true", "false"} {
+		conn, err := net.Dial("tcp", s.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body := `{"model":"dossier","prompt":"hola","max_tokens":4000,"stream":` + streamed + `}`
+		request := "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+		if _, err := conn.Write([]byte(request)); err != nil {
+			t.Fatal(err)
+		}
+		engine := s.farm.Engine("10.0.0.2:1")
+		for engine.Ledger().HeldPieces == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		conn.Close()
+		for engine.Ledger().HeldPieces > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if engine.Ledger().Finished != 0 {
+			t.Fatal("the answer ran to its end instead of being cancelled")
+		}
+	}
+}
+
+func itoa(n int) string {
+	encoded, _ := json.Marshal(n)
+	return string(encoded)
+}
+
+func FuzzParseChat(f *testing.F) {
+	s := &Server{limits: DefaultLimits()}
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":5}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, err := s.parseChat(body)
+		if err == nil && (c.ask.Model == "" || c.ask.MaxTokens < 1 || c.ask.MaxTokens > s.limits.MaxTokens) {
+			t.Fatalf("accepted %+v", c.ask)
+		}
+	})
+}
+
+func FuzzParseCompletion(f *testing.F) {
+	s := &Server{limits: DefaultLimits()}
+	f.Add([]byte(`{"model":"m","prompt":"x","stream":true}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, err := s.parseCompletion(body)
+		if err == nil && c.ask.Prompt == "" {
+			t.Fatal("accepted an empty prompt")
+		}
+	})
+}
--- a/cmd/mastwheel/main.go
+++ b/cmd/mastwheel/main.go
@@ -37,6 +37,8 @@
 			explainCommand(),
 			loadCommand(),
 			tryCommand(),
+			standinsCommand(),
+			keysCommand(),
 			versionCommand(),
 		},
 	}
--- a/cmd/mastwheeld/main.go
+++ b/cmd/mastwheeld/main.go
@@ -77,7 +77,9 @@
 	if err != nil {
 		return daemon.Options{}, err
 	}
-	siblings, err := peer.ListenQUIC(settings.Peer.Listen, peer.NewKeys(identity), nil)
+	keys := peer.NewKeys(identity)
+	go renewKeys(keys, settings.Peer)
+	siblings, err := peer.ListenQUIC(settings.Peer.Listen, keys)
 	if err != nil {
 		return daemon.Options{}, err
 	}
@@ -103,6 +105,23 @@
 		Tokens:       operator.Tokens{Read: settings.Operator.ReadToken, Edit: settings.Operator.EditToken},
 		Callers:      callers,
 		Operators:    operators,
+		Strangers:    siblings.Strangers,
 		DrainTimeout: daemon.DefaultDrainTimeout,
 	}, nil
 }
+
+// renewKeys reads the key files again at every SIGHUP. Files that cannot be
+// used leave the keys in use as they are.
+func renewKeys(keys *peer.Keys, files config.Peer) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for range hangups {
+		identity, err := peer.LoadIdentity(files.Certificate, files.Key, files.Authorities)
+		if err != nil {
+			klog.ErrorS(err, "New keys cannot be used; the old ones stay")
+			continue
+		}
+		keys.Replace(identity)
+		klog.InfoS("Keys were read again")
+	}
+}
--- /dev/null
+++ b/connwatch/connwatch_test.go
@@ -0,0 +1,82 @@
+package connwatch
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// pair returns a watched connection and the caller's end of it.
+func pair(t *testing.T) (watched *Conn, callerEnd net.Conn) {
+	t.Helper()
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer plain.Close()
+	callerEnd, err = net.Dial("tcp", plain.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := Listener{plain}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		accepted.Close()
+		callerEnd.Close()
+	})
+	return accepted.(*Conn), callerEnd
+}
+
+func TestDepartureIsNoticed(t *testing.T) {
+	watched, callerEnd := pair(t)
+	gone := make(chan struct{})
+	stop := watched.Watch(func() { close(gone) })
+	defer stop()
+	callerEnd.Close()
+	<-gone
+}
+
+func TestStayingCallerIsNotGone(t *testing.T) {
+	watched, callerEnd := pair(t)
+	for range 3 {
+		stop := watched.Watch(func() { t.Error("noticed a departure that was none") })
+		stop()
+	}
+	if _, err := callerEnd.Write([]byte("next request")); err != nil {
+		t.Fatal(err)
+	}
+	callerEnd.Close()
+	rest, err := io.ReadAll(watched)
+	if err != nil || string(rest) != "next request" {
+		t.Fatalf("read %q, %v after watching", rest, err)
+	}
+}
+
+func TestPipelinedRequestIsKept(t *testing.T) {
+	watched, callerEnd := pair(t)
+	stop := watched.Watch(func() { t.Error("noticed a departure that was none") })
+	if _, err := callerEnd.Write([]byte("GET")); err != nil {
+		t.Fatal(err)
+	}
+	// The watch ends by itself once it has seen the first byte.
+	for !watched.early1() {
+	}
+	stop()
+	callerEnd.Close()
+	rest, err := io.ReadAll(watched)
+	if err != nil || string(rest) != "GET" {
+		t.Fatalf("read %q, %v after watching", rest, err)
+	}
+}
+
+func (c *Conn) early1() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hasEarly
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,8 @@
 	// Callers and Operators are open listeners.
 	Callers   net.Listener
 	Operators net.Listener
+	// Strangers counts the sibling connections that were refused.
+	Strangers func() int64
 	// DrainTimeout bounds a graceful shutdown; after it, requests are cut off.
 	DrainTimeout time.Duration
 }
@@ -44,6 +46,7 @@
 // New prepares a daemon.
 func New(options Options) *Daemon {
 	of := instance.New(options.Config, options.Deps)
+	of.Metrics.CountStrangers(options.Strangers)
 	return &Daemon{
 		Instance:  of,
 		options:   options,
@@ -77,9 +80,9 @@
 func (d *Daemon) drain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.options.DrainTimeout)
 	defer cancel()
-	klog.InfoS("Graceful shutdown begins", "instance", d.Instance.Self(), "inFlight", d.Instance.InFlight())
+	klog.InfoS("Graceful shutdown begins", "instance", d.Instance.Self().String(), "inFlight", d.Instance.InFlight())
 	d.Instance.Drain(ctx)
-	klog.InfoS("Graceful shutdown done", "instance", d.Instance.Self(), "cutOff", d.Instance.InFlight())
+	klog.InfoS("Graceful shutdown done", "instance", d.Instance.Self().String(), "cutOff", d.Instance.InFlight())
 }
 
 // closeTimeout bounds the wait for connections that are idle or being closed.
--- /dev/null
+++ b/instance/session_test.go
@@ -0,0 +1,270 @@
+package instance_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/mastwheel/mastwheel/engine"
+	"github.com/mastwheel/mastwheel/instance"
+	"github.com/mastwheel/mastwheel/instancelist"
+	"github.com/mastwheel/mastwheel/request"
+	"github.com/mastwheel/mastwheel/standin"
+	"github.com/mastwheel/mastwheel/table"
+	"github.com/mastwheel/mastwheel/trace"
+)
+
+// session is a whole small system in memory on a virtual clock. What happens
+// in it goes into a transcript, which a golden file holds.
+type session struct {
+	t       *testing.T
+	ctx     context.Context
+	started time.Time
+	log     *standin.Log
+	list    *standin.List
+	farm    *standin.Farm
+	plain   *standin.Plain
+	network *standin.Network
+	nodes   map[string]*node
+	text    strings.Builder
+}
+
+// node is one instance of a session.
+type node struct {
+	*instance.Instance
+	port *standin.Port
+	kill context.CancelFunc
+	done chan struct{}
+}
+
+const (
+	prefillAddress = "10.0.0.1:1"
+	decodeOne      = "10.0.0.2:1"
+	decodeTwo      = "10.0.0.3:1"
+	plainOne       = "10.0.0.4:1"
+	plainTwo       = "10.0.0.5:1"
+)
+
+// tableTOML is the table of every session.
+const tableTOML = `
+[pool.read]
+role = "prefill"
+[pool.write]
+role = "decode"
+[pool.desk]
+role = "plain"
+[service.dossier]
+type = "model"
+model = "dossier"
+prefill_pool = "read"
+decode_pool = "write"
+[service.plate-desk]
+type = "plain"
+pool = "desk"
+[backend.read-1]
+pool = "read"
+address = "10.0.0.1:1"
+zone = "sabana"
+[backend.write-1]
+pool = "write"
+address = "10.0.0.2:1"
+zone = "sabana"
+pieces = 40
+[backend.write-2]
+pool = "write"
+address = "10.0.0.3:1"
+zone = "heredia"
+pieces = 40
+[backend.desk-1]
+pool = "desk"
+address = "10.0.0.4:1"
+zone = "sabana"
+[backend.desk-2]
+pool = "desk"
+address = "10.0.0.5:1"
+zone = "heredia"
+`
+
+// play runs a session with two instances and compares its transcript with the
+// golden file of the test's name.
+func play(t *testing.T, script func(*session)) {
+	t.Helper()
+	var transcript string
+	synctest.Test(t, func(t *testing.T) {
+		s := newSession(t)
+		s.start("sabana-1", "sabana")
+		s.start("heredia-1", "heredia")
+		time.Sleep(3 * time.Second)
+		script(s)
+		time.Sleep(10 * time.Second)
+		s.ledgers()
+		for _, n := range s.nodes {
+			n.stop()
+		}
+		time.Sleep(time.Minute)
+		transcript = s.text.String()
+	})
+	goldie.New(t, goldie.WithNameSuffix(".txt")).Assert(t, t.Name(), []byte(transcript))
+}
+
+func newSession(t *testing.T) *session {
+	s := &session{
+		t: t, ctx: t.Context(), started: time.Now(),
+		log: standin.NewLog(), list: standin.NewList(0), farm: standin.NewFarm(),
+		plain: standin.NewPlain(5 * time.Millisecond), network: standin.NewNetwork(time.Millisecond / 2),
+		nodes: make(map[string]*node),
+	}
+	for _, address := range []string{prefillAddress, decodeOne, decodeTwo} {
+		s.farm.Add(address, standin.DefaultEngine(address))
+	}
+	first, err := table.ParseTOML([]byte(tableTOML))
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes := (&table.Table{}).Diff(first)
+	s.append(table.Edit{ID: "first", Author: "ana", Reason: "first table", Changes: changes})
+	return s
+}
+
+func (s *session) append(edit table.Edit) {
+	record, err := json.Marshal(edit)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if _, err := s.log.Append(s.ctx, record); err != nil {
+		s.say("append of %s: %v", edit.ID, err)
+	}
+}
+
+// start brings an instance up, or a new run of it.
+func (s *session) start(name, zone string) *node {
+	address := "10.1.0.1:1 " + name
+	port := s.network.Port(address)
+	config := instance.DefaultRegion()
+	config.Name, config.Zone, config.Caller, config.Peer = name, zone, name+":80", address
+	random := rand.New(rand.NewPCG(1, uint64(len(name))))
+	ctx, kill := context.WithCancel(context.Background())
+	n := &node{port: port, kill: kill, done: make(chan struct{})}
+	n.Instance = instance.New(config, instance.Deps{
+		Engines: tied{s.farm, ctx}, Services: s.plain, Log: s.log, List: s.list, Peers: port,
+		Random: func() float64 { return random.Float64() },
+	})
+	s.nodes[name] = n
+	s.list.Set(instancelist.Entry{Name: name, Zone: zone, Peer: address, State: instancelist.Live})
+	go func() {
+		defer close(n.done)
+		n.Run(ctx)
+	}()
+	return n
+}
+
+// stop kills the instance at once.
+func (n *node) stop() {
+	n.kill()
+	n.port.Freeze(true)
+	n.port.Close()
+	<-n.done
+}
+
+// say adds a line with the virtual time to the transcript.
+func (s *session) say(format string, args ...any) {
+	at := time.Since(s.started).Seconds()
+	fmt.Fprintf(&s.text, "%9.3f  %s\n", at, fmt.Sprintf(format, args...))
+}
+
+// gatherer is a caller that gathers an answer.
+type gatherer struct {
+	text  strings.Builder
+	token func(position int)
+}
+
+func (g *gatherer) Token(token engine.Token) error {
+	g.text.WriteString(token.Text)
+	if g.token != nil {
+		g.token(token.Position)
+	}
+	return nil
+}
+
+// prompt makes a prompt of about that many tokens.
+func prompt(tokens int) string { return strings.Repeat("file ", tokens*4/5) }
+
+// ask sends a model request to an instance and says how it went.
+func (s *session) ask(ctx context.Context, home *node, text string, answer int, token func(int)) request.Result {
+	sink := &gatherer{token: token}
+	result := home.Runner.RunModel(ctx, request.Model{
+		ID: home.NewRequestID(), Model: "dossier", Prompt: text, MaxTokens: answer,
+	}, sink)
+	whole := "the right begin"
+	if sink.text.String() == standin.Answer(text, answer) {
+		whole = "the whole right answer"
+	} else if sink.text.String() != standin.Answer(text, result.Tokens) {
+		whole = "A WRONG ANSWER"
+	}
+	s.say("model request at %s: %s %s, %d tokens, %s", home.Self().Name, result.Outcome, result.Reason, result.Tokens, whole)
+	s.steps(home, result.RequestID)
+	return result
+}
+
+// steps writes what the instance noted of a request.
+func (s *session) steps(home *node, requestID string) {
+	record := home.Traces.Find(requestID)
+	if record == nil {
+		s.say("no record")
+		return
+	}
+	for _, step := range record.Steps {
+		fmt.Fprintf(&s.text, "             +%8.3f ms  attempt %d  %s\n", float64(step.At)/1000, step.Attempt, stepLine(step))
+	}
+}
+
+func stepLine(step trace.Step) string {
+	words := []string{step.State}
+	if step.Choice != nil {
+		words = append(words, "choice by", step.Choice.Picker)
+	}
+	if step.Server != "" {
+		words = append(words, step.Server)
+	}
+	if step.Reason != "" {
+		words = append(words, string(step.Reason))
+	}
+	return strings.Join(words, " ")
+}
+
+// ledgers writes what really happened at the stand-ins.
+func (s *session) ledgers() {
+	for _, address := range []string{prefillAddress, decodeOne, decodeTwo} {
+		e, err := s.farm.Load(s.ctx, address)
+		if err != nil {
+			s.say("engine %s: %v", address, err)
+			continue
+		}
+		ledger := s.farm.Engine(address).Ledger()
+		s.say("engine %s: %d prefills, %d imports, %d tokens, %d finished, %d cancelled, %d pieces held, wasted %v",
+			address, ledger.Prefills, ledger.Imports, ledger.Tokens, ledger.Finished, ledger.Cancelled, len(e.Held), ledger.WastedTokens)
+	}
+	for operation, runs := range s.plain.Runs() {
+		s.say("plain %s ran %d times", operation, runs)
+	}
+}
+
+// tied is the engines as one instance reaches them: not at all once killed.
+type tied struct {
+	*standin.Farm
+	life context.Context
+}
+
+func (e tied) Cancel(ctx context.Context, address string, attempt engine.Attempt) error {
+	if e.life.Err() != nil {
+		return engine.ErrBroken
+	}
+	return e.Farm.Cancel(ctx, address, attempt)
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -31,8 +31,6 @@
 	CancelTries prometheus.Counter
 	// Orphans counts streams of dead homes that this instance cancelled.
 	Orphans prometheus.Counter
-	// Strangers counts sibling connections refused for want of a valid key.
-	Strangers prometheus.Counter
 }
 
 // firstTokenBuckets surround the first-token target of 1.1 s.
@@ -61,10 +59,9 @@
 		}),
 		CancelTries: counter("cancel_tries_total", "Cancel orders sent."),
 		Orphans:     counter("orphans_cancelled_total", "Streams of dead homes that were cancelled."),
-		Strangers:   counter("peer_strangers_total", "Sibling connections refused for want of a valid key."),
 	}
 	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.dropped, s.FirstToken, s.BetweenTokens,
-		s.CancelsPending, s.CancelTries, s.Orphans, s.Strangers)
+		s.CancelsPending, s.CancelTries, s.Orphans)
 	for _, info := range reason.All {
 		s.refusals.WithLabelValues(string(info.Reason))
 		s.retries.WithLabelValues(string(info.Reason))
@@ -95,3 +92,11 @@
 
 // Dropped counts an answer or token that was not passed on.
 func (s *Set) Dropped(why reason.Reason) { s.dropped.WithLabelValues(string(why)).Inc() }
+
+// CountStrangers exports the number of sibling connections that were refused
+// for want of a valid key.
+func (s *Set) CountStrangers(count func() int64) {
+	s.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: "peer_strangers_total", Help: "Sibling connections refused for want of a valid key.",
+	}, func() float64 { return float64(count()) }))
+}
--- a/operation/home.go
+++ b/operation/home.go
@@ -24,6 +24,7 @@
 	most int
 
 	mu      sync.Mutex
+	clock   highest
 	records map[string]homeRecord
 }
 
@@ -45,6 +46,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	uptime = h.clock.reach(uptime)
 	text := id.String()
 	if record, seen := h.records[text]; seen {
 		return record.status, seenReason(record.status)
@@ -82,6 +84,7 @@
 func (h *Home) Ask(id ID, uptime time.Duration) Status {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	uptime = h.clock.reach(uptime)
 	text := id.String()
 	if record, seen := h.records[text]; seen {
 		return record.status
@@ -98,7 +101,7 @@
 func (h *Home) Expire(uptime time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.expire(uptime)
+	h.expire(h.clock.reach(uptime))
 }
 
 func (h *Home) expire(uptime time.Duration) {
--- a/operation/witness.go
+++ b/operation/witness.go
@@ -18,6 +18,7 @@
 	most int
 
 	mu      sync.Mutex
+	clock   highest
 	records map[string]witnessRecord
 }
 
@@ -39,11 +40,12 @@
 	if id.Witness != w.self {
 		return reason.NoWitness
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	uptime = w.clock.reach(uptime)
 	if uptime >= id.WitnessExpiry {
 		return reason.OperationExpired
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	text := id.String()
 	if record, seen := w.records[text]; seen {
 		if record.closed {
@@ -78,6 +80,7 @@
 func (w *Witness) Ask(id ID, uptime time.Duration) Status {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	uptime = w.clock.reach(uptime)
 	text := id.String()
 	if record, seen := w.records[text]; seen {
 		return record.status
@@ -97,7 +100,7 @@
 func (w *Witness) Expire(uptime time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.expire(uptime)
+	w.expire(w.clock.reach(uptime))
 }
 
 // Len returns the number of records.
--- a/peer/keys.go
+++ b/peer/keys.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/pem"
 	"math/big"
 	"os"
 	"sync/atomic"
@@ -48,12 +49,12 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "read %s and %s", certFile, keyFile)
 	}
-	pem, err := os.ReadFile(authorityFile)
+	authorities, err := os.ReadFile(authorityFile)
 	if err != nil {
 		return nil, errors.Wrap(err, "read authorities")
 	}
 	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
+	if !pool.AppendCertsFromPEM(authorities) {
 		return nil, errors.Errorf("%s: no certificate found", authorityFile)
 	}
 	return &Identity{Certificate: certificate, Authorities: pool}, nil
@@ -72,27 +73,48 @@
 	}
 }
 
-func (k *Keys) serverConfig() *tls.Config {
+// serverConfig verifies clients itself rather than by the library's setting,
+// so that every stranger is counted.
+func (k *Keys) serverConfig(stranger func()) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		NextProtos: []string{alpn},
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			identity := k.current.Load()
 			return &tls.Config{
-				MinVersion:       tls.VersionTLS13,
-				NextProtos:       []string{alpn},
-				ClientAuth:       tls.RequireAndVerifyClientCert,
-				ClientCAs:        identity.Authorities,
-				Certificates:     []tls.Certificate{identity.Certificate},
-				VerifyConnection: verifyRole,
+				MinVersion:   tls.VersionTLS13,
+				NextProtos:   []string{alpn},
+				ClientAuth:   tls.RequestClientCert,
+				Certificates: []tls.Certificate{identity.Certificate},
+				VerifyConnection: func(state tls.ConnectionState) error {
+					err := verifyClient(state, identity.Authorities)
+					if err != nil {
+						stranger()
+					}
+					return err
+				},
 			}, nil
 		},
 	}
 }
 
-// verifyRole refuses a client whose certificate is not an instance's.
-func verifyRole(state tls.ConnectionState) error {
-	return state.PeerCertificates[0].VerifyHostname(TLSName)
+// verifyClient refuses a client with no certificate, one that our authorities
+// did not sign, and one that is not an instance's.
+func verifyClient(state tls.ConnectionState, authorities *x509.CertPool) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("client sent no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range state.PeerCertificates[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		DNSName:       TLSName,
+		Roots:         authorities,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	})
+	return errors.Wrap(err, "verify client")
 }
 
 // Authority signs identities. The local trial and tests use it; in production
@@ -155,3 +177,30 @@
 		NotAfter:     now.Add(authorityLife),
 	}
 }
+
+// Names of the files that PEM makes.
+const (
+	CertificateFile = "instance.crt"
+	KeyFile         = "instance.key"
+	AuthoritiesFile = "authorities.crt"
+)
+
+// PEM makes an instance's identity as the files that LoadIdentity reads.
+func (a *Authority) PEM(name string) (map[string][]byte, error) {
+	identity, err := a.Identity(name)
+	if err != nil {
+		return nil, err
+	}
+	key, err := x509.MarshalPKCS8PrivateKey(identity.Certificate.PrivateKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode instance key")
+	}
+	block := func(kind string, der []byte) []byte {
+		return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	}
+	return map[string][]byte{
+		CertificateFile: block("CERTIFICATE", identity.Certificate.Certificate[0]),
+		KeyFile:         block("PRIVATE KEY", key),
+		AuthoritiesFile: block("CERTIFICATE", a.certificate.Raw),
+	}, nil
+}
--- a/peer/quic.go
+++ b/peer/quic.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,7 +35,7 @@
 	keys      *Keys
 	transport *quic.Transport
 	listener  *quic.Listener
-	stranger  func()
+	strangers atomic.Int64
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -48,9 +49,8 @@
 	made  time.Time
 }
 
-// ListenQUIC opens the UDP address for siblings. It calls stranger, if not
-// nil, for every connection that was refused for want of a valid key.
-func ListenQUIC(address string, keys *Keys, stranger func()) (*QUIC, error) {
+// ListenQUIC opens the UDP address for siblings.
+func ListenQUIC(address string, keys *Keys) (*QUIC, error) {
 	udpAddress, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer address")
@@ -60,20 +60,20 @@
 		return nil, errors.Wrap(err, "listen for siblings")
 	}
 	transport := &quic.Transport{Conn: conn}
-	listener, err := transport.Listen(keys.serverConfig(), quicConfig())
+	q := &QUIC{keys: keys, transport: transport, links: make(map[string]*link)}
+	q.listener, err = transport.Listen(keys.serverConfig(q.countStranger), quicConfig())
 	if err != nil {
 		conn.Close()
 		return nil, errors.Wrap(err, "listen for siblings")
 	}
-	return &QUIC{
-		keys:      keys,
-		transport: transport,
-		listener:  listener,
-		stranger:  stranger,
-		links:     make(map[string]*link),
-	}, nil
+	return q, nil
 }
 
+func (q *QUIC) countStranger() { q.strangers.Add(1) }
+
+// Strangers counts the connections that were refused for want of a valid key.
+func (q *QUIC) Strangers() int64 { return q.strangers.Load() }
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		EnableDatagrams:       true,
@@ -103,19 +103,11 @@
 		if err != nil {
 			return errors.Wrap(err, "accept sibling")
 		}
-		go q.serveConn(ctx, conn, handler)
+		go serveConn(ctx, conn, handler)
 	}
 }
 
-func (q *QUIC) serveConn(ctx context.Context, conn *quic.Conn, handler Handler) {
-	select {
-	case <-conn.HandshakeComplete():
-	case <-conn.Context().Done():
-	}
-	if err := context.Cause(conn.Context()); err != nil && q.stranger != nil {
-		q.stranger()
-		return
-	}
+func serveConn(ctx context.Context, conn *quic.Conn, handler Handler) {
 	go serveDatagrams(ctx, conn, handler)
 	for {
 		stream, err := conn.AcceptStream(ctx)
--- a/request/runner.go
+++ b/request/runner.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/operation"
@@ -193,12 +195,33 @@
 		}
 	}
 	r.Traces.Keep(r.record)
+	r.log(outcome, why)
 	return Result{
 		RequestID: r.record.ID, Outcome: outcome, Reason: why, RetryAfter: retryAfter,
 		Tokens: r.record.Tokens, PromptTokens: r.record.Prompt, Attempts: r.attempt + 1,
 	}
 }
 
+// Verbosity of the log lines about requests.
+const (
+	logFailures = 1
+	logEvery    = 2
+)
+
+// log writes a line about a request that ended.
+func (r *run) log(outcome reason.Outcome, why reason.Reason) {
+	level := klog.Level(logFailures)
+	if outcome == reason.Done {
+		level = logEvery
+	}
+	if !klog.V(level).Enabled() {
+		return
+	}
+	klog.V(level).InfoS("Request ended", "request", r.record.ID, "service", r.record.Service, "team", r.record.Team,
+		"attempt", r.attempt, "outcome", outcome, "reason", why, "tokens", r.record.Tokens,
+		"took", time.Since(r.record.Arrived))
+}
+
 func (r *run) giveUp(why reason.Reason, retryAfter time.Duration) Result {
 	r.step(GiveUp, why, "")
 	return r.finish(why, retryAfter)
--- a/standin/farm.go
+++ b/standin/farm.go
@@ -147,3 +147,6 @@
 
 // Close implements engine.Stream.
 func (s *channelStream) Close() {}
+
+// Engine returns the engine at an address, or nil.
+func (f *Farm) Engine(address string) *Engine { return f.at(address) }
--- /dev/null
+++ b/standin/network.go
@@ -0,0 +1,181 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mastwheel/mastwheel/peer"
+)
+
+// Network joins instances in memory: a peer.Transport for each, with a delay,
+// losses and cuts between any two. Messages are encoded and decoded as on a
+// real network, so that nothing is shared, and their bytes are counted.
+type Network struct {
+	// Delay is the one-way latency.
+	Delay time.Duration
+	// Lose, if not nil, says whether a datagram is lost.
+	Lose func() bool
+
+	mu    sync.Mutex
+	ports map[string]*Port
+	cuts  map[[2]string]bool
+}
+
+// NewNetwork returns a network with that one-way latency.
+func NewNetwork(delay time.Duration) *Network {
+	return &Network{Delay: delay, ports: make(map[string]*Port), cuts: make(map[[2]string]bool)}
+}
+
+// Cut stops, or lets pass again, everything between two addresses.
+func (n *Network) Cut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}] = cut
+	n.cuts[[2]string{b, a}] = cut
+}
+
+// Port opens an address.
+func (n *Network) Port(address string) *Port {
+	port := &Port{network: n, address: address, closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ports[address] = port
+	return port
+}
+
+func (n *Network) reach(from, to string) *Port {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cuts[[2]string{from, to}] {
+		return nil
+	}
+	return n.ports[to]
+}
+
+// Port is one address on a Network.
+type Port struct {
+	network *Network
+	address string
+
+	mu      sync.Mutex
+	handler peer.Handler
+	ctx     context.Context
+	frozen  bool
+	once    sync.Once
+	closed  chan struct{}
+	traffic Traffic
+}
+
+// Traffic counts what a port sent.
+type Traffic struct {
+	Messages int64
+	Bytes    int64
+}
+
+// Traffic returns what the port has sent so far.
+func (p *Port) Traffic() Traffic {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.traffic
+}
+
+// Freeze stops the port from sending and answering, as a paused process would.
+func (p *Port) Freeze(frozen bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = frozen
+}
+
+// Serve implements peer.Transport.
+func (p *Port) Serve(ctx context.Context, handler peer.Handler) error {
+	p.mu.Lock()
+	p.handler, p.ctx = handler, ctx
+	p.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-p.closed:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.handler = nil
+	return ctx.Err()
+}
+
+// Close implements peer.Transport.
+func (p *Port) Close() error {
+	p.once.Do(func() { close(p.closed) })
+	return nil
+}
+
+// outgoing encodes a message for the wire; nil while frozen.
+func (p *Port) outgoing(message *peer.Message) []byte {
+	encoded, err := peer.Encode(message)
+	if err != nil {
+		panic("standin: message cannot be encoded: " + err.Error())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.frozen {
+		return nil
+	}
+	p.traffic.Messages++
+	p.traffic.Bytes += int64(len(encoded))
+	return encoded
+}
+
+func (p *Port) receive(data []byte) (*peer.Message, bool) {
+	p.mu.Lock()
+	handler, ctx, frozen := p.handler, p.ctx, p.frozen
+	p.mu.Unlock()
+	message, err := peer.Decode(data)
+	if handler == nil || frozen || err != nil {
+		return nil, false
+	}
+	answer := handler(ctx, message)
+	return answer, answer != nil
+}
+
+// Send implements peer.Transport.
+func (p *Port) Send(address string, message *peer.Message) {
+	data := p.outgoing(message)
+	if data == nil || (p.network.Lose != nil && p.network.Lose()) {
+		return
+	}
+	time.AfterFunc(p.network.Delay, func() {
+		if to := p.network.reach(p.address, address); to != nil {
+			to.receive(data)
+		}
+	})
+}
+
+// Call implements peer.Transport.
+func (p *Port) Call(ctx context.Context, address string, question *peer.Message) (*peer.Message, error) {
+	data := p.outgoing(question)
+	answers := make(chan []byte, 1)
+	if data != nil {
+		time.AfterFunc(p.network.Delay, func() { p.deliver(address, data, answers) })
+	}
+	select {
+	case answer := <-answers:
+		return peer.Decode(answer)
+	case <-ctx.Done():
+		return nil, peer.ErrUnreached
+	}
+}
+
+func (p *Port) deliver(address string, data []byte, answers chan<- []byte) {
+	to := p.network.reach(p.address, address)
+	if to == nil {
+		return
+	}
+	answer, ok := to.receive(data)
+	if !ok {
+		return
+	}
+	encoded := to.outgoing(answer)
+	if encoded == nil || p.network.reach(address, p.address) == nil {
+		return
+	}
+	time.AfterFunc(p.network.Delay, func() { answers <- encoded })
+}
--- a/trial/node.go
+++ b/trial/node.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	transport, err := peer.ListenQUIC("127.0.0.1:0", peer.NewKeys(identity), nil)
+	transport, err := peer.ListenQUIC("127.0.0.1:0", peer.NewKeys(identity))
 	if err != nil {
 		return nil, err
 	}
@@ -115,6 +115,7 @@
 		},
 		Limits:       caller.DefaultLimits(),
 		Tokens:       Tokens,
+		Strangers:    transport.Strangers,
 		Callers:      callers,
 		Operators:    operators,
 		DrainTimeout: daemon.DefaultDrainTimeout,
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w, err := newWorld(options.Deployment)
+	w, err := newWorld(options.Deployment, anyLoopback)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/trial/trial_test.go
@@ -0,0 +1,48 @@
+package trial
+
+import (
+	"testing"
+	"time"
+)
+
+// A short trial under every fault finds no violation.
+func TestTrialHoldsItsPromises(t *testing.T) {
+	for _, deployment := range []string{"cooperativa", "camara"} {
+		t.Run(deployment, func(t *testing.T) {
+			summary := runTrial(t, Options{
+				Deployment: Deployments[deployment], Instances: 3, Duration: 4 * time.Second,
+				Seed: 7, Traffic: true, Load: 0.5, Faults: FaultList,
+			})
+			if summary.Violations > 0 {
+				t.Fatalf("violations: %v", summary.Found)
+			}
+			if summary.Requests == 0 || summary.Done == 0 {
+				t.Fatalf("nothing was served: %+v", summary)
+			}
+		})
+	}
+}
+
+func runTrial(t *testing.T, options Options) *Summary {
+	t.Helper()
+	trial, err := Start(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer trial.Stop()
+	summary, err := trial.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return summary
+}
+
+func TestFaultNames(t *testing.T) {
+	if _, err := FindFaults("break-stream,nope"); err == nil {
+		t.Fatal("an unknown fault was accepted")
+	}
+	all, err := FindFaults("all")
+	if err != nil || len(all) != len(FaultList) {
+		t.Fatalf("all is %d faults, %v", len(all), err)
+	}
+}
--- a/trial/world.go
+++ b/trial/world.go
@@ -28,7 +28,8 @@
 	stops     []func()
 }
 
-func newWorld(deployment Deployment) (*world, error) {
+// newWorld starts the stand-ins; platform is where the platform listens.
+func newWorld(deployment Deployment, platform string) (*world, error) {
 	w := &world{
 		deployment: deployment,
 		log:        standin.NewLog(),
@@ -38,17 +39,17 @@
 		engines:    make(map[string]*standin.Engine),
 		addresses:  make(map[string]string),
 	}
-	if err := w.start(); err != nil {
+	if err := w.start(platform); err != nil {
 		w.stop()
 		return nil, err
 	}
 	return w, nil
 }
 
-func (w *world) start() error {
-	listener, err := listenLoopback()
+func (w *world) start(platform string) error {
+	listener, err := net.Listen("tcp", platform)
 	if err != nil {
-		return err
+		return errors.Wrap(err, "listen for the platform's stand-in")
 	}
 	w.platform = listener.Addr().String()
 	w.stops = append(w.stops, standin.Serve(listener, standin.PlatformHandler(w.log, w.list)))
@@ -92,8 +93,11 @@
 	}
 }
 
+// anyLoopback is a free port on loopback.
+const anyLoopback = "127.0.0.1:0"
+
 func listenLoopback() (net.Listener, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyLoopback)
 	return listener, errors.Wrap(err, "listen on loopback")
 }
 
