--- a/caller/server.go
+++ b/caller/server.go
@@ -160,7 +160,12 @@
 }
 
 func (s *Server) entry(ctx *fasthttp.RequestCtx) {
-	writeJSON(ctx, fasthttp.StatusOK, s.instance.Entry(string(ctx.QueryArgs().Peek("zone"))))
+	entry, ok := s.instance.Entry(string(ctx.QueryArgs().Peek("zone")))
+	if !ok {
+		s.refuse(ctx, failure{status: fasthttp.StatusServiceUnavailable, why: reason.StaleTable, detail: "no instance is ready"})
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, entry)
 }
 
 // operation answers a caller that asks what became of an operation.
--- a/client/client.go
+++ b/client/client.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -146,17 +147,24 @@
 // Complete streams a completion. What went wrong is in the result's outcome;
 // a connection that was lost is unknown.
 func (c *Client) Complete(ctx context.Context, ask Completion) Result {
-	entry, err := c.Entry(ctx)
-	if err != nil {
-		return Result{Outcome: reason.NotRun, Reason: reason.ConnectFailed}
-	}
 	body, err := json.Marshal(completionBody{ask.Model, ask.Prompt, ask.MaxTokens, true})
 	if err != nil {
 		panic("client: request cannot be encoded: " + err.Error())
 	}
 	headers := map[string]string{"Content-Type": "application/json", caller.HeaderTeam: ask.Team}
 	started := time.Now()
-	response, err := c.post(ctx, http.MethodPost, "http://"+entry.Address+caller.PathCompletions, body, headers)
+	var response *http.Response
+	for range maxDials {
+		entry, entryErr := c.Entry(ctx)
+		if entryErr != nil {
+			return Result{Outcome: reason.NotRun, Reason: reason.ConnectFailed}
+		}
+		response, err = c.post(ctx, http.MethodPost, "http://"+entry.Address+caller.PathCompletions, body, headers)
+		if err == nil || !isDialError(err) {
+			break
+		}
+		c.forget()
+	}
 	if err != nil {
 		return c.lost(ctx, err)
 	}
@@ -167,6 +175,16 @@
 	return readStream(ctx, response, started, ask.OnToken)
 }
 
+// maxDials is how many addresses are tried before a request counts as not
+// run. Only a connection that was never made is followed by another.
+const maxDials = 3
+
+// isDialError says whether no connection was made, so that no byte was sent.
+func isDialError(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && opErr.Op == "dial"
+}
+
 func (c *Client) post(ctx context.Context, method, url string, body []byte, headers map[string]string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
@@ -185,6 +203,9 @@
 
 func (c *Client) lost(ctx context.Context, err error) Result {
 	c.forget()
+	if isDialError(err) {
+		return Result{Outcome: reason.NotRun, Reason: reason.ConnectFailed, Text: err.Error()}
+	}
 	why := reason.AnswerLost
 	if ctx.Err() != nil {
 		why = reason.CallerGone
@@ -299,11 +320,24 @@
 // Do sends a plain call. When the answer of a call with an operation id is
 // lost, it asks the witness for the outcome.
 func (c *Client) Do(ctx context.Context, call Call) CallResult {
+	var result CallResult
+	for range maxDials {
+		var dialled bool
+		if result, dialled = c.doOnce(ctx, call); dialled {
+			break
+		}
+		c.forget()
+	}
+	return result
+}
+
+// doOnce sends a plain call to the address in use. dialled is false when no
+// connection was made.
+func (c *Client) doOnce(ctx context.Context, call Call) (result CallResult, dialled bool) {
 	entry, err := c.Entry(ctx)
 	if err != nil {
-		return CallResult{Result: Result{Outcome: reason.NotRun, Reason: reason.ConnectFailed}}
+		return CallResult{Result: Result{Outcome: reason.NotRun, Reason: reason.ConnectFailed}}, true
 	}
-	result := CallResult{}
 	if call.Once && entry.Operation != nil {
 		result.Operation = entry.Operation.Prefix + newNonce()
 	}
@@ -313,10 +347,10 @@
 	response, err := c.post(ctx, call.Method, url, call.Body, headers)
 	if err != nil {
 		result.Result = c.lost(ctx, err)
-		if result.Operation != "" {
+		if result.Operation != "" && !isDialError(err) {
 			c.settle(ctx, entry, &result)
 		}
-		return result
+		return result, !isDialError(err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
@@ -326,7 +360,7 @@
 	if err != nil {
 		result.Result = c.lost(ctx, err)
 	}
-	return result
+	return result, true
 }
 
 // settle asks the witness, and then any instance, what became of a call.
--- a/cmd/mastwheel/try.go
+++ b/cmd/mastwheel/try.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,8 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the traffic and the faults", Value: 1},
 			&cli.FloatFlag{Name: "load", Usage: "traffic as a multiple of the deployment's own", Value: 1},
 			&cli.StringFlag{Name: "faults", Usage: "`LIST` of faults, or all"},
+			&cli.StringFlag{Name: "without", Usage: "`LIST` of protections to switch off: " + strings.Join(trial.ProtectionNames(), ", ")},
+			&cli.FloatFlag{Name: "leave", Usage: "part of callers that go away early; 0 for the deployment's own"},
 			&cli.BoolFlag{Name: "list-faults", Usage: "list the faults and stop"},
 			&cli.BoolFlag{Name: "no-traffic", Usage: "leave the sample traffic out"},
 			jsonFlag(),
@@ -81,7 +84,12 @@
 	if instances < 1 || instances > mostInstances {
 		return trial.Options{}, errors.Errorf("--instances: %d is outside 1 to %d", instances, mostInstances)
 	}
+	protect, err := trial.ProtectWithout(command.String("without"))
+	if err != nil {
+		return trial.Options{}, err
+	}
 	options := trial.Options{
+		Protect: protect, Leave: command.Float("leave"),
 		Deployment: deployment, Instances: instances, Duration: command.Duration("duration"),
 		Seed: command.Uint64("seed"), Traffic: !command.Bool("no-traffic"), Load: command.Float("load"), Faults: faults,
 	}
@@ -129,6 +137,8 @@
 	}
 	printSummary(out, s.Summary)
 	fmt.Fprintf(out, "wasted prefill      %.2f%% of prompt tokens read\n", 100*s.WastedPrefill)
+	fmt.Fprintf(out, "held after departure %d callers, %.3f piece-seconds each, p99 %.0f ms, worst %.0f ms\n",
+		s.HeldAfter.Callers, s.HeldAfter.PieceSeconds, s.HeldAfter.P99Millis, s.HeldAfter.WorstMillis)
 	fmt.Fprintf(out, "violations          %d\n", s.Violations)
 	for _, violation := range s.Found {
 		fmt.Fprintf(out, "  %s: %s\n", violation.Promise, violation.Detail)
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -36,15 +36,19 @@
 
 // Entry names an instance for a caller: one that is alive, in the caller's
 // availability zone if there is one, with the fewest requests of two drawn.
-func (i *Instance) Entry(zone string) Entry {
-	info := i.chooseEntry(zone)
-	entry := Entry{
+// ok is false when there is none to name.
+func (i *Instance) Entry(zone string) (entry Entry, ok bool) {
+	info, ok := i.chooseEntry(zone)
+	if !ok {
+		return Entry{}, false
+	}
+	entry = Entry{
 		Address: info.Caller, Instance: info.Name, Zone: info.Zone,
 		KeepSeconds: int(i.config.KeepAnswer / time.Second),
 	}
-	witness, ok := i.chooseWitness(info)
-	if !ok {
-		return entry
+	witness, found := i.chooseWitness(info)
+	if !found {
+		return entry, true
 	}
 	id := operation.ID{
 		Home:          info.Member(),
@@ -56,25 +60,25 @@
 		Prefix: id.Prefix(), Witness: witness.Caller,
 		ExpiresSeconds: int(i.config.OperationLife / time.Second),
 	}
-	return entry
+	return entry, true
 }
 
-// candidates returns the instances that may be named: the alive siblings, and
-// this one unless it drains.
+// candidates returns the instances that may be named: those that are alive
+// and have a table, this one included when it is ready.
 func (i *Instance) candidates() []member.Info {
 	var infos []member.Info
-	if !i.draining.Load() {
+	if i.Ready() == nil {
 		infos = append(infos, i.Info())
 	}
 	for _, sibling := range i.members.View().Siblings {
-		if sibling.State == member.Alive {
+		if sibling.State == member.Alive && sibling.Revision > 0 {
 			infos = append(infos, sibling.Info)
 		}
 	}
 	return infos
 }
 
-func (i *Instance) chooseEntry(zone string) member.Info {
+func (i *Instance) chooseEntry(zone string) (member.Info, bool) {
 	candidates := i.candidates()
 	var near []member.Info
 	for _, info := range candidates {
@@ -86,13 +90,13 @@
 		candidates = near
 	}
 	if len(candidates) == 0 {
-		return i.Info()
+		return member.Info{}, false
 	}
 	one, other := i.draw(candidates), i.draw(candidates)
 	if other.InFlight < one.InFlight {
-		return other
+		return other, true
 	}
-	return one
+	return one, true
 }
 
 // chooseWitness draws a witness for a home, in another zone if there is one.
@@ -131,7 +135,7 @@
 		return status
 	}
 	if id.Witness == i.self {
-		return i.witness.Ask(id, i.Uptime())
+		return i.Witnessed(id)
 	}
 	if status, ok := i.askMember(ctx, id.Witness, id); ok {
 		return status
@@ -139,6 +143,12 @@
 	return operation.Status{Outcome: reason.Unknown, Reason: reason.NoWitness}
 }
 
+// Witnessed answers as the witness of an operation alone, as it does when the
+// home is out of reach.
+func (i *Instance) Witnessed(id operation.ID) operation.Status {
+	return i.witness.Ask(id, i.Uptime())
+}
+
 func (i *Instance) askMember(ctx context.Context, whom operation.Member, id operation.ID) (operation.Status, bool) {
 	sibling, known := i.members.View().Find(whom.Name)
 	if !known || sibling.Incarnation != whom.Incarnation || sibling.State == member.Dead {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -37,6 +37,7 @@
 	witness    *operation.Witness
 	keeper     *keeper
 	caches     cacheFeed
+	held       heldSince
 
 	inFlight atomic.Int64
 	sequence atomic.Uint64
@@ -184,6 +185,9 @@
 func (i *Instance) Drain(ctx context.Context) {
 	i.draining.Store(true)
 	i.heartbeat(ctx)
+	if !i.config.Request.Protect.Drain {
+		return
+	}
 	sleepFor(ctx, i.config.KeepAnswer+i.config.Member.SuspectAfter)
 	for i.InFlight() > 0 && sleepFor(ctx, drainPoll) {
 	}
--- a/instance/session_test.go
+++ b/instance/session_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -15,7 +17,9 @@
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/instance"
 	"github.com/mastwheel/mastwheel/instancelist"
+	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/request"
+	"github.com/mastwheel/mastwheel/service"
 	"github.com/mastwheel/mastwheel/standin"
 	"github.com/mastwheel/mastwheel/table"
 	"github.com/mastwheel/mastwheel/trace"
@@ -39,8 +43,8 @@
 // node is one instance of a session.
 type node struct {
 	*instance.Instance
+	line *standin.Lifeline
 	port *standin.Port
-	kill context.CancelFunc
 	done chan struct{}
 }
 
@@ -150,29 +154,62 @@
 	config := instance.DefaultRegion()
 	config.Name, config.Zone, config.Caller, config.Peer = name, zone, name+":80", address
 	random := rand.New(rand.NewPCG(1, uint64(len(name))))
-	ctx, kill := context.WithCancel(context.Background())
-	n := &node{port: port, kill: kill, done: make(chan struct{})}
+	n := &node{line: standin.NewLifeline(), port: port, done: make(chan struct{})}
 	n.Instance = instance.New(config, instance.Deps{
-		Engines: tied{s.farm, ctx}, Services: s.plain, Log: s.log, List: s.list, Peers: port,
+		Engines: n.line.Engines(s.farm), Services: n.line.Services(s.plain),
+		Log: n.line.Log(s.log), List: n.line.List(s.list), Peers: n.line.Peers(port),
 		Random: func() float64 { return random.Float64() },
 	})
 	s.nodes[name] = n
 	s.list.Set(instancelist.Entry{Name: name, Zone: zone, Peer: address, State: instancelist.Live})
 	go func() {
 		defer close(n.done)
-		n.Run(ctx)
+		n.Run(n.line.Context())
 	}()
 	return n
 }
 
 // stop kills the instance at once.
 func (n *node) stop() {
-	n.kill()
-	n.port.Freeze(true)
+	n.line.Kill()
 	n.port.Close()
 	<-n.done
 }
 
+// lose kills an instance, and the list no longer shows it.
+func (s *session) lose(name string) {
+	s.nodes[name].stop()
+	delete(s.nodes, name)
+	s.list.Remove(name)
+	s.say("instance %s is lost", name)
+}
+
+// hold sends a non-idempotent call with an operation id to the instance that
+// id names, and says how it went.
+func (s *session) hold(home *node, id operation.ID) {
+	_, result := home.Runner.RunPlain(s.ctx, request.Plain{
+		ID: home.NewRequestID(), Service: "plate-desk", Operation: &id,
+		Call: service.Call{Method: "POST", Path: "/hold", Headers: []service.Header{
+			{Name: standin.HeaderOperation, Value: id.String()},
+		}},
+	})
+	s.say("hold %s at %s: %s %s", id.Nonce, home.Self().Name, result.Outcome, result.Reason)
+}
+
+// askOutcome asks an instance what became of an operation.
+func (s *session) askOutcome(at *node, id operation.ID) {
+	status := at.AskOperation(s.ctx, id)
+	s.say("outcome of %s asked at %s: %s %s (running %v)", id.Nonce, at.Self().Name, status.Outcome, status.Reason, status.Running)
+}
+
+// newID makes an operation id as a caller does from an entry answer.
+func (s *session) newID(home, witness *node, nonce string) operation.ID {
+	return operation.ID{
+		Home: home.Self(), Witness: witness.Self(), Nonce: nonce,
+		HomeExpiry: home.Uptime() + 2*time.Minute, WitnessExpiry: witness.Uptime() + 2*time.Minute,
+	}
+}
+
 // say adds a line with the virtual time to the transcript.
 func (s *session) say(format string, args ...any) {
 	at := time.Since(s.started).Seconds()
@@ -251,20 +288,9 @@
 		s.say("engine %s: %d prefills, %d imports, %d tokens, %d finished, %d cancelled, %d pieces held, wasted %v",
 			address, ledger.Prefills, ledger.Imports, ledger.Tokens, ledger.Finished, ledger.Cancelled, len(e.Held), ledger.WastedTokens)
 	}
-	for operation, runs := range s.plain.Runs() {
-		s.say("plain %s ran %d times", operation, runs)
-	}
-}
-
-// tied is the engines as one instance reaches them: not at all once killed.
-type tied struct {
-	*standin.Farm
-	life context.Context
-}
-
-func (e tied) Cancel(ctx context.Context, address string, attempt engine.Attempt) error {
-	if e.life.Err() != nil {
-		return engine.ErrBroken
+	runs := s.plain.Runs()
+	for _, name := range slices.Sorted(maps.Keys(runs)) {
+		nonce := name[strings.LastIndex(name, "~")+1:]
+		s.say("plain call %s ran %d times", nonce, runs[name])
 	}
-	return e.Farm.Cancel(ctx, address, attempt)
 }
--- a/instance/siblings.go
+++ b/instance/siblings.go
@@ -23,17 +23,15 @@
 	if err != nil {
 		return
 	}
-	leaving := make(map[string]bool)
+	listed := make(map[string]bool, len(entries))
 	beat := i.greeting()
 	for _, entry := range entries {
-		if entry.State == instancelist.Leaving {
-			leaving[entry.Name] = true
-		}
-		if _, known := i.members.View().Find(entry.Name); !known && entry.Name != i.self.Name {
+		listed[entry.Name] = entry.State == instancelist.Leaving
+		if sibling, _ := i.members.View().Find(entry.Name); sibling.Peer == "" && entry.Name != i.self.Name {
 			i.deps.Peers.Send(entry.Peer, beat)
 		}
 	}
-	i.members.MarkLeaving(leaving, time.Now())
+	i.members.Listed(listed, time.Now())
 }
 
 func (i *Instance) greeting() *peer.Message {
@@ -42,7 +40,7 @@
 
 // heartbeat tells every sibling that this instance lives, and what its
 // workers report.
-func (i *Instance) heartbeat(context.Context) {
+func (i *Instance) heartbeat(ctx context.Context) {
 	now := time.Now()
 	i.members.Tick(now)
 	serving := len(i.members.View().Serving())
@@ -52,7 +50,32 @@
 	beat := i.greeting()
 	beat.Heartbeat.Loads = i.ownLoads()
 	for _, sibling := range i.members.View().Siblings {
-		i.deps.Peers.Send(sibling.Peer, beat)
+		if sibling.Peer != "" {
+			i.deps.Peers.Send(sibling.Peer, beat)
+		}
+	}
+	for _, suspect := range i.members.View().Suspects() {
+		go i.askAbout(ctx, suspect.Member())
+	}
+}
+
+// mostWitnesses bounds the siblings that are asked about one suspect.
+const mostWitnesses = 3
+
+// askAbout asks siblings when they last heard a silent member.
+func (i *Instance) askAbout(ctx context.Context, suspect operation.Member) {
+	ctx, cancel := context.WithTimeout(ctx, i.config.Member.HeartbeatEvery)
+	defer cancel()
+	question := &peer.Message{AskHeard: &peer.AskHeard{Member: suspect}}
+	for n, sibling := range i.members.View().Serving() {
+		if n == mostWitnesses {
+			return
+		}
+		answer, err := i.deps.Peers.Call(ctx, sibling.Peer, question)
+		if err == nil && answer.Heard != nil && answer.Heard.Known {
+			now := time.Now()
+			i.members.Vouch(suspect, now.Add(-answer.Heard.Silence), now)
+		}
 	}
 }
 
@@ -79,6 +102,11 @@
 		return &peer.Message{OperationAnswer: i.operationHere(message.AskOperation)}
 	case message.AskTrace != nil:
 		return &peer.Message{TraceAnswer: i.traceHere(message.AskTrace.RequestID)}
+	case message.AskHeard != nil:
+		silence, known := i.members.View().Silence(message.AskHeard.Member, time.Now())
+		return &peer.Message{Heard: &peer.Heard{Known: known, Silence: silence}}
+	case message.AskClaims != nil:
+		return &peer.Message{Claims: i.claimsHere(message.AskClaims)}
 	case message.AskRecords != nil:
 		return &peer.Message{Records: i.keeper.answer(message.AskRecords.From)}
 	default:
--- a/load/run.go
+++ b/load/run.go
@@ -48,6 +48,10 @@
 	Good      bool
 	// Left is set when the caller went away by itself.
 	Left bool
+	// Prompt is what was asked, and Ended when the caller was answered, lost
+	// its connection or went away.
+	Prompt string
+	Ended  time.Time
 	// Wrong is set when what arrived is not the right answer, or its begin.
 	Wrong bool
 	At    time.Duration
@@ -146,7 +150,7 @@
 	defer s.mu.Unlock()
 	entry := Entry{
 		RequestID: result.RequestID, Outcome: result.Outcome, Reason: result.Reason,
-		Team: arrival.Team, At: arrival.At, Left: ctx.Err() != nil,
+		Team: arrival.Team, At: arrival.At, Left: ctx.Err() != nil, Prompt: arrival.Prompt, Ended: time.Now(),
 	}
 	entry.Wrong = s.wrong(arrival, result)
 	if result.Outcome == reason.Done {
--- a/member/member.go
+++ b/member/member.go
@@ -35,10 +35,16 @@
 	// SuspectAfter is the silence after which a member gets no new work. It
 	// should outlast a few lost heartbeats and an ordinary pause.
 	SuspectAfter time.Duration
-	// DeadAfter is the silence after which a member's streams are cancelled.
-	// Too short cancels the work of an instance that was merely paused; too
-	// long holds decode memory for callers that are gone.
+	// DeadAfter is the silence, towards every sibling that was asked, after
+	// which a member that the platform's list no longer shows counts as dead
+	// and its streams are cancelled. Too short cancels the work of an instance
+	// that was merely paused; too long holds decode memory for callers that
+	// are gone.
 	DeadAfter time.Duration
+	// AbandonAfter is the silence after which a member counts as dead whatever
+	// the list shows: the list may be down or wrong. It must outlast the
+	// partitions that streams are meant to survive.
+	AbandonAfter time.Duration
 	// ForgetAfter is how long a dead member is remembered, so that its
 	// incarnation is known to be dead and not merely unknown.
 	ForgetAfter time.Duration
@@ -50,6 +56,7 @@
 		HeartbeatEvery: 500 * time.Millisecond,
 		SuspectAfter:   2 * time.Second,
 		DeadAfter:      5 * time.Second,
+		AbandonAfter:   time.Minute,
 		ForgetAfter:    10 * time.Minute,
 	}
 }
@@ -84,8 +91,10 @@
 type Sibling struct {
 	Info
 	State State `json:"state"`
-	// Heard is when its last heartbeat arrived.
-	Heard time.Time `json:"heard"`
+	// Heard is when its last heartbeat arrived here, and HeardAnywhere the
+	// latest time that a sibling reports.
+	Heard         time.Time `json:"heard"`
+	HeardAnywhere time.Time `json:"heard_anywhere"`
 }
 
 // View is an immutable picture of the members, sorted by name.
@@ -101,7 +110,7 @@
 
 	mu       sync.Mutex
 	siblings map[string]Sibling
-	leaving  map[string]bool
+	listed   listing
 	view     atomic.Pointer[View]
 }
 
@@ -111,7 +120,7 @@
 		config:   config,
 		self:     self,
 		siblings: make(map[string]Sibling),
-		leaving:  make(map[string]bool),
+		listed:   newListing(),
 	}
 	m.view.Store(&View{})
 	return m
@@ -134,42 +143,34 @@
 	if ok && known.Incarnation == info.Incarnation && known.Uptime > info.Uptime {
 		return
 	}
-	m.siblings[info.Name] = Sibling{Info: info, Heard: now, State: m.stateAt(info, now, now)}
+	sibling := Sibling{Info: info, Heard: now, HeardAnywhere: now}
+	sibling.State = m.stateAt(sibling, now)
+	m.siblings[info.Name] = sibling
 	m.publish()
 }
 
-// MarkLeaving takes the platform's word that instances are leaving. The list
-// lags, so it can only add to what a heartbeat says, never bring one back.
-func (m *Members) MarkLeaving(names map[string]bool, now time.Time) {
-	m.mu.Lock()
-	m.leaving = names
-	m.mu.Unlock()
-	m.Tick(now)
-}
-
 // Tick recomputes every state at now, and forgets those long dead.
 func (m *Members) Tick(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, sibling := range m.siblings {
-		if now.Sub(sibling.Heard) > m.config.ForgetAfter {
+		if now.Sub(sibling.HeardAnywhere) > m.config.ForgetAfter {
 			delete(m.siblings, name)
 			continue
 		}
-		sibling.State = m.stateAt(sibling.Info, sibling.Heard, now)
+		sibling.State = m.stateAt(sibling, now)
 		m.siblings[name] = sibling
 	}
 	m.publish()
 }
 
-func (m *Members) stateAt(info Info, heard, now time.Time) State {
-	silence := now.Sub(heard)
+func (m *Members) stateAt(s Sibling, now time.Time) State {
 	switch {
-	case silence > m.config.DeadAfter:
+	case m.isDead(s, now):
 		return Dead
-	case silence > m.config.SuspectAfter:
+	case now.Sub(s.Heard) > m.config.SuspectAfter:
 		return Suspect
-	case info.Draining || m.leaving[info.Name]:
+	case s.Draining || m.listed.leaving[s.Name]:
 		return Leaving
 	default:
 		return Alive
@@ -196,6 +197,12 @@
 	return v.Siblings[i], true
 }
 
+// Knows says whether this run of an instance, or a later one, is known.
+func (v *View) Knows(member operation.Member) bool {
+	sibling, known := v.Find(member.Name)
+	return known && sibling.Incarnation >= member.Incarnation
+}
+
 // Serving returns the siblings that still serve: alive or leaving.
 func (v *View) Serving() []Sibling {
 	var serving []Sibling
--- a/operation/id.go
+++ b/operation/id.go
@@ -29,6 +29,19 @@
 	return m.Name + "." + strconv.FormatUint(uint64(m.Incarnation), base36)
 }
 
+// ParseMember reads what String wrote.
+func ParseMember(text string) (Member, bool) {
+	dot := strings.LastIndexByte(text, '.')
+	if dot < 0 {
+		return Member{}, false
+	}
+	incarnation, err := strconv.ParseUint(text[dot+1:], base36, 64)
+	if err != nil {
+		return Member{}, false
+	}
+	return Member{Name: text[:dot], Incarnation: Incarnation(incarnation)}, true
+}
+
 // ID is a parsed operation id.
 type ID struct {
 	Home    Member
--- a/peer/message.go
+++ b/peer/message.go
@@ -108,6 +108,37 @@
 	Snapshot []byte `cbor:"4,keyasint,omitempty"`
 }
 
+// AskHeard asks when the receiver last heard a member.
+type AskHeard struct {
+	Member operation.Member `cbor:"1,keyasint"`
+}
+
+// Heard answers AskHeard.
+type Heard struct {
+	Known   bool          `cbor:"1,keyasint,omitempty"`
+	Silence time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
+// Claim names an attempt that an engine holds.
+type Claim struct {
+	RequestID string `cbor:"1,keyasint"`
+	Attempt   int    `cbor:"2,keyasint"`
+}
+
+// AskClaims asks a home which attempts it still works on.
+type AskClaims struct {
+	Home   operation.Member `cbor:"1,keyasint"`
+	Claims []Claim          `cbor:"2,keyasint"`
+}
+
+// Claims answers AskClaims.
+type Claims struct {
+	// Home is who answers: a later run of the home knows nothing.
+	Home operation.Member `cbor:"1,keyasint"`
+	// Abandoned are the attempts that have ended.
+	Abandoned []Claim `cbor:"2,keyasint,omitempty"`
+}
+
 // Message is one message; exactly one field is set.
 type Message struct {
 	Heartbeat       *Heartbeat       `cbor:"1,keyasint,omitempty"`
@@ -123,6 +154,10 @@
 	TraceAnswer     *TraceAnswer     `cbor:"11,keyasint,omitempty"`
 	AskRecords      *AskRecords      `cbor:"12,keyasint,omitempty"`
 	Records         *Records         `cbor:"13,keyasint,omitempty"`
+	AskHeard        *AskHeard        `cbor:"14,keyasint,omitempty"`
+	Heard           *Heard           `cbor:"15,keyasint,omitempty"`
+	AskClaims       *AskClaims       `cbor:"16,keyasint,omitempty"`
+	Claims          *Claims          `cbor:"17,keyasint,omitempty"`
 }
 
 // Handler answers messages from siblings. A nil answer means that the message
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -35,6 +35,7 @@
 	HandoffFailed    Reason = "handoff_failed"
 	DecodeFailed     Reason = "decode_failed"
 	StreamBroken     Reason = "stream_broken"
+	StreamResumed    Reason = "stream_resumed"
 	ConnectFailed    Reason = "connect_failed"
 	BackendRefused   Reason = "backend_refused"
 )
@@ -85,6 +86,7 @@
 	{HandoffFailed, "the transfer failed or stalled", "backend.link_mb_per_s"},
 	{DecodeFailed, "the decode engine did not begin the stream", "none"},
 	{StreamBroken, "the decode stream ended before its last token", "none"},
+	{StreamResumed, "a broken stream was taken up again at the same engine", "none"},
 	{ConnectFailed, "no connection to the backend server; no byte was sent", "none"},
 	{BackendRefused, "the backend server said that it did not run the request", "none"},
 	{CallerGone, "the caller closed its connection", "none"},
--- a/request/cancel.go
+++ b/request/cancel.go
@@ -9,26 +9,24 @@
 
 // cancelLater cancels an attempt at an engine, again and again until the
 // engine confirms it. The request does not wait for that.
-func (r *Runner) cancelLater(address string, attempt engine.Attempt, confirmed func()) {
+func (r *Runner) cancelLater(address string, attempt engine.Attempt) {
+	if !r.config.Protect.Cancel {
+		return
+	}
 	r.Metrics.CancelsPending.Inc()
 	r.cancels.Go(func() {
 		defer r.Metrics.CancelsPending.Dec()
-		if r.cancelUntilConfirmed(address, attempt) && confirmed != nil {
-			confirmed()
-		}
+		r.cancelUntilConfirmed(address, attempt)
 	})
 }
 
-func (r *Runner) cancelUntilConfirmed(address string, attempt engine.Attempt) bool {
+func (r *Runner) cancelUntilConfirmed(address string, attempt engine.Attempt) {
 	ctx, stop := context.WithTimeout(context.Background(), r.config.CancelFor)
 	defer stop()
 	for {
 		r.Metrics.CancelTries.Inc()
-		if r.cancelOnce(ctx, address, attempt) == nil {
-			return true
-		}
-		if !r.pause(ctx, r.config.CancelEvery) {
-			return false
+		if r.cancelOnce(ctx, address, attempt) == nil || !r.pause(ctx, r.config.CancelEvery) {
+			return
 		}
 	}
 }
--- a/request/model.go
+++ b/request/model.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,6 +11,7 @@
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
+	"github.com/mastwheel/mastwheel/trace"
 )
 
 // Model is one request to a model service.
@@ -114,6 +114,7 @@
 
 // once makes one attempt: reserve, prefill, transfer, decode.
 func (m *modelRun) once(ctx context.Context) attemptEnd {
+	m.claims.hold(m.holdKey())
 	if end, ok := m.reserve(ctx); !ok {
 		return end
 	}
@@ -129,7 +130,7 @@
 	end, ok := m.transfer(ctx, prefill, result)
 	release = m.decode
 	if !ok {
-		m.cancelLater(prefill.Backend.Address, m.engineAttempt(), nil)
+		m.cancelLater(prefill.Backend.Address, m.engineAttempt())
 		return end
 	}
 	return m.stream(ctx)
@@ -275,7 +276,7 @@
 		Attempt: m.engineAttempt(), Model: m.service.Model, Prompt: m.ask.Prompt, Priority: m.service.Priority,
 	})
 	if err == nil {
-		chosen.Server.MeasurePrefill(waiting-result.CachedTokens, time.Since(started))
+		chosen.Server.Prefills.Measure(waiting-result.CachedTokens, time.Since(started))
 	}
 	return result, err
 }
@@ -285,7 +286,7 @@
 	if notRun {
 		m.step(Disclaim, reason.PrefillRefused, chosen.Name)
 	} else {
-		m.cancelLater(chosen.Backend.Address, m.engineAttempt(), nil)
+		m.cancelLater(chosen.Backend.Address, m.engineAttempt())
 	}
 	if ctx.Err() != nil {
 		return attemptEnd{why: reason.CallerGone}
@@ -322,16 +323,29 @@
 	}
 }
 
+// importPatience is how many times its expected length a transfer may take.
+const importPatience = 4
+
+func (m *modelRun) importTimeout(target *route.Rated) time.Duration {
+	expected, known := target.Server.Transfers.Time(m.query.PromptTokens)
+	if !known {
+		return m.config.ImportTimeout
+	}
+	return min(max(importPatience*expected, m.config.ShortestImport), m.config.ImportTimeout)
+}
+
 func (m *modelRun) orderImport(ctx context.Context, prefill *route.Rated, result engine.PrefillResult) reason.Reason {
-	ctx, cancel := context.WithTimeout(ctx, m.config.ImportTimeout)
-	defer cancel()
 	target := m.decode
+	ctx, cancel := context.WithTimeout(ctx, m.importTimeout(target))
+	defer cancel()
+	started := time.Now()
 	err := m.Engines.Import(ctx, target.Backend.Address, engine.ImportOrder{
 		Attempt: m.engineAttempt(), Source: prefill.Backend.Address, Handle: result.Handle, Pieces: m.query.Pieces,
 	})
 	switch {
 	case err == nil:
 		target.Server.Breaker.Success()
+		target.Server.Transfers.Measure(result.PromptTokens, time.Since(started))
 		return reason.None
 	case errors.Is(err, engine.ErrExpired):
 		return reason.HandoffExpired
@@ -342,42 +356,64 @@
 		return reason.HandoffFailed
 	default:
 		target.Server.Breaker.Failure(time.Now())
-		m.cancelLater(target.Backend.Address, m.engineAttempt(), nil)
+		m.cancelLater(target.Backend.Address, m.engineAttempt())
 		return reason.HandoffFailed
 	}
 }
 
-// stream passes the decode engine's tokens to the caller.
+// stream passes the decode engine's tokens to the caller. A stream that breaks
+// is taken up again at the same engine, which still has the KV cache, before
+// the attempt is given up.
 func (m *modelRun) stream(ctx context.Context) attemptEnd {
 	target := m.decode
 	end := target.Server.Begin(0)
 	defer end()
-	streamCtx, stop := context.WithCancel(ctx)
+	why := reason.None
+	for range maxResumes + 1 {
+		before := m.cursor.next
+		if why = m.streamOnce(ctx, target); why == reason.None {
+			target.Server.Breaker.Success()
+			return attemptEnd{delivered: true}
+		}
+		if ctx.Err() != nil || (why == reason.DecodeFailed && before == m.cursor.next) {
+			break
+		}
+		m.Metrics.Retried(reason.StreamResumed)
+		m.record.Add(time.Now(), trace.Step{
+			Attempt: m.attempt, State: m.life.State().String(), Reason: reason.StreamResumed, Server: target.Name,
+		})
+	}
+	m.decodeFailed(ctx, target)
+	return attemptEnd{why: why}
+}
+
+// maxResumes bounds how often a stream is taken up again at one engine.
+const maxResumes = 2
+
+// streamOnce reads one stream to its end, or returns why it ended early.
+func (m *modelRun) streamOnce(ctx context.Context, target *route.Rated) reason.Reason {
+	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	watchdog := time.AfterFunc(m.config.TokenTimeout, stop)
 	defer watchdog.Stop()
-	stream, err := m.Engines.Decode(streamCtx, target.Backend.Address, engine.DecodeOrder{
+	stream, err := m.Engines.Decode(ctx, target.Backend.Address, engine.DecodeOrder{
 		Attempt: m.engineAttempt(), From: m.cursor.next, MaxTokens: m.ask.MaxTokens, Priority: m.service.Priority,
 	})
 	if err != nil {
-		m.decodeFailed(ctx, target)
-		return attemptEnd{why: reason.DecodeFailed}
+		return reason.DecodeFailed
 	}
 	defer stream.Close()
 	for {
 		token, err := stream.Next()
-		if errors.Is(err, io.EOF) || err != nil {
-			m.decodeFailed(ctx, target)
-			return attemptEnd{why: reason.StreamBroken}
+		if err != nil {
+			return reason.StreamBroken
 		}
 		watchdog.Reset(m.config.TokenTimeout)
 		if !m.pass(token) {
-			m.decodeFailed(ctx, target)
-			return attemptEnd{why: reason.StreamBroken}
+			return reason.StreamBroken
 		}
 		if token.Last && m.cursor.next > token.Position {
-			target.Server.Breaker.Success()
-			return attemptEnd{delivered: true}
+			return reason.None
 		}
 	}
 }
@@ -385,6 +421,10 @@
 // pass offers one token to the cursor. It returns false when the stream is of
 // no further use.
 func (m *modelRun) pass(token engine.Token) bool {
+	if !m.config.Protect.Match {
+		m.cursor.next = token.Position
+		token.RequestID, token.Number = m.ask.ID, m.attempt
+	}
 	dropped, err := m.cursor.offer(m.attempt, token)
 	if err != nil {
 		return false
@@ -407,7 +447,7 @@
 		target.Server.Breaker.Failure(time.Now())
 		m.triedDecode = append(m.triedDecode, target.Name)
 	}
-	m.cancelLater(target.Backend.Address, m.engineAttempt(), nil)
+	m.cancelLater(target.Backend.Address, m.engineAttempt())
 }
 
 // measure feeds the latencies of a delivered answer into the metrics.
--- a/request/plain.go
+++ b/request/plain.go
@@ -116,7 +116,7 @@
 	case errors.Is(err, service.ErrNotRun):
 		p.step(Disclaim, reason.BackendRefused, chosen.Name)
 		return attemptEnd{why: reason.BackendRefused}
-	case p.ask.Idempotent:
+	case p.ask.Idempotent || !p.config.Protect.Once:
 		chosen.Server.Breaker.Failure(time.Now())
 		p.step(Retry, reason.AnswerLost, chosen.Name)
 		return attemptEnd{why: reason.AnswerLost}
--- a/request/runner.go
+++ b/request/runner.go
@@ -38,9 +38,12 @@
 	// TokenTimeout is the silence after which a stream counts as broken. It
 	// must exceed an ordinary pause of an engine; longer delays the resume.
 	TokenTimeout time.Duration
-	// ImportTimeout bounds one transfer, so that a stalled one leaves time
-	// for another decode engine within the window.
-	ImportTimeout time.Duration
+	// ImportTimeout bounds one transfer of which nothing is known yet, and
+	// ShortestImport one that the measured rate says is quick. A stalled
+	// transfer must leave time for another decode engine within the window; a
+	// bound below the links' ordinary jitter gives up transfers that were fine.
+	ImportTimeout  time.Duration
+	ShortestImport time.Duration
 	// PlainTimeout bounds one call to a plain backend server.
 	PlainTimeout time.Duration
 	// ReserveTimeout bounds one question to a steward or a witness.
@@ -52,6 +55,9 @@
 	// CancelFor is how long a cancel is repeated; then the engine counts as
 	// dead, and its memory with it.
 	CancelFor time.Duration
+	// Protect says which protections are on: all of them, but in trials that
+	// show what each is for.
+	Protect Protections
 }
 
 // DefaultConfig suits engines of the sizes in the brief.
@@ -60,11 +66,13 @@
 		PollEvery:      20 * time.Millisecond,
 		TokenTimeout:   2 * time.Second,
 		ImportTimeout:  600 * time.Millisecond,
+		ShortestImport: 150 * time.Millisecond,
 		PlainTimeout:   10 * time.Second,
 		ReserveTimeout: 300 * time.Millisecond,
 		MaxAttempts:    4,
 		CancelEvery:    100 * time.Millisecond,
 		CancelFor:      time.Minute,
+		Protect:        AllProtections(),
 	}
 }
 
@@ -99,19 +107,25 @@
 	decode  *route.Profile
 	plain   *route.Profile
 	budgets sync.Map // service name -> *route.Budget
+	claims  claims
 	// cancels waits for the cancels that outlive their requests.
 	cancels sync.WaitGroup
 }
 
 // NewRunner returns a Runner.
 func NewRunner(deps Deps, config Config) *Runner {
-	return &Runner{
+	r := &Runner{
 		Deps:    deps,
 		config:  config,
 		prefill: route.PrefillProfile(),
 		decode:  route.DecodeProfile(),
 		plain:   route.PlainProfile(),
 	}
+	if !config.Protect.Leaving {
+		leaving := route.LeavingFilter{}.Name()
+		r.prefill, r.decode, r.plain = r.prefill.Without(leaving), r.decode.Without(leaving), r.plain.Without(leaving)
+	}
+	return r
 }
 
 // Wait blocks until every cancel was confirmed or given up.
@@ -155,7 +169,7 @@
 
 // refusal says why a request is refused whatever it asks for.
 func (r *Runner) refusal(known bool) reason.Reason {
-	if r.Stale != nil && r.Stale() {
+	if r.View().Revision == 0 || (r.Stale != nil && r.Stale()) {
 		return reason.StaleTable
 	}
 	if !known {
@@ -184,6 +198,7 @@
 	if outcome == reason.Done {
 		why = reason.None
 	}
+	r.claims.drop(r.record.ID)
 	r.record.Outcome = outcome
 	r.record.Reason = why
 	r.Metrics.Ended(r.record.Service, outcome, why)
@@ -252,7 +267,7 @@
 
 // witness has the intent acknowledged before the first byte is sent.
 func (r *run) witness(ctx context.Context) reason.Reason {
-	if r.op == nil || r.noted {
+	if r.op == nil || r.noted || !r.config.Protect.Witness {
 		return reason.None
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.config.ReserveTimeout)
--- a/route/profiles.go
+++ b/route/profiles.go
@@ -1,5 +1,7 @@
 package route
 
+import "slices"
+
 // Weights of the scorers. Waiting dominates, since it decides the first-token
 // target; a zone's distance is a millisecond and only breaks near ties.
 const (
@@ -39,3 +41,10 @@
 		Picker:  BestPicker{},
 	}
 }
+
+// Without returns the profile with no filter of that name.
+func (p *Profile) Without(filter string) *Profile {
+	kept := *p
+	kept.Filters = slices.DeleteFunc(slices.Clone(p.Filters), func(f Filter) bool { return f.Name() == filter })
+	return &kept
+}
--- a/route/server.go
+++ b/route/server.go
@@ -4,7 +4,6 @@
 package route
 
 import (
-	"math"
 	"sync/atomic"
 	"time"
 
@@ -32,22 +31,21 @@
 	Breaker Breaker
 	// Prefixes guesses at a prefill engine's prefix cache.
 	Prefixes PrefixCache
+	// Prefills and Transfers are the measured rates of reading prompts and of
+	// receiving KV caches.
+	Prefills  Rate
+	Transfers Rate
 
 	report atomic.Pointer[Report]
 	// inFlight counts this instance's own requests at the server.
 	inFlight atomic.Int64
 	// ownTokens counts this instance's own prompt tokens there, not yet read.
 	ownTokens atomic.Int64
-	// tokenRate is the measured prefill rate, in tokens a second, as float bits.
-	tokenRate atomic.Uint64
 }
 
-const (
-	// initialTokenRate stands in until the first prefill was measured.
-	initialTokenRate = 10_000
-	// rateSmoothing is the weight of a new measurement.
-	rateSmoothing = 0.1
-)
+// initialTokenRate stands in until the first prefill was measured, in tokens
+// a second.
+const initialTokenRate = 10_000
 
 // Observe replaces the server's report.
 func (s *Server) Observe(report *Report) { s.report.Store(report) }
@@ -81,30 +79,14 @@
 	return report.WaitingTokens
 }
 
-// MeasurePrefill feeds the measured time of one prefill into the rate.
-func (s *Server) MeasurePrefill(tokens int, took time.Duration) {
-	if tokens <= 0 || took <= 0 {
-		return
-	}
-	measured := float64(tokens) / took.Seconds()
-	blended := (1-rateSmoothing)*s.TokenRate() + rateSmoothing*measured
-	s.tokenRate.Store(math.Float64bits(blended))
-}
-
-// TokenRate returns the prefill rate in tokens a second.
-func (s *Server) TokenRate() float64 {
-	bits := s.tokenRate.Load()
-	if bits == 0 {
-		return initialTokenRate
-	}
-	return math.Float64frombits(bits)
-}
-
 // PrefillTime estimates the time until a prompt of that many tokens is read,
 // the wait behind others included.
 func (s *Server) PrefillTime(tokens int) time.Duration {
-	seconds := float64(s.WaitingTokens()+tokens) / s.TokenRate()
-	return time.Duration(seconds * float64(time.Second))
+	ahead := s.WaitingTokens() + tokens
+	if estimate, known := s.Prefills.Time(ahead); known {
+		return estimate
+	}
+	return time.Duration(ahead) * time.Second / initialTokenRate
 }
 
 // Fleet finds the Server of each backend server. Readers load one immutable
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/route"
 )
@@ -65,8 +67,15 @@
 	HeldRequests  []engine.Held    `json:"held_requests"`
 	// OverCommitted counts orders that found too little memory.
 	OverCommitted int64 `json:"over_committed"`
+	// LateOrders counts new work that arrived more than LeavingGrace after the
+	// engine began to say that it is leaving.
+	LateOrders int64 `json:"late_orders"`
 }
 
+// LeavingGrace is how long after its first word a leaving engine may still be
+// sent new work ("after a few seconds", says the promise).
+const LeavingGrace = 3 * time.Second
+
 // Causes of wasted prefill.
 const (
 	wasteExpired   = "expired"
@@ -84,9 +93,14 @@
 	// cancel ends what is going on for the attempt.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// answered is set once the first token was generated.
+	// imported is set once the KV cache has arrived whole, answered once the
+	// first token was generated.
+	imported bool
 	answered bool
-	decoding bool
+	// hold is the job's place in the history of the memory.
+	hold int
+	// stream numbers the decode streams; a new one ends the one before.
+	stream int
 }
 
 type jobKey struct {
@@ -117,6 +131,29 @@
 	cached    map[uint64]bool
 	// ran names the requests that the engine began to work on.
 	ran map[string]bool
+	// holds is the history of the memory.
+	holds []Hold
+	// leavingSince is when Leaving was first seen set.
+	leavingSince time.Time
+}
+
+// Hold is one stay of a request in an engine's memory. Until is zero while it
+// lasts.
+type Hold struct {
+	Prompt uint64
+	Pieces int
+	From   time.Time
+	Until  time.Time
+}
+
+// PromptHash names a prompt in the history of holds.
+func PromptHash(prompt string) uint64 { return xxhash.Sum64String(prompt) }
+
+// Holds returns the history of the engine's memory.
+func (e *Engine) Holds() []Hold {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Hold(nil), e.holds...)
 }
 
 // Faults are switches that make one engine misbehave.
@@ -207,9 +244,8 @@
 
 // dropHeldLocked frees a request's memory before its answer was whole.
 func (e *Engine) dropHeldLocked(key jobKey, j *job, cause string) {
-	delete(e.held, key)
-	j.cancel()
-	if !j.answered {
+	e.releaseLocked(key, j)
+	if j.imported && !j.answered {
 		e.wasteLocked(cause, j)
 	}
 }
@@ -257,7 +293,7 @@
 	j.ctx, j.cancel = context.WithCancel(context.Background())
 	key := keyOf(order.Attempt)
 	e.mu.Lock()
-	if e.cancelled[key] || e.Faults.Leaving.Load() {
+	if e.cancelled[key] || e.refusesLocked() {
 		e.mu.Unlock()
 		j.cancel()
 		return engine.PrefillResult{}, engine.ErrRefused
@@ -394,8 +430,7 @@
 	if _, still := source.export(key); !still {
 		e.mu.Lock()
 		if e.held[key] == j {
-			delete(e.held, key)
-			j.cancel()
+			e.releaseLocked(key, j)
 		}
 		e.mu.Unlock()
 		return engine.ErrExpired
@@ -403,6 +438,7 @@
 	source.exported(key, result)
 	e.mu.Lock()
 	e.ledger.Imports++
+	j.imported = true
 	e.mu.Unlock()
 	return nil
 }
@@ -410,7 +446,7 @@
 func (e *Engine) hold(key jobKey, j *job) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.cancelled[key] || e.Faults.Leaving.Load() {
+	if e.cancelled[key] || e.refusesLocked() {
 		return engine.ErrRefused
 	}
 	if e.freeLocked() < j.pieces {
@@ -419,9 +455,34 @@
 		return engine.ErrNoMemory
 	}
 	e.held[key] = j
+	j.hold = len(e.holds)
+	e.holds = append(e.holds, Hold{Prompt: PromptHash(j.prompt), Pieces: j.pieces, From: time.Now()})
 	return nil
 }
 
+// refusesLocked says whether the engine takes no new work because it is
+// leaving, and counts work that comes too late.
+func (e *Engine) refusesLocked() bool {
+	if !e.Faults.Leaving.Load() {
+		e.leavingSince = time.Time{}
+		return false
+	}
+	if e.leavingSince.IsZero() {
+		e.leavingSince = time.Now()
+	}
+	if time.Since(e.leavingSince) > LeavingGrace {
+		e.ledger.LateOrders++
+	}
+	return true
+}
+
+// releaseLocked frees a request's memory.
+func (e *Engine) releaseLocked(key jobKey, j *job) {
+	delete(e.held, key)
+	j.cancel()
+	e.holds[j.hold].Until = time.Now()
+}
+
 // transmit takes the time of a transfer over the engine's one link.
 func (e *Engine) transmit(j *job) bool {
 	if !e.linkGate.enter(j.ctx, 0) {
@@ -439,16 +500,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	j, ok := e.held[key]
-	if !ok || j.decoding {
+	if !ok {
 		return nil, engine.ErrExpired
 	}
-	j.decoding = true
+	j.stream++
 	tokens := make(chan engine.Token, 2*order.MaxTokens+2)
-	go e.generate(key, j, order, tokens)
+	go e.generate(key, j, j.stream, order, tokens)
 	return tokens, nil
 }
 
-func (e *Engine) generate(key jobKey, j *job, order engine.DecodeOrder, tokens chan<- engine.Token) {
+// generate emits tokens until the answer is whole, the stream breaks, or
+// another stream of the same job takes over.
+func (e *Engine) generate(key jobKey, j *job, stream int, order engine.DecodeOrder, tokens chan<- engine.Token) {
 	defer close(tokens)
 	breakAt := -1
 	if take(&e.Faults.BreakStreams) {
@@ -458,8 +521,7 @@
 		if !sleep(j.ctx, e.stepTime()) {
 			return
 		}
-		if position == breakAt {
-			e.pauseDecoding(j)
+		if position == breakAt || !e.isCurrent(j, stream) {
 			return
 		}
 		e.emit(j, tokens, engine.Token{
@@ -494,12 +556,12 @@
 	}
 }
 
-// pauseDecoding leaves the request in memory with no stream, as after a lost
-// connection: it can be resumed, or must be cancelled.
-func (e *Engine) pauseDecoding(j *job) {
+// isCurrent says whether no later stream has taken over. A job without a
+// stream stays in memory: it can be resumed, or must be cancelled.
+func (e *Engine) isCurrent(j *job, stream int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	j.decoding = false
+	return j.stream == stream
 }
 
 func (e *Engine) finish(key jobKey, j *job) {
@@ -508,8 +570,7 @@
 	if e.held[key] != j {
 		return
 	}
-	delete(e.held, key)
-	j.cancel()
+	e.releaseLocked(key, j)
 	e.ledger.Finished++
 }
 
@@ -540,6 +601,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
+	if e.Faults.Leaving.Load() && e.leavingSince.IsZero() {
+		e.leavingSince = now
+	}
 	if e.reported.IsZero() || now.Sub(e.reported) >= e.config.ReportLag {
 		e.reported = now
 		e.report = engine.Load{
--- a/trial/switch.go
+++ b/standin/lifeline.go
@@ -1,4 +1,4 @@
-package trial
+package standin
 
 import (
 	"context"
@@ -11,10 +11,10 @@
 	"github.com/mastwheel/mastwheel/service"
 )
 
-// lifeline stands between an instance and everything outside it, so that the
+// Lifeline stands between an instance and everything outside it, so that the
 // instance can be killed or paused within the process: a killed instance
 // sends nothing more, a paused one sends when it resumes.
-type lifeline struct {
+type Lifeline struct {
 	ctx  context.Context
 	kill context.CancelFunc
 
@@ -22,13 +22,15 @@
 	paused chan struct{} // closed by resume; nil while not paused
 }
 
-func newLifeline() *lifeline {
-	l := &lifeline{}
+// NewLifeline returns the lifeline of a living instance.
+func NewLifeline() *Lifeline {
+	l := &Lifeline{}
 	l.ctx, l.kill = context.WithCancel(context.Background())
 	return l
 }
 
-func (l *lifeline) pause() {
+// Pause freezes the instance towards everything outside.
+func (l *Lifeline) Pause() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.paused == nil {
@@ -36,7 +38,8 @@
 	}
 }
 
-func (l *lifeline) resume() {
+// Resume ends a pause.
+func (l *Lifeline) Resume() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.paused != nil {
@@ -45,8 +48,32 @@
 	}
 }
 
+// Context ends when the instance is killed.
+func (l *Lifeline) Context() context.Context { return l.ctx }
+
+// Kill ends the instance towards everything outside.
+func (l *Lifeline) Kill() { l.kill() }
+
+// Engines, Services, Peers, Log and List pass what the instance sends through
+// the lifeline.
+
+// Engines wraps a client of engines.
+func (l *Lifeline) Engines(client engine.Client) engine.Client { return engines{l, client} }
+
+// Services wraps a client of plain servers.
+func (l *Lifeline) Services(client service.Client) service.Client { return services{l, client} }
+
+// Peers wraps a transport between siblings.
+func (l *Lifeline) Peers(transport peer.Transport) peer.Transport { return peers{l, transport} }
+
+// Log wraps a client of the log.
+func (l *Lifeline) Log(client oplog.Client) oplog.Client { return logLine{l, client} }
+
+// List wraps a client of the instance list.
+func (l *Lifeline) List(client instancelist.Client) instancelist.Client { return listLine{l, client} }
+
 // pass waits while paused, and returns false once killed.
-func (l *lifeline) pass() bool {
+func (l *Lifeline) pass() bool {
 	l.mu.Lock()
 	paused := l.paused
 	l.mu.Unlock()
@@ -60,7 +87,7 @@
 }
 
 // tie returns a context that also ends with the instance.
-func (l *lifeline) tie(ctx context.Context) (context.Context, context.CancelFunc) {
+func (l *Lifeline) tie(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(l.ctx, cancel)
 	return ctx, func() {
@@ -71,7 +98,7 @@
 
 // engines passes orders through the lifeline.
 type engines struct {
-	*lifeline
+	*Lifeline
 	engine.Client
 }
 
@@ -103,7 +130,7 @@
 		done()
 		return nil, err
 	}
-	return &tiedStream{Stream: stream, line: e.lifeline, done: done}, nil
+	return &tiedStream{Stream: stream, line: e.Lifeline, done: done}, nil
 }
 
 func (e engines) Cancel(ctx context.Context, address string, attempt engine.Attempt) error {
@@ -129,7 +156,7 @@
 
 type tiedStream struct {
 	engine.Stream
-	line *lifeline
+	line *Lifeline
 	done func()
 }
 
@@ -148,7 +175,7 @@
 
 // services passes calls through the lifeline.
 type services struct {
-	*lifeline
+	*Lifeline
 	service.Client
 }
 
@@ -165,7 +192,7 @@
 
 // peers passes messages through the lifeline, both ways.
 type peers struct {
-	*lifeline
+	*Lifeline
 	peer.Transport
 }
 
@@ -199,7 +226,7 @@
 
 // logLine and listLine pass reads of the platform through the lifeline.
 type logLine struct {
-	*lifeline
+	*Lifeline
 	oplog.Client
 }
 
@@ -218,7 +245,7 @@
 }
 
 type listLine struct {
-	*lifeline
+	*Lifeline
 	instancelist.Client
 }
 
--- a/standin/list.go
+++ b/standin/list.go
@@ -30,6 +30,16 @@
 	l.later(func() { l.entries[entry.Name] = entry })
 }
 
+// Leaving shows an instance as leaving after the lag.
+func (l *List) Leaving(name string) {
+	l.later(func() {
+		if entry, shown := l.entries[name]; shown {
+			entry.State = instancelist.Leaving
+			l.entries[name] = entry
+		}
+	})
+}
+
 // Remove drops an instance after the lag.
 func (l *List) Remove(name string) {
 	l.later(func() { delete(l.entries, name) })
--- a/trial/check.go
+++ b/trial/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strings"
+	"time"
 
 	"github.com/mastwheel/mastwheel/load"
 	"github.com/mastwheel/mastwheel/reason"
@@ -20,11 +22,13 @@
 	promiseDone      = "what is told done ran"
 	promiseWhole     = "each caller receives the whole answer to its own request"
 	promiseReleased  = "no decode memory stays held for a caller that has gone"
+	promiseLeaving   = "a backend server that is leaving receives no new work after a few seconds"
+	promiseDrain     = "a planned stop cuts off no request in flight"
 	promiseSameTable = "an accepted change is in force everywhere"
 )
 
 // check compares the callers' ledger with those of the stand-ins.
-func (t *Trial) check(report *load.Report) []Violation {
+func (t *Trial) check(report *load.Report, held HeldAfter) []Violation {
 	var found []Violation
 	note := func(promise, format string, args ...any) {
 		found = append(found, Violation{promise, fmt.Sprintf(format, args...)})
@@ -41,13 +45,71 @@
 		}
 		t.checkEntry(entry, runs, note)
 	}
-	if held := t.world.heldPieces(); held > 0 {
-		note(promiseReleased, "%d pieces held after the traffic", held)
+	if left := t.world.heldPieces(); left > 0 {
+		note(promiseReleased, "%d pieces held after the traffic: %s", left, t.heldBy())
+	}
+	if bound := t.releaseBound(); held.WorstMillis > millis(bound) {
+		note(promiseReleased, "held for %.0f ms after the caller had gone, over the bound of %s", held.WorstMillis, bound)
+	}
+	for name, engine := range t.world.engines {
+		if late := engine.Ledger().LateOrders; late > 0 {
+			note(promiseLeaving, "%s was sent %d orders", name, late)
+		}
+	}
+	if t.onlyPlanned() {
+		t.checkCutOff(report, note)
 	}
 	t.checkTables(note)
 	return found
 }
 
+const (
+	// releaseAlive bounds the time to release while the caller's home lives.
+	releaseAlive = time.Second
+	// releaseFaulty bounds it when the home dies, or is frozen, and when
+	// engines are out of reach for a while.
+	releaseFaulty = quietTimeout
+)
+
+// releaseBound is the bound on held memory under the trial's faults.
+func (t *Trial) releaseBound() time.Duration {
+	for _, fault := range t.options.Faults {
+		if fault.slowsRelease {
+			return releaseFaulty
+		}
+	}
+	return releaseAlive
+}
+
+// onlyPlanned says whether the trial's faults are planned stops alone.
+func (t *Trial) onlyPlanned() bool {
+	for _, fault := range t.options.Faults {
+		if !fault.planned {
+			return false
+		}
+	}
+	return len(t.options.Faults) > 0
+}
+
+func (t *Trial) checkCutOff(report *load.Report, note func(string, string, ...any)) {
+	for _, entry := range report.Entries {
+		if entry.Outcome == reason.Unknown && !entry.Left {
+			note(promiseDrain, "request %q ended %s (%s)", entry.RequestID, entry.Outcome, entry.Reason)
+		}
+	}
+}
+
+// heldBy lists what the engines hold, and for which homes.
+func (t *Trial) heldBy() string {
+	var held []string
+	for name, engine := range t.world.engines {
+		for _, h := range engine.Ledger().HeldRequests {
+			held = append(held, fmt.Sprintf("%s at %s for home %s", h.RequestID, name, h.Home))
+		}
+	}
+	return strings.Join(held, ", ")
+}
+
 // isOperation tells an operation id from the target of a call without one.
 func isOperation(name string) bool { return len(name) > 3 && name[:3] == "m1~" }
 
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -16,27 +16,47 @@
 	Name    string
 	Meaning string
 	// Every is the mean pause between two of the kind.
-	Every  time.Duration
-	strike func(ctx context.Context, t *Trial)
+	Every time.Duration
+	// planned marks a planned stop, which may cut off nothing.
+	planned bool
+	// slowsRelease marks faults after which memory is released late.
+	slowsRelease bool
+	strike       func(t *Trial)
 }
 
-// FaultList lists the faults by name.
+// FaultList lists the faults.
 var FaultList = []Fault{
-	{"break-stream", "a decode stream ends early", 2 * time.Second, func(_ context.Context, t *Trial) { t.anyDecode().Faults.BreakStreams.Add(1) }},
-	{"repeat-token", "tokens arrive twice", 2 * time.Second, func(_ context.Context, t *Trial) { t.anyDecode().Faults.RepeatTokens.Add(3) }},
-	{"foreign-token", "tokens of another request arrive", 2 * time.Second, func(_ context.Context, t *Trial) { t.anyDecode().Faults.ForeignTokens.Add(3) }},
-	{"stall-transfer", "a KV transfer hangs", 2 * time.Second, func(_ context.Context, t *Trial) { t.anyDecode().Faults.StallImports.Add(1) }},
-	{"lose-cancel", "a cancel takes effect and its reply is lost", time.Second, func(_ context.Context, t *Trial) { t.anyDecode().Faults.LoseCancelReplies.Add(2) }},
-	{"engine-crash", "an engine loses its memory", 4 * time.Second, func(_ context.Context, t *Trial) { t.anyEngine().Crash() }},
-	{"engine-down", "an engine is unreachable for a second", 5 * time.Second, engineDown},
-	{"engine-slow", "an engine takes three times as long for two seconds", 5 * time.Second, engineSlow},
-	{"engine-leaving", "an engine says that it is leaving, for two seconds", 6 * time.Second, engineLeaving},
-	{"lose-reply", "a plain call runs and its answer is lost", time.Second, func(_ context.Context, t *Trial) { t.world.plain.LoseReplies.Add(1) }},
-	{"refuse-call", "a plain server says that it did not run a call", time.Second, func(_ context.Context, t *Trial) { t.world.plain.Refuse.Add(1) }},
-	{"log-down", "the log answers nothing for two seconds", 6 * time.Second, logDown},
-	{"instance-kill", "an instance dies and is replaced", 6 * time.Second, instanceKill},
-	{"instance-pause", "an instance freezes for three seconds", 7 * time.Second, instancePause},
-	{"instance-drain", "an instance is stopped gracefully and replaced", 9 * time.Second, instanceDrain},
+	{Name: "break-stream", Meaning: "a decode stream ends early", Every: 2 * time.Second,
+		strike: func(t *Trial) { t.anyDecode().Faults.BreakStreams.Add(1) }},
+	{Name: "repeat-token", Meaning: "tokens arrive twice", Every: 2 * time.Second,
+		strike: func(t *Trial) { t.anyDecode().Faults.RepeatTokens.Add(3) }},
+	{Name: "foreign-token", Meaning: "tokens of another request arrive", Every: 2 * time.Second,
+		strike: func(t *Trial) { t.anyDecode().Faults.ForeignTokens.Add(3) }},
+	{Name: "stall-transfer", Meaning: "a KV transfer hangs", Every: 2 * time.Second,
+		strike: func(t *Trial) { t.anyDecode().Faults.StallImports.Add(1) }},
+	{Name: "lose-cancel", Meaning: "a cancel takes effect and its reply is lost", Every: time.Second,
+		strike: func(t *Trial) { t.anyDecode().Faults.LoseCancelReplies.Add(2) }},
+	{Name: "engine-crash", Meaning: "an engine loses its memory", Every: 4 * time.Second,
+		strike: func(t *Trial) { t.anyEngine().Crash() }},
+	{Name: "engine-down", Meaning: "an engine is unreachable for a second", Every: 5 * time.Second,
+		slowsRelease: true, strike: engineDown},
+	{Name: "engine-slow", Meaning: "an engine takes three times as long for two seconds", Every: 5 * time.Second,
+		strike: engineSlow},
+	{Name: "engine-leaving", Meaning: "an engine says that it is leaving, for five seconds", Every: 5 * time.Second,
+		strike: engineLeaving},
+	{Name: "lose-reply", Meaning: "a plain call runs and its answer is lost", Every: time.Second,
+		strike: func(t *Trial) { t.world.plain.LoseReplies.Add(1) }},
+	{Name: "refuse-call", Meaning: "a plain server says that it did not run a call", Every: time.Second,
+		strike: func(t *Trial) { t.world.plain.Refuse.Add(1) }},
+	{Name: "log-down", Meaning: "the log answers nothing for two seconds", Every: 6 * time.Second, strike: logDown},
+	{Name: "instance-kill", Meaning: "an instance dies and is restarted", Every: 6 * time.Second,
+		slowsRelease: true, strike: instanceKill},
+	{Name: "instance-lost", Meaning: "an instance dies and another takes its place", Every: 5 * time.Second,
+		slowsRelease: true, strike: instanceLost},
+	{Name: "instance-pause", Meaning: "an instance freezes for three seconds", Every: 7 * time.Second,
+		slowsRelease: true, strike: instancePause},
+	{Name: "instance-drain", Meaning: "an instance is stopped gracefully and replaced", Every: 4 * time.Second,
+		planned: true, strike: instanceDrain},
 }
 
 // FindFaults reads a list of fault names; "all" means every one.
@@ -81,7 +101,7 @@
 		}
 		fault := t.options.Faults[i]
 		t.counts[fault.Name]++
-		fault.strike(ctx, t)
+		fault.strike(t)
 		next[i] = time.Now().Add(t.jitter(fault.Every))
 	}
 }
@@ -113,26 +133,26 @@
 	return t.world.engines[workers[t.random.IntN(t.options.Deployment.Decode)].name]
 }
 
-func engineDown(_ context.Context, t *Trial) {
+func engineDown(t *Trial) {
 	e := t.anyEngine()
 	e.Faults.Down.Store(true)
 	time.AfterFunc(time.Second, func() { e.Faults.Down.Store(false) })
 }
 
-func engineSlow(_ context.Context, t *Trial) {
+func engineSlow(t *Trial) {
 	const threefold = 300
 	e := t.anyEngine()
 	e.Faults.Slow.Store(threefold)
 	time.AfterFunc(2*time.Second, func() { e.Faults.Slow.Store(0) })
 }
 
-func engineLeaving(_ context.Context, t *Trial) {
+func engineLeaving(t *Trial) {
 	e := t.anyEngine()
 	e.Faults.Leaving.Store(true)
-	time.AfterFunc(2*time.Second, func() { e.Faults.Leaving.Store(false) })
+	time.AfterFunc(5*time.Second, func() { e.Faults.Leaving.Store(false) })
 }
 
-func logDown(_ context.Context, t *Trial) {
+func logDown(t *Trial) {
 	t.world.log.Down.Store(true)
 	time.AfterFunc(2*time.Second, func() { t.world.log.Down.Store(false) })
 }
@@ -143,25 +163,37 @@
 }
 
 // instanceKill replaces a dead instance by a new run of the same name.
-func instanceKill(_ context.Context, t *Trial) {
+func instanceKill(t *Trial) {
 	n := t.anyNode()
 	n.kill()
 	t.mustStart(n.name, n.zone)
 }
 
+// instanceLost starts a replacement under a new name; the list no longer
+// shows the dead one.
+func instanceLost(t *Trial) {
+	n := t.anyNode()
+	t.remove(n)
+	n.kill()
+	t.world.list.Remove(n.name)
+	t.mustStart(t.nextName())
+}
+
 const pauseTime = 3 * time.Second
 
-func instancePause(_ context.Context, t *Trial) {
+func instancePause(t *Trial) {
 	n := t.anyNode()
 	t.background.Go(func() { n.pause(pauseTime) })
 }
 
 // instanceDrain starts a replacement under a new name, then stops gracefully.
-func instanceDrain(_ context.Context, t *Trial) {
+func instanceDrain(t *Trial) {
 	n := t.anyNode()
 	t.mustStart(t.nextName())
 	t.remove(n)
+	t.world.list.Leaving(n.name)
 	t.background.Go(func() {
+		defer t.world.list.Remove(n.name)
 		if err := n.shutdown(); err != nil {
 			panic("trial: " + err.Error())
 		}
--- /dev/null
+++ b/trial/held.go
@@ -0,0 +1,73 @@
+package trial
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mastwheel/mastwheel/load"
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/standin"
+)
+
+// HeldAfter says how long decode memory stayed held for callers that had gone:
+// left by themselves, or cut off by the death of their home.
+type HeldAfter struct {
+	Callers int `json:"callers"`
+	// PieceSeconds is the mean per caller.
+	PieceSeconds float64 `json:"piece_seconds"`
+	P99Millis    float64 `json:"p99_ms"`
+	WorstMillis  float64 `json:"worst_ms"`
+}
+
+// heldAfter compares the callers' departures with the engines' memory.
+func (t *Trial) heldAfter(report *load.Report) HeldAfter {
+	holds := make(map[uint64][]standin.Hold)
+	for _, engine := range t.world.engines {
+		for _, hold := range engine.Holds() {
+			holds[hold.Prompt] = append(holds[hold.Prompt], hold)
+		}
+	}
+	var after HeldAfter
+	var releases []time.Duration
+	for _, entry := range report.Entries {
+		if entry.Plain || !isGone(entry) {
+			continue
+		}
+		after.Callers++
+		release := time.Duration(0)
+		for _, hold := range holds[standin.PromptHash(entry.Prompt)] {
+			late := lateness(hold, entry.Ended)
+			release = max(release, late)
+			after.PieceSeconds += float64(hold.Pieces) * late.Seconds()
+		}
+		releases = append(releases, release)
+	}
+	if after.Callers == 0 {
+		return after
+	}
+	slices.Sort(releases)
+	after.PieceSeconds /= float64(after.Callers)
+	after.P99Millis = millis(releases[(len(releases)-1)*99/100])
+	after.WorstMillis = millis(releases[len(releases)-1])
+	return after
+}
+
+// isGone says whether the caller left, or lost its connection.
+func isGone(entry load.Entry) bool {
+	return entry.Left || (entry.Outcome == reason.Unknown && entry.Reason == reason.AnswerLost)
+}
+
+// lateness is how long the memory was held after the caller had gone.
+func lateness(hold standin.Hold, gone time.Time) time.Duration {
+	until := hold.Until
+	if until.IsZero() {
+		until = time.Now()
+	}
+	from := hold.From
+	if from.Before(gone) {
+		from = gone
+	}
+	return max(until.Sub(from), 0)
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/trial/node.go
+++ b/trial/node.go
@@ -17,7 +17,9 @@
 	"github.com/mastwheel/mastwheel/operator"
 	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/peer"
+	"github.com/mastwheel/mastwheel/request"
 	"github.com/mastwheel/mastwheel/service"
+	"github.com/mastwheel/mastwheel/standin"
 )
 
 // Tokens are the operators' tokens of every trial.
@@ -29,7 +31,7 @@
 	zone      string
 	caller    string
 	operator  string
-	line      *lifeline
+	line      *standin.Lifeline
 	daemon    *daemon.Daemon
 	listeners []*trackedListener
 	finished  chan error
@@ -72,7 +74,7 @@
 	world     *world
 	authority *peer.Authority
 	random    *rand.Rand
-	adjust    func(*instance.Config)
+	protect   request.Protections
 }
 
 func startNode(o nodeOptions) (*node, error) {
@@ -94,23 +96,21 @@
 	}
 	n := &node{
 		name: o.name, zone: o.zone, caller: callers.Addr().String(), operator: operators.Addr().String(),
-		line: newLifeline(), listeners: []*trackedListener{callers, operators}, finished: make(chan error, 1),
+		line: standin.NewLifeline(), listeners: []*trackedListener{callers, operators}, finished: make(chan error, 1),
 	}
 	config := instance.DefaultRegion()
 	config.Name, config.Zone, config.Caller, config.Peer = o.name, o.zone, n.caller, transport.Address()
-	if o.adjust != nil {
-		o.adjust(&config)
-	}
+	config.Request.Protect = o.protect
 	engineClient := engine.NewHTTP()
 	n.closers = append(n.closers, engineClient.Close)
 	n.daemon = daemon.New(daemon.Options{
 		Config: config,
 		Deps: instance.Deps{
-			Engines:  engines{n.line, engineClient},
-			Services: services{n.line, service.NewHTTP()},
-			Log:      logLine{n.line, oplog.NewHTTP(o.world.platform)},
-			List:     listLine{n.line, instancelist.NewHTTP(o.world.platform)},
-			Peers:    peers{n.line, transport},
+			Engines:  n.line.Engines(engineClient),
+			Services: n.line.Services(service.NewHTTP()),
+			Log:      n.line.Log(oplog.NewHTTP(o.world.platform)),
+			List:     n.line.List(instancelist.NewHTTP(o.world.platform)),
+			Peers:    n.line.Peers(transport),
 			Random:   lockedRandom(o.random),
 		},
 		Limits:       caller.DefaultLimits(),
@@ -147,13 +147,13 @@
 	w.list.Set(instancelist.Entry{
 		Name: n.name, Zone: n.zone, Peer: n.daemon.Instance.Info().Peer, State: instancelist.Live,
 	})
-	go func() { n.finished <- n.daemon.Run(n.line.ctx, stop) }()
+	go func() { n.finished <- n.daemon.Run(n.line.Context(), stop) }()
 }
 
 // kill ends the instance at once: it sends nothing more, and its callers'
 // connections break.
 func (n *node) kill() {
-	n.line.kill()
+	n.line.Kill()
 	for _, listener := range n.listeners {
 		listener.cutOff()
 	}
@@ -163,16 +163,16 @@
 
 // pause freezes the instance towards everything outside for a while.
 func (n *node) pause(d time.Duration) {
-	n.line.pause()
+	n.line.Pause()
 	time.Sleep(d)
-	n.line.resume()
+	n.line.Resume()
 }
 
 // shutdown stops the instance gracefully and waits for the end.
 func (n *node) shutdown() error {
 	n.drain()
 	err := <-n.finished
-	n.line.kill()
+	n.line.Kill()
 	n.close()
 	return errors.WithMessage(err, "graceful shutdown")
 }
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -10,9 +10,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/mastwheel/mastwheel/client"
-	"github.com/mastwheel/mastwheel/instance"
 	"github.com/mastwheel/mastwheel/load"
 	"github.com/mastwheel/mastwheel/peer"
+	"github.com/mastwheel/mastwheel/request"
 	"github.com/mastwheel/mastwheel/standin"
 )
 
@@ -26,8 +26,10 @@
 	// Load scales the traffic; 1 is the deployment's own rate.
 	Load   float64
 	Faults []Fault
-	// Adjust, if not nil, changes each instance's configuration.
-	Adjust func(*instance.Config)
+	// Leave, if not 0, replaces the part of callers that go away early.
+	Leave float64
+	// Protect says which protections are on.
+	Protect request.Protections
 	// Progress, if not nil, is called as requests end.
 	Progress func(ended, total int)
 }
@@ -49,6 +51,7 @@
 	WastedPrefill float64          `json:"wasted_prefill"`
 	WastedByCause map[string]int64 `json:"wasted_by_cause"`
 	HeldPieces    int              `json:"held_pieces_at_end"`
+	HeldAfter     HeldAfter        `json:"held_after_departure"`
 	Faults        map[string]int   `json:"faults,omitempty"`
 	Violations    int              `json:"violations"`
 	Found         []Violation      `json:"found,omitempty"`
@@ -106,7 +109,7 @@
 func (t *Trial) startNode(name, zone string) error {
 	random := rand.New(rand.NewPCG(t.random.Uint64(), t.random.Uint64()))
 	n, err := startNode(nodeOptions{
-		name: name, zone: zone, world: t.world, authority: t.authority, random: random, adjust: t.options.Adjust,
+		name: name, zone: zone, world: t.world, authority: t.authority, random: random, protect: t.options.Protect,
 	})
 	if err != nil {
 		return err
@@ -216,6 +219,9 @@
 	profile := t.options.Deployment.Traffic
 	profile.Rate *= t.options.Load
 	profile.PlainRate *= t.options.Load
+	if t.options.Leave > 0 {
+		profile.CancelShare = t.options.Leave
+	}
 	callers := t.callers()
 	defer func() {
 		for _, c := range callers {
@@ -262,6 +268,7 @@
 
 func (t *Trial) sumUp(report *load.Report) *Summary {
 	s := &Summary{Summary: report.Summary(), HeldPieces: t.world.heldPieces(), Faults: t.counts}
+	s.HeldAfter = t.heldAfter(report)
 	read, wasted := t.world.prefillTokens()
 	s.WastedByCause = wasted
 	total := int64(0)
@@ -271,15 +278,17 @@
 	if read > 0 {
 		s.WastedPrefill = float64(total) / float64(read)
 	}
-	s.Found = t.check(report)
+	s.Found = t.check(report, s.HeldAfter)
 	s.Violations = len(s.Found)
 	return s
 }
 
 // Stop ends everything.
 func (t *Trial) Stop() {
+	var group sync.WaitGroup
 	for _, n := range t.running() {
-		n.kill()
+		group.Go(n.kill)
 	}
+	group.Wait()
 	t.world.stop()
 }
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/mastwheel/mastwheel/request"
 )
 
 // A short trial under every fault finds no violation.
@@ -11,7 +13,7 @@
 		t.Run(deployment, func(t *testing.T) {
 			summary := runTrial(t, Options{
 				Deployment: Deployments[deployment], Instances: 3, Duration: 4 * time.Second,
-				Seed: 7, Traffic: true, Load: 0.5, Faults: FaultList,
+				Seed: 7, Traffic: true, Load: 0.5, Faults: FaultList, Protect: request.AllProtections(),
 			})
 			if summary.Violations > 0 {
 				t.Fatalf("violations: %v", summary.Found)
