Give loops a random phase; let callers name an unreachable instance

Change: each loop starts at a random phase, drawn in one place; the fake stream prefers its context's end; GET /v1/entry takes avoid=INSTANCE.

Conclusion: the phase also keeps instances that start together from working in step.

--- a/caller/server.go
+++ b/caller/server.go
@@ -160,7 +160,8 @@
 }
 
 func (s *Server) entry(ctx *fasthttp.RequestCtx) {
-	entry, ok := s.instance.Entry(string(ctx.QueryArgs().Peek("zone")))
+	arguments := ctx.QueryArgs()
+	entry, ok := s.instance.Entry(string(arguments.Peek("zone")), string(arguments.Peek("avoid")))
 	if !ok {
 		s.refuse(ctx, failure{status: fasthttp.StatusServiceUnavailable, why: reason.StaleTable, detail: "no instance is ready"})
 		return
--- a/client/client.go
+++ b/client/client.go
@@ -41,6 +41,8 @@
 	mu    sync.Mutex
 	entry instance.Entry
 	until time.Time
+	// avoid names the instance that could not be reached last.
+	avoid string
 }
 
 // New returns a caller that knows some instances' addresses.
@@ -82,6 +84,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.until = time.Time{}
+	c.avoid = c.entry.Instance
 }
 
 const askTimeout = time.Second
@@ -90,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var entry instance.Entry
-	err := c.getJSON(ctx, "http://"+address+caller.PathEntry+"?zone="+c.Zone, &entry)
+	err := c.getJSON(ctx, "http://"+address+caller.PathEntry+"?zone="+c.Zone+"&avoid="+c.avoid, &entry)
 	return entry, err
 }
 
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -35,10 +36,11 @@
 }
 
 // Entry names an instance for a caller: one that is alive, in the caller's
-// availability zone if there is one, with the fewest requests of two drawn.
-// ok is false when there is none to name.
-func (i *Instance) Entry(zone string) (entry Entry, ok bool) {
-	info, ok := i.chooseEntry(zone)
+// availability zone if there is one, with the fewest requests of two drawn. An
+// instance to avoid is one that the caller could not reach: it may have died
+// and not be suspected yet. ok is false when there is none to name.
+func (i *Instance) Entry(zone, avoid string) (entry Entry, ok bool) {
+	info, ok := i.chooseEntry(zone, avoid)
 	if !ok {
 		return Entry{}, false
 	}
@@ -78,8 +80,8 @@
 	return infos
 }
 
-func (i *Instance) chooseEntry(zone string) (member.Info, bool) {
-	candidates := i.candidates()
+func (i *Instance) chooseEntry(zone, avoid string) (member.Info, bool) {
+	candidates := slices.DeleteFunc(i.candidates(), func(info member.Info) bool { return info.Name == avoid })
 	var near []member.Info
 	for _, info := range candidates {
 		if info.Zone == zone {
--- a/instance/golden_test.go
+++ b/instance/golden_test.go
@@ -201,7 +201,7 @@
 			s.say("sabana-1 has drained")
 		}()
 		time.Sleep(time.Second)
-		entry, _ := sibling.Entry("sabana")
+		entry, _ := sibling.Entry("sabana", "")
 		s.say("a caller in sabana is sent to %s", entry.Instance)
 		s.ask(s.ctx, home, prompt(2400), 800, nil)
 		leave()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -169,9 +169,9 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return i.deps.Peers.Serve(ctx, i.handle) })
 	group.Go(func() error { return i.followLog(ctx) })
-	group.Go(func() error { return every(ctx, i.config.ListEvery, i.readList) })
-	group.Go(func() error { return every(ctx, i.config.Member.HeartbeatEvery, i.heartbeat) })
-	group.Go(func() error { return every(ctx, i.config.LoadEvery, i.inspectWorkers) })
+	i.goEvery(ctx, group, i.config.ListEvery, i.readList)
+	i.goEvery(ctx, group, i.config.Member.HeartbeatEvery, i.heartbeat)
+	i.goEvery(ctx, group, i.config.LoadEvery, i.inspectWorkers)
 	err := group.Wait()
 	if ctx.Err() != nil {
 		return nil
@@ -197,18 +197,25 @@
 // drainPoll is how often a draining instance looks whether it is done.
 const drainPoll = 50 * time.Millisecond
 
-// every calls work at once and then once a period, until ctx ends.
-func every(ctx context.Context, period time.Duration, work func(context.Context)) error {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
+// goEvery calls work at once and then once a period, until ctx ends. The
+// period begins at a random phase, so that instances started together do not
+// all work at the same moment.
+func (i *Instance) goEvery(ctx context.Context, group *errgroup.Group, period time.Duration, work func(context.Context)) {
+	phase := time.Duration(i.deps.Random() * float64(period))
+	group.Go(func() error {
 		work(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
+		sleepFor(ctx, phase)
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				work(ctx)
+			case <-ctx.Done():
+				return ctx.Err()
+			}
 		}
-	}
+	})
 }
 
 // sleepFor waits; it returns false when ctx ended first.
--- a/instance/session_test.go
+++ b/instance/session_test.go
@@ -158,7 +158,7 @@
 	n.Instance = instance.New(config, instance.Deps{
 		Engines: n.line.Engines(s.farm), Services: n.line.Services(s.plain),
 		Log: n.line.Log(s.log), List: n.line.List(s.list), Peers: n.line.Peers(port),
-		Random: func() float64 { return random.Float64() },
+		Random: standin.LockedRandom(random),
 	})
 	s.nodes[name] = n
 	s.list.Set(instancelist.Entry{Name: name, Zone: zone, Peer: address, State: instancelist.Live})
--- a/standin/farm.go
+++ b/standin/farm.go
@@ -133,6 +133,10 @@
 	if s.last {
 		return engine.Token{}, io.EOF
 	}
+	// Select would choose at random if both were ready.
+	if s.ctx.Err() != nil {
+		return engine.Token{}, engine.ErrBroken
+	}
 	select {
 	case token, ok := <-s.tokens:
 		if !ok {
--- a/trial/node.go
+++ b/trial/node.go
@@ -111,7 +111,7 @@
 			Log:      n.line.Log(oplog.NewHTTP(o.world.platform)),
 			List:     n.line.List(instancelist.NewHTTP(o.world.platform)),
 			Peers:    n.line.Peers(transport),
-			Random:   lockedRandom(o.random),
+			Random:   standin.LockedRandom(o.random),
 		},
 		Limits:       caller.DefaultLimits(),
 		Tokens:       Tokens,
@@ -132,15 +132,6 @@
 	return &trackedListener{Listener: listener}, nil
 }
 
-func lockedRandom(random *rand.Rand) func() float64 {
-	var mu sync.Mutex
-	return func() float64 {
-		mu.Lock()
-		defer mu.Unlock()
-		return random.Float64()
-	}
-}
-
 func (n *node) run(w *world) {
 	stop, drain := context.WithCancel(context.Background())
 	n.drain = drain
