Adopt the fleet before the view is published

Cause: a table came into force before the fleet had its new servers, so that a request in between found rows without a server: refused as no_backend, or, in a test, a nil pointer (1 of 6 runs of go test -race ./caller).

Change: the keeper adopts the fleet first, under its lock, and then swaps the view.

Conclusion: what belongs together is published by one place.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -51,6 +51,7 @@
 // New returns an instance that Run brings to life.
 func New(config Config, deps Deps) *Instance {
 	now := time.Now()
+	fleet := route.NewFleet()
 	self := operation.Member{Name: config.Name, Incarnation: operation.Incarnation(now.UnixMilli())}
 	i := &Instance{
 		config:     config,
@@ -60,12 +61,12 @@
 		Metrics:    metrics.New(),
 		Traces:     trace.NewRing(config.MostTraces),
 		members:    member.New(self, config.Member),
-		fleet:      route.NewFleet(),
+		fleet:      fleet,
 		admission:  route.NewAdmission(),
 		steward:    route.NewSteward(),
 		operations: operation.NewHome(self, config.MostOperations),
 		witness:    operation.NewWitness(self, config.MostOperations),
-		keeper:     newKeeper(),
+		keeper:     newKeeper(fleet),
 	}
 	i.Runner = request.NewRunner(request.Deps{
 		Home:       self.String(),
--- a/instance/keeper.go
+++ b/instance/keeper.go
@@ -10,6 +10,7 @@
 
 	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/peer"
+	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
 )
 
@@ -24,6 +25,8 @@
 
 // keeper holds the fold, the tables that it made, and the last records.
 type keeper struct {
+	fleet *route.Fleet
+
 	mu      sync.Mutex
 	fold    *table.Fold
 	records [][]byte
@@ -40,8 +43,8 @@
 	next  uint64
 }
 
-func newKeeper() *keeper {
-	k := &keeper{fold: table.NewFold(), first: 1}
+func newKeeper(fleet *route.Fleet) *keeper {
+	k := &keeper{fleet: fleet, fold: table.NewFold(), first: 1}
 	k.publish()
 	return k
 }
@@ -111,7 +114,10 @@
 		k.current.Store(&inForce{table: now, view: current.view, next: k.fold.Next()})
 		return
 	}
-	k.current.Store(&inForce{table: now, view: now.Compile(), next: k.fold.Next()})
+	view := now.Compile()
+	// The fleet first: whoever sees a row in the view finds its server.
+	k.fleet.Adopt(view)
+	k.current.Store(&inForce{table: now, view: view, next: k.fold.Next()})
 }
 
 // answer returns records from an offset on, or a snapshot when those are no
@@ -157,16 +163,7 @@
 	for _, record := range batch.Records {
 		data = append(data, record.Data)
 	}
-	return i.adopt(func() error { return i.keeper.add(batch.Records[0].Offset, data) })
-}
-
-// adopt takes in a change of the table and lets everything follow it.
-func (i *Instance) adopt(change func() error) error {
-	if err := change(); err != nil {
-		return err
-	}
-	i.fleet.Adopt(i.keeper.View())
-	return nil
+	return i.keeper.add(batch.Records[0].Offset, data)
 }
 
 // catchUp asks a sibling for the records that this instance lacks.
@@ -180,9 +177,9 @@
 		return errors.New("sibling sent no records")
 	}
 	if answer.Records.Snapshot != nil {
-		return i.adopt(func() error { return i.keeper.restore(answer.Records.Snapshot) })
+		return i.keeper.restore(answer.Records.Snapshot)
 	}
-	return i.adopt(func() error { return i.keeper.add(answer.Records.First, answer.Records.Records) })
+	return i.keeper.add(answer.Records.First, answer.Records.Records)
 }
 
 // Append puts an edit's record on the log and waits until its verdict is
