--- a/member/member.go
+++ b/member/member.go
@@ -108,6 +108,7 @@
 // View is an immutable picture of the members, sorted by name.
 type View struct {
 	Siblings []Sibling
+	self     operation.Member
 }
 
 // Members tracks the siblings of one instance. Writers hold a lock and swap a
@@ -130,7 +131,7 @@
 		siblings: make(map[string]Sibling),
 		listed:   newListing(),
 	}
-	m.view.Store(&View{})
+	m.view.Store(&View{self: self})
 	return m
 }
 
@@ -196,7 +197,7 @@
 }
 
 func (m *Members) publish() {
-	next := &View{Siblings: make([]Sibling, 0, len(m.siblings))}
+	next := &View{Siblings: make([]Sibling, 0, len(m.siblings)), self: m.self}
 	for _, sibling := range m.siblings {
 		next.Siblings = append(next.Siblings, sibling)
 	}
@@ -233,8 +234,12 @@
 }
 
 // IsDead says whether a run of an instance is known to have ended: it has
-// been silent for long, or a later incarnation of it was heard.
+// been silent for long, or a later incarnation of it was heard, which may be
+// this instance itself.
 func (v *View) IsDead(member operation.Member) bool {
+	if member.Name == v.self.Name {
+		return member.Incarnation < v.self.Incarnation
+	}
 	sibling, known := v.Find(member.Name)
 	if !known {
 		return false
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -66,6 +66,11 @@
 			So(stateOf(m, "other"), ShouldEqual, Leaving)
 		})
 	})
+	Convey("An earlier run of this instance itself is dead", t, func() {
+		m := New(operation.Member{Name: "self", Incarnation: 9}, DefaultRegion())
+		So(m.View().IsDead(operation.Member{Name: "self", Incarnation: 8}), ShouldBeTrue)
+		So(m.View().IsDead(operation.Member{Name: "self", Incarnation: 9}), ShouldBeFalse)
+	})
 	Convey("A home that was never heard dies once the list does not show it", t, func() {
 		m := newMembers()
 		m.Introduce(other, start)
