Keep the answer of a call for a caller that comes back

Cause: a caller that lost its connection while its call ran learned only that it was unknown, since the call was abandoned with the caller.

Change: a sent call runs its course; its answer is kept if the caller was known to have gone before a byte was written, and handed over once to the same operation id. In trials a killed instance no longer writes to its callers.

Measured: TestSessionCallerComesBack: done, then already answered; the call ran once.

Conclusion: unknown is left for what is.

--- a/instance/golden_test.go
+++ b/instance/golden_test.go
@@ -133,6 +133,21 @@
 	})
 }
 
+// A caller loses its connection while its call runs, and comes back with the
+// same id: it gets the answer, once.
+func TestSessionCallerComesBack(t *testing.T) {
+	play(t, func(s *session) {
+		home, witness := s.nodes["sabana-1"], s.nodes["heredia-1"]
+		id := s.newID(home, witness, "n1")
+		ctx, leave := context.WithTimeout(s.ctx, 3*time.Millisecond)
+		defer leave()
+		s.holdUntil(ctx, home, id)
+		s.askOutcome(witness, id)
+		s.hold(home, id)
+		s.hold(home, id)
+	})
+}
+
 // A call refused before a byte was sent goes to another server; one that the
 // server says it did not run, too.
 func TestSessionCallRefused(t *testing.T) {
--- a/instance/session_test.go
+++ b/instance/session_test.go
@@ -186,14 +186,17 @@
 
 // hold sends a non-idempotent call with an operation id to the instance that
 // id names, and says how it went.
-func (s *session) hold(home *node, id operation.ID) {
-	_, result := home.Runner.RunPlain(s.ctx, request.Plain{
+func (s *session) hold(home *node, id operation.ID) { s.holdUntil(s.ctx, home, id) }
+
+// holdUntil is hold by a caller that goes away when ctx ends.
+func (s *session) holdUntil(ctx context.Context, home *node, id operation.ID) {
+	answer, result := home.Runner.RunPlain(ctx, request.Plain{
 		ID: home.NewRequestID(), Service: "plate-desk", Operation: &id,
 		Call: service.Call{Method: "POST", Path: "/hold", Headers: []service.Header{
 			{Name: standin.HeaderOperation, Value: id.String()},
 		}},
 	})
-	s.say("hold %s at %s: %s %s", id.Nonce, home.Self().Name, result.Outcome, result.Reason)
+	s.say("hold %s at %s: %s %s, answer of %d bytes", id.Nonce, home.Self().Name, result.Outcome, result.Reason, len(answer.Body))
 }
 
 // askOutcome asks an instance what became of an operation.
--- a/operation/home.go
+++ b/operation/home.go
@@ -31,6 +31,9 @@
 type homeRecord struct {
 	status Status
 	expiry time.Duration
+	// kept is an answer that was never begun to be written, because its caller
+	// had gone; nil with none.
+	kept any
 }
 
 // NewHome returns a Home that keeps at most that many records.
@@ -79,6 +82,32 @@
 	h.records[text] = record
 }
 
+// Keep holds an answer for a caller that had gone before a byte of it was
+// written.
+func (h *Home) Keep(id ID, answer any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	text := id.String()
+	record := h.records[text]
+	record.kept = answer
+	record.expiry = id.HomeExpiry
+	h.records[text] = record
+}
+
+// Take hands over a kept answer, once.
+func (h *Home) Take(id ID) (answer any, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	text := id.String()
+	record, seen := h.records[text]
+	if !seen || record.kept == nil {
+		return nil, false
+	}
+	answer, record.kept = record.kept, nil
+	h.records[text] = record
+	return answer, true
+}
+
 // Ask returns what is known of an operation. An id that was never begun is
 // closed first, so that the answer "not run" stays true.
 func (h *Home) Ask(id ID, uptime time.Duration) Status {
--- a/request/plain.go
+++ b/request/plain.go
@@ -39,7 +39,7 @@
 	row := view.Services[ask.Service]
 	p := &plainRun{run: r.begin(ask.ID, row, ask.Team, view), ask: ask}
 	if result, ok := p.open(ask.Operation); !ok {
-		return service.Answer{}, result
+		return p.kept(result)
 	}
 	if why := r.refusal(row != nil && row.Type == table.TypePlain); why != reason.None {
 		return service.Answer{}, p.giveUp(why, 0)
@@ -65,6 +65,7 @@
 		}
 		if end.delivered {
 			p.step(Deliver, reason.None, "")
+			p.keep(ctx, answer)
 			return answer, p.finish(reason.None, 0)
 		}
 		if end.final || p.attempt+1 >= p.config.MaxAttempts {
@@ -79,6 +80,31 @@
 	}
 }
 
+// mostKept bounds an answer that is kept for a caller who comes back, in
+// bytes; of a longer one it learns the outcome alone.
+const mostKept = 64 << 10
+
+// keep holds the answer for a caller that has gone while the call ran.
+func (p *plainRun) keep(ctx context.Context, answer service.Answer) {
+	if p.op != nil && ctx.Err() != nil && len(answer.Body) <= mostKept {
+		p.Operations.Keep(*p.op, answer)
+	}
+}
+
+// kept answers a caller that has come back with the id of a call that ended
+// while it was gone. Each answer is handed over once.
+func (p *plainRun) kept(result Result) (service.Answer, Result) {
+	if result.Reason != reason.AlreadyAnswered {
+		return service.Answer{}, result
+	}
+	answer, ok := p.Operations.Take(*p.ask.Operation)
+	if !ok {
+		return service.Answer{}, result
+	}
+	result.Outcome, result.Reason = reason.Done, reason.None
+	return answer.(service.Answer), result
+}
+
 // once sends the call to one backend server.
 func (p *plainRun) once(ctx context.Context) (service.Answer, attemptEnd) {
 	query := route.Query{RequestID: p.ask.ID, Zone: p.Zone, Exclude: p.tried, Now: time.Now()}
@@ -93,7 +119,9 @@
 	}
 	done := chosen.Server.Begin(0)
 	defer done()
-	callCtx, cancel := context.WithTimeout(ctx, p.config.PlainTimeout)
+	// What was sent runs its course though the caller goes: its answer may be
+	// asked for.
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.config.PlainTimeout)
 	defer cancel()
 	p.step(Send, reason.None, chosen.Name)
 	answer, err := p.Services.Do(callCtx, chosen.Backend.Address, p.ask.Call)
--- a/trial/node.go
+++ b/trial/node.go
@@ -42,6 +42,7 @@
 // trackedListener remembers its connections, to cut them off on a kill.
 type trackedListener struct {
 	net.Listener
+	line *standin.Lifeline
 	mu    sync.Mutex
 	conns []net.Conn
 }
@@ -55,7 +56,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conns = append(t.conns, conn)
-	return conn, nil
+	return mortalConn{conn, t.line}, nil
+}
+
+// mortalConn sends nothing once its instance was killed.
+type mortalConn struct {
+	net.Conn
+	line *standin.Lifeline
+}
+
+// Write implements net.Conn.
+func (c mortalConn) Write(p []byte) (int, error) {
+	if err := c.line.Context().Err(); err != nil {
+		return 0, errors.Wrap(err, "instance was killed")
+	}
+	return c.Conn.Write(p)
 }
 
 func (t *trackedListener) cutOff() {
@@ -86,17 +101,18 @@
 	if err != nil {
 		return nil, err
 	}
-	callers, err := listenTracked()
+	line := standin.NewLifeline()
+	callers, err := listenTracked(line)
 	if err != nil {
 		return nil, err
 	}
-	operators, err := listenTracked()
+	operators, err := listenTracked(line)
 	if err != nil {
 		return nil, err
 	}
 	n := &node{
 		name: o.name, zone: o.zone, caller: callers.Addr().String(), operator: operators.Addr().String(),
-		line: standin.NewLifeline(), listeners: []*trackedListener{callers, operators}, finished: make(chan error, 1),
+		line: line, listeners: []*trackedListener{callers, operators}, finished: make(chan error, 1),
 	}
 	config := instance.DefaultRegion()
 	config.Name, config.Zone, config.Caller, config.Peer = o.name, o.zone, n.caller, transport.Address()
@@ -124,12 +140,12 @@
 	return n, nil
 }
 
-func listenTracked() (*trackedListener, error) {
+func listenTracked(line *standin.Lifeline) (*trackedListener, error) {
 	listener, err := listenLoopback()
 	if err != nil {
 		return nil, err
 	}
-	return &trackedListener{Listener: listener}, nil
+	return &trackedListener{Listener: listener, line: line}, nil
 }
 
 func (n *node) run(w *world) {
