Promise turns at prefill engines and memory for when it is needed

Cause: with prefill queues known only from lagged reports, instances chose the same engine and refused on wrong estimates; decode memory was promised from the moment of asking, so that it stood empty while the prompt was read.

Change: stewards of prefill engines grant turns (tokens ahead against what the deadline allows); memory is promised from the expected landing on, and holds that end before it do not count; a transfer refused for want of memory waits a little within the window; rates are measured on idle engines only.

--- a/capacity/experiments.go
+++ b/capacity/experiments.go
@@ -395,7 +395,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	question := &peer.Message{Reserve: &peer.Reserve{
-		Worker: "dossier-decode-0017", RequestID: "sabana-0001.mx682y80.1x9z", Home: "sabana-0001.mx682y80", Pieces: 2, TTL: 3 * time.Second,
+		Worker: "dossier-decode-0017", RequestID: "sabana-0001.mx682y80.1x9z", Pieces: 2, TTL: 3 * time.Second,
+		LandIn: 200 * time.Millisecond, HoldFor: 4 * time.Second,
 	}}
 	if _, err := p.sender.Call(ctx, p.receiver.Address(), question); err != nil {
 		panic("capacity: " + err.Error())
--- a/instance/stewards.go
+++ b/instance/stewards.go
@@ -27,13 +27,13 @@
 		return route.Grant{Refused: reason.StewardUnreached}
 	}
 	answer, err := s.deps.Peers.Call(ctx, sibling.Peer, &peer.Message{Reserve: &peer.Reserve{
-		Worker: worker, RequestID: ask.RequestID, Attempt: ask.Attempt,
-		Home: ask.Home, Pieces: ask.Pieces, TTL: ask.TTL,
+		Worker: worker, RequestID: ask.RequestID, Attempt: ask.Attempt, Pieces: ask.Pieces, TTL: ask.TTL,
+		LandIn: ask.LandIn, HoldFor: ask.HoldFor, Headroom: ask.Headroom, Tokens: ask.Tokens, MostAhead: ask.MostAhead,
 	}})
 	if err != nil || answer.Reserved == nil {
 		return route.Grant{Refused: reason.StewardUnreached}
 	}
-	return route.Grant{Refused: answer.Reserved.Refused, Free: answer.Reserved.Free}
+	return route.Grant{Refused: answer.Reserved.Refused, Free: answer.Reserved.Free, Ahead: answer.Reserved.Ahead}
 }
 
 // Release implements request.Stewards.
@@ -52,10 +52,10 @@
 
 func (i *Instance) reserveHere(ask *peer.Reserve) *peer.Reserved {
 	grant := i.steward.Reserve(ask.Worker, route.Ask{
-		HoldKey: route.HoldKey{RequestID: ask.RequestID, Attempt: ask.Attempt},
-		Home:    ask.Home, Pieces: ask.Pieces, TTL: ask.TTL,
+		HoldKey: route.HoldKey{RequestID: ask.RequestID, Attempt: ask.Attempt}, Pieces: ask.Pieces, TTL: ask.TTL,
+		LandIn: ask.LandIn, HoldFor: ask.HoldFor, Headroom: ask.Headroom, Tokens: ask.Tokens, MostAhead: ask.MostAhead,
 	}, time.Now())
-	return &peer.Reserved{Refused: grant.Refused, Free: grant.Free}
+	return &peer.Reserved{Refused: grant.Refused, Free: grant.Free, Ahead: grant.Ahead}
 }
 
 // ownerOf names the instance that is the steward of a worker.
@@ -110,7 +110,9 @@
 	for _, h := range load.Held {
 		held[route.HoldKey{RequestID: h.RequestID, Attempt: h.Number}] = h.Pieces
 	}
-	i.steward.Observe(backend.Name, route.EngineReport{TakenAt: asked, Pieces: load.Pieces, Held: held})
+	i.steward.Observe(backend.Name, route.EngineReport{
+		TakenAt: asked, Pieces: load.Pieces, WaitingTokens: load.WaitingTokens, Held: held,
+	})
 	i.cancelOrphans(ctx, backend, load.Held)
 }
 
@@ -295,7 +297,7 @@
 			continue
 		}
 		load := peer.ServerLoad{
-			ID: route.ServerID(name), WaitingTokens: report.WaitingTokens, Running: report.Running,
+			ID: route.ServerID(name), WaitingTokens: i.steward.Ahead(name, time.Now()), Running: report.Running,
 			FreePieces: report.FreePieces, Leaving: report.Leaving,
 		}
 		if fresh := i.caches.fresh[name]; fresh != nil {
--- a/peer/message.go
+++ b/peer/message.go
@@ -35,20 +35,25 @@
 	Loads []ServerLoad `cbor:"2,keyasint,omitempty"`
 }
 
-// Reserve asks a steward for decode memory.
+// Reserve asks a steward for a place at a worker; see route.Ask.
 type Reserve struct {
 	Worker    string        `cbor:"1,keyasint"`
 	RequestID string        `cbor:"2,keyasint"`
-	Attempt   int           `cbor:"3,keyasint"`
-	Home      string        `cbor:"4,keyasint"`
-	Pieces    int           `cbor:"5,keyasint"`
+	Attempt   int           `cbor:"3,keyasint,omitempty"`
+	Pieces    int           `cbor:"5,keyasint,omitempty"`
 	TTL       time.Duration `cbor:"6,keyasint"`
+	LandIn    time.Duration `cbor:"7,keyasint,omitempty"`
+	HoldFor   time.Duration `cbor:"8,keyasint,omitempty"`
+	Headroom  int           `cbor:"9,keyasint,omitempty"`
+	Tokens    int           `cbor:"10,keyasint,omitempty"`
+	MostAhead int           `cbor:"11,keyasint,omitempty"`
 }
 
 // Reserved answers Reserve; an empty Refused is a promise.
 type Reserved struct {
 	Refused reason.Reason `cbor:"1,keyasint,omitempty"`
 	Free    int           `cbor:"2,keyasint,omitempty"`
+	Ahead   int           `cbor:"3,keyasint,omitempty"`
 }
 
 // Release gives reserved memory back.
--- a/request/model.go
+++ b/request/model.go
@@ -10,7 +10,6 @@
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
-	"github.com/mastwheel/mastwheel/table"
 	"github.com/mastwheel/mastwheel/trace"
 )
 
@@ -34,8 +33,11 @@
 	deadline time.Time
 	first    time.Time
 	last     time.Time
-	// decode is the engine whose memory is promised to the attempt.
-	decode *route.Rated
+	// prefill is the engine that promised a turn, and decode the one whose
+	// memory is promised to the attempt.
+	prefill *route.Rated
+	decode  *route.Rated
+	turn    turn
 	// triedPrefill and triedDecode failed this request before.
 	triedPrefill []string
 	triedDecode  []string
@@ -118,24 +120,30 @@
 	if end, ok := m.reserve(ctx); !ok {
 		return end
 	}
-	release := m.decode
-	defer func() { m.Stewards.Release(release.Name, m.holdKey()) }()
+	defer func() { m.release(m.decode) }()
 	if why := m.witness(ctx); why != reason.None {
+		m.release(m.prefill)
 		return attemptEnd{final: true, why: why}
 	}
-	prefill, result, end := m.runPrefill(ctx)
-	if prefill == nil {
+	result, end, ok := m.runPrefill(ctx)
+	m.release(m.prefill)
+	if !ok {
 		return end
 	}
-	end, ok := m.transfer(ctx, prefill, result)
-	release = m.decode
-	if !ok {
-		m.cancelLater(prefill.Backend.Address, m.engineAttempt())
+	if end, ok := m.transfer(ctx, result); !ok {
+		m.cancelLater(m.prefill.Backend.Address, m.engineAttempt())
 		return end
 	}
 	return m.stream(ctx)
 }
 
+// release gives promised memory back.
+func (m *modelRun) release(worker *route.Rated) {
+	if m.config.Policy.Reserve {
+		m.Stewards.Release(worker.Name, m.holdKey())
+	}
+}
+
 func (m *modelRun) holdKey() route.HoldKey {
 	return route.HoldKey{RequestID: m.ask.ID, Attempt: m.attempt}
 }
@@ -144,28 +152,39 @@
 	return engine.Attempt{RequestID: m.ask.ID, Number: m.attempt, Home: m.Home}
 }
 
-// reserve waits for a promise of decode memory for as long as the first token
-// can still come in time, and refuses as soon as it cannot.
+// reserve waits for a turn at a prefill engine and a promise of decode memory
+// for as long as the first token can still come in time, and refuses as soon
+// as it cannot.
 func (m *modelRun) reserve(ctx context.Context) (attemptEnd, bool) {
 	for {
 		if ctx.Err() != nil {
 			return attemptEnd{why: reason.CallerGone}, false
 		}
-		why := m.tryReserve(ctx, m.service.Decode, m.triedDecode)
+		why := m.tryReserve(ctx)
 		if why == reason.None {
 			m.step(Promise, reason.None, m.decode.Name)
 			return attemptEnd{}, true
 		}
-		if why == reason.NoBackend && len(m.triedDecode) > 0 {
-			m.triedDecode = nil
-		}
-		if m.tooLate(time.Now()) {
+		if m.giveUpWaiting(why, time.Now()) {
 			return attemptEnd{final: true, why: lateReason(why)}, false
 		}
 		m.pause(ctx, m.config.PollEvery)
 	}
 }
 
+// tryReserve asks once for both places. The turn at the prefill engine comes
+// first, since it says when the memory will be needed.
+func (m *modelRun) tryReserve(ctx context.Context) reason.Reason {
+	if why := m.reservePrefill(ctx); why != reason.None {
+		return why
+	}
+	why := m.reserveDecode(ctx)
+	if why != reason.None {
+		m.release(m.prefill)
+	}
+	return why
+}
+
 // lateReason names what a request that ran out of time had waited for.
 func lateReason(why reason.Reason) reason.Reason {
 	if why == reason.ReserveRefused {
@@ -174,49 +193,118 @@
 	return why
 }
 
-// tooLate says whether the first token can no longer come in time. A request
-// that has already begun its answer goes on for a while longer.
-func (m *modelRun) tooLate(now time.Time) bool {
+// giveUpWaiting says whether waiting for places is of no more use. A turn
+// that comes too late only comes later still. A request that has already
+// begun its answer goes on for a while longer.
+func (m *modelRun) giveUpWaiting(why reason.Reason, now time.Time) bool {
+	if why == reason.NoBackend {
+		// Servers that failed once may be better than none.
+		m.triedDecode, m.triedPrefill = nil, nil
+	}
 	if m.cursor.next > 0 {
 		return now.After(m.last.Add(resumePatience))
 	}
-	return now.Add(m.quickestPrefill(now)).After(m.deadline)
+	if why == reason.DeadlineTooClose && m.config.Policy.RefuseEarly {
+		return true
+	}
+	return now.After(m.deadline)
 }
 
 // resumePatience is how long a begun answer waits for a place to resume.
 const resumePatience = 10 * time.Second
 
-// quickestPrefill estimates the shortest prefill that any engine offers.
-func (m *modelRun) quickestPrefill(now time.Time) time.Duration {
-	m.query.Now = now
-	quickest := time.Duration(0)
-	for i, backend := range m.service.Prefill {
+// turn is a place in a prefill engine's queue.
+type turn struct {
+	// landIn is when the KV cache is expected at the decode engine.
+	landIn time.Duration
+}
+
+// reservePrefill asks the stewards of prefill engines for a turn, in the
+// order of preference.
+func (m *modelRun) reservePrefill(ctx context.Context) reason.Reason {
+	query := m.query
+	query.Now = time.Now()
+	query.Exclude = append([]string(nil), m.triedPrefill...)
+	query.Partner = nil
+	why := reason.NoBackend
+	for range m.service.Prefill {
+		decision := m.Runner.prefill.Decide(&query, m.Fleet, m.service.Prefill)
+		chosen := decision.Chosen
+		if chosen == nil {
+			break
+		}
+		if why = m.askTurn(ctx, chosen, &query); why == reason.None {
+			m.note(&decision)
+			m.prefill = chosen
+			return reason.None
+		}
+		query.Exclude = append(query.Exclude, chosen.Name)
+	}
+	return why
+}
+
+// askTurn asks for a turn that ends before the first token is due.
+func (m *modelRun) askTurn(ctx context.Context, chosen *route.Rated, query *route.Query) reason.Reason {
+	unread := query.Unread(chosen.Candidate)
+	reading := chosen.Server.ReadTime(unread)
+	transfer := m.transferTime()
+	if !m.config.Policy.Reserve {
+		m.turn.landIn = reading + transfer
+		return reason.None
+	}
+	mostAhead := anyAhead
+	if m.cursor.next == 0 {
+		slack := m.deadline.Sub(query.Now) - reading - transfer - firstStep
+		if slack < 0 {
+			return reason.DeadlineTooClose
+		}
+		mostAhead = chosen.Server.ReadTokens(slack)
+	}
+	grant := m.askSteward(ctx, chosen.Name, route.Ask{
+		HoldKey: m.holdKey(), Tokens: max(unread, 1), MostAhead: mostAhead, TTL: reservationTTL,
+	})
+	m.turn.landIn = chosen.Server.ReadTime(grant.Ahead+unread) + transfer
+	return grant.Refused
+}
+
+const (
+	// anyAhead lets a begun answer resume however long the queue is.
+	anyAhead = 1 << 40
+	// firstStep is the time of the first decode step.
+	firstStep = 40 * time.Millisecond
+	// reservationTTL outlasts a prefill and a transfer within the targets.
+	reservationTTL = 3 * time.Second
+)
+
+// transferTime estimates the transfer by what was measured at any engine.
+func (m *modelRun) transferTime() time.Duration {
+	for _, backend := range m.service.Decode {
 		server := m.Fleet.Server(backend.Name)
-		if server == nil || server.Breaker.State(now) == route.BreakerOpen {
+		if server == nil {
 			continue
 		}
-		estimate := server.PrefillTime(m.query.PromptTokens)
-		if i == 0 || quickest == 0 || estimate < quickest {
-			quickest = estimate
+		if estimate, known := server.Transfers.Time(m.query.PromptTokens); known {
+			return estimate
 		}
 	}
-	return quickest
+	return 0
 }
 
-// tryReserve asks the stewards of decode engines in the order of preference.
-func (m *modelRun) tryReserve(ctx context.Context, pool []*table.BackendView, tried []string) reason.Reason {
+// reserveDecode asks the stewards of decode engines for memory, in the order
+// of preference.
+func (m *modelRun) reserveDecode(ctx context.Context) reason.Reason {
 	query := m.query
 	query.Now = time.Now()
-	query.Exclude = append([]string(nil), tried...)
+	query.Exclude = append([]string(nil), m.triedDecode...)
+	query.Partner = m.prefill.Backend
 	why := reason.NoBackend
-	for range pool {
-		decision := m.Runner.decode.Decide(&query, m.Fleet, pool)
+	for range m.service.Decode {
+		decision := m.Runner.decode.Decide(&query, m.Fleet, m.service.Decode)
 		if decision.Chosen == nil {
 			break
 		}
 		name := decision.Chosen.Name
-		why = m.askSteward(ctx, name)
-		if why == reason.None {
+		if why = m.askMemory(ctx, name); why == reason.None {
 			m.note(&decision)
 			m.decode = decision.Chosen
 			return reason.None
@@ -226,57 +314,50 @@
 	return why
 }
 
-func (m *modelRun) askSteward(ctx context.Context, worker string) reason.Reason {
+func (m *modelRun) askMemory(ctx context.Context, worker string) reason.Reason {
+	if !m.config.Policy.Reserve {
+		return reason.None
+	}
+	remaining := m.ask.MaxTokens - m.cursor.next
+	return m.askSteward(ctx, worker, route.Ask{
+		HoldKey: m.holdKey(), Pieces: m.query.Pieces, TTL: m.turn.landIn + reservationTTL,
+		LandIn: m.turn.landIn, HoldFor: time.Duration(remaining) * m.service.TBT,
+	}).Refused
+}
+
+func (m *modelRun) askSteward(ctx context.Context, worker string, ask route.Ask) route.Grant {
 	ctx, cancel := context.WithTimeout(ctx, m.config.ReserveTimeout)
 	defer cancel()
-	ask := route.Ask{HoldKey: m.holdKey(), Home: m.Home, Pieces: m.query.Pieces, TTL: reservationTTL}
-	return m.Stewards.Reserve(ctx, worker, ask).Refused
+	return m.Stewards.Reserve(ctx, worker, ask)
 }
 
-// reservationTTL outlasts a prefill and a transfer within the targets. A
-// longer prefill renews it by asking again for the same attempt.
-const reservationTTL = 3 * time.Second
-
-// runPrefill reads the prompt on a prefill engine. On failure the first
-// result is nil.
-func (m *modelRun) runPrefill(ctx context.Context) (*route.Rated, engine.PrefillResult, attemptEnd) {
-	query := m.query
-	query.Now = time.Now()
-	query.Exclude = m.triedPrefill
-	query.Partner = m.decode.Backend
-	decision := m.Runner.prefill.Decide(&query, m.Fleet, m.service.Prefill)
-	m.note(&decision)
-	chosen := decision.Chosen
-	if chosen == nil {
-		return nil, engine.PrefillResult{}, attemptEnd{final: true, why: reason.NoBackend}
-	}
-	if m.cursor.next == 0 && query.Now.Add(chosen.Server.PrefillTime(query.PromptTokens)).After(m.deadline) {
-		return nil, engine.PrefillResult{}, attemptEnd{final: true, why: reason.DeadlineTooClose}
-	}
-	if !chosen.Server.Breaker.Allow(query.Now) {
-		return nil, engine.PrefillResult{}, attemptEnd{why: reason.PrefillRefused}
+// runPrefill reads the prompt on the prefill engine that promised a turn.
+func (m *modelRun) runPrefill(ctx context.Context) (engine.PrefillResult, attemptEnd, bool) {
+	chosen := m.prefill
+	if !chosen.Server.Breaker.Allow(time.Now()) {
+		return engine.PrefillResult{}, attemptEnd{why: reason.PrefillRefused}, false
 	}
 	m.step(Send, reason.None, chosen.Name)
 	result, err := m.orderPrefill(ctx, chosen)
 	if err == nil {
 		chosen.Server.Breaker.Success()
 		m.step(Prefilled, reason.None, chosen.Name)
-		return chosen, result, attemptEnd{}
+		return result, attemptEnd{}, true
 	}
 	m.triedPrefill = append(m.triedPrefill, chosen.Name)
-	return nil, engine.PrefillResult{}, m.prefillFailed(ctx, chosen, err)
+	return engine.PrefillResult{}, m.prefillFailed(ctx, chosen, err), false
 }
 
 func (m *modelRun) orderPrefill(ctx context.Context, chosen *route.Rated) (engine.PrefillResult, error) {
 	end := chosen.Server.Begin(m.query.PromptTokens)
 	defer end()
 	started := time.Now()
-	waiting := chosen.Server.WaitingTokens()
+	alone := chosen.Server.InFlight() == 1 && chosen.Server.WaitingTokens() <= m.query.PromptTokens
 	result, err := m.Engines.Prefill(ctx, chosen.Backend.Address, engine.PrefillOrder{
 		Attempt: m.engineAttempt(), Model: m.service.Model, Prompt: m.ask.Prompt, Priority: m.service.Priority,
 	})
-	if err == nil {
-		chosen.Server.Prefills.Measure(waiting-result.CachedTokens, time.Since(started))
+	if err == nil && alone {
+		chosen.Server.Prefills.Measure(result.PromptTokens-result.CachedTokens, time.Since(started))
 	}
 	return result, err
 }
@@ -302,10 +383,10 @@
 
 // transfer hands the KV cache to the decode engine, or to another one within
 // the window when the first one fails.
-func (m *modelRun) transfer(ctx context.Context, prefill *route.Rated, result engine.PrefillResult) (attemptEnd, bool) {
+func (m *modelRun) transfer(ctx context.Context, result engine.PrefillResult) (attemptEnd, bool) {
 	expires := time.Now().Add(time.Duration(result.WindowMillis) * time.Millisecond)
 	for {
-		why := m.orderImport(ctx, prefill, result)
+		why := m.orderImport(ctx, result)
 		if why == reason.None {
 			m.step(Imported, reason.None, m.decode.Name)
 			return attemptEnd{}, true
@@ -313,9 +394,13 @@
 		if ctx.Err() != nil || why == reason.HandoffExpired || time.Now().After(expires) {
 			return attemptEnd{why: why}, false
 		}
-		m.Stewards.Release(m.decode.Name, m.holdKey())
+		if why == reason.HandoffRefused && m.waitForMemory(ctx, expires) {
+			continue
+		}
+		m.release(m.decode)
 		m.triedDecode = append(m.triedDecode, m.decode.Name)
-		if m.tryReserve(ctx, m.service.Decode, m.triedDecode) != reason.None {
+		m.turn.landIn = 0
+		if m.reserveDecode(ctx) != reason.None {
 			return attemptEnd{why: why}, false
 		}
 		m.Metrics.Retried(why)
@@ -323,6 +408,19 @@
 	}
 }
 
+// waitForMemory waits a little for memory that was promised and is not free
+// yet: whoever holds it is expected to end. It returns false when half of the
+// window is over and another engine had better be tried.
+func (m *modelRun) waitForMemory(ctx context.Context, expires time.Time) bool {
+	if !m.config.Policy.Reserve || time.Until(expires) < memoryPatience {
+		return false
+	}
+	return m.pause(ctx, m.config.PollEvery)
+}
+
+// memoryPatience is the part of the window that is left for another engine.
+const memoryPatience = 400 * time.Millisecond
+
 // importPatience is how many times its expected length a transfer may take.
 const importPatience = 4
 
@@ -334,13 +432,13 @@
 	return min(max(importPatience*expected, m.config.ShortestImport), m.config.ImportTimeout)
 }
 
-func (m *modelRun) orderImport(ctx context.Context, prefill *route.Rated, result engine.PrefillResult) reason.Reason {
+func (m *modelRun) orderImport(ctx context.Context, result engine.PrefillResult) reason.Reason {
 	target := m.decode
 	ctx, cancel := context.WithTimeout(ctx, m.importTimeout(target))
 	defer cancel()
 	started := time.Now()
 	err := m.Engines.Import(ctx, target.Backend.Address, engine.ImportOrder{
-		Attempt: m.engineAttempt(), Source: prefill.Backend.Address, Handle: result.Handle, Pieces: m.query.Pieces,
+		Attempt: m.engineAttempt(), Source: m.prefill.Backend.Address, Handle: result.Handle, Pieces: m.query.Pieces,
 	})
 	switch {
 	case err == nil:
--- a/request/runner.go
+++ b/request/runner.go
@@ -58,6 +58,8 @@
 	// Protect says which protections are on: all of them, but in trials that
 	// show what each is for.
 	Protect Protections
+	// Policy places model requests.
+	Policy route.Policy
 }
 
 // DefaultConfig suits engines of the sizes in the brief.
@@ -73,6 +75,7 @@
 		CancelEvery:    100 * time.Millisecond,
 		CancelFor:      time.Minute,
 		Protect:        AllProtections(),
+		Policy:         route.DefaultPolicy(),
 	}
 }
 
@@ -117,8 +120,8 @@
 	r := &Runner{
 		Deps:    deps,
 		config:  config,
-		prefill: route.PrefillProfile(),
-		decode:  route.DecodeProfile(),
+		prefill: config.Policy.Prefill,
+		decode:  config.Policy.Decode,
 		plain:   route.PlainProfile(),
 	}
 	if !config.Protect.Leaving {
--- a/route/scorer_prefix.go
+++ b/route/scorer_prefix.go
@@ -18,6 +18,9 @@
 	return float64(cachedTokens(q, c)) / float64(q.PromptTokens)
 }
 
+// Unread returns how many tokens of the prompt the engine would have to read.
+func (q *Query) Unread(c Candidate) int { return q.PromptTokens - cachedTokens(q, c) }
+
 // cachedTokens returns how many tokens of the prompt the engine has cached,
 // as far as its events have arrived.
 func cachedTokens(q *Query, c Candidate) int {
--- a/route/server.go
+++ b/route/server.go
@@ -84,11 +84,24 @@
 // PrefillTime estimates the time until a prompt of that many tokens is read,
 // the wait behind others included.
 func (s *Server) PrefillTime(tokens int) time.Duration {
-	ahead := s.WaitingTokens() + tokens
-	if estimate, known := s.Prefills.Time(ahead); known {
+	return s.ReadTime(s.WaitingTokens() + tokens)
+}
+
+// ReadTime estimates how long a prefill engine takes to read so many tokens.
+func (s *Server) ReadTime(tokens int) time.Duration {
+	if estimate, known := s.Prefills.Time(tokens); known {
 		return estimate
 	}
-	return time.Duration(ahead) * time.Second / initialTokenRate
+	return time.Duration(tokens) * time.Second / initialTokenRate
+}
+
+// ReadTokens estimates how many tokens a prefill engine reads in a time.
+func (s *Server) ReadTokens(in time.Duration) int {
+	rate := s.Prefills.perSecond()
+	if rate == 0 {
+		rate = initialTokenRate
+	}
+	return int(rate * in.Seconds())
 }
 
 // ServerID is a short stand-in for a backend server's name in messages
--- a/trial/deployment.go
+++ b/trial/deployment.go
@@ -39,7 +39,7 @@
 		Name:  "cooperativa",
 		Zones: []string{"sabana", "heredia", "cartago"},
 		Model: "dossier", Plain: "plate-desk",
-		Prefill: 3, Decode: 6, Servers: 3,
+		Prefill: 5, Decode: 4, Servers: 3,
 		PlainTook: 5 * time.Millisecond,
 		Traffic: load.Profile{
 			Model: "dossier", Service: "plate-desk", Rate: 14, PlainRate: 10,
@@ -52,11 +52,11 @@
 		Name:  "camara",
 		Zones: []string{"sala-palermo", "sala-rosario", "sala-cordoba"},
 		Model: "assistant", Plain: "booking",
-		Prefill: 3, Decode: 6, Servers: 3,
+		Prefill: 5, Decode: 4, Servers: 3,
 		PlainTook: 5 * time.Millisecond,
 		Traffic: load.Profile{
-			Model: "assistant", Service: "booking", Rate: 11, PlainRate: 14,
-			MedianPrompt: 3200, Spread: 0.8, MostPrompt: 32_000, MeanAnswer: 64,
+			Model: "assistant", Service: "booking", Rate: 10, PlainRate: 14,
+			MedianPrompt: 3200, Spread: 0.8, MostPrompt: 32_000, MeanAnswer: 96,
 			Templates: 24, TemplateTokens: 2048,
 			Teams: []string{"parrilla", "bodegon", "cafe"}, CancelShare: 0.05,
 		},
@@ -94,19 +94,39 @@
 	return all
 }
 
+// Workers names the model engines.
+func (d Deployment) Workers() []string {
+	return d.names(func(w worker) bool { return w.pool != d.plainPool() })
+}
+
+// PlainServers names the servers of the plain service.
+func (d Deployment) PlainServers() []string {
+	return d.names(func(w worker) bool { return w.pool == d.plainPool() })
+}
+
+func (d Deployment) names(wanted func(worker) bool) []string {
+	var names []string
+	for _, w := range d.workers() {
+		if wanted(w) {
+			names = append(names, w.name)
+		}
+	}
+	return names
+}
+
 func (d Deployment) prefillPool() string { return d.Model + "-prefill" }
 func (d Deployment) decodePool() string  { return d.Model + "-decode" }
 func (d Deployment) plainPool() string   { return d.Plain }
 
-// instanceName names the n-th instance, counted from 0, and its zone.
-func (d Deployment) instanceName(n int) (name, zone string) {
+// InstanceName names the n-th instance, counted from 0, and its zone.
+func (d Deployment) InstanceName(n int) (name, zone string) {
 	zone = d.Zones[n%len(d.Zones)]
 	return zone + "-" + strconv.Itoa(n/len(d.Zones)+1), zone
 }
 
-// firstEdit is the edit that writes the whole table; addresses maps backend
+// FirstEdit is the edit that writes the whole table; addresses maps backend
 // servers to where they listen.
-func (d Deployment) firstEdit(addresses map[string]string) table.Edit {
+func (d Deployment) FirstEdit(addresses map[string]string) table.Edit {
 	edit := table.Edit{ID: "first", Author: "trial", Reason: "first table of " + d.Name}
 	set := func(kind table.Kind, row string, column table.Column, value string) {
 		key := table.RowKey{Kind: kind, Name: row}
--- a/trial/node.go
+++ b/trial/node.go
@@ -42,7 +42,7 @@
 // trackedListener remembers its connections, to cut them off on a kill.
 type trackedListener struct {
 	net.Listener
-	line *standin.Lifeline
+	line  *standin.Lifeline
 	mu    sync.Mutex
 	conns []net.Conn
 }
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -125,7 +125,7 @@
 
 // nextName names an instance that was not there before.
 func (t *Trial) nextName() (name, zone string) {
-	name, zone = t.options.Deployment.instanceName(t.named)
+	name, zone = t.options.Deployment.InstanceName(t.named)
 	t.named++
 	return name, zone
 }
--- a/trial/world.go
+++ b/trial/world.go
@@ -79,7 +79,7 @@
 }
 
 func (w *world) writeTable() error {
-	record, err := json.Marshal(w.deployment.firstEdit(w.addresses))
+	record, err := json.Marshal(w.deployment.FirstEdit(w.addresses))
 	if err != nil {
 		return errors.Wrap(err, "encode first table")
 	}
