Measure placement against baselines; keep a flooding team to its share

Cause: nothing showed how far the placement is from what others would do and from what could be done, and one team could take all memory.

--- a/capacity/experiments.go
+++ b/capacity/experiments.go
@@ -183,8 +183,8 @@
 	n := 0
 	return nanos(func() {
 		n++
-		if leave, why := admission.Admit(service, teams[n%size]); why == "" {
-			leave()
+		if place, why := admission.Admit(service, teams[n%size]); why == "" {
+			place.Leave()
 		}
 	})
 }
--- a/compare/compare.go
+++ b/compare/compare.go
@@ -33,6 +33,11 @@
 	Duration time.Duration
 	Seed     uint64
 	Policy   route.Policy
+	// Flood is the part of the arrivals that the first team sends beside its
+	// equal part of the rest.
+	Flood float64
+	// Outage, if not nil, strikes in the middle of the run.
+	Outage *Outage
 }
 
 // Result is what came of one run.
@@ -48,6 +53,13 @@
 	FirstTokenP95 time.Duration
 	BetweenP95    time.Duration
 	Reasons       map[reason.Reason]int
+	// Teams is the goodput of each team.
+	Teams map[string]float64
+	// Before, During and After are the goodput of what arrived before, in and
+	// after an outage; Recovery is the time from its end until the arrivals of
+	// a whole second did as well as before, less a twentieth.
+	Before, During, After float64
+	Recovery              time.Duration
 	// Bound is the largest part that an all-knowing placer could do.
 	Bound float64
 }
@@ -153,16 +165,25 @@
 	result  Result
 	first   []time.Duration
 	between []time.Duration
+	offered map[string]int
+	good    map[string]int
+	// bySecond counts arrivals and good ones by the second of arrival.
+	bySecond map[int]*bin
 }
 
+type bin struct{ offered, good int }
+
 // Run plays one case.
 func Run(c Case) Result {
 	s := newSite(c)
 	time.Sleep(settle)
 	arrivals := Arrivals(c)
-	t := &tally{result: Result{Reasons: make(map[reason.Reason]int), Offered: len(arrivals)}}
+	t := &tally{offered: make(map[string]int), good: make(map[string]int), bySecond: make(map[int]*bin), result: Result{Reasons: make(map[reason.Reason]int), Offered: len(arrivals)}}
 	started := time.Now()
 	var group sync.WaitGroup
+	if c.Outage != nil {
+		group.Go(func() { c.Outage.play(s) })
+	}
 	for n, arrival := range arrivals {
 		time.Sleep(time.Until(started.Add(arrival.At)))
 		home := s.nodes[n%len(s.nodes)]
@@ -186,6 +207,12 @@
 	}, a)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.offered[arrival.Team]++
+	second := int(arrival.At / time.Second)
+	if t.bySecond[second] == nil {
+		t.bySecond[second] = &bin{}
+	}
+	t.bySecond[second].offered++
 	if result.Outcome != reason.Done {
 		t.result.Reasons[result.Reason]++
 		return
@@ -196,6 +223,8 @@
 	targets := load.DefaultTargets()
 	if first <= targets.FirstToken && a.between() <= targets.BetweenTokens {
 		t.result.Good++
+		t.good[arrival.Team]++
+		t.bySecond[second].good++
 	}
 }
 
@@ -220,6 +249,13 @@
 	if r.Offered > 0 {
 		r.Goodput = float64(r.Good) / float64(r.Offered)
 	}
+	r.Teams = make(map[string]float64)
+	for team, offered := range t.offered {
+		r.Teams[team] = float64(t.good[team]) / float64(offered)
+	}
+	if c.Outage != nil {
+		t.recovery(&r, c)
+	}
 	r.FirstTokenP95, r.BetweenP95 = p95(t.first), p95(t.between)
 	r.Bound = bound(c, arrivals)
 	return r
@@ -233,12 +269,43 @@
 	return values[(len(values)-1)*95/100]
 }
 
+// goodput is that of the arrivals from one second to before another.
+func (t *tally) goodput(from, to int) float64 {
+	offered, good := 0, 0
+	for second := from; second < to; second++ {
+		if b := t.bySecond[second]; b != nil {
+			offered += b.offered
+			good += b.good
+		}
+	}
+	if offered == 0 {
+		return 0
+	}
+	return float64(good) / float64(offered)
+}
+
+// recovered is the part of the goodput before that counts as recovered.
+const recovered = 0.95
+
+func (t *tally) recovery(r *Result, c Case) {
+	starts, ends := int(c.Outage.At/time.Second), int((c.Outage.At+c.Outage.For)/time.Second)
+	last := int(c.Duration / time.Second)
+	r.Before, r.During, r.After = t.goodput(0, starts), t.goodput(starts, ends), t.goodput(ends, last)
+	for second := ends; second < last; second++ {
+		if t.goodput(second, second+1) >= recovered*r.Before {
+			return
+		}
+		r.Recovery += time.Second
+	}
+}
+
 // Arrivals makes the arrivals of a case: model requests alone, at the load
 // that the case names.
 func Arrivals(c Case) []load.Arrival {
 	profile := c.Deployment.Traffic
 	profile.PlainRate = 0
 	profile.CancelShare = 0
+	profile.Flood = c.Flood
 	profile.Rate = c.Load * Capacity(c.Deployment)
 	return load.Plan(profile, c.Duration, c.Seed)
 }
--- a/instance/session_test.go
+++ b/instance/session_test.go
@@ -239,6 +239,9 @@
 // ask sends a model request to an instance and says how it went.
 func (s *session) ask(ctx context.Context, home *node, text string, answer int, token func(int)) request.Result {
 	sink := &gatherer{token: token}
+	ctx, cut := context.WithCancel(ctx)
+	defer cut()
+	defer context.AfterFunc(home.line.Context(), cut)()
 	result := home.Runner.RunModel(ctx, request.Model{
 		ID: home.NewRequestID(), Model: "dossier", Prompt: text, MaxTokens: answer,
 	}, sink)
@@ -248,6 +251,11 @@
 	} else if sink.text.String() != standin.Answer(text, result.Tokens) {
 		whole = "A WRONG ANSWER"
 	}
+	if home.line.Context().Err() != nil {
+		// What a dead instance does and says reaches nobody.
+		s.say("model request at %s: connection lost after %d tokens, %s", home.Self().Name, result.Tokens, whole)
+		return result
+	}
 	s.say("model request at %s: %s %s, %d tokens, %s", home.Self().Name, result.Outcome, result.Reason, result.Tokens, whole)
 	s.steps(home, result.RequestID)
 	return result
--- a/load/plan.go
+++ b/load/plan.go
@@ -29,6 +29,9 @@
 	Templates      int
 	TemplateTokens int
 	Teams          []string
+	// Flood is the part of the arrivals that are of the first team, beside its
+	// equal part of the rest.
+	Flood float64
 	// CancelShare is the part of callers that go away early.
 	CancelShare float64
 }
@@ -65,6 +68,9 @@
 
 func (p Profile) arrival(at time.Duration, templates []string, random *rand.Rand) Arrival {
 	a := Arrival{At: at, Team: p.Teams[random.IntN(len(p.Teams))]}
+	if p.Flood > 0 && random.Float64() < p.Flood {
+		a.Team = p.Teams[0]
+	}
 	if random.Float64()*(p.Rate+p.PlainRate) >= p.Rate {
 		a.Plain = true
 		a.Once = random.IntN(2) == 0
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -32,6 +32,7 @@
 	PrefillRefused   Reason = "prefill_refused"
 	HandoffExpired   Reason = "handoff_expired"
 	HandoffRefused   Reason = "handoff_refused"
+	HandoffNoMemory  Reason = "handoff_no_memory"
 	HandoffFailed    Reason = "handoff_failed"
 	DecodeFailed     Reason = "decode_failed"
 	StreamBroken     Reason = "stream_broken"
@@ -82,7 +83,8 @@
 	{PrefillFailed, "the prefill engine failed in the middle of a prefill", "none"},
 	{PrefillRefused, "the prefill engine did not take the prefill", "none"},
 	{HandoffExpired, "the prefill result expired before the transfer began", "none"},
-	{HandoffRefused, "the decode engine had no memory for the transfer", "backend.pieces"},
+	{HandoffRefused, "the decode engine did not take the transfer", "none"},
+	{HandoffNoMemory, "the decode engine had no memory for the transfer", "backend.pieces"},
 	{HandoffFailed, "the transfer failed or stalled", "backend.link_mb_per_s"},
 	{DecodeFailed, "the decode engine did not begin the stream", "none"},
 	{StreamBroken, "the decode stream ended before its last token", "none"},
--- a/request/model.go
+++ b/request/model.go
@@ -27,9 +27,12 @@
 // modelRun is a model request while it lives.
 type modelRun struct {
 	*run
-	ask      Model
-	query    route.Query
-	cursor   cursor
+	ask    Model
+	query  route.Query
+	cursor cursor
+	place  *route.Place
+	// below is how many steps the priority is below the highest.
+	below    int
 	deadline time.Time
 	first    time.Time
 	last     time.Time
@@ -38,6 +41,8 @@
 	prefill *route.Rated
 	decode  *route.Rated
 	turn    turn
+	// refused is the last choice whose steward did not promise a place.
+	refused *route.Decision
 	// triedPrefill and triedDecode failed this request before.
 	triedPrefill []string
 	triedDecode  []string
@@ -69,11 +74,17 @@
 	m.query = m.newQuery()
 	m.record.Prompt = m.query.PromptTokens
 	m.deadline = m.record.Arrived.Add(service.TTFT)
-	leave, why := r.Admission.Admit(service, view.Teams[ask.Team])
+	team := view.Teams[ask.Team]
+	place, why := r.Admission.Admit(service, team)
 	if why != reason.None {
 		return m.giveUp(why, retryAfterBusy)
 	}
-	defer leave()
+	defer place.Leave()
+	m.place = place
+	m.below = view.TopPriority - service.Priority
+	if team != nil {
+		m.below -= team.Priority
+	}
 	m.step(Admit, reason.None, "")
 	r.budget(service.Name).Earn(service.RetryPercent)
 	return m.attempts(ctx)
@@ -156,6 +167,7 @@
 // for as long as the first token can still come in time, and refuses as soon
 // as it cannot.
 func (m *modelRun) reserve(ctx context.Context) (attemptEnd, bool) {
+	waited := reason.None
 	for {
 		if ctx.Err() != nil {
 			return attemptEnd{why: reason.CallerGone}, false
@@ -166,12 +178,24 @@
 			return attemptEnd{}, true
 		}
 		if m.giveUpWaiting(why, time.Now()) {
-			return attemptEnd{final: true, why: lateReason(why)}, false
+			m.noteRefused(why)
+			return attemptEnd{final: true, why: lateReason(why, waited)}, false
 		}
+		waited = why
 		m.pause(ctx, m.config.PollEvery)
 	}
 }
 
+// noteRefused records the last choice in vain, for the operator to see.
+func (m *modelRun) noteRefused(why reason.Reason) {
+	if m.refused == nil {
+		return
+	}
+	m.record.Add(time.Now(), trace.Step{
+		Attempt: m.attempt, State: m.life.State().String(), Reason: why, Server: m.refused.Pick, Choice: m.refused,
+	})
+}
+
 // tryReserve asks once for both places. The turn at the prefill engine comes
 // first, since it says when the memory will be needed.
 func (m *modelRun) tryReserve(ctx context.Context) reason.Reason {
@@ -186,8 +210,8 @@
 }
 
 // lateReason names what a request that ran out of time had waited for.
-func lateReason(why reason.Reason) reason.Reason {
-	if why == reason.ReserveRefused {
+func lateReason(why, waited reason.Reason) reason.Reason {
+	if why == reason.ReserveRefused || waited == reason.ReserveRefused {
 		return reason.NoDecodeMemory
 	}
 	return why
@@ -238,6 +262,7 @@
 			m.prefill = chosen
 			return reason.None
 		}
+		m.refused = &decision
 		query.Exclude = append(query.Exclude, chosen.Name)
 	}
 	return why
@@ -303,13 +328,13 @@
 		if decision.Chosen == nil {
 			break
 		}
-		name := decision.Chosen.Name
-		if why = m.askMemory(ctx, name); why == reason.None {
+		if why = m.askMemory(ctx, decision.Chosen.Name); why == reason.None {
 			m.note(&decision)
 			m.decode = decision.Chosen
 			return reason.None
 		}
-		query.Exclude = append(query.Exclude, name)
+		m.refused = &decision
+		query.Exclude = append(query.Exclude, decision.Chosen.Name)
 	}
 	return why
 }
@@ -318,13 +343,28 @@
 	if !m.config.Policy.Reserve {
 		return reason.None
 	}
-	remaining := m.ask.MaxTokens - m.cursor.next
 	return m.askSteward(ctx, worker, route.Ask{
 		HoldKey: m.holdKey(), Pieces: m.query.Pieces, TTL: m.turn.landIn + reservationTTL,
-		LandIn: m.turn.landIn, HoldFor: time.Duration(remaining) * m.service.TBT,
+		LandIn: m.turn.landIn, HoldFor: m.holdTime(), Headroom: m.headroom(),
 	}).Refused
 }
 
+// headroom is the memory that must stay free for others. A begun answer
+// yields to nobody.
+func (m *modelRun) headroom() int {
+	if m.cursor.next > 0 {
+		return 0
+	}
+	return route.Headroom(m.place.OverShare(), m.below)
+}
+
+// holdTime is how long the decode engine is expected to hold the request, at
+// the pace that the target allows. The pace that was measured is a little
+// quicker, and promising by it ends in transfers that find no memory.
+func (m *modelRun) holdTime() time.Duration {
+	return time.Duration(m.ask.MaxTokens-m.cursor.next) * m.service.TBT
+}
+
 func (m *modelRun) askSteward(ctx context.Context, worker string, ask route.Ask) route.Grant {
 	ctx, cancel := context.WithTimeout(ctx, m.config.ReserveTimeout)
 	defer cancel()
@@ -394,7 +434,7 @@
 		if ctx.Err() != nil || why == reason.HandoffExpired || time.Now().After(expires) {
 			return attemptEnd{why: why}, false
 		}
-		if why == reason.HandoffRefused && m.waitForMemory(ctx, expires) {
+		if why == reason.HandoffNoMemory && m.waitForMemory(ctx, expires) {
 			continue
 		}
 		m.release(m.decode)
@@ -447,7 +487,9 @@
 		return reason.None
 	case errors.Is(err, engine.ErrExpired):
 		return reason.HandoffExpired
-	case errors.Is(err, engine.ErrNoMemory), errors.Is(err, engine.ErrRefused):
+	case errors.Is(err, engine.ErrNoMemory):
+		return reason.HandoffNoMemory
+	case errors.Is(err, engine.ErrRefused):
 		return reason.HandoffRefused
 	case errors.Is(err, engine.ErrUnreachable):
 		target.Server.Breaker.Failure(time.Now())
--- a/request/plain.go
+++ b/request/plain.go
@@ -44,11 +44,11 @@
 	if why := r.refusal(row != nil && row.Type == table.TypePlain); why != reason.None {
 		return service.Answer{}, p.giveUp(why, 0)
 	}
-	leave, why := r.Admission.Admit(row, view.Teams[ask.Team])
+	place, why := r.Admission.Admit(row, view.Teams[ask.Team])
 	if why != reason.None {
 		return service.Answer{}, p.giveUp(why, retryAfterBusy)
 	}
-	defer leave()
+	defer place.Leave()
 	p.step(Admit, reason.None, "")
 	if why := p.witness(ctx); why != reason.None {
 		return service.Answer{}, p.giveUp(why, retryAfterBusy)
--- a/table/view.go
+++ b/table/view.go
@@ -54,6 +54,9 @@
 	Models   map[string]*ServiceView
 	Backends map[string]*BackendView
 	Teams    map[string]*TeamView
+	// TopPriority is the highest priority of any model service plus that of
+	// any team.
+	TopPriority int
 }
 
 // Defaults for empty cells.
@@ -92,9 +95,21 @@
 	for _, key := range t.Keys(Team) {
 		view.Teams[key.Name] = t.teamView(key)
 	}
+	view.TopPriority = topPriority(view)
 	return view
 }
 
+func topPriority(view *View) int {
+	service, team := 0, 0
+	for _, s := range view.Models {
+		service = max(service, s.Priority)
+	}
+	for _, t := range view.Teams {
+		team = max(team, t.Priority)
+	}
+	return service + team
+}
+
 func (t *Table) backendView(key RowKey) *BackendView {
 	cells := t.rows[key].Cells
 	pool := cells[ColPool]
