--- a/cmd/mastwheel/operator.go
+++ b/cmd/mastwheel/operator.go
@@ -16,7 +16,6 @@
 	"github.com/mastwheel/mastwheel/httpjson"
 	"github.com/mastwheel/mastwheel/operator"
 	"github.com/mastwheel/mastwheel/route"
-	"github.com/mastwheel/mastwheel/table"
 	"github.com/mastwheel/mastwheel/trace"
 )
 
@@ -34,66 +33,6 @@
 	return nil
 }
 
-func tableCommand() *cli.Command {
-	return &cli.Command{
-		Name:  "table",
-		Usage: "look at the operators' table",
-		Commands: []*cli.Command{{
-			Name:   "show",
-			Usage:  "show the table in force",
-			Flags:  append(operatorFlags(), &cli.BoolFlag{Name: "toml", Usage: "print TOML"}),
-			Action: runTableShow,
-		}},
-	}
-}
-
-func runTableShow(ctx context.Context, command *cli.Command) error {
-	var current table.Table
-	if err := ask(ctx, command, operator.PathTable, &current); err != nil {
-		return err
-	}
-	out := command.Root().Writer
-	switch {
-	case command.Bool("json"):
-		printJSON(out, &current)
-	case command.Bool("toml"):
-		text, err := current.TOML()
-		if err != nil {
-			return err
-		}
-		out.Write(text)
-	default:
-		fmt.Fprintf(out, "revision %d\n", current.Revision)
-		for _, kind := range table.Kinds {
-			if err := printKind(out, &current, kind); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-func printKind(out io.Writer, t *table.Table, kind table.Kind) error {
-	columns := table.Columns(kind)
-	header := []string{string(kind)}
-	for _, column := range columns {
-		header = append(header, string(column))
-	}
-	return printRows(out, header, func(add func([]string) error) error {
-		for _, key := range t.Keys(kind) {
-			row, _ := t.Row(key)
-			cells := []string{key.Name}
-			for _, column := range columns {
-				cells = append(cells, row.Cells[column])
-			}
-			if err := add(cells); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-}
-
 func printRows(out io.Writer, header []string, fill func(add func([]string) error) error) error {
 	writer := tablewriter.NewWriter(out)
 	writer.Header(header)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -40,7 +40,11 @@
 	held       heldSince
 
 	// beats counts the heartbeats sent; only the heartbeat loop uses it.
-	beats    int
+	beats int
+	// snapshotMissed is set when the log lacked a snapshot at the last look;
+	// only the snapshot loop uses it.
+	snapshotMissed bool
+
 	inFlight atomic.Int64
 	sequence atomic.Uint64
 	draining atomic.Bool
@@ -106,6 +110,10 @@
 // Verdict returns what was decided about an edit, if its record was seen.
 func (i *Instance) Verdict(editID string) (table.Verdict, bool) { return i.keeper.Verdict(editID) }
 
+// History returns the last verdicts on edits, the latest first, and how many
+// log records were refused as they could not be read or verified.
+func (i *Instance) History() (verdicts []table.Verdict, bad int) { return i.keeper.History() }
+
 // Fleet returns what the instance knows of backend servers.
 func (i *Instance) Fleet() *route.Fleet { return i.fleet }
 
@@ -173,6 +181,7 @@
 	group.Go(func() error { return i.deps.Peers.Serve(ctx, i.handle) })
 	group.Go(func() error { return i.followLog(ctx) })
 	i.goEvery(ctx, group, i.config.ListEvery, i.readList)
+	i.goEvery(ctx, group, snapshotLook, i.writeSnapshot)
 	i.goEvery(ctx, group, i.config.Member.HeartbeatEvery, i.heartbeat)
 	i.goEvery(ctx, group, i.config.LoadEvery, i.inspectWorkers)
 	err := group.Wait()
--- a/instance/keeper.go
+++ b/instance/keeper.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/peer"
@@ -65,6 +66,25 @@
 	return k.fold.Verdict(editID)
 }
 
+// History returns the last verdicts, the latest first, and how many records
+// were refused as they could not be read or verified.
+func (k *keeper) History() (verdicts []table.Verdict, bad int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fold.History(), k.fold.Bad()
+}
+
+// due returns a snapshot record that the log lacks, or nil.
+func (k *keeper) due() []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	record, err := k.fold.Due()
+	if err != nil {
+		klog.ErrorS(err, "Snapshot cannot be written")
+	}
+	return record
+}
+
 // add folds records that begin at an offset; those already folded are passed
 // over.
 func (k *keeper) add(first uint64, records [][]byte) error {
@@ -95,16 +115,19 @@
 	}
 }
 
-// restore takes a whole snapshot from a sibling.
-func (k *keeper) restore(snapshot []byte) error {
+// restore takes a whole state from a sibling, or from a record of the log.
+func (k *keeper) restore(change func(*table.Fold) error) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err := k.fold.Restore(snapshot); err != nil {
+	before := k.fold.Next()
+	if err := change(k.fold); err != nil {
 		return err
 	}
-	k.records = nil
-	k.first = k.fold.Next()
-	k.publish()
+	if k.fold.Next() != before {
+		k.records = nil
+		k.first = k.fold.Next()
+		k.publish()
+	}
 	return nil
 }
 
@@ -144,7 +167,9 @@
 func (i *Instance) followLog(ctx context.Context) error {
 	for ctx.Err() == nil {
 		batch, err := i.deps.Log.Read(ctx, i.keeper.Next(), readBatch)
-		if err == nil {
+		if errors.Is(err, oplog.ErrTruncated) {
+			err = i.skipToSnapshot(ctx, batch.First)
+		} else if err == nil {
 			i.refresh()
 			err = i.fold(batch)
 		}
@@ -159,11 +184,72 @@
 	if len(batch.Records) == 0 {
 		return nil
 	}
-	data := make([][]byte, 0, len(batch.Records))
-	for _, record := range batch.Records {
+	return i.keeper.add(batch.Records[0].Offset, dataOf(batch.Records))
+}
+
+func dataOf(records []oplog.Record) [][]byte {
+	data := make([][]byte, 0, len(records))
+	for _, record := range records {
 		data = append(data, record.Data)
 	}
-	return i.keeper.add(batch.Records[0].Offset, data)
+	return data
+}
+
+// skipToSnapshot looks through what the log still keeps for a snapshot to
+// start from: the records before it are past retention.
+func (i *Instance) skipToSnapshot(ctx context.Context, first uint64) error {
+	for from := first; ctx.Err() == nil; {
+		batch, err := i.deps.Log.Read(ctx, from, readBatch)
+		if err != nil {
+			return errors.WithMessage(err, "look for a snapshot")
+		}
+		if len(batch.Records) == 0 {
+			return errors.New("the log keeps no snapshot to start from")
+		}
+		for _, record := range batch.Records {
+			if i.restoreRecord(record.Data, batch.First) {
+				return nil
+			}
+			from = record.Offset + 1
+		}
+	}
+	return ctx.Err()
+}
+
+func (i *Instance) restoreRecord(data []byte, first uint64) (restored bool) {
+	i.keeper.restore(func(fold *table.Fold) error {
+		restored = fold.RestoreFromRecord(data, first)
+		return nil
+	})
+	return restored
+}
+
+const (
+	// snapshotLook is how often an instance looks whether the log lacks a
+	// snapshot.
+	snapshotLook = 5 * time.Second
+	// snapshotKey names, with an offset, the instance that writes first.
+	snapshotKey = "snapshot"
+)
+
+// writeSnapshot writes the snapshot that the log lacks. The instance that owns
+// the duty writes at once, the others only when it is still missing the next
+// time they look; two are no harm.
+func (i *Instance) writeSnapshot(ctx context.Context) {
+	record := i.keeper.due()
+	if record == nil {
+		i.snapshotMissed = false
+		return
+	}
+	if i.ownerOf(snapshotKey) != i.self.Name && !i.snapshotMissed {
+		i.snapshotMissed = true
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, siblingTimeout)
+	defer cancel()
+	if _, err := i.deps.Log.Append(ctx, record); err != nil {
+		klog.V(1).InfoS("Snapshot was not written", "err", err)
+	}
 }
 
 // catchUp asks a sibling for the records that this instance lacks.
@@ -177,7 +263,7 @@
 		return errors.New("sibling sent no records")
 	}
 	if answer.Records.Snapshot != nil {
-		return i.keeper.restore(answer.Records.Snapshot)
+		return i.keeper.restore(func(fold *table.Fold) error { return fold.Restore(answer.Records.Snapshot) })
 	}
 	return i.keeper.add(answer.Records.First, answer.Records.Records)
 }
--- a/instance/session_test.go
+++ b/instance/session_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/mastwheel/mastwheel/instance"
 	"github.com/mastwheel/mastwheel/instancelist"
 	"github.com/mastwheel/mastwheel/operation"
+	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/request"
 	"github.com/mastwheel/mastwheel/service"
 	"github.com/mastwheel/mastwheel/standin"
@@ -45,9 +47,26 @@
 	*instance.Instance
 	line *standin.Lifeline
 	port *standin.Port
+	log  *partedLog
 	done chan struct{}
 }
 
+// partedLog is the log as one instance reaches it.
+type partedLog struct {
+	oplog.Client
+	cut atomic.Bool
+}
+
+func (l *partedLog) Read(ctx context.Context, from uint64, most int) (oplog.Batch, error) {
+	if l.cut.Load() {
+		return oplog.Batch{}, oplog.ErrUnavailable
+	}
+	return l.Client.Read(ctx, from, most)
+}
+
+// cutOffLog keeps the instance from reading the log any more.
+func (n *node) cutOffLog() { n.log.cut.Store(true) }
+
 const (
 	prefillAddress = "10.0.0.1:1"
 	decodeOne      = "10.0.0.2:1"
@@ -137,12 +156,17 @@
 	return s
 }
 
-func (s *session) append(edit table.Edit) {
+func recordOf(t *testing.T, edit table.Edit) []byte {
+	t.Helper()
 	record, err := json.Marshal(edit)
 	if err != nil {
-		s.t.Fatal(err)
+		t.Fatal(err)
 	}
-	if _, err := s.log.Append(s.ctx, record); err != nil {
+	return record
+}
+
+func (s *session) append(edit table.Edit) {
+	if _, err := s.log.Append(s.ctx, recordOf(s.t, edit)); err != nil {
 		s.say("append of %s: %v", edit.ID, err)
 	}
 }
@@ -154,10 +178,10 @@
 	config := instance.DefaultRegion()
 	config.Name, config.Zone, config.Caller, config.Peer = name, zone, name+":80", address
 	random := rand.New(rand.NewPCG(1, uint64(len(name))))
-	n := &node{line: standin.NewLifeline(), port: port, done: make(chan struct{})}
+	n := &node{line: standin.NewLifeline(), port: port, log: &partedLog{Client: s.log}, done: make(chan struct{})}
 	n.Instance = instance.New(config, instance.Deps{
 		Engines: n.line.Engines(s.farm), Services: n.line.Services(s.plain),
-		Log: n.line.Log(s.log), List: n.line.List(s.list), Peers: n.line.Peers(port),
+		Log: n.line.Log(n.log), List: n.line.List(s.list), Peers: n.line.Peers(port),
 		Random: standin.LockedRandom(random),
 	})
 	s.nodes[name] = n
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -32,6 +32,7 @@
 	PathMetrics  = "/metrics"
 	PathTable    = "/v1/table"
 	PathEdits    = "/v1/table/edits"
+	PathHistory  = "/v1/table/history"
 	PathStatus   = "/v1/status"
 	PathRequests = "/v1/requests"
 )
@@ -67,6 +68,14 @@
 	Steward string `json:"steward"`
 }
 
+// History is the last edits with their verdicts, the latest first.
+type History struct {
+	Verdicts []table.Verdict `json:"verdicts"`
+	// BadRecords counts log records that were refused as they could not be
+	// read or verified.
+	BadRecords int `json:"bad_records"`
+}
+
 // verdictTimeout bounds how long an operator waits for an edit's verdict.
 const verdictTimeout = 5 * time.Second
 
@@ -132,6 +141,9 @@
 		s.edit(ctx)
 	case strings.HasPrefix(path, PathEdits+"/"):
 		s.verdict(ctx, strings.TrimPrefix(path, PathEdits+"/"))
+	case path == PathHistory:
+		verdicts, bad := s.instance.History()
+		writeJSON(ctx, History{Verdicts: verdicts, BadRecords: bad})
 	case path == PathStatus:
 		writeJSON(ctx, s.status())
 	case path == PathRequests:
--- a/oplog/http.go
+++ b/oplog/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 
@@ -47,10 +48,16 @@
 func (h *HTTP) Read(ctx context.Context, from uint64, max int) (Batch, error) {
 	var batch Batch
 	url := h.base + "?from=" + strconv.FormatUint(from, 10) + "&max=" + strconv.Itoa(max)
-	status, _, err := h.json.Do(ctx, http.MethodGet, url, nil, &batch)
+	status, raw, err := h.json.Do(ctx, http.MethodGet, url, nil, &batch)
 	if err != nil {
 		return Batch{}, errors.Wrap(ErrUnavailable, err.Error())
 	}
+	if status == http.StatusGone {
+		// The answer still says what is kept.
+		if err := json.Unmarshal(raw, &batch); err != nil {
+			return Batch{}, errors.Wrap(ErrUnavailable, err.Error())
+		}
+	}
 	return batch, statusError(status)
 }
 
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -67,7 +67,7 @@
 	{UnknownService, "no service row has this name", "service rows"},
 	{Draining, "the instance is shutting down and takes no new callers", "none"},
 	{StaleTable, "the instance has heard neither the log nor a sibling for too long", "limits.stale_after_seconds (settings)"},
-	{QueueFull, "too many requests already wait at this instance", "service.queue"},
+	{QueueFull, "the home has no room for another operation record", "none"},
 	{TeamCap, "the team has as many requests in flight as its cap allows", "team.in_flight"},
 	{ServiceCap, "the service has as many requests in flight as its cap allows", "service.in_flight"},
 	{NoBackend, "every backend server of the pool was filtered out", "backend.drain, pool rows"},
--- a/standin/http.go
+++ b/standin/http.go
@@ -177,6 +177,11 @@
 	from := uint64(ctx.QueryArgs().GetUintOrZero("from"))
 	most := min(max(ctx.QueryArgs().GetUintOrZero("max"), 1), mostRecords)
 	batch, err := l.Read(context.Background(), from, most)
+	if errors.Is(err, oplog.ErrTruncated) {
+		answer(ctx, batch, nil)
+		ctx.SetStatusCode(fasthttp.StatusGone)
+		return
+	}
 	answer(ctx, batch, err)
 }
 
--- a/table/column.go
+++ b/table/column.go
@@ -39,11 +39,7 @@
 	ColShare        Column = "share"
 	ColPriority     Column = "priority"
 	ColInFlight     Column = "in_flight"
-	ColRate         Column = "rate_per_s"
-	ColQueue        Column = "queue"
 	ColRetryPercent Column = "retry_percent"
-	ColGoodput      Column = "goodput_weight"
-	ColWaste        Column = "waste_weight"
 	ColDrain        Column = "drain"
 )
 
@@ -82,13 +78,9 @@
 		{column: ColPool, check: anyText, refers: Pool},
 		{column: ColTTFT, check: intIn(1, 600_000)},
 		{column: ColTBT, check: intIn(1, 60_000)},
-		{column: ColShare, check: intIn(1, 1_000_000)},
 		{column: ColPriority, check: intIn(0, 9)},
 		{column: ColInFlight, check: intIn(0, 10_000_000)},
-		{column: ColQueue, check: intIn(0, 1_000_000)},
 		{column: ColRetryPercent, check: intIn(0, 100)},
-		{column: ColGoodput, check: intIn(0, 100)},
-		{column: ColWaste, check: intIn(0, 100)},
 	},
 	Pool: {
 		{column: ColRole, required: true, check: oneOf(RolePrefill, RoleDecode, RolePlain)},
@@ -105,7 +97,6 @@
 		{column: ColShare, check: intIn(1, 1_000_000)},
 		{column: ColPriority, check: intIn(0, 9)},
 		{column: ColInFlight, check: intIn(0, 10_000_000)},
-		{column: ColRate, check: intIn(0, 10_000_000)},
 	},
 }
 
--- a/table/fold.go
+++ b/table/fold.go
@@ -16,11 +16,15 @@
 	Why    string `json:"why,omitempty"`
 	Author string `json:"author,omitempty"`
 	Reason string `json:"reason,omitempty"`
+	// Changes is what the edit asked for, and Undo what would take an accepted
+	// one back.
+	Changes []Change `json:"changes,omitempty"`
+	Undo    []Change `json:"undo,omitempty"`
 }
 
 // keptVerdicts bounds the verdicts that a fold remembers, and with them how
 // late a duplicate append of an edit is still recognised.
-const keptVerdicts = 4096
+const keptVerdicts = 1024
 
 // Fold turns log records, in offset order, into tables. It is not safe for
 // concurrent use; the tables that it returns are immutable.
@@ -30,6 +34,18 @@
 	// byID finds the verdict on an edit; order remembers which is oldest.
 	byID  map[string]Verdict
 	order []string
+	// marked is the state at the last offset of which a snapshot is written.
+	marked *Snapshot
+	// seen is the last mark of which a good snapshot is on the log, and bad
+	// counts records that were refused as they could not be read or verified.
+	seen uint64
+	bad  int
+}
+
+// logRecord is the form of a record: an edit, or a snapshot.
+type logRecord struct {
+	Edit
+	Snapshot *Snapshot `json:"snapshot,omitempty"`
 }
 
 // NewFold starts at the first offset of the log with the empty table.
@@ -43,12 +59,25 @@
 // Next returns the offset that the fold needs next.
 func (f *Fold) Next() uint64 { return f.next }
 
+// Bad counts the records that were refused as they could not be read or
+// verified.
+func (f *Fold) Bad() int { return f.bad }
+
 // Verdict returns what was decided about an edit, if it was seen.
 func (f *Fold) Verdict(editID string) (Verdict, bool) {
 	verdict, ok := f.byID[editID]
 	return verdict, ok
 }
 
+// History returns the last verdicts, the latest first.
+func (f *Fold) History() []Verdict {
+	verdicts := make([]Verdict, 0, len(f.order))
+	for i := len(f.order) - 1; i >= 0; i-- {
+		verdicts = append(verdicts, f.byID[f.order[i]])
+	}
+	return verdicts
+}
+
 // Add folds the record at offset. An offset that was folded before changes
 // nothing; one past the next is an error, since a record would be missed. A
 // record that cannot be read is refused alike by every instance.
@@ -60,30 +89,47 @@
 		return errors.Errorf("log record %d arrived where %d was expected", offset, f.next)
 	}
 	f.next = offset + 1
-	var edit Edit
-	if err := json.Unmarshal(data, &edit); err != nil {
-		f.remember(Verdict{Offset: offset, Why: "record cannot be read: " + err.Error()})
-		return nil
+	f.take(offset, data)
+	if f.next%SnapshotEvery == 0 {
+		f.mark()
+	}
+	return nil
+}
+
+func (f *Fold) take(offset uint64, data []byte) {
+	var record logRecord
+	if err := json.Unmarshal(data, &record); err != nil {
+		f.bad++
+		return
+	}
+	if record.Snapshot != nil {
+		f.verify(record.Snapshot)
+		return
+	}
+	f.decide(offset, record.Edit)
+}
+
+func (f *Fold) decide(offset uint64, edit Edit) {
+	if edit.ID == "" {
+		f.bad++
+		return
 	}
 	if _, seen := f.byID[edit.ID]; seen {
-		return nil
+		return
 	}
-	verdict := Verdict{EditID: edit.ID, Offset: offset, Author: edit.Author, Reason: edit.Reason}
+	verdict := Verdict{EditID: edit.ID, Offset: offset, Author: edit.Author, Reason: edit.Reason, Changes: edit.Changes}
 	next, err := f.table.Apply(edit, offset)
 	if err != nil {
 		verdict.Why = err.Error()
 	} else {
 		verdict.Accepted = true
+		verdict.Undo = f.table.undo(edit.Changes)
 		f.table = next
 	}
 	f.remember(verdict)
-	return nil
 }
 
 func (f *Fold) remember(verdict Verdict) {
-	if verdict.EditID == "" {
-		return
-	}
 	f.byID[verdict.EditID] = verdict
 	f.order = append(f.order, verdict.EditID)
 	if len(f.order) > keptVerdicts {
@@ -92,42 +138,34 @@
 	}
 }
 
-// foldState is the form of a fold in a snapshot.
-type foldState struct {
-	Next     uint64    `json:"next"`
-	Table    *Table    `json:"table"`
-	Verdicts []Verdict `json:"verdicts"`
-}
-
-// Snapshot writes the whole state of the fold. Folds that have taken the same
-// records write the same bytes.
-func (f *Fold) Snapshot() ([]byte, error) {
-	state := foldState{Next: f.next, Table: f.table, Verdicts: make([]Verdict, 0, len(f.order))}
-	for _, id := range f.order {
-		state.Verdicts = append(state.Verdicts, f.byID[id])
+// undo returns the changes that would bring the touched cells back to what
+// they are in t.
+func (t *Table) undo(changes []Change) []Change {
+	var back []Change
+	done := make(map[Change]bool)
+	for _, change := range changes {
+		row, existed := t.rows[change.Row]
+		if !existed {
+			back = appendOnce(back, done, Change{Row: change.Row, RemoveRow: true})
+			continue
+		}
+		if !change.RemoveRow {
+			back = appendOnce(back, done, Change{Row: change.Row, Column: change.Column, Value: row.Cells[change.Column]})
+			continue
+		}
+		for _, column := range Columns(change.Row.Kind) {
+			if value := row.Cells[column]; value != "" {
+				back = appendOnce(back, done, Change{Row: change.Row, Column: column, Value: value})
+			}
+		}
 	}
-	data, err := json.Marshal(state)
-	return data, errors.Wrap(err, "write fold snapshot")
+	return back
 }
 
-// Restore reads a snapshot, unless the fold is already as far.
-func (f *Fold) Restore(data []byte) error {
-	state := foldState{Table: &Table{}}
-	if err := json.Unmarshal(data, &state); err != nil {
-		return errors.Wrap(err, "read fold snapshot")
-	}
-	if state.Next <= f.next {
-		return nil
+func appendOnce(changes []Change, done map[Change]bool, change Change) []Change {
+	if done[change] {
+		return changes
 	}
-	if err := state.Table.Check(); err != nil {
-		return errors.WithMessage(err, "read fold snapshot")
-	}
-	f.next = state.Next
-	f.table = state.Table
-	f.byID = make(map[string]Verdict, len(state.Verdicts))
-	f.order = nil
-	for _, verdict := range state.Verdicts {
-		f.remember(verdict)
-	}
-	return nil
+	done[change] = true
+	return append(changes, change)
 }
--- a/table/view.go
+++ b/table/view.go
@@ -15,10 +15,8 @@
 	Plain        []*BackendView
 	TTFT         time.Duration
 	TBT          time.Duration
-	Share        int
 	Priority     int
 	InFlight     int
-	Queue        int
 	RetryPercent int
 }
 
@@ -41,9 +39,8 @@
 	Name     string
 	Share    int
 	Priority int
-	// InFlight and Rate are caps; 0 means none.
+	// InFlight is a cap; 0 means none.
 	InFlight int
-	Rate     int
 }
 
 // View is a table compiled for the path of a request.
@@ -64,7 +61,6 @@
 	defaultTTFT         = 1100 * time.Millisecond
 	defaultTBT          = 41 * time.Millisecond
 	defaultShare        = 1
-	defaultQueue        = 256
 	defaultRetryPercent = 20
 	defaultLinkMB       = 1000
 	bytesPerMB          = 1_000_000
@@ -136,10 +132,8 @@
 		Plain:        pools[cells[ColPool]],
 		TTFT:         millis(cells[ColTTFT], defaultTTFT),
 		TBT:          millis(cells[ColTBT], defaultTBT),
-		Share:        number(cells[ColShare], defaultShare),
 		Priority:     number(cells[ColPriority], 0),
 		InFlight:     number(cells[ColInFlight], 0),
-		Queue:        number(cells[ColQueue], defaultQueue),
 		RetryPercent: number(cells[ColRetryPercent], defaultRetryPercent),
 	}
 }
@@ -151,7 +145,6 @@
 		Share:    number(cells[ColShare], defaultShare),
 		Priority: number(cells[ColPriority], 0),
 		InFlight: number(cells[ColInFlight], 0),
-		Rate:     number(cells[ColRate], 0),
 	}
 }
 
