--- a/client/client.go
+++ b/client/client.go
@@ -366,16 +366,42 @@
 	return result, true
 }
 
-// settle asks the witness, and then any instance, what became of a call.
+const (
+	// settleTries and settlePause bound how long a caller asks for the outcome
+	// of a call that is still running.
+	settleTries = 20
+	settlePause = 250 * time.Millisecond
+)
+
+// settle asks what became of a call until that is decided.
 func (c *Client) settle(ctx context.Context, entry instance.Entry, result *CallResult) {
+	for range settleTries {
+		status, err := c.askAround(ctx, entry, result.Operation)
+		if err != nil {
+			return
+		}
+		result.Outcome = status.Outcome
+		if !status.Running {
+			result.Reason = status.Reason
+			return
+		}
+		select {
+		case <-time.After(settlePause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// askAround asks the witness, and then any instance, what became of a call.
+func (c *Client) askAround(ctx context.Context, entry instance.Entry, id string) (operation.Status, error) {
 	addresses := append([]string{entry.Operation.Witness}, c.Addresses()...)
 	for _, address := range addresses {
-		status, err := c.AskOperation(ctx, address, result.Operation)
-		if err == nil {
-			result.Outcome, result.Reason = status.Outcome, status.Reason
-			return
+		if status, err := c.AskOperation(ctx, address, id); err == nil {
+			return status, nil
 		}
 	}
+	return operation.Status{}, ErrNoInstance
 }
 
 // AskOperation asks an instance what became of an operation.
--- a/instance/keeper.go
+++ b/instance/keeper.go
@@ -275,14 +275,12 @@
 	if errors.Is(appendErr, oplog.ErrTooFast) {
 		return table.Verdict{}, appendErr
 	}
-	for {
+	for sleepFor(ctx, verdictPoll) {
 		if verdict, known := i.keeper.Verdict(editID); known {
 			return verdict, nil
 		}
-		if !sleepFor(ctx, verdictPoll) {
-			return table.Verdict{}, errors.New("the log has not answered; ask again with the same edit id")
-		}
 	}
+	return table.Verdict{}, errors.New("the log has not answered; ask again with the same edit id")
 }
 
 // verdictPoll is how often a waiting operator's edit is looked for.
