--- a/cmd/mastwheel/try.go
+++ b/cmd/mastwheel/try.go
@@ -30,6 +30,7 @@
 			&cli.StringFlag{Name: "without", Usage: "`LIST` of protections to switch off: " + strings.Join(trial.ProtectionNames(), ", ")},
 			&cli.FloatFlag{Name: "leave", Usage: "part of callers that go away early; 0 for the deployment's own"},
 			&cli.DurationFlag{Name: "call-time", Usage: "how long a plain call takes; 0 for the deployment's own"},
+			&cli.IntFlag{Name: "answer", Usage: "mean answer in tokens; 0 for the deployment's own"},
 			&cli.BoolFlag{Name: "list-faults", Usage: "list the faults and stop"},
 			&cli.BoolFlag{Name: "no-traffic", Usage: "leave the sample traffic out"},
 			jsonFlag(),
@@ -92,6 +93,9 @@
 	if callTime := command.Duration("call-time"); callTime > 0 {
 		deployment.PlainTook = callTime
 	}
+	if answer := command.Int("answer"); answer > 0 {
+		deployment.Traffic.MeanAnswer = answer
+	}
 	options := trial.Options{
 		Protect: protect, Leave: command.Float("leave"),
 		Deployment: deployment, Instances: instances, Duration: command.Duration("duration"),
--- a/instance/config.go
+++ b/instance/config.go
@@ -36,6 +36,10 @@
 	// StaleAfter is how long the instance takes new callers while it hears
 	// neither the log nor a sibling: the bound on running an old table.
 	StaleAfter time.Duration
+	// SettleAfter is how long an instance runs before it is named to callers:
+	// the list's lag and a heartbeat. Shorter names it before it knows every
+	// witness, and calls are refused; longer leaves it idle.
+	SettleAfter time.Duration
 	// LoadEvery is the period in which a steward asks its engines for load.
 	LoadEvery time.Duration
 	// ListEvery is the period in which the instance list is read.
@@ -55,6 +59,7 @@
 		KeepAnswer:     5 * time.Second,
 		OperationLife:  2 * time.Minute,
 		StaleAfter:     8 * time.Second,
+		SettleAfter:    3 * time.Second,
 		LoadEvery:      100 * time.Millisecond,
 		ListEvery:      time.Second,
 		MostOperations: 100_000,
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -66,7 +66,9 @@
 }
 
 // candidates returns the instances that may be named: those that are alive
-// and have a table, this one included when it is ready.
+// and have a table, this one included when it is ready. An instance that has
+// just started does not know all siblings yet, and so not every witness; it is
+// named only while there is no other.
 func (i *Instance) candidates() []member.Info {
 	var infos []member.Info
 	if i.Ready() == nil {
@@ -77,6 +79,15 @@
 			infos = append(infos, sibling.Info)
 		}
 	}
+	settled := make([]member.Info, 0, len(infos))
+	for _, info := range infos {
+		if info.Uptime > i.config.SettleAfter {
+			settled = append(settled, info)
+		}
+	}
+	if len(settled) > 0 {
+		return settled
+	}
 	return infos
 }
 
