--- a/standin/http.go
+++ b/standin/http.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -13,6 +14,7 @@
 	"github.com/mastwheel/mastwheel/instancelist"
 	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/service"
+	"github.com/mastwheel/mastwheel/weightstore"
 )
 
 // PathLedger shows a stand-in's ledger.
@@ -114,7 +116,7 @@
 }
 
 func answer(ctx *fasthttp.RequestCtx, value any, err error) {
-	if errors.Is(err, engine.ErrBroken) || errors.Is(err, oplog.ErrUnavailable) {
+	if errors.Is(err, engine.ErrBroken) || errors.Is(err, oplog.ErrUnavailable) || errors.Is(err, weightstore.ErrUnavailable) {
 		// What a broken server sends is nothing.
 		ctx.Conn().Close()
 		return
@@ -139,24 +141,40 @@
 		return engine.StatusNoMemory
 	case errors.Is(err, engine.ErrExpired), errors.Is(err, oplog.ErrTruncated):
 		return engine.StatusExpired
-	case errors.Is(err, oplog.ErrTooFast):
+	case errors.Is(err, oplog.ErrTooFast), errors.Is(err, weightstore.ErrBusy):
 		return fasthttp.StatusTooManyRequests
+	case errors.Is(err, weightstore.ErrUnknown):
+		return fasthttp.StatusNotFound
 	default:
 		return fasthttp.StatusInternalServerError
 	}
 }
 
-// PlatformHandler is the platform's log and instance list over HTTP.
-func PlatformHandler(log *Log, list *List) fasthttp.RequestHandler {
+// PlatformLedger is what really happened at the platform.
+type PlatformLedger struct {
+	Log     LogLedger     `json:"log"`
+	Weights WeightsLedger `json:"weights"`
+}
+
+// PlatformHandler is the platform's log, instance list and weight store over
+// HTTP.
+func PlatformHandler(log *Log, list *List, weights *Weights) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		switch string(ctx.Path()) {
+		path := string(ctx.Path())
+		if name, ok := strings.CutPrefix(path, weightstore.PathWeights); ok {
+			rate, _ := ctx.QueryArgs().GetUint("rate")
+			ticket, err := weights.Reserve(ctx, name, int64(rate))
+			answer(ctx, ticket, err)
+			return
+		}
+		switch path {
 		case oplog.PathRecords:
 			log.serve(ctx)
 		case instancelist.PathInstances:
 			entries, err := list.List(ctx)
 			answer(ctx, entries, err)
 		case PathLedger:
-			answer(ctx, LogLedger{Records: log.Len()}, nil)
+			answer(ctx, PlatformLedger{Log: LogLedger{Records: log.Len()}, Weights: weights.Ledger()}, nil)
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
--- a/trial/world.go
+++ b/trial/world.go
@@ -14,11 +14,15 @@
 // listLag is how late the instance list shows a change.
 const listLag = 1500 * time.Millisecond
 
+// weightsBytes is the size of the model's weights at the weight store.
+const weightsBytes = 140_000_000_000
+
 // world is the stand-ins of one trial, each behind HTTP on loopback.
 type world struct {
 	deployment Deployment
 	log        *standin.Log
 	list       *standin.List
+	weights    *standin.Weights
 	farm       *standin.Farm
 	plain      *standin.Plain
 	// engines and addresses are by the backend server's name.
@@ -34,6 +38,7 @@
 		deployment: deployment,
 		log:        standin.NewLog(),
 		list:       standin.NewList(listLag),
+		weights:    standin.NewWeights(map[string]int64{deployment.Model: weightsBytes}),
 		farm:       standin.NewFarm(),
 		plain:      standin.NewPlain(deployment.PlainTook),
 		engines:    make(map[string]*standin.Engine),
@@ -52,7 +57,7 @@
 		return errors.Wrap(err, "listen for the platform's stand-in")
 	}
 	w.platform = listener.Addr().String()
-	w.stops = append(w.stops, standin.Serve(listener, standin.PlatformHandler(w.log, w.list)))
+	w.stops = append(w.stops, standin.Serve(listener, standin.PlatformHandler(w.log, w.list, w.weights)))
 	for _, worker := range w.deployment.workers() {
 		if err := w.startWorker(worker); err != nil {
 			return err
--- /dev/null
+++ b/weightstore/weightstore.go
@@ -0,0 +1,77 @@
+// Package weightstore talks to the platform's store of model weights, which
+// is rate-limited: what one reader takes, another lacks.
+package weightstore
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/httpjson"
+)
+
+var (
+	// ErrUnavailable means that the store gave no answer.
+	ErrUnavailable = errors.New("weight store unavailable")
+	// ErrBusy means that the store's rate is used up for the moment.
+	ErrBusy = errors.New("weight store rate exceeded")
+	// ErrUnknown means that the store has no weights of that name.
+	ErrUnknown = errors.New("no such weights")
+)
+
+// Weights describes one version of a model's weights or of an adapter.
+type Weights struct {
+	Name string `json:"name"`
+	// Bytes is the whole size.
+	Bytes int64 `json:"bytes"`
+}
+
+// Ticket allows one fetch of a whole set of weights.
+type Ticket struct {
+	Weights
+	// BytesPerSecond is the rate that the store grants the fetch.
+	BytesPerSecond int64 `json:"bytes_per_second"`
+}
+
+// Client asks the store for leave to fetch. The fetch itself is the engine's.
+type Client interface {
+	// Reserve asks for a rate, in bytes a second, to fetch weights with.
+	Reserve(ctx context.Context, name string, bytesPerSecond int64) (Ticket, error)
+}
+
+// PathWeights is the path of the store's weights.
+const PathWeights = "/v1/weights/"
+
+// HTTP is the Client over HTTP.
+type HTTP struct {
+	base string
+	json *httpjson.Client
+}
+
+// NewHTTP returns a Client for the store at address, "ip:port".
+func NewHTTP(address string) *HTTP {
+	return &HTTP{base: "http://" + address + PathWeights, json: httpjson.New("")}
+}
+
+// Reserve implements Client.
+func (h *HTTP) Reserve(ctx context.Context, name string, bytesPerSecond int64) (Ticket, error) {
+	var ticket Ticket
+	target := h.base + url.PathEscape(name) + "?rate=" + strconv.FormatInt(bytesPerSecond, 10)
+	status, _, err := h.json.Do(ctx, http.MethodPost, target, nil, &ticket)
+	if err != nil {
+		return Ticket{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	switch status {
+	case http.StatusOK:
+		return ticket, nil
+	case http.StatusTooManyRequests:
+		return Ticket{}, ErrBusy
+	case http.StatusNotFound:
+		return Ticket{}, ErrUnknown
+	default:
+		return Ticket{}, errors.Wrapf(ErrUnavailable, "status %d", status)
+	}
+}
