--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/mastwheel/mastwheel/instance"
 	"github.com/mastwheel/mastwheel/standin"
-	"github.com/mastwheel/mastwheel/table"
 )
 
 // site is one instance with a real listener for callers and everything else
@@ -27,48 +26,10 @@
 	address string
 }
 
-const siteTable = `
-[pool.read]
-role = "prefill"
-[pool.write]
-role = "decode"
-[pool.desk]
-role = "plain"
-[service.dossier]
-type = "model"
-model = "dossier"
-prefill_pool = "read"
-decode_pool = "write"
-[service.plate-desk]
-type = "plain"
-pool = "desk"
-[backend.read-1]
-pool = "read"
-address = "10.0.0.1:1"
-zone = "sabana"
-[backend.write-1]
-pool = "write"
-address = "10.0.0.2:1"
-zone = "sabana"
-pieces = 40
-[backend.desk-1]
-pool = "desk"
-address = "10.0.0.4:1"
-zone = "sabana"
-[team.closed]
-in_flight = 1
-`
-
 func newSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{farm: standin.NewFarm(), plain: standin.NewPlain(0)}
-	s.farm.Add("10.0.0.1:1", standin.DefaultEngine("read-1"))
-	s.farm.Add("10.0.0.2:1", standin.DefaultEngine("write-1"))
-	first, err := table.ParseTOML([]byte(siteTable))
-	if err != nil {
-		t.Fatal(err)
-	}
-	record, err := json.Marshal(table.Edit{ID: "1", Author: "ana", Reason: "r", Changes: (&table.Table{}).Diff(first)})
+	s := &site{farm: standin.SampleFarm(), plain: standin.NewPlain(0)}
+	record, err := json.Marshal(standin.SampleEdit())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -226,7 +187,7 @@
 		if _, err := conn.Write([]byte(request)); err != nil {
 			t.Fatal(err)
 		}
-		engine := s.farm.Engine("10.0.0.2:1")
+		engine := s.farm.Engine(standin.SampleDecodeOne)
 		for engine.Ledger().HeldPieces == 0 {
 			time.Sleep(time.Millisecond)
 		}
--- a/instance/golden_test.go
+++ b/instance/golden_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"github.com/mastwheel/mastwheel/standin"
 )
 
 func TestSessionPlainDay(t *testing.T) {
@@ -153,9 +155,9 @@
 func TestSessionCallRefused(t *testing.T) {
 	play(t, func(s *session) {
 		home, witness := s.nodes["sabana-1"], s.nodes["heredia-1"]
-		s.plain.SetDown(plainOne, true)
+		s.plain.SetDown(standin.SamplePlainOne, true)
 		s.hold(home, s.newID(home, witness, "n1"))
-		s.plain.SetDown(plainOne, false)
+		s.plain.SetDown(standin.SamplePlainOne, false)
 		s.plain.Refuse.Store(1)
 		s.hold(home, s.newID(home, witness, "n2"))
 	})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,6 +16,7 @@
 	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
 	"github.com/mastwheel/mastwheel/trace"
+	"github.com/mastwheel/mastwheel/wait"
 )
 
 // Instance is one running instance.
@@ -199,8 +200,8 @@
 	if !i.config.Request.Protect.Drain {
 		return
 	}
-	sleepFor(ctx, i.config.KeepAnswer+i.config.Member.SuspectAfter)
-	for i.InFlight() > 0 && sleepFor(ctx, drainPoll) {
+	wait.For(ctx, i.config.KeepAnswer+i.config.Member.SuspectAfter)
+	for i.InFlight() > 0 && wait.For(ctx, drainPoll) {
 	}
 	i.Runner.Wait()
 }
@@ -215,7 +216,7 @@
 	phase := time.Duration(i.deps.Random() * float64(period))
 	group.Go(func() error {
 		work(ctx)
-		sleepFor(ctx, phase)
+		wait.For(ctx, phase)
 		ticker := time.NewTicker(period)
 		defer ticker.Stop()
 		for {
@@ -228,15 +229,3 @@
 		}
 	})
 }
-
-// sleepFor waits; it returns false when ctx ended first.
-func sleepFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/instance/keeper.go
+++ b/instance/keeper.go
@@ -13,6 +13,7 @@
 	"github.com/mastwheel/mastwheel/peer"
 	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
+	"github.com/mastwheel/mastwheel/wait"
 )
 
 const (
@@ -174,7 +175,7 @@
 			err = i.fold(batch)
 		}
 		if err != nil {
-			sleepFor(ctx, logRetryPause)
+			wait.For(ctx, logRetryPause)
 		}
 	}
 	return ctx.Err()
@@ -275,7 +276,7 @@
 	if errors.Is(appendErr, oplog.ErrTooFast) {
 		return table.Verdict{}, appendErr
 	}
-	for sleepFor(ctx, verdictPoll) {
+	for wait.For(ctx, verdictPoll) {
 		if verdict, known := i.keeper.Verdict(editID); known {
 			return verdict, nil
 		}
--- a/instance/session_test.go
+++ b/instance/session_test.go
@@ -68,53 +68,11 @@
 func (n *node) cutOffLog() { n.log.cut.Store(true) }
 
 const (
-	prefillAddress = "10.0.0.1:1"
-	decodeOne      = "10.0.0.2:1"
-	decodeTwo      = "10.0.0.3:1"
-	plainOne       = "10.0.0.4:1"
-	plainTwo       = "10.0.0.5:1"
+	prefillAddress = standin.SamplePrefill
+	decodeOne      = standin.SampleDecodeOne
+	decodeTwo      = standin.SampleDecodeTwo
 )
 
-// tableTOML is the table of every session.
-const tableTOML = `
-[pool.read]
-role = "prefill"
-[pool.write]
-role = "decode"
-[pool.desk]
-role = "plain"
-[service.dossier]
-type = "model"
-model = "dossier"
-prefill_pool = "read"
-decode_pool = "write"
-[service.plate-desk]
-type = "plain"
-pool = "desk"
-[backend.read-1]
-pool = "read"
-address = "10.0.0.1:1"
-zone = "sabana"
-[backend.write-1]
-pool = "write"
-address = "10.0.0.2:1"
-zone = "sabana"
-pieces = 40
-[backend.write-2]
-pool = "write"
-address = "10.0.0.3:1"
-zone = "heredia"
-pieces = 40
-[backend.desk-1]
-pool = "desk"
-address = "10.0.0.4:1"
-zone = "sabana"
-[backend.desk-2]
-pool = "desk"
-address = "10.0.0.5:1"
-zone = "heredia"
-`
-
 // play runs a session with two instances and compares its transcript with the
 // golden file of the test's name.
 func play(t *testing.T, script func(*session)) {
@@ -140,19 +98,11 @@
 func newSession(t *testing.T) *session {
 	s := &session{
 		t: t, ctx: t.Context(), started: time.Now(),
-		log: standin.NewLog(), list: standin.NewList(0), farm: standin.NewFarm(),
+		log: standin.NewLog(), list: standin.NewList(0), farm: standin.SampleFarm(),
 		plain: standin.NewPlain(5 * time.Millisecond), network: standin.NewNetwork(time.Millisecond / 2),
 		nodes: make(map[string]*node),
 	}
-	for _, address := range []string{prefillAddress, decodeOne, decodeTwo} {
-		s.farm.Add(address, standin.DefaultEngine(address))
-	}
-	first, err := table.ParseTOML([]byte(tableTOML))
-	if err != nil {
-		t.Fatal(err)
-	}
-	changes := (&table.Table{}).Diff(first)
-	s.append(table.Edit{ID: "first", Author: "ana", Reason: "first table", Changes: changes})
+	s.append(standin.SampleEdit())
 	return s
 }
 
--- a/load/run.go
+++ b/load/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/mastwheel/mastwheel/client"
 	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/wait"
 )
 
 // Targets are the latency targets of the model service.
@@ -89,7 +90,7 @@
 	started := time.Now()
 	var group sync.WaitGroup
 	for n, arrival := range options.Arrivals {
-		if !sleepUntil(ctx, started.Add(arrival.At)) {
+		if !wait.Until(ctx, started.Add(arrival.At)) {
 			break
 		}
 		from := options.Callers[n%len(options.Callers)]
@@ -100,17 +101,6 @@
 	return &s.report
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *session) one(ctx context.Context, from *client.Client, arrival Arrival) {
 	if arrival.CancelAfter > 0 {
 		var cancel context.CancelFunc
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -15,52 +15,9 @@
 	"github.com/mastwheel/mastwheel/trace"
 )
 
-const benchTable = `
-[pool.read]
-role = "prefill"
-[pool.write]
-role = "decode"
-[pool.desk]
-role = "plain"
-[service.dossier]
-type = "model"
-model = "dossier"
-prefill_pool = "read"
-decode_pool = "write"
-[service.plate-desk]
-type = "plain"
-pool = "desk"
-[backend.read-1]
-pool = "read"
-address = "10.0.0.1:1"
-zone = "sabana"
-[backend.read-2]
-pool = "read"
-address = "10.0.0.1:2"
-zone = "sabana"
-[backend.write-1]
-pool = "write"
-address = "10.0.0.2:1"
-zone = "sabana"
-pieces = 40
-[backend.write-2]
-pool = "write"
-address = "10.0.0.2:2"
-zone = "sabana"
-pieces = 40
-[backend.desk-1]
-pool = "desk"
-address = "10.0.0.3:1"
-zone = "sabana"
-`
-
 func benchRunner(tb testing.TB) *request.Runner {
 	tb.Helper()
-	parsed, err := table.ParseTOML([]byte(benchTable))
-	if err != nil {
-		tb.Fatal(err)
-	}
-	view := parsed.Compile()
+	view := standin.SampleTable().Compile()
 	view.Revision = 1
 	fleet := route.NewFleet()
 	fleet.Adopt(view)
--- a/request/runner.go
+++ b/request/runner.go
@@ -15,6 +15,7 @@
 	"github.com/mastwheel/mastwheel/service"
 	"github.com/mastwheel/mastwheel/table"
 	"github.com/mastwheel/mastwheel/trace"
+	"github.com/mastwheel/mastwheel/wait"
 )
 
 // Stewards reaches the steward of any decode engine.
@@ -292,12 +293,5 @@
 
 // pause waits a jittered while; it returns false when ctx ended first.
 func (r *Runner) pause(ctx context.Context, mean time.Duration) bool {
-	timer := time.NewTimer(time.Duration(float64(mean) * (0.5 + r.Random())))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, time.Duration(float64(mean)*(0.5+r.Random())))
 }
--- /dev/null
+++ b/standin/engine_decode.go
@@ -0,0 +1,188 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/mastwheel/mastwheel/engine"
+	"github.com/mastwheel/mastwheel/wait"
+)
+
+// dropHeldLocked frees a request's memory before its answer was whole.
+func (e *Engine) dropHeldLocked(key jobKey, j *job, cause string) {
+	e.releaseLocked(key, j)
+	if j.imported && !j.answered {
+		e.wasteLocked(cause, j)
+	}
+}
+
+// Import fetches a KV cache from another engine into memory.
+func (e *Engine) Import(order engine.ImportOrder) error {
+	key := keyOf(order.Attempt)
+	source := e.farm.at(order.Source)
+	if source == nil || source.Faults.Down.Load() {
+		return engine.ErrExpired
+	}
+	result, ok := source.export(key)
+	if !ok {
+		return engine.ErrExpired
+	}
+	j := &job{attempt: order.Attempt, prompt: result.prompt, tokens: result.tokens, pieces: order.Pieces}
+	j.ctx, j.cancel = context.WithCancel(context.Background())
+	if err := e.hold(key, j); err != nil {
+		j.cancel()
+		return err
+	}
+	if take(&e.Faults.StallImports) {
+		<-j.ctx.Done()
+		return engine.ErrBroken
+	}
+	if !source.transmit(j) {
+		return engine.ErrBroken
+	}
+	if _, still := source.export(key); !still {
+		e.mu.Lock()
+		if e.held[key] == j {
+			e.releaseLocked(key, j)
+		}
+		e.mu.Unlock()
+		return engine.ErrExpired
+	}
+	source.exported(key, result)
+	e.mu.Lock()
+	e.ledger.Imports++
+	j.imported = true
+	e.mu.Unlock()
+	return nil
+}
+
+func (e *Engine) hold(key jobKey, j *job) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cancelled[key] || e.refusesLocked() {
+		return engine.ErrRefused
+	}
+	if e.freeLocked() < j.pieces {
+		e.ledger.ImportRefused++
+		e.ledger.OverCommitted++
+		return engine.ErrNoMemory
+	}
+	e.held[key] = j
+	j.hold = len(e.holds)
+	e.holds = append(e.holds, Hold{Prompt: PromptHash(j.prompt), Pieces: j.pieces, From: time.Now()})
+	return nil
+}
+
+// refusesLocked says whether the engine takes no new work because it is
+// leaving, and counts work that comes too late.
+func (e *Engine) refusesLocked() bool {
+	if !e.Faults.Leaving.Load() {
+		e.leavingSince = time.Time{}
+		return false
+	}
+	if e.leavingSince.IsZero() {
+		e.leavingSince = time.Now()
+	}
+	if time.Since(e.leavingSince) > LeavingGrace {
+		e.ledger.LateOrders++
+	}
+	return true
+}
+
+// releaseLocked frees a request's memory.
+func (e *Engine) releaseLocked(key jobKey, j *job) {
+	delete(e.held, key)
+	j.cancel()
+	e.holds[j.hold].Until = time.Now()
+}
+
+// transmit takes the time of a transfer over the engine's one link.
+func (e *Engine) transmit(j *job) bool {
+	if !e.linkGate.enter(j.ctx, 0) {
+		return false
+	}
+	defer e.linkGate.leave()
+	seconds := float64(j.tokens) * e.config.BytesPerToken / e.config.LinkBytesPerSecond
+	return wait.For(j.ctx, e.stretch(time.Duration(seconds*float64(time.Second))))
+}
+
+// Decode generates from position order.From on, into the returned channel,
+// which is closed early when the stream breaks.
+func (e *Engine) Decode(order engine.DecodeOrder) (<-chan engine.Token, error) {
+	key := keyOf(order.Attempt)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	j, ok := e.held[key]
+	if !ok {
+		return nil, engine.ErrExpired
+	}
+	j.stream++
+	tokens := make(chan engine.Token, 2*order.MaxTokens+2)
+	go e.generate(key, j, j.stream, order, tokens)
+	return tokens, nil
+}
+
+// generate emits tokens until the answer is whole, the stream breaks, or
+// another stream of the same job takes over.
+func (e *Engine) generate(key jobKey, j *job, stream int, order engine.DecodeOrder, tokens chan<- engine.Token) {
+	defer close(tokens)
+	breakAt := -1
+	if take(&e.Faults.BreakStreams) {
+		breakAt = order.From + (order.MaxTokens-order.From)/2
+	}
+	for position := order.From; position < order.MaxTokens; position++ {
+		if !wait.For(j.ctx, e.stepTime()) {
+			return
+		}
+		if position == breakAt || !e.isCurrent(j, stream) {
+			return
+		}
+		e.emit(j, tokens, engine.Token{
+			RequestID: order.RequestID, Number: order.Number, Position: position,
+			Text: AnswerToken(j.prompt, position), Last: position == order.MaxTokens-1,
+		})
+	}
+	e.finish(key, j)
+}
+
+func (e *Engine) stepTime() time.Duration {
+	e.mu.Lock()
+	batch := len(e.held)
+	e.mu.Unlock()
+	return e.stretch(e.config.StepBase + time.Duration(batch)*e.config.StepEach)
+}
+
+func (e *Engine) emit(j *job, tokens chan<- engine.Token, token engine.Token) {
+	e.mu.Lock()
+	e.ledger.Tokens++
+	j.answered = true
+	e.mu.Unlock()
+	if take(&e.Faults.ForeignTokens) {
+		foreign := token
+		foreign.RequestID = "foreign"
+		foreign.Text = " foreign"
+		tokens <- foreign
+	}
+	tokens <- token
+	if take(&e.Faults.RepeatTokens) {
+		tokens <- token
+	}
+}
+
+// isCurrent says whether no later stream has taken over. A job without a
+// stream stays in memory: it can be resumed, or must be cancelled.
+func (e *Engine) isCurrent(j *job, stream int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return j.stream == stream
+}
+
+func (e *Engine) finish(key jobKey, j *job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held[key] != j {
+		return
+	}
+	e.releaseLocked(key, j)
+	e.ledger.Finished++
+}
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mastwheel/mastwheel/service"
+	"github.com/mastwheel/mastwheel/wait"
 )
 
 // HeaderOperation is the header by which the ledger knows one operation from
@@ -69,7 +70,7 @@
 	p.runs[operation]++
 	runs := p.runs[operation]
 	p.mu.Unlock()
-	if !sleep(ctx, p.Took) || take(&p.LoseReplies) {
+	if !wait.For(ctx, p.Took) || take(&p.LoseReplies) {
 		return service.Answer{}, service.ErrLost
 	}
 	body := fmt.Sprintf("{\"operation\":%q,\"runs\":%d}\n", operation, runs)
--- a/trial/faults.go
+++ b/trial/faults.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mastwheel/mastwheel/standin"
+	"github.com/mastwheel/mastwheel/wait"
 )
 
 // Fault is one kind of trouble that a trial can make.
@@ -96,7 +97,7 @@
 				i = n
 			}
 		}
-		if !sleepCtx(ctx, time.Until(next[i])) {
+		if !wait.For(ctx, time.Until(next[i])) {
 			return
 		}
 		fault := t.options.Faults[i]
@@ -111,17 +112,6 @@
 	return time.Duration((0.5 + t.random.Float64()) * float64(mean))
 }
 
-func sleepCtx(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // anyEngine draws an engine, anyDecode one of the decode pool.
 func (t *Trial) anyEngine() *standin.Engine {
 	workers := t.options.Deployment.workers()
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -14,6 +14,7 @@
 	"github.com/mastwheel/mastwheel/peer"
 	"github.com/mastwheel/mastwheel/request"
 	"github.com/mastwheel/mastwheel/standin"
+	"github.com/mastwheel/mastwheel/wait"
 )
 
 // Options says what to try.
@@ -208,7 +209,7 @@
 	if t.options.Traffic {
 		report = t.traffic(ctx)
 	} else {
-		sleepCtx(ctx, t.options.Duration)
+		wait.For(ctx, t.options.Duration)
 		report = load.Run(ctx, load.Options{})
 	}
 	t.awaitQuiet()
--- /dev/null
+++ b/wait/wait.go
@@ -0,0 +1,22 @@
+// Package wait holds the one way to sleep that a context can end.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For sleeps for d. It returns false when ctx ended first.
+func For(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Until sleeps until a moment. It returns false when ctx ended first.
+func Until(ctx context.Context, at time.Time) bool { return For(ctx, time.Until(at)) }
