Give orders to engines under a lease that is a chain of claims on the log

Cause: the table could not say which weights an engine is to have, and nothing kept two instances from ordering different ones.

Change: package lease: each claim on the log names the one it follows, the first of two counts at every instance alike, and its offset is the fencing token; column backend.weights; the holder compares engines with the table and orders one of a pool at a time, at a rate that the weight store grants.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -41,7 +41,7 @@
 	config.Name, config.Zone, config.Caller, config.Peer = "sabana-1", "sabana", "127.0.0.1:1", "here"
 	s.Instance = instance.New(config, instance.Deps{
 		Engines: s.farm, Services: s.plain, Log: log, List: standin.NewList(0),
-		Peers: standin.NewNetwork(0).Port("here"), Random: func() float64 { return 0.5 },
+		Peers: standin.NewNetwork(0).Port("here"), Weights: standin.NewWeights(nil), Random: func() float64 { return 0.5 },
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/cmd/mastwheeld/main.go
+++ b/cmd/mastwheeld/main.go
@@ -24,6 +24,7 @@
 	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/peer"
 	"github.com/mastwheel/mastwheel/service"
+	"github.com/mastwheel/mastwheel/weightstore"
 )
 
 func main() {
@@ -99,6 +100,7 @@
 			Log:      oplog.NewHTTP(settings.Platform.Log),
 			List:     instancelist.NewHTTP(settings.Platform.InstanceList),
 			Peers:    siblings,
+			Weights:  weightstore.NewHTTP(settings.Platform.WeightStore),
 			Random:   rand.Float64,
 		},
 		Limits:       settings.CallerLimits(),
--- a/cmd/mastwheeld/main_test.go
+++ b/cmd/mastwheeld/main_test.go
@@ -29,6 +29,7 @@
 [platform]
 log = "PLATFORM"
 instance_list = "PLATFORM"
+weight_store = "PLATFORM"
 [peer]
 listen = "PEERS"
 certificate = "instance.crt"
--- a/compare/compare.go
+++ b/compare/compare.go
@@ -127,7 +127,7 @@
 	random := standin.LockedRandom(rand.New(rand.NewPCG(s.c.Seed, uint64(n))))
 	of := instance.New(config, instance.Deps{
 		Engines: s.farm, Services: standin.NewPlain(0), Log: s.log, List: s.list,
-		Peers: s.network.Port(address), Random: random,
+		Peers: s.network.Port(address), Weights: standin.NewWeights(nil), Random: random,
 	})
 	s.nodes = append(s.nodes, of)
 	s.list.Set(instancelist.Entry{Name: name, Zone: zone, Peer: address, State: instancelist.Live})
--- a/config/config.go
+++ b/config/config.go
@@ -34,6 +34,7 @@
 type Platform struct {
 	Log          string `toml:"log"`
 	InstanceList string `toml:"instance_list"`
+	WeightStore  string `toml:"weight_store"`
 }
 
 // Peer is the interface between siblings.
--- a/config/load.go
+++ b/config/load.go
@@ -138,6 +138,7 @@
 	c.optionalAddress("instance.advertise", s.Instance.Advertise)
 	c.address("platform.log", s.Platform.Log)
 	c.address("platform.instance_list", s.Platform.InstanceList)
+	c.address("platform.weight_store", s.Platform.WeightStore)
 	c.address("peer.listen", s.Peer.Listen)
 	c.optionalAddress("peer.advertise", s.Peer.Advertise)
 	c.existingFile("peer.certificate", s.Peer.Certificate)
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -12,6 +12,8 @@
 
 // Errors that an engine answers with. Callers compare with errors.Is.
 var (
+	// ErrStale means that the engine refused an order for its fencing token.
+	ErrStale = errors.New("engine refused a stale fencing token")
 	// ErrUnreachable means that no byte of the order reached the engine.
 	ErrUnreachable = errors.New("engine unreachable")
 	// ErrRefused means that the engine answered that it did not take the order.
@@ -106,7 +108,11 @@
 	Pieces     int `json:"pieces"`
 	FreePieces int `json:"free_pieces"`
 	// Leaving is set once the engine is about to stop.
-	Leaving bool   `json:"leaving"`
+	Leaving bool `json:"leaving"`
+	// Weights names the version that is loaded, and Loading the one that is
+	// being loaded.
+	Weights string `json:"weights,omitempty"`
+	Loading string `json:"loading,omitempty"`
 	Held    []Held `json:"held,omitempty"`
 }
 
@@ -126,6 +132,18 @@
 	Cancel(ctx context.Context, address string, attempt Attempt) error
 	Load(ctx context.Context, address string) (Load, error)
 	CacheEvents(ctx context.Context, address string, after int64) ([]CacheEvent, error)
+	// Load weights, as the holder of the lease on orders.
+	Order(ctx context.Context, address string, order WeightsOrder) error
+}
+
+// WeightsOrder asks an engine to load a version of its model's weights.
+type WeightsOrder struct {
+	Weights string `json:"weights"`
+	// Token is the fencing token of the lease. Some engines refuse an order
+	// with a lower one than they have seen; others ignore it.
+	Token uint64 `json:"token"`
+	// BytesPerSecond is the rate at which the engine may fetch.
+	BytesPerSecond int64 `json:"bytes_per_second"`
 }
 
 // PieceTokens is the size of one memory piece, in tokens (source: the brief,
--- a/engine/http.go
+++ b/engine/http.go
@@ -22,6 +22,7 @@
 	PathCancel      = "/v1/cancel"
 	PathLoad        = "/v1/load"
 	PathCacheEvents = "/v1/cache-events"
+	PathWeights     = "/v1/weights"
 )
 
 // Status codes with a meaning of their own.
@@ -29,6 +30,7 @@
 	StatusRefused  = http.StatusServiceUnavailable
 	StatusNoMemory = http.StatusInsufficientStorage
 	StatusExpired  = http.StatusGone
+	StatusStale    = http.StatusConflict
 )
 
 const (
@@ -93,6 +95,11 @@
 	return events, err
 }
 
+// Order implements Client.
+func (h *HTTP) Order(ctx context.Context, address string, order WeightsOrder) error {
+	return h.call(ctx, address, PathWeights, order, nil)
+}
+
 // Decode implements Client.
 func (h *HTTP) Decode(ctx context.Context, address string, order DecodeOrder) (Stream, error) {
 	response, err := h.send(ctx, address, PathDecode, order)
@@ -168,6 +175,8 @@
 		return ErrNoMemory
 	case StatusExpired:
 		return ErrExpired
+	case StatusStale:
+		return ErrStale
 	default:
 		return errors.Wrapf(ErrBroken, "status %d", status)
 	}
--- a/instance/config.go
+++ b/instance/config.go
@@ -8,11 +8,13 @@
 
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/instancelist"
+	"github.com/mastwheel/mastwheel/lease"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/peer"
 	"github.com/mastwheel/mastwheel/request"
 	"github.com/mastwheel/mastwheel/service"
+	"github.com/mastwheel/mastwheel/weightstore"
 )
 
 // Config says who an instance is and how it behaves.
@@ -25,7 +27,9 @@
 	Caller string
 	Peer   string
 
-	Member  member.Config
+	Member member.Config
+	// Lease is for orders to engines.
+	Lease   lease.Config
 	Request request.Config
 	// KeepAnswer is how long a caller may keep an address that it was given.
 	// Shorter spreads load and drains faster; longer asks less often.
@@ -55,6 +59,7 @@
 func DefaultRegion() Config {
 	return Config{
 		Member:         member.DefaultRegion(),
+		Lease:          lease.DefaultConfig(),
 		Request:        request.DefaultConfig(),
 		KeepAnswer:     5 * time.Second,
 		OperationLife:  2 * time.Minute,
@@ -74,6 +79,7 @@
 	Log      oplog.Client
 	List     instancelist.Client
 	Peers    peer.Transport
+	Weights  weightstore.Client
 	// Random returns a number in [0,1).
 	Random func() float64
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -39,6 +39,10 @@
 	keeper     *keeper
 	caches     cacheFeed
 	held       heldSince
+	orders     orders
+	// ordersToken and ordersUntil publish the lease for HoldsOrders.
+	ordersToken atomic.Uint64
+	ordersUntil atomic.Int64
 
 	// beats counts the heartbeats sent; only the heartbeat loop uses it.
 	beats int
@@ -183,6 +187,7 @@
 	group.Go(func() error { return i.followLog(ctx) })
 	i.goEvery(ctx, group, i.config.ListEvery, i.readList)
 	i.goEvery(ctx, group, snapshotLook, i.writeSnapshot)
+	i.goEvery(ctx, group, ordersEvery, i.runOrders)
 	i.goEvery(ctx, group, i.config.Member.HeartbeatEvery, i.heartbeat)
 	i.goEvery(ctx, group, i.config.LoadEvery, i.inspectWorkers)
 	err := group.Wait()
--- a/instance/keeper.go
+++ b/instance/keeper.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/lease"
 	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/peer"
 	"github.com/mastwheel/mastwheel/route"
@@ -67,6 +68,13 @@
 	return k.fold.Verdict(editID)
 }
 
+// Lease returns the state of a lease.
+func (k *keeper) Lease(key string) lease.State {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fold.Lease(key)
+}
+
 // History returns the last verdicts, the latest first, and how many records
 // were refused as they could not be read or verified.
 func (k *keeper) History() (verdicts []table.Verdict, bad int) {
--- a/instance/session_test.go
+++ b/instance/session_test.go
@@ -37,6 +37,7 @@
 	list    *standin.List
 	farm    *standin.Farm
 	plain   *standin.Plain
+	weights *standin.Weights
 	network *standin.Network
 	nodes   map[string]*node
 	text    strings.Builder
@@ -48,6 +49,7 @@
 	line *standin.Lifeline
 	port *standin.Port
 	log  *partedLog
+	late *lateOrders
 	done chan struct{}
 }
 
@@ -99,7 +101,8 @@
 	s := &session{
 		t: t, ctx: t.Context(), started: time.Now(),
 		log: standin.NewLog(), list: standin.NewList(0), farm: standin.SampleFarm(),
-		plain: standin.NewPlain(5 * time.Millisecond), network: standin.NewNetwork(time.Millisecond / 2),
+		weights: standin.NewWeights(map[string]int64{"v1": 1, "v2": 1, "v3": 1}),
+		plain:   standin.NewPlain(5 * time.Millisecond), network: standin.NewNetwork(time.Millisecond / 2),
 		nodes: make(map[string]*node),
 	}
 	s.append(standin.SampleEdit())
@@ -129,9 +132,10 @@
 	config.Name, config.Zone, config.Caller, config.Peer = name, zone, name+":80", address
 	random := rand.New(rand.NewPCG(1, uint64(len(name))))
 	n := &node{line: standin.NewLifeline(), port: port, log: &partedLog{Client: s.log}, done: make(chan struct{})}
+	n.late = &lateOrders{Client: s.farm}
 	n.Instance = instance.New(config, instance.Deps{
-		Engines: n.line.Engines(s.farm), Services: n.line.Services(s.plain),
-		Log: n.line.Log(n.log), List: n.line.List(s.list), Peers: n.line.Peers(port),
+		Engines: n.line.Engines(n.late), Services: n.line.Services(s.plain),
+		Log: n.line.Log(n.log), List: n.line.List(s.list), Peers: n.line.Peers(port), Weights: s.weights,
 		Random: standin.LockedRandom(random),
 	})
 	s.nodes[name] = n
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,126 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// chain is a log with one lease and some candidates. Claims take a while to
+// arrive, are seen late, and candidates freeze.
+type chain struct {
+	state  State
+	offset uint64
+	// inFlight are claims under way, each with the moment of its arrival.
+	inFlight []flight
+	// views are the states as each candidate sees them, late.
+	candidates []*Candidate
+	frozen     []time.Time
+	lag        []time.Duration
+	history    []moment
+}
+
+type flight struct {
+	claim  Claim
+	arrive time.Time
+}
+
+type moment struct {
+	at    time.Time
+	state State
+}
+
+func (c *chain) stateAt(at time.Time) State {
+	state := State{}
+	for _, m := range c.history {
+		if !m.at.After(at) {
+			state = m.state
+		}
+	}
+	return state
+}
+
+// Never are two candidates valid at once, however claims are delayed, seen
+// late, lost, or their senders frozen.
+func TestNoSecondHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		count := rapid.IntRange(2, 4).Draw(t, "candidates")
+		c := &chain{frozen: make([]time.Time, count), lag: make([]time.Duration, count)}
+		for i := range count {
+			c.candidates = append(c.candidates, NewCandidate(DefaultConfig(), "orders", string(rune('a'+i)), start))
+			c.lag[i] = time.Duration(rapid.IntRange(0, 4000).Draw(t, "lag")) * time.Millisecond
+		}
+		for step := range 400 {
+			now := start.Add(time.Duration(step) * 500 * time.Millisecond)
+			c.land(now)
+			valid := 0
+			for i, candidate := range c.candidates {
+				if _, ok := candidate.Valid(now); ok {
+					valid++
+				}
+				if now.Before(c.frozen[i]) {
+					continue
+				}
+				if rapid.IntRange(0, 60).Draw(t, "freeze") == 0 {
+					c.frozen[i] = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "for")) * time.Second)
+					continue
+				}
+				candidate.Observe(c.stateAt(now.Add(-c.lag[i])), now)
+				claim, ok := candidate.Next(now, i == 0)
+				if ok && rapid.IntRange(0, 9).Draw(t, "lost") > 0 {
+					delay := time.Duration(rapid.IntRange(0, 30_000).Draw(t, "delay")) * time.Millisecond
+					c.inFlight = append(c.inFlight, flight{claim, now.Add(delay)})
+				}
+			}
+			if valid > 1 {
+				t.Fatalf("%d holders at %s", valid, now.Sub(start))
+			}
+		}
+	})
+}
+
+// land lets the claims that have arrived count.
+func (c *chain) land(now time.Time) {
+	var rest []flight
+	for _, f := range c.inFlight {
+		if f.arrive.After(now) {
+			rest = append(rest, f)
+			continue
+		}
+		c.offset++
+		if next, counted := c.state.Follow(f.claim, c.offset); counted {
+			c.state = next
+			c.history = append(c.history, moment{now, next})
+		}
+	}
+	c.inFlight = rest
+}
+
+// Left alone, the first in line holds the lease, and the next takes over
+// after its death.
+func TestTakeOver(t *testing.T) {
+	start := time.Unix(1000, 0)
+	first := NewCandidate(DefaultConfig(), "orders", "a", start)
+	next := NewCandidate(DefaultConfig(), "orders", "b", start)
+	claim, ok := first.Next(start, true)
+	if !ok {
+		t.Fatal("the first in line did not claim")
+	}
+	state, _ := State{}.Follow(claim, 7)
+	first.Observe(state, start)
+	next.Observe(state, start)
+	if token, ok := first.Valid(start); !ok || token != 7 {
+		t.Fatalf("holder has token %d, valid %v", token, ok)
+	}
+	if _, ok := first.Valid(start.Add(17 * time.Second)); ok {
+		t.Fatal("valid without a renewal")
+	}
+	if _, ok := next.Next(start.Add(22*time.Second), true); ok {
+		t.Fatal("challenged too soon")
+	}
+	if _, ok := next.Next(start.Add(23*time.Second), true); !ok {
+		t.Fatal("did not challenge")
+	}
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -28,6 +28,10 @@
 	ReportLag time.Duration
 	// CachedPrefixes bounds the prefix cache.
 	CachedPrefixes int
+	// Fences makes the engine refuse orders with an old fencing token.
+	Fences bool
+	// WeightsBytes is the size of any version of the weights.
+	WeightsBytes int64
 }
 
 // DefaultEngine has the sizes of the brief: a decode engine holds about twenty
@@ -45,6 +49,8 @@
 		Window:             800 * time.Millisecond,
 		ReportLag:          200 * time.Millisecond,
 		CachedPrefixes:     512,
+		Fences:             true,
+		WeightsBytes:       20_000_000_000,
 	}
 }
 
@@ -97,6 +103,11 @@
 	ran map[string]bool
 	// holds is the history of the memory.
 	holds []Hold
+	// weights is what is loaded, loading what is being loaded, and token the
+	// highest fencing token seen.
+	weights string
+	loading string
+	token   uint64
 	// leavingSince is when Leaving was first seen set.
 	leavingSince time.Time
 }
@@ -165,7 +176,7 @@
 		e.report = engine.Load{
 			Running: len(e.held) + len(e.results), WaitingTokens: e.waiting,
 			Pieces: e.config.Pieces, FreePieces: e.freeLocked(),
-			Leaving: e.Faults.Leaving.Load(), Held: e.heldLocked(),
+			Leaving: e.Faults.Leaving.Load(), Held: e.heldLocked(), Weights: e.weights, Loading: e.loading,
 		}
 	}
 	return e.report
--- a/standin/engine_ledger.go
+++ b/standin/engine_ledger.go
@@ -26,6 +26,12 @@
 	// LateOrders counts new work that arrived more than LeavingGrace after the
 	// engine began to say that it is leaving.
 	LateOrders int64 `json:"late_orders"`
+	// Orders counts orders to load weights that were taken, StaleTaken those
+	// with an older fencing token than one seen before, and StaleRefused those
+	// that were refused for it.
+	Orders       int64 `json:"orders"`
+	StaleTaken   int64 `json:"stale_taken"`
+	StaleRefused int64 `json:"stale_refused"`
 }
 
 // LeavingGrace is how long after its first word a leaving engine may still be
--- a/standin/farm.go
+++ b/standin/farm.go
@@ -112,6 +112,15 @@
 	return e.Load(), nil
 }
 
+// Order implements engine.Client.
+func (f *Farm) Order(_ context.Context, address string, order engine.WeightsOrder) error {
+	e, err := f.reach(address)
+	if err != nil {
+		return err
+	}
+	return e.Order(order)
+}
+
 // CacheEvents implements engine.Client.
 func (f *Farm) CacheEvents(_ context.Context, address string, after int64) ([]engine.CacheEvent, error) {
 	e, err := f.reach(address)
--- a/standin/http.go
+++ b/standin/http.go
@@ -68,6 +68,8 @@
 		handleOrder(ctx, func(order engine.ImportOrder) (struct{}, error) { return struct{}{}, e.Import(order) })
 	case engine.PathCancel:
 		handleOrder(ctx, func(attempt engine.Attempt) (struct{}, error) { return struct{}{}, e.Cancel(attempt) })
+	case engine.PathWeights:
+		handleOrder(ctx, func(order engine.WeightsOrder) (struct{}, error) { return struct{}{}, e.Order(order) })
 	case engine.PathLoad:
 		answer(ctx, e.Load(), nil)
 	case engine.PathCacheEvents:
@@ -137,6 +139,8 @@
 	switch {
 	case errors.Is(err, engine.ErrRefused):
 		return engine.StatusRefused
+	case errors.Is(err, engine.ErrStale):
+		return engine.StatusStale
 	case errors.Is(err, engine.ErrNoMemory):
 		return engine.StatusNoMemory
 	case errors.Is(err, engine.ErrExpired), errors.Is(err, oplog.ErrTruncated):
--- a/standin/instant.go
+++ b/standin/instant.go
@@ -34,6 +34,9 @@
 	return nil, nil
 }
 
+// Order implements engine.Client.
+func (Instant) Order(context.Context, string, engine.WeightsOrder) error { return nil }
+
 // Decode implements engine.Client.
 func (Instant) Decode(_ context.Context, _ string, order engine.DecodeOrder) (engine.Stream, error) {
 	return &instantStream{order: order}, nil
--- a/standin/lifeline.go
+++ b/standin/lifeline.go
@@ -140,6 +140,13 @@
 	return e.Client.Cancel(ctx, address, attempt)
 }
 
+func (e engines) Order(ctx context.Context, address string, order engine.WeightsOrder) error {
+	if !e.pass() {
+		return engine.ErrBroken
+	}
+	return e.Client.Order(ctx, address, order)
+}
+
 func (e engines) Load(ctx context.Context, address string) (engine.Load, error) {
 	if !e.pass() {
 		return engine.Load{}, engine.ErrBroken
--- a/table/column.go
+++ b/table/column.go
@@ -41,6 +41,7 @@
 	ColInFlight     Column = "in_flight"
 	ColRetryPercent Column = "retry_percent"
 	ColDrain        Column = "drain"
+	ColWeights      Column = "weights"
 )
 
 // Types of a service.
@@ -92,6 +93,7 @@
 		{column: ColPieces, check: intIn(0, 1_000_000)},
 		{column: ColLink, check: intIn(1, 10_000_000)},
 		{column: ColDrain, check: oneOf("true", "false")},
+		{column: ColWeights, check: anyText},
 	},
 	Team: {
 		{column: ColShare, check: intIn(1, 1_000_000)},
--- a/table/fold.go
+++ b/table/fold.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 
 	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/lease"
 )
 
 // Verdict is what the fold decided about one edit.
@@ -40,17 +42,26 @@
 	// counts records that were refused as they could not be read or verified.
 	seen uint64
 	bad  int
+	// leases are the last claims that counted, by key.
+	leases map[string]lease.State
 }
 
 // logRecord is the form of a record: an edit, or a snapshot.
 type logRecord struct {
 	Edit
-	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	Snapshot *Snapshot    `json:"snapshot,omitempty"`
+	Lease    *lease.Claim `json:"lease,omitempty"`
+}
+
+// LeaseRecord writes a claim as a record for the log.
+func LeaseRecord(claim lease.Claim) ([]byte, error) {
+	record, err := json.Marshal(logRecord{Lease: &claim})
+	return record, errors.Wrap(err, "write lease record")
 }
 
 // NewFold starts at the first offset of the log with the empty table.
 func NewFold() *Fold {
-	return &Fold{table: &Table{}, next: 1, byID: make(map[string]Verdict)}
+	return &Fold{table: &Table{}, next: 1, byID: make(map[string]Verdict), leases: make(map[string]lease.State)}
 }
 
 // Table returns the table after the last record.
@@ -106,9 +117,22 @@
 		f.verify(record.Snapshot)
 		return
 	}
+	if record.Lease != nil {
+		f.claim(offset, *record.Lease)
+		return
+	}
 	f.decide(offset, record.Edit)
 }
 
+// Lease returns the state of a lease.
+func (f *Fold) Lease(key string) lease.State { return f.leases[key] }
+
+func (f *Fold) claim(offset uint64, claim lease.Claim) {
+	if next, counted := f.leases[claim.Key].Follow(claim, offset); counted {
+		f.leases[claim.Key] = next
+	}
+}
+
 func (f *Fold) decide(offset uint64, edit Edit) {
 	if edit.ID == "" {
 		f.bad++
--- a/table/snapshot.go
+++ b/table/snapshot.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"maps"
 
 	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/lease"
 )
 
 // SnapshotEvery is the number of records between two states of which a
@@ -17,12 +20,13 @@
 	Next  uint64 `json:"next"`
 	Table *Table `json:"table"`
 	// Hash is that of the table.
-	Hash     uint64    `json:"hash"`
-	Verdicts []Verdict `json:"verdicts"`
+	Hash     uint64                 `json:"hash"`
+	Verdicts []Verdict              `json:"verdicts"`
+	Leases   map[string]lease.State `json:"leases"`
 }
 
 func (f *Fold) snapshot() *Snapshot {
-	s := &Snapshot{Next: f.next, Table: f.table, Hash: f.table.Hash(), Verdicts: make([]Verdict, 0, len(f.order))}
+	s := &Snapshot{Next: f.next, Table: f.table, Hash: f.table.Hash(), Verdicts: make([]Verdict, 0, len(f.order)), Leases: maps.Clone(f.leases)}
 	for _, id := range f.order {
 		s.Verdicts = append(s.Verdicts, f.byID[id])
 	}
@@ -82,6 +86,10 @@
 	}
 	f.next = s.Next
 	f.table = s.Table
+	f.leases = maps.Clone(s.Leases)
+	if f.leases == nil {
+		f.leases = make(map[string]lease.State)
+	}
 	f.byID = make(map[string]Verdict, len(s.Verdicts))
 	f.order = nil
 	for _, verdict := range s.Verdicts {
--- a/table/view.go
+++ b/table/view.go
@@ -32,6 +32,9 @@
 	// LinkBytesPerSecond is the rate of the server's link for KV transfers.
 	LinkBytesPerSecond int64
 	Drain              bool
+	// Weights names the version that the server is to have loaded; empty
+	// leaves it to the platform.
+	Weights string
 }
 
 // TeamView is a team row with its values parsed.
@@ -118,6 +121,7 @@
 		Pieces:             number(cells[ColPieces], 0),
 		LinkBytesPerSecond: int64(number(cells[ColLink], defaultLinkMB)) * bytesPerMB,
 		Drain:              cells[ColDrain] == "true",
+		Weights:            cells[ColWeights],
 	}
 }
 
--- a/trial/node.go
+++ b/trial/node.go
@@ -20,6 +20,7 @@
 	"github.com/mastwheel/mastwheel/request"
 	"github.com/mastwheel/mastwheel/service"
 	"github.com/mastwheel/mastwheel/standin"
+	"github.com/mastwheel/mastwheel/weightstore"
 )
 
 // Tokens are the operators' tokens of every trial.
@@ -127,6 +128,7 @@
 			Log:      n.line.Log(oplog.NewHTTP(o.world.platform)),
 			List:     n.line.List(instancelist.NewHTTP(o.world.platform)),
 			Peers:    n.line.Peers(transport),
+			Weights:  weightstore.NewHTTP(o.world.platform),
 			Random:   standin.LockedRandom(o.random),
 		},
 		Limits:       caller.DefaultLimits(),
