Divide large regions into cells

Cause: everybody knew everybody, which costs 537 B/s for each sibling and is over 20 KB/s from 38 instances on; every instance read the log and the whole list.

Change: package cell; a region of more than 24 instances is divided into cells of about 16 of one zone by rendezvous hashing over the zone's list; stewards, placement and the lease on orders are the cell's own; two contacts in each other zone, for witnesses; two readers of the log in a cell of more than 8, the others follow through heartbeats; lists are read by zone.

Conclusion: what an instance knows and sends no longer grows with the region.

--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -1,6 +1,10 @@
 package capacity
 
-import "math"
+import (
+	"math"
+
+	"github.com/mastwheel/mastwheel/cell"
+)
 
 // Size is a deployment's size. Rates are at the peak, a second.
 type Size struct {
@@ -49,14 +53,16 @@
 
 // Choices of the design that the arithmetic leads to.
 const (
-	// CellSize is the most instances of one cell.
-	CellSize = 24
 	// heartbeats and polls a second.
 	heartbeatRate = 1
 	pollRate      = 4
 	// leaseSeconds is how often a cell renews its lease for orders.
-	leaseSeconds = 10
+	leaseSeconds = 8
 	secondsADay  = 86_400
+	// listSeconds is how often a large region reads the list.
+	listSeconds = 5
+	// listEntryBytes is an entry of the instance list as JSON.
+	listEntryBytes = 90
 	// operationSeconds is how long an operation is remembered: its life of two
 	// minutes and the witness's minute.
 	operationSeconds = 180
@@ -87,8 +93,25 @@
 	return s
 }
 
-// Cells is the number of cells, none larger than CellSize.
-func (p Plan) Cells() float64 { return math.Ceil(p.Instances / CellSize) }
+// Cells is the number of cells: one for a small region, else so many in each
+// zone that they have the mean size.
+func (p Plan) Cells() float64 {
+	config := cell.DefaultConfig()
+	if p.Instances <= float64(config.Most) {
+		return 1
+	}
+	return p.Zones * float64(config.Count(int(math.Ceil(p.Instances/p.Zones))))
+}
+
+// Members is the siblings that an instance keeps up with: those of its cell,
+// its contacts in the other zones of its region, and those that chose it.
+func (p Plan) Members() float64 {
+	if p.Cells() == 1 {
+		return p.Instances - 1
+	}
+	otherZones := p.Zones/p.Regions - 1
+	return p.Cell() - 1 + 2*otherZones*float64(cell.DefaultConfig().Contacts)
+}
 
 // Cell is the instances of a cell.
 func (p Plan) Cell() float64 { return p.Instances / p.Cells() }
@@ -113,10 +136,17 @@
 func (p Plan) AnswerTokens() float64 { return p.Tokens / p.Requests }
 
 // MeshBytes and MeshCPU are what membership in a cell takes a second.
-func (p Plan) MeshBytes() float64 { return heartbeatRate * p.Slope("mesh_bytes").At(p.Cell()-1) }
+func (p Plan) MeshBytes() float64 { return heartbeatRate * p.Slope("mesh_bytes").At(p.Members()) }
+
+// ListBytes is what reading the instance list takes a second: the zone's own
+// list, another zone's in turn, and the names of the zones, every five seconds;
+// an entry as JSON is about 90 bytes.
+func (p Plan) ListBytes() float64 {
+	return 2 * p.Instances / p.Zones * listEntryBytes / listSeconds
+}
 
 // MeshCPU is in nanoseconds a second.
-func (p Plan) MeshCPU() float64 { return heartbeatRate * p.Slope("mesh_cpu").At(p.Cell()-1) }
+func (p Plan) MeshCPU() float64 { return heartbeatRate * p.Slope("mesh_cpu").At(p.Members()) }
 
 // FullMeshBytes is what membership would take without cells.
 func (p Plan) FullMeshBytes() float64 {
@@ -179,7 +209,7 @@
 func (p Plan) TableMemory() float64 { return 2 * p.Slope("table_memory").At(p.Rows()) }
 
 // MemberMemory is for the siblings of the cell.
-func (p Plan) MemberMemory() float64 { return p.Slope("member_memory").At(p.Cell()) }
+func (p Plan) MemberMemory() float64 { return p.Slope("member_memory").At(p.Members()) }
 
 // ServerMemory is for the workers of the cell.
 func (p Plan) ServerMemory() float64 { return p.Slope("server_memory").At(p.CellWorkers()) }
@@ -218,7 +248,7 @@
 
 // ControlBytes is what control takes without reservations, a second.
 func (p Plan) ControlBytes() float64 {
-	return p.MeshBytes() + p.ChangesPerSecond()*p.EditBytes()*2
+	return p.MeshBytes() + p.ListBytes() + p.ChangesPerSecond()*p.EditBytes()*2
 }
 
 // ControlCPU is what control takes, reservations included, in nanoseconds a second.
--- /dev/null
+++ b/instance/cells_test.go
@@ -0,0 +1,200 @@
+package instance_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mastwheel/mastwheel/instance"
+	"github.com/mastwheel/mastwheel/instancelist"
+	"github.com/mastwheel/mastwheel/standin"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+var measure = flag.Bool("measure", false, "measure large regions")
+
+// region is a large region in memory: many instances, and workers that are
+// only rows and reports.
+type region struct {
+	log     *standin.Log
+	list    *standin.List
+	farm    *standin.Farm
+	network *standin.Network
+	nodes   []*instance.Instance
+	ports   []*standin.Port
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+const regionZones = 3
+
+func newRegion(t *testing.T, instances, workers int) *region {
+	r := &region{
+		log: standin.NewLog(), list: standin.NewList(time.Second), farm: standin.NewFarm(),
+		network: standin.NewNetwork(time.Millisecond),
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	r.append(t, r.workerRows(workers))
+	for n := range instances {
+		r.add(ctx, n)
+	}
+	return r
+}
+
+func (r *region) append(t *testing.T, edit table.Edit) {
+	t.Helper()
+	if _, err := r.log.Append(t.Context(), recordOf(t, edit)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (r *region) workerRows(workers int) table.Edit {
+	text := "[pool.write]\nrole = \"decode\"\n"
+	for n := range workers {
+		address := fmt.Sprintf("10.2.%d.%d:1", n/250, n%250)
+		text += fmt.Sprintf("[backend.write-%d]\npool = \"write\"\naddress = %q\nzone = \"zone-%d\"\npieces = 40\n", n, address, n%regionZones)
+		r.farm.Add(address, standin.DefaultEngine(fmt.Sprint("write-", n)))
+	}
+	parsed, err := table.ParseTOML([]byte(text))
+	if err != nil {
+		panic(err)
+	}
+	return table.Edit{ID: "workers", Author: "ana", Reason: "workers", Changes: (&table.Table{}).Diff(parsed)}
+}
+
+func (r *region) add(ctx context.Context, n int) {
+	config := instance.DefaultLargeRegion()
+	config.Name, config.Zone = fmt.Sprintf("node-%03d", n), fmt.Sprint("zone-", n%regionZones)
+	config.Caller, config.Peer = fmt.Sprintf("10.3.%d.%d:80", n/250, n%250), fmt.Sprintf("10.3.%d.%d:7", n/250, n%250)
+	port := r.network.Port(config.Peer)
+	random := standin.LockedRandom(rand.New(rand.NewPCG(7, uint64(n))))
+	of := instance.New(config, instance.Deps{
+		Engines: r.farm, Services: standin.NewPlain(0), Log: r.log, List: r.list, Peers: port,
+		Weights: standin.NewWeights(nil), Random: random,
+	})
+	r.nodes, r.ports = append(r.nodes, of), append(r.ports, port)
+	r.list.Set(instancelist.Entry{Name: config.Name, Zone: config.Zone, Peer: config.Peer, State: instancelist.Live})
+	r.done.Go(func() { of.Run(ctx) })
+}
+
+// inForce waits until every instance has a revision, and returns how long the
+// last one took.
+func (r *region) inForce(revision uint64) time.Duration {
+	started := time.Now()
+	for _, n := range r.nodes {
+		for n.Table().Revision < revision && time.Since(started) < time.Minute {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return time.Since(started)
+}
+
+// regionFigures is what a region of some size shows.
+type regionFigures struct {
+	cells, largest, mostMembers int
+	stewards                    map[string]int
+	slowest                     time.Duration
+	bytesPerSecond              float64
+	messagesPerSecond           float64
+}
+
+const measureRegion = 10 * time.Second
+
+func measureOf(t *testing.T, instances, workers int) regionFigures {
+	var f regionFigures
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t, instances, workers)
+		time.Sleep(40 * time.Second)
+		f = r.figures()
+		before := r.sent()
+		time.Sleep(measureRegion)
+		after := r.sent()
+		perNode := float64(instances) * measureRegion.Seconds()
+		f.bytesPerSecond = float64(after.Bytes-before.Bytes) / perNode
+		f.messagesPerSecond = float64(after.Messages-before.Messages) / perNode
+		for n := range 5 {
+			revision := r.nodes[0].Table().Revision
+			edit := cell(fmt.Sprint("e", n), revision, "counter", fmt.Sprint(n+1))
+			r.append(t, edit)
+			f.slowest = max(f.slowest, r.inForce(uint64(n+2)))
+		}
+		r.stop()
+		r.done.Wait()
+		time.Sleep(time.Minute)
+	})
+	return f
+}
+
+func (r *region) sent() standin.Traffic {
+	var total standin.Traffic
+	for _, port := range r.ports {
+		traffic := port.Traffic()
+		total.Bytes += traffic.Bytes
+		total.Messages += traffic.Messages
+	}
+	return total
+}
+
+func (r *region) figures() regionFigures {
+	f := regionFigures{stewards: make(map[string]int)}
+	sizes := make(map[string]int)
+	for _, n := range r.nodes {
+		sizes[n.Cell()]++
+		f.mostMembers = max(f.mostMembers, len(n.Members().Siblings))
+		for worker := range n.View().Backends {
+			if n.Steward(worker) == n.Self().Name {
+				f.stewards[worker]++
+			}
+		}
+	}
+	f.cells = len(sizes)
+	for _, size := range sizes {
+		f.largest = max(f.largest, size)
+	}
+	return f
+}
+
+// In a region of several cells, each worker has one steward, nobody knows
+// more than its cell and a few others, and a change reaches everybody.
+func TestCells(t *testing.T) {
+	for _, instances := range []int{8, 80} {
+		workers := instances * 3
+		f := measureOf(t, instances, workers)
+		if len(f.stewards) != workers {
+			t.Errorf("%d instances: %d of %d workers have a steward", instances, len(f.stewards), workers)
+		}
+		for worker, stewards := range f.stewards {
+			if stewards != 1 {
+				t.Errorf("%d instances: worker %s has %d stewards", instances, worker, stewards)
+			}
+		}
+		if wholeRegion := f.cells == 1; wholeRegion != (instances <= 24) {
+			t.Errorf("%d instances: %d cells", instances, f.cells)
+		}
+		if f.mostMembers > 40 {
+			t.Errorf("%d instances: somebody knows %d", instances, f.mostMembers)
+		}
+		if f.slowest > 10*time.Second {
+			t.Errorf("%d instances: a change took %s", instances, f.slowest)
+		}
+	}
+}
+
+// TestMeasureCells prints the figures of docs/design/0004-cells.md. It runs
+// only when asked to: go test ./instance -run TestMeasureCells -v -measure
+func TestMeasureCells(t *testing.T) {
+	if !*measure {
+		t.Skip("run with -measure")
+	}
+	for _, instances := range []int{8, 24, 80, 200, 400} {
+		f := measureOf(t, instances, instances*7)
+		t.Logf("instances %d: cells %d, largest %d, most members known %d, slowest change of 5 %s, sent %.0f B/s and %.1f messages/s each",
+			instances, f.cells, f.largest, f.mostMembers, f.slowest, f.bytesPerSecond, f.messagesPerSecond)
+	}
+}
--- a/instance/config.go
+++ b/instance/config.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/mastwheel/mastwheel/cell"
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/instancelist"
 	"github.com/mastwheel/mastwheel/lease"
@@ -28,6 +29,8 @@
 	Peer   string
 
 	Member member.Config
+	// Cell divides a large region.
+	Cell cell.Config
 	// Lease is for orders to engines.
 	Lease   lease.Config
 	Request request.Config
@@ -59,6 +62,7 @@
 func DefaultRegion() Config {
 	return Config{
 		Member:         member.DefaultRegion(),
+		Cell:           cell.DefaultConfig(),
 		Lease:          lease.DefaultConfig(),
 		Request:        request.DefaultConfig(),
 		KeepAnswer:     5 * time.Second,
@@ -72,6 +76,17 @@
 	}
 }
 
+// DefaultLargeRegion suits a region of more instances than one cell holds:
+// everything that costs bytes for each sibling or listed instance is rarer.
+func DefaultLargeRegion() Config {
+	config := DefaultRegion()
+	config.Member = member.DefaultCell()
+	config.ListEvery = 5 * time.Second
+	config.LoadEvery = 250 * time.Millisecond
+	config.StaleAfter = 10 * time.Second
+	return config
+}
+
 // Deps is the outside world of an instance.
 type Deps struct {
 	Engines  engine.Client
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/mastwheel/mastwheel/cell"
+	"github.com/mastwheel/mastwheel/instancelist"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/operation"
@@ -39,6 +41,7 @@
 	keeper     *keeper
 	caches     cacheFeed
 	held       heldSince
+	cells      cells
 	orders     orders
 	// ordersToken and ordersUntil publish the lease for HoldsOrders.
 	ordersToken atomic.Uint64
@@ -77,6 +80,8 @@
 		witness:    operation.NewWitness(self, config.MostOperations),
 		keeper:     newKeeper(fleet),
 	}
+	i.cells.place.Store(&place{cell: cell.Whole})
+	i.cells.far = make(map[string][]instancelist.Entry)
 	i.Runner = request.NewRunner(request.Deps{
 		Home:       self.String(),
 		Zone:       config.Zone,
@@ -153,6 +158,7 @@
 		Revision:    i.keeper.Table().Revision,
 		Next:        i.keeper.Next(),
 		InFlight:    i.InFlight(),
+		Cell:        i.Cell(),
 	}
 }
 
--- a/instance/keeper.go
+++ b/instance/keeper.go
@@ -29,6 +29,8 @@
 // keeper holds the fold, the tables that it made, and the last records.
 type keeper struct {
 	fleet *route.Fleet
+	// keep says which backend servers are this cell's; nil for all.
+	keep func(*table.BackendView) bool
 
 	mu      sync.Mutex
 	fold    *table.Fold
@@ -146,10 +148,24 @@
 		k.current.Store(&inForce{table: now, view: current.view, next: k.fold.Next()})
 		return
 	}
-	view := now.Compile()
+	k.publishView(now.Compile())
+}
+
+// restrict keeps to some of the backend servers from now on.
+func (k *keeper) restrict(keep func(*table.BackendView) bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keep = keep
+	k.publishView(k.fold.Table().Compile())
+}
+
+func (k *keeper) publishView(view *table.View) {
+	if k.keep != nil {
+		view = view.Restrict(k.keep)
+	}
 	// The fleet first: whoever sees a row in the view finds its server.
 	k.fleet.Adopt(view)
-	k.current.Store(&inForce{table: now, view: view, next: k.fold.Next()})
+	k.current.Store(&inForce{table: k.fold.Table(), view: view, next: k.fold.Next()})
 }
 
 // answer returns records from an offset on, or a snapshot when those are no
@@ -175,6 +191,10 @@
 // followLog folds the log as it grows.
 func (i *Instance) followLog(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !i.readsLog() {
+			wait.For(ctx, logRetryPause)
+			continue
+		}
 		batch, err := i.deps.Log.Read(ctx, i.keeper.Next(), readBatch)
 		if errors.Is(err, oplog.ErrTruncated) {
 			err = i.skipToSnapshot(ctx, batch.First)
--- a/instance/orders.go
+++ b/instance/orders.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// ordersKey names the lease on orders to engines.
-	ordersKey = "orders"
+	// ordersKey, with the name of the cell, names the lease on orders to the
+	// engines of the cell.
+	ordersKey = "orders "
 	// ordersEvery is how often the lease and the engines are looked at.
 	ordersEvery = 500 * time.Millisecond
 	// fetchRate is the rate that is asked for one load, in bytes a second: a
@@ -29,6 +30,7 @@
 // orders is this instance's part in giving orders to engines. Only its loop
 // uses it.
 type orders struct {
+	key       string
 	candidate *lease.Candidate
 }
 
@@ -36,11 +38,12 @@
 // engines to the weights that the table names.
 func (i *Instance) runOrders(ctx context.Context) {
 	now := time.Now()
-	if i.orders.candidate == nil {
-		i.orders.candidate = lease.NewCandidate(i.config.Lease, ordersKey, i.self.String(), now)
+	if key := ordersKey + i.Cell(); key != i.orders.key {
+		i.orders.key = key
+		i.orders.candidate = lease.NewCandidate(i.config.Lease, key, i.self.String(), now)
 	}
 	candidate := i.orders.candidate
-	candidate.Observe(i.keeper.Lease(ordersKey), now)
+	candidate.Observe(i.keeper.Lease(i.orders.key), now)
 	i.keepLease(ctx, now)
 	token, ok := candidate.Valid(time.Now())
 	i.ordersToken.Store(token)
@@ -68,7 +71,7 @@
 	if i.draining.Load() || !i.wantsOrders() {
 		return
 	}
-	claim, ok := i.orders.candidate.Next(now, i.ownerOf(ordersKey) == i.self.Name)
+	claim, ok := i.orders.candidate.Next(now, i.ownerOf(i.orders.key) == i.self.Name)
 	if !ok {
 		return
 	}
--- a/instance/siblings.go
+++ b/instance/siblings.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/mastwheel/mastwheel/cell"
 	"github.com/mastwheel/mastwheel/instancelist"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/peer"
@@ -15,25 +18,56 @@
 // siblingTimeout bounds one question to a sibling in the background.
 const siblingTimeout = time.Second
 
-// readList takes in the platform's list: whom to greet, and who is leaving.
+// readList takes in the platform's list: whom to greet, who is leaving, and
+// which cell this instance is in.
 func (i *Instance) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, siblingTimeout)
 	defer cancel()
-	entries, err := i.deps.List.List(ctx)
+	own, err := i.deps.List.List(ctx, i.config.Zone)
 	if err != nil {
 		return
 	}
-	listed := make(map[string]bool, len(entries))
-	beat := i.greeting()
-	for _, entry := range entries {
+	zones, err := i.deps.List.Zones(ctx)
+	if err != nil {
+		return
+	}
+	others := slices.DeleteFunc(zones, func(zone string) bool { return zone == i.config.Zone })
+	maps.DeleteFunc(i.cells.far, func(zone string, _ []instancelist.Entry) bool { return !slices.Contains(others, zone) })
+	for len(i.cells.far) < len(others) && ctx.Err() == nil {
+		before := len(i.cells.far)
+		i.greetFar(ctx, others)
+		if len(i.cells.far) == before {
+			break
+		}
+	}
+	i.greetFar(ctx, others)
+	i.settlePlace(own, i.regionSize(len(own)))
+	listed := make(map[string]bool, len(own))
+	for _, entry := range own {
 		listed[entry.Name] = entry.State == instancelist.Leaving
-		if sibling, _ := i.members.View().Find(entry.Name); sibling.Peer == "" && entry.Name != i.self.Name {
-			i.deps.Peers.Send(entry.Peer, beat)
+		if i.inCell(entry.Name) {
+			i.greet(entry)
+		}
+	}
+	for _, entries := range i.cells.far {
+		for _, entry := range entries {
+			listed[entry.Name] = entry.State == instancelist.Leaving
+			if i.Cell() == cell.Whole {
+				i.greet(entry)
+			}
 		}
 	}
 	i.members.Listed(listed, time.Now())
 }
 
+// greet makes itself known to an instance that it does not know yet.
+func (i *Instance) greet(entry instancelist.Entry) {
+	sibling, _ := i.members.View().Find(entry.Name)
+	if sibling.Peer == "" && entry.Name != i.self.Name {
+		i.deps.Peers.Send(entry.Peer, i.greeting())
+	}
+}
+
 func (i *Instance) greeting() *peer.Message {
 	return &peer.Message{Heartbeat: &peer.Heartbeat{Info: i.Info()}}
 }
--- a/instance/stewards.go
+++ b/instance/stewards.go
@@ -56,17 +56,9 @@
 	return &peer.Reserved{Refused: grant.Refused, Free: grant.Free, Ahead: grant.Ahead}
 }
 
-// ownerOf names the instance that is the steward of a worker.
+// ownerOf names the instance of this cell that is the steward of a worker.
 func (i *Instance) ownerOf(worker string) string {
-	serving := i.members.View().Siblings
-	names := make([]string, 0, len(serving)+1)
-	names = append(names, i.self.Name)
-	for _, sibling := range serving {
-		if sibling.State == "alive" {
-			names = append(names, sibling.Name)
-		}
-	}
-	return route.Owner(worker, names)
+	return route.Owner(worker, i.cellMates())
 }
 
 // inspectWorkers asks the workers that this instance is the steward of for
--- a/instancelist/http.go
+++ b/instancelist/http.go
@@ -3,34 +3,50 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 
 	"github.com/mastwheel/mastwheel/httpjson"
 	"github.com/pkg/errors"
 )
 
-// PathInstances is the path of the list.
-const PathInstances = "/v1/instances"
+// Paths of the list.
+const (
+	PathInstances = "/v1/instances"
+	PathZones     = "/v1/zones"
+)
 
 // HTTP is the Client over HTTP.
 type HTTP struct {
-	url  string
+	base string
 	json *httpjson.Client
 }
 
 // NewHTTP returns a Client for the list at address, "ip:port".
 func NewHTTP(address string) *HTTP {
-	return &HTTP{url: "http://" + address + PathInstances, json: httpjson.New("")}
+	return &HTTP{base: "http://" + address, json: httpjson.New("")}
 }
 
 // List implements Client.
-func (h *HTTP) List(ctx context.Context) ([]Entry, error) {
+func (h *HTTP) List(ctx context.Context, zone string) ([]Entry, error) {
 	var entries []Entry
-	status, _, err := h.json.Do(ctx, http.MethodGet, h.url, nil, &entries)
+	err := h.get(ctx, PathInstances+"?zone="+url.QueryEscape(zone), &entries)
+	return entries, err
+}
+
+// Zones implements Client.
+func (h *HTTP) Zones(ctx context.Context) ([]string, error) {
+	var zones []string
+	err := h.get(ctx, PathZones, &zones)
+	return zones, err
+}
+
+func (h *HTTP) get(ctx context.Context, path string, into any) error {
+	status, _, err := h.json.Do(ctx, http.MethodGet, h.base+path, nil, into)
 	if err != nil {
-		return nil, errors.WithMessage(err, "read instance list")
+		return errors.WithMessage(err, "read instance list")
 	}
 	if status != http.StatusOK {
-		return nil, errors.Errorf("read instance list: status %d", status)
+		return errors.Errorf("read instance list: status %d", status)
 	}
-	return entries, nil
+	return nil
 }
--- a/instancelist/instancelist.go
+++ b/instancelist/instancelist.go
@@ -24,5 +24,8 @@
 
 // Client reads the list.
 type Client interface {
-	List(ctx context.Context) ([]Entry, error)
+	// List returns the instances of an availability zone, or of all for "".
+	List(ctx context.Context, zone string) ([]Entry, error)
+	// Zones returns the availability zones that have instances.
+	Zones(ctx context.Context) ([]string, error)
 }
--- a/member/member.go
+++ b/member/member.go
@@ -50,6 +50,15 @@
 	ForgetAfter time.Duration
 }
 
+// DefaultCell suits cells of a larger region: heartbeats half as often, and
+// more patience to match.
+func DefaultCell() Config {
+	config := DefaultRegion()
+	config.HeartbeatEvery = time.Second
+	config.SuspectAfter = 3500 * time.Millisecond
+	return config
+}
+
 // DefaultRegion suits instances of one region, a few milliseconds apart.
 func DefaultRegion() Config {
 	return Config{
@@ -82,6 +91,8 @@
 	Next     uint64 `cbor:"10,keyasint" json:"next_offset"`
 	// InFlight is the number of requests that it is the home of.
 	InFlight int `cbor:"9,keyasint" json:"in_flight"`
+	// Cell is the cell that the instance belongs to.
+	Cell string `cbor:"11,keyasint,omitempty" json:"cell"`
 }
 
 // Member returns the identity of this run of the instance.
--- a/standin/http.go
+++ b/standin/http.go
@@ -175,8 +175,11 @@
 		case oplog.PathRecords:
 			log.serve(ctx)
 		case instancelist.PathInstances:
-			entries, err := list.List(ctx)
+			entries, err := list.List(ctx, string(ctx.QueryArgs().Peek("zone")))
 			answer(ctx, entries, err)
+		case instancelist.PathZones:
+			zones, err := list.Zones(ctx)
+			answer(ctx, zones, err)
 		case PathLedger:
 			answer(ctx, PlatformLedger{Log: LogLedger{Records: log.Len()}, Weights: weights.Ledger()}, nil)
 		default:
--- a/standin/lifeline.go
+++ b/standin/lifeline.go
@@ -256,9 +256,16 @@
 	instancelist.Client
 }
 
-func (l listLine) List(ctx context.Context) ([]instancelist.Entry, error) {
+func (l listLine) List(ctx context.Context, zone string) ([]instancelist.Entry, error) {
 	if !l.pass() {
 		return nil, context.Canceled
 	}
-	return l.Client.List(ctx)
+	return l.Client.List(ctx, zone)
+}
+
+func (l listLine) Zones(ctx context.Context) ([]string, error) {
+	if !l.pass() {
+		return nil, context.Canceled
+	}
+	return l.Client.Zones(ctx)
 }
--- a/standin/list.go
+++ b/standin/list.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -59,13 +60,26 @@
 }
 
 // List implements instancelist.Client.
-func (l *List) List(context.Context) ([]instancelist.Entry, error) {
+func (l *List) List(_ context.Context, zone string) ([]instancelist.Entry, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	entries := make([]instancelist.Entry, 0, len(l.entries))
 	for _, entry := range l.entries {
-		entries = append(entries, entry)
+		if zone == "" || entry.Zone == zone {
+			entries = append(entries, entry)
+		}
 	}
 	slices.SortFunc(entries, func(a, b instancelist.Entry) int { return cmp.Compare(a.Name, b.Name) })
 	return entries, nil
 }
+
+// Zones implements instancelist.Client.
+func (l *List) Zones(context.Context) ([]string, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	zones := make(map[string]bool)
+	for _, entry := range l.entries {
+		zones[entry.Zone] = true
+	}
+	return slices.Sorted(maps.Keys(zones)), nil
+}
--- a/table/view.go
+++ b/table/view.go
@@ -170,3 +170,38 @@
 	}
 	return time.Duration(number(value, 0)) * time.Millisecond
 }
+
+// Restrict returns the view with only some of the backend servers in it. The
+// services and teams stay.
+func (v *View) Restrict(keep func(*BackendView) bool) *View {
+	next := *v
+	next.Backends = make(map[string]*BackendView)
+	for name, backend := range v.Backends {
+		if keep(backend) {
+			next.Backends[name] = backend
+		}
+	}
+	next.Services = make(map[string]*ServiceView, len(v.Services))
+	next.Models = make(map[string]*ServiceView, len(v.Models))
+	for name, service := range v.Services {
+		restricted := *service
+		restricted.Prefill = filterBackends(service.Prefill, keep)
+		restricted.Decode = filterBackends(service.Decode, keep)
+		restricted.Plain = filterBackends(service.Plain, keep)
+		next.Services[name] = &restricted
+		if restricted.Type == TypeModel {
+			next.Models[restricted.Model] = &restricted
+		}
+	}
+	return &next
+}
+
+func filterBackends(all []*BackendView, keep func(*BackendView) bool) []*BackendView {
+	var kept []*BackendView
+	for _, backend := range all {
+		if keep(backend) {
+			kept = append(kept, backend)
+		}
+	}
+	return kept
+}
