Refuse at once when no server is left to ask, and record why

Cause: a request for which every server was filtered out asked again until its first token could no longer come, and was then refused for that reason; and its record did not show which filter had dropped whom.

Change: with no server excluded for having failed this very request, no server is a final answer; the decision that dropped them all is kept in the record.

Conclusion: what is given up on is answered at once, with its reason.

--- a/instance/golden_test.go
+++ b/instance/golden_test.go
@@ -225,3 +225,14 @@
 		<-done
 	})
 }
+
+// Every decode engine says it is leaving: the request is refused at once, not
+// when its first token was due.
+func TestSessionNobodyToDecode(t *testing.T) {
+	play(t, func(s *session) {
+		s.farm.Engine(decodeOne).Faults.Leaving.Store(true)
+		s.farm.Engine(decodeTwo).Faults.Leaving.Store(true)
+		time.Sleep(2 * time.Second)
+		s.ask(s.ctx, s.nodes["sabana-1"], prompt(2400), 10, nil)
+	})
+}
--- a/request/reserve.go
+++ b/request/reserve.go
@@ -53,6 +53,14 @@
 	})
 }
 
+// noteDropped keeps a decision in which every candidate was dropped, with the
+// filters that did it.
+func (m *modelRun) noteDropped(why reason.Reason, decision *route.Decision) {
+	if why == reason.NoBackend {
+		m.refused = decision
+	}
+}
+
 // tryReserve asks once for both places. The turn at the prefill engine comes
 // first, since it says when the memory will be needed.
 func (m *modelRun) tryReserve(ctx context.Context) reason.Reason {
@@ -78,17 +86,17 @@
 // that comes too late only comes later still. A request that has already
 // begun its answer goes on for a while longer.
 func (m *modelRun) giveUpWaiting(why reason.Reason, now time.Time) bool {
+	hopeless := why == reason.DeadlineTooClose && m.config.Policy.RefuseEarly
 	if why == reason.NoBackend {
-		// Servers that failed once may be better than none.
+		// Servers that failed this request may be better than none; with none
+		// excluded for that, there is nothing to wait for.
+		hopeless = len(m.triedDecode) == 0 && len(m.triedPrefill) == 0
 		m.triedDecode, m.triedPrefill = nil, nil
 	}
 	if m.cursor.next > 0 {
 		return now.After(m.last.Add(resumePatience))
 	}
-	if why == reason.DeadlineTooClose && m.config.Policy.RefuseEarly {
-		return true
-	}
-	return now.After(m.deadline)
+	return hopeless || now.After(m.deadline)
 }
 
 // resumePatience is how long a begun answer waits for a place to resume.
@@ -112,6 +120,7 @@
 		decision := m.Runner.prefill.Decide(&query, m.Fleet, m.service.Prefill)
 		chosen := decision.Chosen
 		if chosen == nil {
+			m.noteDropped(why, &decision)
 			break
 		}
 		if why = m.askTurn(ctx, chosen, &query); why == reason.None {
@@ -183,6 +192,7 @@
 	for range m.service.Decode {
 		decision := m.Runner.decode.Decide(&query, m.Fleet, m.service.Decode)
 		if decision.Chosen == nil {
+			m.noteDropped(why, &decision)
 			break
 		}
 		if why = m.askMemory(ctx, decision.Chosen.Name); why == reason.None {
