--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -14,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/mastwheel/mastwheel/instance"
+	"github.com/mastwheel/mastwheel/instancelist"
 	"github.com/mastwheel/mastwheel/standin"
 )
 
@@ -34,13 +35,15 @@
 		t.Fatal(err)
 	}
 	log := standin.NewLog()
+	list := standin.NewList(0)
+	list.Set(instancelist.Entry{Name: "sabana-1", Zone: "sabana", Peer: "here", State: instancelist.Live})
 	if _, err := log.Append(t.Context(), record); err != nil {
 		t.Fatal(err)
 	}
 	config := instance.DefaultRegion()
 	config.Name, config.Zone, config.Caller, config.Peer = "sabana-1", "sabana", "127.0.0.1:1", "here"
 	s.Instance = instance.New(config, instance.Deps{
-		Engines: s.farm, Services: s.plain, Log: log, List: standin.NewList(0),
+		Engines: s.farm, Services: s.plain, Log: log, List: list,
 		Peers: standin.NewNetwork(0).Port("here"), Weights: standin.NewWeights(nil), Random: func() float64 { return 0.5 },
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/instance/cells.go
+++ b/instance/cells.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +15,7 @@
 // place is where this instance belongs. It is immutable; the list loop swaps
 // in a new one.
 type place struct {
-	// cell is this instance's cell, and zoneCells the number of cells of its
+	// cell is this instance's cell, empty until that is settled, and zoneCells the number of cells of its
 	// zone; 0 while the region is one cell.
 	cell      string
 	zoneCells int
@@ -33,9 +34,19 @@
 // Cell names this instance's cell.
 func (i *Instance) Cell() string { return i.cells.place.Load().cell }
 
+// settlePatience is how long an instance waits to see itself on the list
+// before it settles with what it sees.
+const settlePatience = 10 * time.Second
+
 // settlePlace works out the cell from the list of this zone and the size of
-// the region.
+// the region. A list that does not show this instance yet may not show others
+// that started with it either: believing it, all of them would take the region
+// for a small one, and each look after every worker.
 func (i *Instance) settlePlace(own []instancelist.Entry, region int) {
+	listed := slices.ContainsFunc(own, func(e instancelist.Entry) bool { return e.Name == i.self.Name })
+	if i.Cell() == "" && !listed && i.Uptime() < settlePatience {
+		return
+	}
 	next := &place{cell: cell.Whole}
 	if region > i.config.Cell.Most {
 		next.zoneCells = i.config.Cell.Count(len(own))
@@ -52,6 +63,9 @@
 func (i *Instance) ownWorkers() func(*table.BackendView) bool {
 	at := i.cells.place.Load()
 	return func(backend *table.BackendView) bool {
+		if at.cell == "" {
+			return false
+		}
 		if at.zoneCells == 0 || backend.Role == table.RolePlain {
 			return true
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/mastwheel/mastwheel/cell"
 	"github.com/mastwheel/mastwheel/instancelist"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/metrics"
@@ -80,7 +79,8 @@
 		witness:    operation.NewWitness(self, config.MostOperations),
 		keeper:     newKeeper(fleet),
 	}
-	i.cells.place.Store(&place{cell: cell.Whole})
+	i.cells.place.Store(&place{})
+	i.keeper.restrict(i.ownWorkers())
 	i.cells.far = make(map[string][]instancelist.Entry)
 	i.Runner = request.NewRunner(request.Deps{
 		Home:       self.String(),
@@ -170,6 +170,9 @@
 	if i.keeper.Table().Revision == 0 {
 		return errors.New("no table yet")
 	}
+	if i.Cell() == "" {
+		return errors.New("not on the instance list yet")
+	}
 	if i.Stale() {
 		return errors.New("neither the log nor a sibling was heard for too long")
 	}
--- a/instance/siblings.go
+++ b/instance/siblings.go
@@ -25,6 +25,7 @@
 	defer cancel()
 	own, err := i.deps.List.List(ctx, i.config.Zone)
 	if err != nil {
+		i.settleAlone()
 		return
 	}
 	zones, err := i.deps.List.Zones(ctx)
@@ -60,6 +61,14 @@
 	i.members.Listed(listed, time.Now())
 }
 
+// settleAlone takes the region for one cell when the list has not answered
+// for long after the start: those who knew better would have greeted by now.
+func (i *Instance) settleAlone() {
+	if i.Cell() == "" && i.Uptime() > settlePatience {
+		i.settlePlace(nil, 0)
+	}
+}
+
 // greet makes itself known to an instance that it does not know yet.
 func (i *Instance) greet(entry instancelist.Entry) {
 	sibling, _ := i.members.View().Find(entry.Name)
