Count every question of a request in the capacity page

Cause: the page counted one question to a steward a request, where there are two and two releases, and took all siblings known for all that share a cap.

Change: three questions' worth a request; caps are split over the listed region where it is divided; three reasons that nothing used are gone; the members' slope is measured at sizes that end.

--- a/capacity/experiments.go
+++ b/capacity/experiments.go
@@ -32,7 +32,7 @@
 var experiments = []experiment{
 	{"heartbeat_bytes", "B", "worker of the sender", []int{0, 7, 28}, heartbeatBytes},
 	{"heartbeat_cpu", "ns", "member known", []int{8, 80, 800}, heartbeatCPU},
-	{"member_memory", "B", "member known", []int{80, 800, 8000}, memberMemory},
+	{"member_memory", "B", "member known", []int{20, 80, 800}, memberMemory},
 	{"server_memory", "B", "backend server known", []int{12, 100, 1000}, serverMemory},
 	{"decide_cpu", "ns", "candidate", []int{12, 100, 1000, 10_000}, decideCPU},
 	{"owner_cpu", "ns", "instance of the cell", []int{8, 32, 128}, ownerCPU},
--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -153,9 +153,15 @@
 	return heartbeatRate * p.Slope("mesh_bytes").At(p.Instances-1)
 }
 
-// ReserveRate is reservations a second that an instance asks for; it answers
+// questionsPerRequest is a turn at a prefill engine, memory at a decode
+// engine, and the two releases, which have no answer, as one more.
+const questionsPerRequest = 3
+
+// ReserveRate is questions a second that an instance asks stewards; it answers
 // as many as a steward.
-func (p Plan) ReserveRate() float64 { return p.OwnRequests() * (1 - 1/p.Cell()) }
+func (p Plan) ReserveRate() float64 {
+	return questionsPerRequest * p.OwnRequests() * (1 - 1/p.Cell())
+}
 
 // ReserveBytes counts both roles.
 func (p Plan) ReserveBytes() float64 { return 2 * p.ReserveRate() * p.Slope("call_bytes").Each }
@@ -165,10 +171,10 @@
 func (p Plan) ReserveCPU() float64 { return p.ReserveRate() * p.Slope("call_cpu").Each }
 
 // WitnessBytes and WitnessCPU are for intents, in both roles.
-func (p Plan) WitnessBytes() float64 { return p.OnceCalls * p.ReserveBytes() }
+func (p Plan) WitnessBytes() float64 { return p.OnceCalls * p.ReserveBytes() / questionsPerRequest }
 
 // WitnessCPU is in nanoseconds a second.
-func (p Plan) WitnessCPU() float64 { return p.OnceCalls * p.ReserveCPU() }
+func (p Plan) WitnessCPU() float64 { return p.OnceCalls * p.ReserveCPU() / questionsPerRequest }
 
 // PollCPU is a steward's load reports, both ends, in nanoseconds a second.
 func (p Plan) PollCPU() float64 {
@@ -283,7 +289,7 @@
 // ReserveLimit is the requests a second of one instance at which its
 // reservations take what membership leaves of the byte budget.
 func (p Plan) ReserveLimit() float64 {
-	return (budgetBytes - p.ControlBytes()) / (2 * p.Slope("call_bytes").Each)
+	return (budgetBytes - p.ControlBytes()) / (2 * questionsPerRequest * p.Slope("call_bytes").Each)
 }
 
 // FoldLimit is the rows of a table at which the mean configuration load takes
--- a/instance/cells.go
+++ b/instance/cells.go
@@ -19,6 +19,8 @@
 	// zone; 0 while the region is one cell.
 	cell      string
 	zoneCells int
+	// region is the number of instances listed in the region.
+	region int
 }
 
 // cells is this instance's part in the division of its region.
@@ -47,13 +49,13 @@
 	if i.Cell() == "" && !listed && i.Uptime() < settlePatience {
 		return
 	}
-	next := &place{cell: cell.Whole}
+	next := &place{cell: cell.Whole, region: region}
 	if region > i.config.Cell.Most {
 		next.zoneCells = i.config.Cell.Count(len(own))
 		next.cell = cell.Of(i.self.Name, i.config.Zone, next.zoneCells)
 	}
 	before := i.cells.place.Swap(next)
-	if *before != *next {
+	if before.cell != next.cell || before.zoneCells != next.zoneCells {
 		i.keeper.restrict(i.ownWorkers())
 	}
 }
--- a/instance/siblings.go
+++ b/instance/siblings.go
@@ -90,8 +90,7 @@
 func (i *Instance) heartbeat(ctx context.Context) {
 	now := time.Now()
 	i.members.Tick(now)
-	serving := len(i.members.View().Serving())
-	i.admission.SetInstances(serving + 1)
+	i.admission.SetInstances(i.sharers())
 	i.operations.Expire(i.Uptime())
 	i.witness.Expire(i.Uptime())
 	beat := i.greeting()
@@ -109,6 +108,15 @@
 	}
 }
 
+// sharers returns over how many instances caps are split: those that serve, or
+// all that are listed where this instance does not know them all.
+func (i *Instance) sharers() int {
+	if at := i.cells.place.Load(); at.zoneCells > 0 {
+		return at.region
+	}
+	return len(i.members.View().Serving()) + 1
+}
+
 // mostWitnesses bounds the siblings that are asked about one suspect.
 const mostWitnesses = 3
 
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -9,7 +9,6 @@
 	Malformed        Reason = "malformed"
 	TooLarge         Reason = "too_large"
 	UnknownService   Reason = "unknown_service"
-	Draining         Reason = "draining"
 	StaleTable       Reason = "stale_table"
 	QueueFull        Reason = "queue_full"
 	TeamCap          Reason = "team_cap"
@@ -44,11 +43,9 @@
 // Other endings of a request or of an attempt.
 const (
 	CallerGone      Reason = "caller_gone"
-	HomeDead        Reason = "home_dead"
 	AnswerLost      Reason = "answer_lost"
 	WrongAnswer     Reason = "wrong_answer"
 	StaleToken      Reason = "stale_token"
-	DeadlineMissed  Reason = "deadline_missed"
 	AlreadyAnswered Reason = "already_answered"
 )
 
@@ -65,7 +62,6 @@
 	{Malformed, "the request could not be read", "none"},
 	{TooLarge, "the request is larger than limits.max_body_bytes", "limits.max_body_bytes (settings)"},
 	{UnknownService, "no service row has this name", "service rows"},
-	{Draining, "the instance is shutting down and takes no new callers", "none"},
 	{StaleTable, "the instance has heard neither the log nor a sibling for too long", "limits.stale_after_seconds (settings)"},
 	{QueueFull, "the home has no room for another operation record", "none"},
 	{TeamCap, "the team has as many requests in flight as its cap allows", "team.in_flight"},
@@ -92,10 +88,8 @@
 	{ConnectFailed, "no connection to the backend server; no byte was sent", "none"},
 	{BackendRefused, "the backend server said that it did not run the request", "none"},
 	{CallerGone, "the caller closed its connection", "none"},
-	{HomeDead, "the request's home instance died; its steward cancelled the work", "none"},
 	{AnswerLost, "a byte reached the backend server and no whole answer came back", "none"},
 	{WrongAnswer, "an answer carried another request id or attempt and was dropped", "none"},
 	{StaleToken, "a token position was already delivered and was dropped", "none"},
-	{DeadlineMissed, "the answer arrived after its target", "service.ttft_ms, service.tbt_ms"},
 	{AlreadyAnswered, "the operation was already answered; the caller learns its outcome only", "none"},
 }
