Log an order's failure apart; one way to get a named verdict

Cause: an order's log line had an empty error, and two commands fetched a verdict by the same lines. Change: as the title says. Conclusion: none needed.

--- a/cmd/mastwheel/table.go
+++ b/cmd/mastwheel/table.go
@@ -348,17 +348,23 @@
 }
 
 func runTableVerdict(ctx context.Context, command *cli.Command) error {
-	id, err := oneArgument(command, "EDIT-ID")
+	verdict, err := namedVerdict(ctx, command)
 	if err != nil {
 		return err
 	}
-	var verdict table.Verdict
-	if err := ask(ctx, command, operator.PathEdits+"/"+id, &verdict); err != nil {
-		return err
-	}
 	return printVerdict(command, verdict)
 }
 
+// namedVerdict gets the verdict on the edit that the command line names.
+func namedVerdict(ctx context.Context, command *cli.Command) (verdict table.Verdict, err error) {
+	id, err := oneArgument(command, "EDIT-ID")
+	if err != nil {
+		return verdict, err
+	}
+	err = ask(ctx, command, operator.PathEdits+"/"+id, &verdict)
+	return verdict, err
+}
+
 func runTableHistory(ctx context.Context, command *cli.Command) error {
 	var history operator.History
 	if err := ask(ctx, command, operator.PathHistory, &history); err != nil {
@@ -384,16 +390,12 @@
 }
 
 func runTableRevert(ctx context.Context, command *cli.Command) error {
-	id, err := oneArgument(command, "EDIT-ID")
+	verdict, err := namedVerdict(ctx, command)
 	if err != nil {
 		return err
 	}
-	var verdict table.Verdict
-	if err := ask(ctx, command, operator.PathEdits+"/"+id, &verdict); err != nil {
-		return err
-	}
 	if !verdict.Accepted {
-		return errors.Errorf("edit %s was refused; there is nothing to take back", id)
+		return errors.Errorf("edit %s was refused; there is nothing to take back", verdict.EditID)
 	}
 	return submit(ctx, command, verdict.Undo)
 }
--- a/instance/orders.go
+++ b/instance/orders.go
@@ -133,7 +133,11 @@
 	err = i.deps.Engines.Order(ctx, backend.Address, engine.WeightsOrder{
 		Weights: backend.Weights, Token: token, BytesPerSecond: ticket.BytesPerSecond,
 	})
-	klog.InfoS("Order to load weights", "server", backend.Name, "weights", backend.Weights, "token", token, "err", err)
+	if err != nil {
+		klog.V(1).InfoS("Order to load weights was not taken", "server", backend.Name, "weights", backend.Weights, "token", token, "err", err)
+		return
+	}
+	klog.InfoS("Order to load weights", "server", backend.Name, "weights", backend.Weights, "token", token)
 }
 
 // HoldsOrders says whether this instance may give orders to engines now, and
