Read the whole change again: one preference, one scale, no unused state

Cause: three places chose "those wanted, or all if there are none"; two functions of the capacity page scaled numbers alike; a struct held one field; two methods of the steward had no caller; and the pages said that a column governs transfers, which are timed by what is measured.

Change: prefer, scaled, landIn; the methods are gone; the pages say what the column link_mb_per_s is. No behaviour changed.

Conclusion: what could not be mended without changing behaviour is left.

--- a/capacity/page.go
+++ b/capacity/page.go
@@ -34,32 +34,29 @@
 	return errors.Wrap(parsed.Execute(out, data), "write page")
 }
 
-func bytesText(b float64) string {
-	switch {
-	case b >= 1e12:
-		return fmt.Sprintf("%.1f TB", b/1e12)
-	case b >= 1e9:
-		return fmt.Sprintf("%.1f GB", b/1e9)
-	case b >= 1e6:
-		return fmt.Sprintf("%.1f MB", b/1e6)
-	case b >= 1e3:
-		return fmt.Sprintf("%.1f KB", b/1e3)
-	default:
-		return fmt.Sprintf("%.0f B", b)
-	}
+// unit is a unit with the smallest value that is written in it.
+type unit struct {
+	from   float64
+	format string
 }
 
-func nanosText(ns float64) string {
-	switch {
-	case ns >= 1e9:
-		return fmt.Sprintf("%.2f s", ns/1e9)
-	case ns >= 1e6:
-		return fmt.Sprintf("%.2f ms", ns/1e6)
-	case ns >= 1e3:
-		return fmt.Sprintf("%.1f µs", ns/1e3)
-	default:
-		return fmt.Sprintf("%.0f ns", ns)
+var (
+	byteUnits = []unit{{1e12, "%.1f TB"}, {1e9, "%.1f GB"}, {1e6, "%.1f MB"}, {1e3, "%.1f KB"}, {1, "%.0f B"}}
+	timeUnits = []unit{{1e9, "%.2f s"}, {1e6, "%.2f ms"}, {1e3, "%.1f µs"}, {1, "%.0f ns"}}
+)
+
+func bytesText(b float64) string { return scaled(b, byteUnits) }
+
+func nanosText(ns float64) string { return scaled(ns, timeUnits) }
+
+// scaled writes a value in the largest unit that it reaches, or the smallest.
+func scaled(value float64, units []unit) string {
+	for _, u := range units {
+		if value >= u.from {
+			return fmt.Sprintf(u.format, value/u.from)
+		}
 	}
+	return fmt.Sprintf(units[len(units)-1].format, value)
 }
 
 func numberText(x float64) string {
--- a/instance/cells.go
+++ b/instance/cells.go
@@ -15,8 +15,8 @@
 // place is where this instance belongs. It is immutable; the list loop swaps
 // in a new one.
 type place struct {
-	// cell is this instance's cell, empty until that is settled, and zoneCells the number of cells of its
-	// zone; 0 while the region is one cell.
+	// cell is this instance's cell, empty until that is settled, and zoneCells
+	// the number of cells of its zone; 0 while the region is one cell.
 	cell      string
 	zoneCells int
 	// region is the number of instances listed in the region.
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -79,29 +79,26 @@
 			infos = append(infos, sibling.Info)
 		}
 	}
-	settled := make([]member.Info, 0, len(infos))
+	return prefer(infos, func(info member.Info) bool { return info.Uptime > i.config.SettleAfter })
+}
+
+// prefer returns the wanted ones, or all if none is.
+func prefer(infos []member.Info, wanted func(member.Info) bool) []member.Info {
+	var found []member.Info
 	for _, info := range infos {
-		if info.Uptime > i.config.SettleAfter {
-			settled = append(settled, info)
+		if wanted(info) {
+			found = append(found, info)
 		}
 	}
-	if len(settled) > 0 {
-		return settled
+	if len(found) > 0 {
+		return found
 	}
 	return infos
 }
 
 func (i *Instance) chooseEntry(zone, avoid string) (member.Info, bool) {
 	candidates := slices.DeleteFunc(i.candidates(), func(info member.Info) bool { return info.Name == avoid })
-	var near []member.Info
-	for _, info := range candidates {
-		if info.Zone == zone {
-			near = append(near, info)
-		}
-	}
-	if len(near) > 0 {
-		candidates = near
-	}
+	candidates = prefer(candidates, func(info member.Info) bool { return info.Zone == zone })
 	if len(candidates) == 0 {
 		return member.Info{}, false
 	}
@@ -114,23 +111,12 @@
 
 // chooseWitness draws a witness for a home, in another zone if there is one.
 func (i *Instance) chooseWitness(home member.Info) (member.Info, bool) {
-	var far, any []member.Info
-	for _, info := range i.candidates() {
-		if info.Name == home.Name {
-			continue
-		}
-		any = append(any, info)
-		if info.Zone != home.Zone {
-			far = append(far, info)
-		}
-	}
-	if len(far) > 0 {
-		return i.draw(far), true
-	}
-	if len(any) > 0 {
-		return i.draw(any), true
+	others := slices.DeleteFunc(i.candidates(), func(info member.Info) bool { return info.Name == home.Name })
+	others = prefer(others, func(info member.Info) bool { return info.Zone != home.Zone })
+	if len(others) == 0 {
+		return member.Info{}, false
 	}
-	return member.Info{}, false
+	return i.draw(others), true
 }
 
 func (i *Instance) draw(infos []member.Info) member.Info {
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -81,7 +81,7 @@
 	{HandoffExpired, "the prefill result expired before the transfer began", "none"},
 	{HandoffRefused, "the decode engine did not take the transfer", "none"},
 	{HandoffNoMemory, "the decode engine had no memory for the transfer", "backend.pieces"},
-	{HandoffFailed, "the transfer failed or stalled", "backend.link_mb_per_s"},
+	{HandoffFailed, "the transfer failed or stalled", "none"},
 	{DecodeFailed, "the decode engine did not begin the stream", "none"},
 	{StreamBroken, "the decode stream ended before its last token", "none"},
 	{StreamResumed, "a broken stream was taken up again at the same engine", "none"},
--- a/request/model.go
+++ b/request/model.go
@@ -37,7 +37,9 @@
 	// memory is promised to the attempt.
 	prefill *route.Rated
 	decode  *route.Rated
-	turn    turn
+	// landIn is when, from the promise of a turn on, the KV cache is expected
+	// at the decode engine.
+	landIn time.Duration
 	// refused is the last choice whose steward did not promise a place.
 	refused *route.Decision
 	// triedPrefill and triedDecode failed this request before.
--- a/request/reserve.go
+++ b/request/reserve.go
@@ -102,12 +102,6 @@
 // resumePatience is how long a begun answer waits for a place to resume.
 const resumePatience = 10 * time.Second
 
-// turn is a place in a prefill engine's queue.
-type turn struct {
-	// landIn is when the KV cache is expected at the decode engine.
-	landIn time.Duration
-}
-
 // reservePrefill asks the stewards of prefill engines for a turn, in the
 // order of preference.
 func (m *modelRun) reservePrefill(ctx context.Context) reason.Reason {
@@ -140,7 +134,7 @@
 	reading := chosen.Server.ReadTime(unread)
 	transfer := m.transferTime()
 	if !m.config.Policy.Reserve {
-		m.turn.landIn = reading + transfer
+		m.landIn = reading + transfer
 		return reason.None
 	}
 	mostAhead := anyAhead
@@ -154,7 +148,7 @@
 	grant := m.askSteward(ctx, chosen.Name, route.Ask{
 		HoldKey: m.holdKey(), Tokens: max(unread, 1), MostAhead: mostAhead, TTL: reservationTTL,
 	})
-	m.turn.landIn = chosen.Server.ReadTime(grant.Ahead+unread) + transfer
+	m.landIn = chosen.Server.ReadTime(grant.Ahead+unread) + transfer
 	return grant.Refused
 }
 
@@ -211,8 +205,8 @@
 		return reason.None
 	}
 	return m.askSteward(ctx, worker, route.Ask{
-		HoldKey: m.holdKey(), Pieces: m.query.Pieces, TTL: m.turn.landIn + reservationTTL,
-		LandIn: m.turn.landIn, HoldFor: m.holdTime(), Headroom: m.headroom(),
+		HoldKey: m.holdKey(), Pieces: m.query.Pieces, TTL: m.landIn + reservationTTL,
+		LandIn: m.landIn, HoldFor: m.holdTime(), Headroom: m.headroom(),
 	}).Refused
 }
 
--- a/request/transfer.go
+++ b/request/transfer.go
@@ -79,7 +79,7 @@
 		}
 		m.release(m.decode)
 		m.triedDecode = append(m.triedDecode, m.decode.Name)
-		m.turn.landIn = 0
+		m.landIn = 0
 		if m.reserveDecode(ctx) != reason.None {
 			return attemptEnd{why: why}, false
 		}
--- a/route/steward.go
+++ b/route/steward.go
@@ -137,13 +137,6 @@
 	ledger.holds[key] = h
 }
 
-// Free returns the pieces that could be promised at now.
-func (s *Steward) Free(worker string, now time.Time) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ledger(worker).free(now)
-}
-
 // Ahead returns the tokens in a prefill engine's queue, promises included.
 func (s *Steward) Ahead(worker string, now time.Time) int {
 	s.mu.Lock()
@@ -151,17 +144,6 @@
 	return s.ledger(worker).ahead(now)
 }
 
-// Holds returns the number of promises kept for all workers.
-func (s *Steward) Holds() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	total := 0
-	for _, ledger := range s.workers {
-		total += len(ledger.holds)
-	}
-	return total
-}
-
 // Retain forgets every worker that keep does not name.
 func (s *Steward) Retain(keep func(worker string) bool) {
 	s.mu.Lock()
