--- a/caller/server.go
+++ b/caller/server.go
@@ -185,16 +185,7 @@
 // watch returns a context that ends when the caller goes away. release must
 // be called before the connection is read again.
 func watch(ctx *fasthttp.RequestCtx) (watched context.Context, release func()) {
-	watched, cancel := context.WithCancel(context.Background())
-	conn, ok := ctx.Conn().(*connwatch.Conn)
-	if !ok {
-		return watched, cancel
-	}
-	stop := conn.Watch(cancel)
-	return watched, func() {
-		stop()
-		cancel()
-	}
+	return connwatch.Context(ctx.Conn())
 }
 
 // operationID reads the Idempotency-Key of a request. Its text is empty when
--- a/cmd/mastwheeld/main.go
+++ b/cmd/mastwheeld/main.go
@@ -32,10 +32,11 @@
 		Name:  "mastwheeld",
 		Usage: "run one instance of the mastwheel router",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "settings `FILE` in TOML", Required: true},
+			&cli.StringFlag{Name: "config", Usage: "settings `FILE` in TOML"},
 			&cli.BoolFlag{Name: "check", Usage: "only check the settings"},
 		},
 		EnableShellCompletion: true,
+		Commands:              []*cli.Command{platformCommand()},
 		Action:                run,
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
@@ -45,6 +46,9 @@
 }
 
 func run(ctx context.Context, command *cli.Command) error {
+	if command.String("config") == "" {
+		return errors.New("--config names no settings file")
+	}
 	settings, err := config.Load(command.String("config"))
 	if err != nil {
 		return err
--- a/connwatch/connwatch.go
+++ b/connwatch/connwatch.go
@@ -4,6 +4,7 @@
 package connwatch
 
 import (
+	"context"
 	"net"
 	"os"
 	"sync"
@@ -95,3 +96,18 @@
 		gone()
 	}
 }
+
+// Context returns a context that ends when the caller on conn goes away.
+// release must be called before the connection is read again.
+func Context(conn net.Conn) (watched context.Context, release func()) {
+	watched, cancel := context.WithCancel(context.Background())
+	of, ok := conn.(*Conn)
+	if !ok {
+		return watched, cancel
+	}
+	stop := of.Watch(cancel)
+	return watched, func() {
+		stop()
+		cancel()
+	}
+}
--- /dev/null
+++ b/edge/beliefs.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"k8s.io/klog/v2"
+
+	"github.com/mastwheel/mastwheel/forward"
+	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// rebuild makes the picture of the servers anew from list and table, if either
+// has changed.
+func (in *Instance) rebuild() {
+	list, view := in.registry.View(), in.Table()
+	in.orders.mu.Lock()
+	defer in.orders.mu.Unlock()
+	if list == in.orders.builtFrom && view == in.orders.builtWith {
+		return
+	}
+	before := in.servers.Load()
+	next := build(list, view)
+	in.Fleet.Adopt(&table.View{Backends: backendsOf(next)})
+	in.servers.Store(next)
+	in.orders.builtFrom, in.orders.builtWith = list, view
+	logServers(before, next)
+	if in.deps.ServersChanged != nil {
+		in.deps.ServersChanged(list)
+	}
+}
+
+// build sorts the registered servers by service and role.
+func build(list *registry.View, view *table.View) *forward.Servers {
+	servers := &forward.Servers{
+		Position: list.Position,
+		Read:     list.Read,
+		ByID:     make(map[string]*registry.Entry, len(list.Servers)),
+		Plain:    make(map[string][]*table.BackendView),
+		Prefill:  make(map[string][]*table.BackendView),
+		Decode:   make(map[string][]*table.BackendView),
+	}
+	for i := range list.Servers {
+		entry := &list.Servers[i].Entry
+		servers.ByID[entry.ID] = entry
+		backend := backendOf(entry, view)
+		pools := servers.Plain
+		switch entry.Role {
+		case table.RolePrefill:
+			pools = servers.Prefill
+		case table.RoleDecode:
+			pools = servers.Decode
+		}
+		pools[entry.Service] = append(pools[entry.Service], backend)
+	}
+	return servers
+}
+
+// backendOf makes the table's row of a registered server.
+func backendOf(entry *registry.Entry, view *table.View) *table.BackendView {
+	backend := &table.BackendView{
+		Name: entry.ID, Pool: entry.Service, Role: entry.Role, Address: entry.Address,
+		Zone: entry.Zone, Drain: entry.Draining,
+	}
+	if view == nil {
+		return backend
+	}
+	if service := view.Services[entry.Service]; service != nil {
+		backend.MemoryTokens = service.Engine.MemoryTokens
+	}
+	return backend
+}
+
+func backendsOf(servers *forward.Servers) map[string]*table.BackendView {
+	backends := make(map[string]*table.BackendView, len(servers.ByID))
+	for _, pools := range []map[string][]*table.BackendView{servers.Plain, servers.Prefill, servers.Decode} {
+		for _, pool := range pools {
+			for _, backend := range pool {
+				backends[backend.Name] = backend
+			}
+		}
+	}
+	return backends
+}
+
+// logServers writes a line for each server that came, went or changed.
+func logServers(before, after *forward.Servers) {
+	for id, entry := range after.ByID {
+		old := before.ByID[id]
+		if old != nil && *old == *entry {
+			continue
+		}
+		klog.InfoS("Server believed", "server", id, "service", entry.Service, "address", entry.Address, "zone", entry.Zone,
+			"role", entry.Role, "draining", entry.Draining, "position", after.Position)
+	}
+	for id := range before.ByID {
+		if after.ByID[id] == nil {
+			klog.InfoS("Server gone", "server", id, "position", after.Position)
+		}
+	}
+}
--- /dev/null
+++ b/edge/budgets.go
@@ -0,0 +1,59 @@
+package edge
+
+import (
+	"sync"
+
+	"github.com/mastwheel/mastwheel/route"
+)
+
+// budgets holds this instance's share of each service's retry budget.
+type budgets struct {
+	ratio, slack float64
+
+	mu        sync.RWMutex
+	instances int
+	byService map[string]*route.SharedBudget
+}
+
+// unknownInstances stands in until siblings are known: a share that is too
+// small costs a retry, one that is too large breaks the budget.
+const unknownInstances = 16
+
+func newBudgets(ratio, slack float64) *budgets {
+	return &budgets{ratio: ratio, slack: slack, instances: unknownInstances, byService: make(map[string]*route.SharedBudget)}
+}
+
+func (b *budgets) of(service string) *route.SharedBudget {
+	b.mu.RLock()
+	found := b.byService[service]
+	b.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if found = b.byService[service]; found == nil {
+		found = route.NewSharedBudget(b.ratio, b.part())
+		b.byService[service] = found
+	}
+	return found
+}
+
+func (b *budgets) part() float64 { return b.slack / float64(b.instances) }
+
+// share divides the slack among that many instances.
+func (b *budgets) share(instances int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if instances == b.instances {
+		return
+	}
+	b.instances = instances
+	for _, budget := range b.byService {
+		budget.SetPart(b.part())
+	}
+}
+
+// Instances returns how many instances share what is shared, at the most: this
+// one and every sibling that was heard lately.
+func (in *Instance) Instances() int { return len(in.members.View().Siblings) + 1 }
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,282 @@
+// Package edge is one instance on a platform that keeps the table and the list
+// of backend servers for it: the loops that follow both, what siblings tell
+// each other, and who gives engines their roles. Requests are package
+// forward's; this package holds what they are decided by.
+package edge
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mastwheel/mastwheel/forward"
+	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/lease"
+	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/operation"
+	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/route"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// Revision is one version of the operators' table.
+type Revision struct {
+	Number uint64
+	// Raw is the configuration that it was made of, for siblings.
+	Raw  []byte
+	View *table.View
+}
+
+// Tables is where the operators' configuration comes from.
+type Tables interface {
+	// Newest returns the configuration in force, nil before the first, and the
+	// position to follow it from.
+	Newest(ctx context.Context) (raw []byte, position uint64, err error)
+	// Since waits for changes after a position. It returns the newest
+	// configuration among them, nil without one. oplog.ErrTruncated means that
+	// the position is no longer kept.
+	Since(ctx context.Context, position uint64, wait time.Duration) (raw []byte, next uint64, err error)
+	Decode(raw []byte) (*Revision, error)
+}
+
+// ServerList is where the list of backend servers comes from.
+type ServerList interface {
+	Newest(ctx context.Context) (registry.Snapshot, error)
+	// Since returns the changes after a position, waiting for one for a while.
+	Since(ctx context.Context, position uint64, wait time.Duration) (changes []registry.Change, next uint64, err error)
+}
+
+// Roster lists the instances, for those that know no sibling yet.
+type Roster interface {
+	Announce(ctx context.Context, name, address string) error
+	Withdraw(ctx context.Context, name string) error
+	// Addresses returns the siblings' addresses by name.
+	Addresses(ctx context.Context) (map[string]string, error)
+}
+
+// Claims is where the lease on orders is claimed.
+type Claims interface {
+	// Last returns the claim that counts, and a condition for the next.
+	Last(ctx context.Context, key string) (state lease.State, condition uint64, err error)
+	// Claim makes a claim that counts only if no other came in between. won is
+	// false when one did.
+	Claim(ctx context.Context, claim lease.Claim, condition uint64) (state lease.State, won bool, err error)
+}
+
+// EngineStatus is what a model engine reports of its orders.
+type EngineStatus struct {
+	Role string
+	// Busy is set while an order is being carried out.
+	Busy bool
+	// Sequence counts the orders accepted.
+	Sequence uint64
+}
+
+// RoleOrder changes an engine's role.
+type RoleOrder struct {
+	Role   string
+	Holder string
+	// Token is the fencing token of the lease.
+	Token uint64
+	// After is the count of accepted orders that the engine must have.
+	After uint64
+}
+
+// Engines gives orders to model engines.
+type Engines interface {
+	Status(ctx context.Context, server *registry.Entry) (EngineStatus, error)
+	// SetRole gives an order. engine.ErrStale means that the engine has seen a
+	// higher fencing token, engine.ErrRefused that it did not take the order.
+	SetRole(ctx context.Context, server *registry.Entry, order RoleOrder) error
+}
+
+// Siblings asks one sibling for what it believes.
+type Siblings interface {
+	Beliefs(ctx context.Context, address string, have Have) (Beliefs, error)
+}
+
+// Config tunes the loops of an instance.
+type Config struct {
+	Name string
+	Zone string
+	// CallerAddress is where callers connect, and SiblingAddress where siblings
+	// do, each "ip:port".
+	CallerAddress  string
+	SiblingAddress string
+	// Seeds are addresses of siblings that may be out of date.
+	Seeds []string
+
+	// TableWait is how long one question for a newer table waits at the store.
+	// Longer costs fewer calls; a connection that died unnoticed delays changes
+	// by this long.
+	TableWait time.Duration
+	// ServersEvery is the pause between two reads of the list of servers. It
+	// bounds how late a leaving server is noticed; each read is priced.
+	ServersEvery time.Duration
+	// RetryEvery is the pause after a call to the store that failed.
+	RetryEvery time.Duration
+	// StoreSilence is how long after the last answer the store counts as away,
+	// and siblings are asked instead.
+	StoreSilence time.Duration
+	// CatchUpEvery is the pause between two questions to siblings.
+	CatchUpEvery time.Duration
+	// RosterEvery is the pause between two looks at the list of instances.
+	RosterEvery time.Duration
+
+	// Members tunes the detection of failed siblings.
+	Members member.Config
+	// PeersTold is how many other siblings a heartbeat names.
+	PeersTold int
+
+	// RetryRatio and RetrySlack bound the retries to one service in a window,
+	// from all instances together.
+	RetryRatio float64
+	RetrySlack float64
+
+	// Lease bounds who may give orders.
+	Lease lease.Config
+	// PrefillShare is the share of a service's engines that read prompts.
+	PrefillShare float64
+	// OrdersEvery is the pause between two looks at the engines' roles.
+	OrdersEvery time.Duration
+}
+
+// DefaultConfig suits installations of up to a hundred instances.
+func DefaultConfig() Config {
+	return Config{
+		TableWait:    4 * time.Second,
+		ServersEvery: 450 * time.Millisecond,
+		RetryEvery:   250 * time.Millisecond,
+		StoreSilence: 1200 * time.Millisecond,
+		CatchUpEvery: 300 * time.Millisecond,
+		RosterEvery:  5 * time.Second,
+		Members: member.Config{
+			HeartbeatEvery: 150 * time.Millisecond,
+			SuspectAfter:   900 * time.Millisecond,
+			DeadAfter:      5 * time.Second,
+			AbandonAfter:   30 * time.Second,
+			ForgetAfter:    2 * time.Minute,
+		},
+		PeersTold:    4,
+		PrefillShare: defaultPrefillShare,
+		OrdersEvery:  500 * time.Millisecond,
+	}
+}
+
+// defaultPrefillShare is from trials on the users' sheets: two of nine engines
+// read what the other seven can hold.
+const defaultPrefillShare = 2.0 / 9
+
+// LeaseConfig returns the times of a lease after whose holder's last order
+// nobody else gives one for a while.
+func LeaseConfig(apart time.Duration) lease.Config {
+	// A holder stops at TTL-Margin and a challenger begins at TTL+Margin, so
+	// the margin is half of the time that must lie between.
+	margin := apart/2 + leaseSlack
+	return lease.Config{TTL: margin + orderWindow, RenewEvery: orderWindow / 2, Margin: margin}
+}
+
+const (
+	// orderWindow is how long a holder may give orders after a claim.
+	orderWindow = 1500 * time.Millisecond
+	// leaseSlack covers an order that is under way when its holder stops.
+	leaseSlack = 400 * time.Millisecond
+)
+
+// Deps is what an Instance works with.
+type Deps struct {
+	Tables   Tables
+	Servers  ServerList
+	Roster   Roster
+	Claims   Claims
+	Engines  Engines
+	Siblings Siblings
+	Socket   *heartbeat.Socket
+	Random   func() float64
+	// ServersChanged is told of each new picture of the servers.
+	ServersChanged func(view *registry.View)
+}
+
+// Instance is one running instance.
+type Instance struct {
+	config   Config
+	deps     Deps
+	started  time.Time
+	self     atomic.Uint64 // incarnation
+	table    atomic.Pointer[Revision]
+	registry *registry.Registry
+	servers  atomic.Pointer[forward.Servers]
+	Fleet    *route.Fleet
+	members  *member.Members
+	peers    *peers
+	budgets  *budgets
+	store    *dependency
+	stopping atomic.Bool
+	orders   *orders
+}
+
+// New returns an instance that knows nothing yet.
+func New(config Config, deps Deps) *Instance {
+	in := &Instance{
+		config:   config,
+		deps:     deps,
+		started:  time.Now(),
+		registry: registry.New(registry.DefaultConfig()),
+		Fleet:    route.NewFleet(),
+		members:  member.New(operation.Member{Name: config.Name}, config.Members),
+		peers:    newPeers(config.SiblingAddress, config.Seeds),
+		budgets:  newBudgets(config.RetryRatio, config.RetrySlack),
+		store:    newDependency("store"),
+	}
+	in.self.Store(uint64(time.Now().UnixMilli()))
+	in.servers.Store(&forward.Servers{})
+	in.orders = newOrders(in)
+	return in
+}
+
+// Run follows table, servers and siblings until ctx ends.
+func (in *Instance) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	loops := []func(context.Context){
+		in.followTable, in.followServers, in.followRoster, in.catchUp, in.beat, in.tick, in.orders.run,
+	}
+	for _, loop := range loops {
+		group.Go(func() error {
+			loop(ctx)
+			return nil
+		})
+	}
+	group.Go(func() error { return in.deps.Socket.Receive(ctx, in.heard, in.strange) })
+	return group.Wait()
+}
+
+// Table implements forward.Beliefs.
+func (in *Instance) Table() *table.View {
+	if revision := in.table.Load(); revision != nil {
+		return revision.View
+	}
+	return nil
+}
+
+// Servers implements forward.Beliefs.
+func (in *Instance) Servers() *forward.Servers { return in.servers.Load() }
+
+// Budget returns the retry budget of a service.
+func (in *Instance) Budget(service string) *route.SharedBudget { return in.budgets.of(service) }
+
+// Ready says whether the instance takes requests.
+func (in *Instance) Ready() bool {
+	return !in.stopping.Load() && in.table.Load() != nil && len(in.servers.Load().ByID) > 0
+}
+
+// Stop begins a graceful shutdown: siblings no longer name this instance to
+// callers.
+func (in *Instance) Stop(ctx context.Context) {
+	in.stopping.Store(true)
+	in.sendHeartbeats()
+	if err := in.deps.Roster.Withdraw(ctx, in.config.Name); err != nil {
+		logStore("Not taken off the list of instances", err)
+	}
+}
--- /dev/null
+++ b/edge/follow.go
@@ -0,0 +1,121 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/mastwheel/mastwheel/oplog"
+	"github.com/mastwheel/mastwheel/wait"
+)
+
+// pause waits a jittered while, so that instances do not act in step; it
+// returns false when ctx ended first.
+func (in *Instance) pause(ctx context.Context, mean time.Duration) bool {
+	return wait.For(ctx, time.Duration(float64(mean)*(0.75+0.5*in.deps.Random())))
+}
+
+// followTable keeps the table in force up to date.
+func (in *Instance) followTable(ctx context.Context) {
+	position, known := uint64(0), false
+	for ctx.Err() == nil {
+		var raw []byte
+		var err error
+		if known {
+			raw, position, err = in.deps.Tables.Since(ctx, position, in.config.TableWait)
+		} else {
+			raw, position, err = in.deps.Tables.Newest(ctx)
+			known = err == nil
+		}
+		if raw != nil {
+			in.adoptRaw(raw, "store")
+		}
+		if errors.Is(err, oplog.ErrTruncated) {
+			known = false
+			continue
+		}
+		if err != nil && ctx.Err() == nil {
+			in.store.failed(time.Now(), err)
+			in.pause(ctx, in.config.RetryEvery)
+			continue
+		}
+		in.store.ok(time.Now())
+		if raw == nil && in.table.Load() == nil {
+			in.pause(ctx, in.config.RetryEvery)
+		}
+	}
+}
+
+// adoptRaw makes a configuration the table in force, if it is newer.
+func (in *Instance) adoptRaw(raw []byte, from string) {
+	revision, err := in.deps.Tables.Decode(raw)
+	if err != nil {
+		klog.ErrorS(err, "Configuration cannot be used; the table stays", "from", from)
+		return
+	}
+	for {
+		before := in.table.Load()
+		if before != nil && before.Number >= revision.Number {
+			return
+		}
+		if in.table.CompareAndSwap(before, revision) {
+			break
+		}
+	}
+	in.rebuild()
+	klog.InfoS("Table in force", "revision", revision.Number, "from", from, "hosts", len(revision.View.Routes),
+		"services", len(revision.View.Services), "bytes", len(raw))
+}
+
+// followServers keeps the list of backend servers up to date.
+func (in *Instance) followServers(ctx context.Context) {
+	known := false
+	for ctx.Err() == nil {
+		err := in.readServers(ctx, known)
+		now := time.Now()
+		switch {
+		case err == nil:
+			known = true
+			in.store.ok(now)
+			in.rebuild()
+			in.pause(ctx, in.config.ServersEvery)
+		case errors.Is(err, oplog.ErrTruncated):
+			known = false
+		case ctx.Err() == nil:
+			in.store.failed(now, err)
+			in.registry.StoreAway(now)
+			in.pause(ctx, in.config.RetryEvery)
+		}
+	}
+}
+
+func (in *Instance) readServers(ctx context.Context, known bool) error {
+	if !known {
+		snapshot, err := in.deps.Servers.Newest(ctx)
+		if err != nil {
+			return err
+		}
+		in.registry.Reset(snapshot, time.Now())
+		return nil
+	}
+	changes, next, err := in.deps.Servers.Since(ctx, in.registry.View().Position, 0)
+	if err != nil {
+		return err
+	}
+	in.registry.Apply(changes, next, time.Now())
+	return nil
+}
+
+// tick lets time pass for what is believed.
+func (in *Instance) tick(ctx context.Context) {
+	for wait.For(ctx, in.config.Members.HeartbeatEvery) {
+		now := time.Now()
+		in.members.Tick(now)
+		in.registry.Tick(now)
+		in.rebuild()
+		in.sumLoads()
+		in.budgets.share(len(in.members.View().Siblings) + 1)
+	}
+}
--- /dev/null
+++ b/edge/orders.go
@@ -0,0 +1,207 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/mastwheel/mastwheel/engine"
+	"github.com/mastwheel/mastwheel/forward"
+	"github.com/mastwheel/mastwheel/lease"
+	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/roles"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// orders gives model engines their roles. One instance at a time may, under a
+// lease; the others only watch.
+type orders struct {
+	*Instance
+	leases map[string]*lease.Candidate // by service
+	// wanted is since when a service's roles have been other than planned.
+	wanted map[string]time.Time
+	// given is the last order that an engine got from here.
+	given map[string]givenOrder
+
+	mu sync.Mutex
+	// builtFrom and builtWith are what the picture of the servers was made of.
+	builtFrom *registry.View
+	builtWith *table.View
+}
+
+// givenOrder is an order that may still be under way.
+type givenOrder struct {
+	role string
+	at   time.Time
+}
+
+func newOrders(in *Instance) *orders {
+	return &orders{
+		Instance: in, leases: make(map[string]*lease.Candidate),
+		wanted: make(map[string]time.Time), given: make(map[string]givenOrder),
+	}
+}
+
+const (
+	// orderSettle is added to the time that a change of role takes before an
+	// engine counts as not having carried it out: its entry in the list lags.
+	orderSettle = 3 * time.Second
+	// turnEvery is how much longer each instance waits than the one before it
+	// until it gives an order that is wanted.
+	turnEvery = 2 * time.Second
+	// orderTimeout bounds one call to an engine.
+	orderTimeout = 600 * time.Millisecond
+)
+
+func (o *orders) run(ctx context.Context) {
+	for o.pause(ctx, o.config.OrdersEvery) {
+		view := o.Table()
+		if view == nil || o.stopping.Load() {
+			continue
+		}
+		for name, service := range view.Services {
+			if service.Type == table.TypeModel {
+				o.consider(ctx, name, service)
+			}
+		}
+	}
+}
+
+// consider compares a service's roles with the plan, and changes them once the
+// difference has lasted for this instance's turn.
+func (o *orders) consider(ctx context.Context, name string, service *table.ServiceView) {
+	now := time.Now()
+	change, needed := o.plan(name, service, now)
+	if !needed {
+		delete(o.wanted, name)
+		return
+	}
+	since, waiting := o.wanted[name]
+	if !waiting {
+		since = now
+		o.wanted[name] = now
+	}
+	if now.Sub(since) < time.Duration(o.turn())*turnEvery {
+		return
+	}
+	if err := o.give(ctx, name, change); err != nil {
+		klog.InfoS("Order not given", "service", name, "server", change.Engine, "role", change.Role, "err", err.Error())
+	}
+}
+
+// turn is the number of living siblings that come before this instance.
+func (o *orders) turn() int {
+	before := 0
+	for _, sibling := range o.members.View().Siblings {
+		if sibling.State == member.Alive && sibling.Name < o.config.Name {
+			before++
+		}
+	}
+	return before
+}
+
+// plan finds the next change of role, if one is needed.
+func (o *orders) plan(name string, service *table.ServiceView, now time.Time) (roles.Change, bool) {
+	servers := o.servers.Load()
+	var engines []roles.Engine
+	for _, role := range []string{table.RolePrefill, table.RoleDecode} {
+		for _, backend := range poolOf(servers, role, name) {
+			if backend.Drain {
+				continue
+			}
+			known := roles.Engine{Name: backend.Name, Zone: backend.Zone, Role: role}
+			if given, ok := o.given[backend.Name]; ok && now.Sub(given.at) < service.Engine.Switch+orderSettle {
+				known.Ordered = given.role
+			}
+			engines = append(engines, known)
+		}
+	}
+	slices.SortFunc(engines, func(a, b roles.Engine) int { return cmp.Compare(a.Name, b.Name) })
+	return roles.Next(engines, o.config.PrefillShare)
+}
+
+func poolOf(servers *forward.Servers, role, service string) []*table.BackendView {
+	if role == table.RolePrefill {
+		return servers.Prefill[service]
+	}
+	return servers.Decode[service]
+}
+
+// give gives one order under the lease.
+func (o *orders) give(ctx context.Context, service string, change roles.Change) error {
+	candidate, err := o.hold(ctx, service)
+	if err != nil {
+		return err
+	}
+	entry := o.servers.Load().ByID[change.Engine]
+	if entry == nil {
+		return errors.New("the engine is gone")
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	status, err := o.deps.Engines.Status(ctx, entry)
+	if err != nil {
+		return err
+	}
+	if status.Busy || status.Role == change.Role {
+		o.given[change.Engine] = givenOrder{role: change.Role, at: time.Now()}
+		return nil
+	}
+	token, valid := candidate.Valid(time.Now())
+	if !valid {
+		return errors.New("the lease has run out")
+	}
+	o.given[change.Engine] = givenOrder{role: change.Role, at: time.Now()}
+	err = o.deps.Engines.SetRole(ctx, entry, RoleOrder{
+		Role: change.Role, Holder: o.config.Name, Token: token, After: status.Sequence,
+	})
+	klog.InfoS("Order given", "service", service, "server", change.Engine, "role", change.Role, "token", token,
+		"after", status.Sequence, "prefill", change.Prefill, "decode", change.Decode, "wantPrefill", change.Want, "accepted", err == nil)
+	if errors.Is(err, engine.ErrStale) {
+		delete(o.leases, service)
+	}
+	return err
+}
+
+// hold makes this instance the holder of a service's lease, if it may be.
+func (o *orders) hold(ctx context.Context, service string) (*lease.Candidate, error) {
+	now := time.Now()
+	candidate := o.leases[service]
+	if candidate == nil {
+		holder := o.config.Name + "." + strconv.FormatUint(o.self.Load(), 36)
+		candidate = lease.NewCandidate(o.config.Lease, service, holder, now)
+		o.leases[service] = candidate
+	}
+	if _, valid := candidate.Valid(now); valid {
+		return candidate, nil
+	}
+	state, condition, err := o.deps.Claims.Last(ctx, service)
+	if err != nil {
+		return nil, err
+	}
+	candidate.Observe(state, time.Now())
+	claim, due := candidate.Next(time.Now(), true)
+	if !due {
+		return nil, errors.New("another instance may still hold the lease: " + state.Holder)
+	}
+	state, won, err := o.deps.Claims.Claim(ctx, claim, condition)
+	if err != nil {
+		return nil, err
+	}
+	if !won {
+		return nil, errors.New("another instance claimed the lease first")
+	}
+	candidate.Observe(state, time.Now())
+	klog.InfoS("Lease claimed", "lease", service, "token", state.Token)
+	if _, valid := candidate.Valid(time.Now()); !valid {
+		return nil, errors.New("the claim came too late")
+	}
+	return candidate, nil
+}
--- /dev/null
+++ b/edge/siblings.go
@@ -0,0 +1,256 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/operation"
+	"github.com/mastwheel/mastwheel/route"
+	"github.com/mastwheel/mastwheel/wait"
+)
+
+// peers holds the addresses to which heartbeats go, and what siblings said of
+// their loads.
+type peers struct {
+	self string
+
+	mu sync.Mutex
+	// heard is when an address was last heard or named; addresses that stay
+	// silent are dropped.
+	heard map[string]time.Time
+	loads map[string][]heartbeat.Load // by sibling's name
+}
+
+// forgetPeer is the silence after which no more heartbeats go to an address:
+// longer than any outage that a sibling comes back from at the same address.
+const forgetPeer = time.Minute
+
+func newPeers(self string, seeds []string) *peers {
+	p := &peers{self: self, heard: make(map[string]time.Time), loads: make(map[string][]heartbeat.Load)}
+	for _, seed := range seeds {
+		p.learn(seed, time.Now())
+	}
+	return p
+}
+
+// learn notes an address that was named.
+func (p *peers) learn(address string, now time.Time) {
+	if address == "" || address == p.self {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.heard[address]; !known {
+		p.heard[address] = now
+	}
+}
+
+// take notes what a sibling said.
+func (p *peers) take(message heartbeat.Message, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[message.From.Peer] = now
+	p.loads[message.From.Name] = message.Loads
+}
+
+// addresses returns where heartbeats go.
+func (p *peers) addresses(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.heard, func(_ string, heard time.Time) bool { return now.Sub(heard) > forgetPeer })
+	return slices.Sorted(maps.Keys(p.heard))
+}
+
+// sum adds up the loads of the siblings that serve.
+func (p *peers) sum(serving []member.Sibling) map[uint32]route.Commitment {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	total := make(map[uint32]route.Commitment)
+	for _, sibling := range serving {
+		for _, load := range p.loads[sibling.Name] {
+			total[load.Server] = total[load.Server].Add(load.Commitment())
+		}
+	}
+	return total
+}
+
+// sumLoads tells each server's state what the siblings have committed there.
+func (in *Instance) sumLoads() {
+	total := in.peers.sum(in.members.View().Serving())
+	for id := range in.servers.Load().ByID {
+		if server := in.Fleet.Server(id); server != nil {
+			server.SetOthers(total[route.ServerID(id)])
+		}
+	}
+}
+
+// info is what this instance says about itself.
+func (in *Instance) info() member.Info {
+	info := member.Info{
+		Name:        in.config.Name,
+		Incarnation: operation.Incarnation(in.self.Load()),
+		Zone:        in.config.Zone,
+		Caller:      in.config.CallerAddress,
+		Peer:        in.config.SiblingAddress,
+		Draining:    !in.Ready(),
+		Uptime:      time.Since(in.started),
+		Next:        in.registry.View().Position,
+	}
+	if revision := in.table.Load(); revision != nil {
+		info.Revision = revision.Number
+	}
+	return info
+}
+
+// beat sends heartbeats until ctx ends.
+func (in *Instance) beat(ctx context.Context) {
+	in.sendHeartbeats()
+	for wait.For(ctx, in.config.Members.HeartbeatEvery) {
+		in.sendHeartbeats()
+	}
+}
+
+func (in *Instance) sendHeartbeats() {
+	addresses := in.peers.addresses(time.Now())
+	datagram, err := heartbeat.Encode(heartbeat.Message{
+		From: in.info(), Loads: in.loads(), Peers: in.somePeers(addresses),
+	})
+	if err != nil {
+		klog.ErrorS(err, "Heartbeat not sent")
+		return
+	}
+	for _, address := range addresses {
+		if err := in.deps.Socket.Send(address, datagram); err != nil {
+			klog.V(1).InfoS("Heartbeat not sent", "sibling", address, "err", err.Error())
+		}
+	}
+}
+
+// somePeers picks addresses that the receivers may not know.
+func (in *Instance) somePeers(addresses []string) []string {
+	if len(addresses) <= in.config.PeersTold {
+		return addresses
+	}
+	first := int(in.deps.Random() * float64(len(addresses)))
+	picked := make([]string, 0, in.config.PeersTold)
+	for i := range in.config.PeersTold {
+		picked = append(picked, addresses[(first+i)%len(addresses)])
+	}
+	return picked
+}
+
+// loads lists what this instance has committed.
+func (in *Instance) loads() []heartbeat.Load {
+	var loads []heartbeat.Load
+	for id := range in.servers.Load().ByID {
+		server := in.Fleet.Server(id)
+		if server == nil {
+			continue
+		}
+		own := server.Own()
+		if own != (route.Commitment{}) {
+			loads = append(loads, heartbeat.Load{
+				Server: route.ServerID(id), InFlight: own.InFlight, Unread: own.Unread, Memory: own.Memory,
+			})
+		}
+	}
+	return loads
+}
+
+// heard takes a sibling's heartbeat.
+func (in *Instance) heard(message heartbeat.Message) {
+	if message.Known > operation.Incarnation(in.self.Load()) {
+		in.self.Store(uint64(message.Known) + 1)
+		klog.InfoS("A sibling knows a later run of this instance; counting on from it", "incarnation", in.self.Load(), "sibling", message.From.Name)
+	}
+	now := time.Now()
+	for _, peer := range message.Peers {
+		in.peers.learn(peer, now)
+	}
+	if message.From.Name == in.config.Name || message.From.Peer == "" {
+		return
+	}
+	before, known := in.members.View().Find(message.From.Name)
+	if in.members.Heard(message.From, now) {
+		in.peers.take(message, now)
+		in.logSibling(before, known, message.From)
+		return
+	}
+	if known && before.Incarnation > message.From.Incarnation {
+		in.correct(message.From, before.Incarnation)
+	}
+}
+
+// logSibling writes a line when a sibling appears or changes its state.
+func (in *Instance) logSibling(before member.Sibling, known bool, now member.Info) {
+	if known && before.Incarnation == now.Incarnation && before.Draining == now.Draining && before.State != member.Suspect {
+		return
+	}
+	klog.InfoS("Sibling heard", "sibling", now.Name, "incarnation", now.Incarnation, "zone", now.Zone,
+		"before", before.State, "draining", now.Draining, "revision", now.Revision)
+}
+
+// correct tells a sibling that restarted with its clock set back under which
+// incarnation it is known here.
+func (in *Instance) correct(sibling member.Info, known operation.Incarnation) {
+	datagram, err := heartbeat.Encode(heartbeat.Message{From: in.info(), Known: known})
+	if err == nil {
+		err = in.deps.Socket.Send(sibling.Peer, datagram)
+	}
+	if err != nil {
+		klog.InfoS("Sibling not told of its later run", "sibling", sibling.Name, "err", err.Error())
+	}
+}
+
+func (in *Instance) strange(err error) {
+	klog.V(1).InfoS("Datagram dropped", "err", err.Error())
+}
+
+// Entry returns the addresses that callers should use: those of this instance
+// and of the siblings that are alive.
+func (in *Instance) Entry(string) []string {
+	var addresses []string
+	if in.Ready() {
+		addresses = append(addresses, in.config.CallerAddress)
+	}
+	for _, sibling := range in.members.View().Siblings {
+		if sibling.State == member.Alive {
+			addresses = append(addresses, sibling.Caller)
+		}
+	}
+	first := int(in.deps.Random() * float64(len(addresses)+1))
+	return append(addresses[min(first, len(addresses)):], addresses[:min(first, len(addresses))]...)
+}
+
+// followRoster finds siblings that neither a seed nor another sibling names.
+func (in *Instance) followRoster(ctx context.Context) {
+	announced := false
+	for ctx.Err() == nil {
+		every := in.config.RosterEvery
+		if !announced && !in.stopping.Load() {
+			err := in.deps.Roster.Announce(ctx, in.config.Name, in.config.SiblingAddress)
+			announced = err == nil
+			if err != nil {
+				logStore("Not yet on the list of instances", err)
+				every = in.config.RetryEvery
+			}
+		}
+		addresses, err := in.deps.Roster.Addresses(ctx)
+		if err != nil {
+			every = in.config.RetryEvery
+		}
+		for name, address := range addresses {
+			if name != in.config.Name {
+				in.peers.learn(address, time.Now())
+			}
+		}
+		in.pause(ctx, every)
+	}
+}
--- /dev/null
+++ b/forward/flow.go
@@ -0,0 +1,154 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/route"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// flow is one request while it is forwarded.
+type flow struct {
+	*Gateway
+	request  *Request
+	servers  *Servers
+	revision uint64
+	route    *table.RouteView
+	service  *table.ServiceView
+	// deadline is when the caller must have its answer.
+	deadline time.Time
+	// leave takes the request off the count of those in flight.
+	leave func()
+	// tried names servers that failed this request.
+	tried []string
+	// path names the servers that the request was sent to, in order.
+	path []string
+	// mayRun is set once a backend server may have run the request.
+	mayRun bool
+	notes  []any
+}
+
+// note adds an input of a decision to the request's log line.
+func (f *flow) note(key string, value any) { f.notes = append(f.notes, key, value) }
+
+// choose decides by a profile among servers; nil when every one was dropped.
+func (f *flow) choose(profile *route.Profile, pool []*table.BackendView) *route.Rated {
+	query := &route.Query{RequestID: f.request.ID, Zone: f.Zone, Exclude: f.tried, Now: time.Now()}
+	if f.request.Generation != nil {
+		query.PromptTokens = f.request.Generation.PromptTokens
+	}
+	decision := profile.Decide(query, f.Fleet, pool)
+	if decision.Chosen == nil {
+		for _, rated := range decision.Rated {
+			f.note("dropped."+rated.Name, rated.DroppedBy)
+		}
+	}
+	return decision.Chosen
+}
+
+func (f *flow) entry(chosen *route.Rated) *registry.Entry { return f.servers.ByID[chosen.Name] }
+
+// retryAfter is when a refused caller should come back.
+func (f *flow) retryAfter() time.Duration {
+	return f.config.RetryAfter + time.Duration(f.Random()*float64(f.config.RetrySpread))
+}
+
+// refuse ends a request that has not run. Its status promises just that.
+func (f *flow) refuse(why reason.Reason, detail string) *Reply {
+	if f.mayRun {
+		return f.fail(why, detail)
+	}
+	return f.end(&Reply{Status: statusUnavailable, Reason: why, RetryAfter: f.retryAfter()}, detail)
+}
+
+// fail ends a request that may have run. Its status promises nothing.
+func (f *flow) fail(why reason.Reason, detail string) *Reply {
+	return f.end(&Reply{Status: statusBadGateway, Reason: why}, detail)
+}
+
+// timeout ends a request whose time is up.
+func (f *flow) timeout(detail string) *Reply {
+	if !f.mayRun {
+		return f.refuse(reason.DeadlineTooClose, detail)
+	}
+	return f.end(&Reply{Status: statusTimeout, Reason: reason.AnswerLost}, detail)
+}
+
+// lost ends a request whose answer did not come: its caller went, its time is
+// up, or the server failed.
+func (f *flow) lost(ctx context.Context, err error) *Reply {
+	if ctx.Err() != nil && !time.Now().Before(f.deadline) {
+		return f.timeout(err.Error())
+	}
+	if ctx.Err() != nil {
+		return f.end(&Reply{Status: statusBadGateway, Reason: reason.CallerGone}, err.Error())
+	}
+	return f.fail(reason.AnswerLost, err.Error())
+}
+
+// deliver ends a request with a backend server's own answer.
+func (f *flow) deliver(answer *Answer) *Reply {
+	return f.end(&Reply{Status: answer.Status, Fields: answer.Fields, Body: answer.Body}, "")
+}
+
+// end closes the books on a request that is answered whole.
+func (f *flow) end(reply *Reply, detail string) *Reply {
+	if f.leave != nil {
+		f.leave()
+	}
+	f.close(reply.Status, reply.Reason, detail)
+	return reply
+}
+
+// close counts and logs how a request ended.
+func (f *flow) close(status int, why reason.Reason, detail string) {
+	service := ""
+	if f.service != nil {
+		service = f.service.Name
+	}
+	outcome := f.outcome(why)
+	f.Metrics.Ended(service, outcome, why)
+	f.Metrics.Took(service, time.Since(f.request.Arrived))
+	f.log(service, outcome, status, why, detail)
+}
+
+func (f *flow) outcome(why reason.Reason) reason.Outcome {
+	switch {
+	case why == reason.None:
+		return reason.Done
+	case f.mayRun:
+		return reason.Unknown
+	default:
+		return reason.NotRun
+	}
+}
+
+// Verbosity of the log lines about requests: those served are numerous.
+const logServed = 2
+
+func (f *flow) log(service string, outcome reason.Outcome, status int, why reason.Reason, detail string) {
+	level := klog.Level(0)
+	if outcome == reason.Done {
+		level = logServed
+	}
+	if !klog.V(level).Enabled() {
+		return
+	}
+	fields := []any{
+		"request", f.request.ID, "service", service, "outcome", outcome, "status", status, "reason", why,
+		"revision", f.revision, "servers", f.path, "tookMillis", time.Since(f.request.Arrived).Milliseconds(),
+		"listPosition", f.servers.Position, "listAgeMillis", time.Since(f.servers.Read).Milliseconds(),
+	}
+	if f.route != nil {
+		fields = append(fields, "route", f.route.Name)
+	}
+	if detail != "" {
+		fields = append(fields, "detail", detail)
+	}
+	klog.V(level).InfoS("Request ended", append(fields, f.notes...)...)
+}
--- /dev/null
+++ b/forward/gateway.go
@@ -0,0 +1,174 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/route"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// Beliefs is what requests are decided by: immutable values behind atomic
+// pointers.
+type Beliefs interface {
+	// Table returns the table in force; nil before there is one.
+	Table() *table.View
+	// Servers returns the registered backend servers with the table rows made
+	// of them.
+	Servers() *Servers
+}
+
+// Servers is an immutable picture of the backend servers, by service.
+type Servers struct {
+	// Position and Read say how current the picture is.
+	Position uint64
+	Read     time.Time
+	ByID     map[string]*registry.Entry
+	Plain    map[string][]*table.BackendView
+	Prefill  map[string][]*table.BackendView
+	Decode   map[string][]*table.BackendView
+}
+
+// Config bounds what one request may take.
+type Config struct {
+	// ReserveTimeout bounds one question for a reservation. It must outlast a
+	// round trip between zones and the opening of a connection; longer delays
+	// requests behind an engine that is gone.
+	ReserveTimeout time.Duration
+	// ReserveTries bounds the engines that are asked in turn. More find the
+	// last free memory; each costs a round trip of a few milliseconds.
+	ReserveTries int
+	// CleanupTimeout bounds giving back what a request had taken.
+	CleanupTimeout time.Duration
+	// RefuseWithin is the part of the first-token target within which a
+	// request that cannot be served must be refused for its caller to lose
+	// least (source: the users' rules, a quarter).
+	RefuseWithin float64
+	// RetryAfter is when a refused caller should come back, at the least;
+	// RetrySpread is added in part, at random, so that callers who were refused
+	// together do not return together.
+	RetryAfter  time.Duration
+	RetrySpread time.Duration
+	// LandingMargin is kept between the expected first token and its target,
+	// for transfer and first step.
+	LandingMargin time.Duration
+	// AnswerLimit bounds the body of a plain answer, in bytes.
+	AnswerLimit int64
+	// StreamGrace is how long after the begin of a graceful shutdown streams
+	// are still taken; later ones might not end before the instance does.
+	StreamGrace time.Duration
+	// LateReading is how long after the first token's target a prefill may
+	// still end; a late stream is worth something to its caller.
+	LateReading time.Duration
+}
+
+// DefaultConfig suits the sizes of the users' sheets.
+func DefaultConfig() Config {
+	return Config{
+		ReserveTimeout: 150 * time.Millisecond,
+		ReserveTries:   3,
+		CleanupTimeout: time.Second,
+		RefuseWithin:   0.25,
+		RetryAfter:     900 * time.Millisecond,
+		RetrySpread:    1200 * time.Millisecond,
+		LandingMargin:  150 * time.Millisecond,
+		AnswerLimit:    4 << 20,
+		StreamGrace:    2500 * time.Millisecond,
+		LateReading:    600 * time.Millisecond,
+	}
+}
+
+// Deps is what a Gateway works with.
+type Deps struct {
+	Zone     string
+	Beliefs  Beliefs
+	Fleet    *route.Fleet
+	Backends Backends
+	// Budget returns the retry budget of a service.
+	Budget  func(service string) *route.SharedBudget
+	Metrics *metrics.Set
+	// Random returns a number in [0,1).
+	Random func() float64
+}
+
+// Gateway forwards requests.
+type Gateway struct {
+	Deps
+	config   Config
+	prefill  *route.Profile
+	decode   *route.Profile
+	plain    *route.Profile
+	inFlight atomic.Int64
+	// stopping is when a graceful shutdown began, and nil before.
+	stopping atomic.Pointer[time.Time]
+	// cleanups waits for what outlives its request.
+	cleanups sync.WaitGroup
+}
+
+// New returns a gateway.
+func New(deps Deps, config Config) *Gateway {
+	return &Gateway{
+		Deps:    deps,
+		config:  config,
+		prefill: route.ForwardPrefill(),
+		decode:  route.ForwardDecode(),
+		plain:   route.ForwardPlain(),
+	}
+}
+
+// InFlight counts the requests that are being forwarded.
+func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
+
+// Stop begins a graceful shutdown: requests that would outlast it are refused.
+func (g *Gateway) Stop(now time.Time) { g.stopping.CompareAndSwap(nil, &now) }
+
+// Stopping says whether a graceful shutdown has begun.
+func (g *Gateway) Stopping() bool { return g.stopping.Load() != nil }
+
+// Wait blocks until everything that was taken has been given back.
+func (g *Gateway) Wait() { g.cleanups.Wait() }
+
+// Serve forwards one request. ctx ends when its caller departs.
+func (g *Gateway) Serve(ctx context.Context, r *Request) *Reply {
+	view := g.Beliefs.Table()
+	f := &flow{Gateway: g, request: r, servers: g.Beliefs.Servers()}
+	if view == nil {
+		return f.refuse(reason.StaleTable, "no table is known yet")
+	}
+	f.revision = view.Revision
+	f.route = view.Route(r.Host, r.Path)
+	if f.route == nil {
+		return f.end(&Reply{Status: statusNotFound, Reason: reason.UnknownService}, "no route")
+	}
+	f.service = view.Services[f.route.Service(r.ID)]
+	if f.service == nil {
+		return f.refuse(reason.UnknownService, "the route names no service")
+	}
+	f.deadline = r.Arrived.Add(f.route.Timeout)
+	if r.Deadline.Before(f.deadline) {
+		f.deadline = r.Deadline
+	}
+	g.inFlight.Add(1)
+	f.leave = sync.OnceFunc(func() { g.inFlight.Add(-1) })
+	g.Budget(f.service.Name).Earn()
+	if f.service.Type == table.TypeModel && r.Generation != nil {
+		return f.generate(ctx)
+	}
+	return f.call(ctx)
+}
+
+// cleanup runs a small task that outlives its request.
+func (g *Gateway) cleanup(task func(ctx context.Context)) {
+	g.cleanups.Add(1)
+	go func() {
+		defer g.cleanups.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), g.config.CleanupTimeout)
+		defer cancel()
+		task(ctx)
+	}()
+}
--- /dev/null
+++ b/forward/generate.go
@@ -0,0 +1,250 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/route"
+)
+
+// generation is a request to a model service while it is forwarded. Memory at
+// a decode engine is reserved before a prompt is read, so that no prompt is
+// read for nothing.
+type generation struct {
+	*flow
+	ctx    context.Context
+	cancel context.CancelFunc
+	// need is the KV memory that the request will need, in tokens.
+	need int
+	// target is when the first token is due.
+	target time.Time
+
+	prefill *route.Rated
+	decode  *route.Rated
+	// reservation and result are what the request has taken and not yet used.
+	reservation string
+	result      *Prefilled
+	// free ends the notes of what it has committed at the decode engine.
+	free func()
+}
+
+// stepError says why a step failed, in the terms of the reply.
+type stepError struct {
+	why    reason.Reason
+	detail string
+	// lost is the cause when the step's outcome is not known.
+	lost error
+}
+
+func (f *flow) generate(caller context.Context) *Reply {
+	ctx, cancel := context.WithDeadline(caller, f.deadline)
+	g := &generation{
+		flow: f, ctx: ctx, cancel: cancel, free: func() {},
+		need:   expectedMemory(f.request.Generation),
+		target: f.request.Arrived.Add(f.route.TTFT),
+	}
+	stream, failed := g.run()
+	if failed == nil {
+		return &Reply{Status: stream.Status, Fields: stream.Fields, Stream: newRelay(g, stream)}
+	}
+	defer cancel()
+	g.giveBack()
+	if failed.lost != nil {
+		return f.lost(ctx, failed.lost)
+	}
+	if ctx.Err() != nil {
+		return f.lost(ctx, ctx.Err())
+	}
+	return f.refuse(failed.why, failed.detail)
+}
+
+// run takes the steps up to the begin of the stream.
+func (g *generation) run() (*Stream, *stepError) {
+	g.note("memory", g.need)
+	for _, step := range []func() *stepError{g.outlast, g.choosePrefill, g.reserve, g.read} {
+		if failed := step(); failed != nil {
+			return nil, failed
+		}
+	}
+	return g.begin()
+}
+
+// outlast refuses a stream that a stopping instance could not see to its end.
+func (g *generation) outlast() *stepError {
+	began := g.stopping.Load()
+	if began == nil {
+		return nil
+	}
+	if time.Since(*began) < g.config.StreamGrace {
+		return nil
+	}
+	return &stepError{why: reason.Stopping, detail: "the instance is stopping"}
+}
+
+// choosePrefill finds the engine that reads the prompt, and refuses a request
+// whose first token can no longer come in time.
+func (g *generation) choosePrefill() *stepError {
+	g.prefill = g.choose(g.Gateway.prefill, g.servers.Prefill[g.service.Name])
+	if g.prefill == nil {
+		return &stepError{why: reason.NoBackend, detail: "no prefill engine"}
+	}
+	wait := g.prefill.Server.PrefillTime(g.request.Generation.PromptTokens)
+	g.note("prefillMillis", wait.Milliseconds())
+	landing := time.Now().Add(wait + g.config.LandingMargin)
+	if landing.After(g.target) {
+		return &stepError{why: reason.DeadlineTooClose, detail: "the prompts ahead take too long"}
+	}
+	return nil
+}
+
+// reserve has a decode engine keep memory free. Engines that look full are
+// asked last, and only some: a quick refusal serves the caller better than a
+// long search.
+func (g *generation) reserve() *stepError {
+	for range g.config.ReserveTries {
+		chosen := g.choose(g.Gateway.decode, g.servers.Decode[g.service.Name])
+		if chosen == nil {
+			break
+		}
+		g.tried = append(g.tried, chosen.Name)
+		reservation, err := g.ask(chosen)
+		if err == nil {
+			g.decode, g.reservation = chosen, reservation.ID
+			g.free = chosen.Server.Hold(g.need)
+			return nil
+		}
+		g.note("reserve."+chosen.Name, err.Error())
+		if g.ctx.Err() != nil {
+			return &stepError{why: reason.CallerGone, detail: err.Error()}
+		}
+	}
+	return &stepError{why: reason.NoDecodeMemory, detail: "no decode engine reserved memory"}
+}
+
+func (g *generation) ask(chosen *route.Rated) (Reservation, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, g.config.ReserveTimeout)
+	defer cancel()
+	defer chosen.Server.Await(time.Now())()
+	reservation, err := g.Backends.Reserve(ctx, g.entry(chosen), g.need, g.service.Engine.Hold)
+	if g.ctx.Err() == nil {
+		g.learn(chosen.Server, err)
+	}
+	return reservation, err
+}
+
+// read has the prompt read. A prefill does not run the request, so whatever
+// becomes of it the request can still be refused.
+func (g *generation) read() *stepError {
+	for try := 1; ; try++ {
+		err := g.readOnce()
+		if err == nil {
+			return nil
+		}
+		g.note("prefill."+g.prefill.Name, err.Error())
+		if g.ctx.Err() != nil {
+			return &stepError{why: reason.CallerGone, detail: err.Error()}
+		}
+		if try == maxPrefills || !g.Budget(g.service.Name).Spend() {
+			return &stepError{why: reason.PrefillFailed, detail: err.Error()}
+		}
+		g.Metrics.Retried(reason.PrefillFailed)
+		g.tried = append(g.tried, g.prefill.Name)
+		if failed := g.choosePrefill(); failed != nil {
+			return failed
+		}
+	}
+}
+
+// maxPrefills bounds the tries to have one prompt read.
+const maxPrefills = 2
+
+func (g *generation) readOnce() error {
+	server := g.prefill.Server
+	tokens := g.request.Generation.PromptTokens
+	ctx, cancel := context.WithDeadline(g.ctx, g.target.Add(g.config.LateReading))
+	defer cancel()
+	defer server.Begin(tokens)()
+	defer server.Await(time.Now())()
+	g.path = append(g.path, g.prefill.Name)
+	began := time.Now()
+	waiting := server.WaitingTokens()
+	result, err := g.Backends.Prefill(ctx, g.entry(g.prefill), g.request, g.deadline)
+	if g.ctx.Err() == nil {
+		g.learn(server, err)
+	}
+	if err != nil {
+		return err
+	}
+	server.Prefills.Measure(max(waiting, tokens), time.Since(began))
+	g.result = &result
+	g.note("readMillis", time.Since(began).Milliseconds())
+	return nil
+}
+
+// begin starts the stream at the decode engine that has the reservation.
+func (g *generation) begin() (*Stream, *stepError) {
+	server := g.decode.Server
+	g.path = append(g.path, g.decode.Name)
+	order := DecodeOrder{
+		Source: g.entry(g.prefill), Handle: g.result.Handle,
+		Reservation: g.reservation, LastEvent: g.request.LastEvent,
+	}
+	done := server.Begin(0)
+	heard := server.Await(time.Now())
+	stream, err := g.Backends.Decode(g.ctx, g.entry(g.decode), g.request, order, g.deadline)
+	if g.ctx.Err() == nil {
+		g.learn(server, err)
+	}
+	if err == nil {
+		g.mayRun = true
+		// The engine has used both up.
+		g.reservation, g.result = "", nil
+		release := g.free
+		g.free = func() { release(); done(); heard() }
+		return stream, nil
+	}
+	done()
+	heard()
+	g.note("decode."+g.decode.Name, err.Error())
+	var notRun *NotRun
+	if errors.As(err, &notRun) {
+		return nil, &stepError{why: notRun.Why, detail: notRun.Detail}
+	}
+	g.mayRun = true
+	return nil, &stepError{why: reason.DecodeFailed, detail: err.Error(), lost: err}
+}
+
+// giveBack frees what the request has taken and not used.
+func (g *generation) giveBack() {
+	g.free()
+	if g.reservation != "" {
+		server, id := g.entry(g.decode), g.reservation
+		g.cleanup(func(ctx context.Context) { g.report("reservation", server, g.Backends.Release(ctx, server, id)) })
+	}
+	if g.result != nil {
+		server, handle := g.entry(g.prefill), g.result.Handle
+		g.cleanup(func(ctx context.Context) { g.report("prefill result", server, g.Backends.Free(ctx, server, handle)) })
+	}
+}
+
+// report notes that something could not be given back. It lapses by itself.
+func (g *generation) report(what string, server *registry.Entry, err error) {
+	if err != nil {
+		g.Metrics.NotReturned(what)
+		logNotReturned(g.request.ID, what, server.ID, err)
+	}
+}
+
+// expectedMemory estimates the KV memory that a request will need: its prompt
+// and what it is expected to generate.
+func expectedMemory(want *Generation) int {
+	generated := want.MaxTokens
+	if want.LengthHint > 0 {
+		generated = min(generated, want.LengthHint)
+	}
+	return want.PromptTokens + generated
+}
--- /dev/null
+++ b/forward/learn.go
@@ -0,0 +1,27 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/route"
+)
+
+// learn takes the result of a call into what is believed of its server. A
+// server that refuses because it is full is sound; one that cannot be reached
+// or breaks off is not.
+func (f *flow) learn(server *route.Server, err error) {
+	now := time.Now()
+	var notRun *NotRun
+	switch {
+	case err == nil:
+		server.Heard(now)
+		server.Breaker.Success()
+	case errors.As(err, &notRun) && notRun.Why == reason.BackendRefused:
+		server.Heard(now)
+	default:
+		server.Breaker.Failure(now)
+	}
+}
--- /dev/null
+++ b/forward/plain.go
@@ -0,0 +1,118 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// call forwards a plain request to one server, and to another only where that
+// is allowed.
+func (f *flow) call(caller context.Context) *Reply {
+	ctx, cancel := context.WithDeadline(caller, f.deadline)
+	defer cancel()
+	for attempt := 1; ; {
+		answer, err := f.callOnce(ctx)
+		switch verdict := f.judge(ctx, answer, err, attempt); verdict {
+		case again:
+			attempt++
+		case elsewhere:
+		default:
+			return f.conclude(ctx, answer, err)
+		}
+	}
+}
+
+// verdict says how a plain request goes on after one try.
+type verdict int
+
+const (
+	// final: the caller gets what there is.
+	final verdict = iota
+	// again: another server is tried, at the price of an attempt.
+	again
+	// elsewhere: another server is tried; the last was not reached at all.
+	elsewhere
+)
+
+// errNoServer means that there is no server left to try.
+var errNoServer = errors.New("no backend server is left to try")
+
+func (f *flow) callOnce(ctx context.Context) (*Answer, error) {
+	pool := f.servers.Plain[f.service.Name]
+	if len(pool) == 0 {
+		pool = f.servers.Decode[f.service.Name]
+	}
+	chosen := f.choose(f.plain, pool)
+	if chosen == nil {
+		return nil, errNoServer
+	}
+	f.tried = append(f.tried, chosen.Name)
+	f.path = append(f.path, chosen.Name)
+	defer chosen.Server.Begin(0)()
+	defer chosen.Server.Await(time.Now())()
+	answer, err := f.Backends.Call(ctx, f.entry(chosen), f.request, f.deadline)
+	f.learn(chosen.Server, err)
+	return answer, err
+}
+
+// serverError is the lowest status of a server that failed.
+const serverError = 500
+
+// judge decides whether another server is tried.
+func (f *flow) judge(ctx context.Context, answer *Answer, err error, attempt int) verdict {
+	var notRun *NotRun
+	switch {
+	case ctx.Err() != nil || errors.Is(err, errNoServer):
+		return final
+	case errors.As(err, &notRun) && !notRun.Sent:
+		return elsewhere
+	case errors.As(err, &notRun):
+		return f.spend(attempt, notRun.Why)
+	case f.route.Repeat != table.RepeatSafe:
+		f.mayRun = true
+		return final
+	case err != nil:
+		f.mayRun = true
+		return f.spend(attempt, reason.AnswerLost)
+	case answer.Status >= serverError:
+		f.mayRun = true
+		return f.spend(attempt, reason.BackendFailed)
+	}
+	f.mayRun = true
+	return final
+}
+
+// spend takes another attempt from the route and the budget.
+func (f *flow) spend(attempt int, why reason.Reason) verdict {
+	if attempt >= f.route.Attempts {
+		return final
+	}
+	if !f.Budget(f.service.Name).Spend() {
+		f.note("budget", "spent")
+		return final
+	}
+	f.Metrics.Retried(why)
+	f.note("retried", why)
+	return again
+}
+
+// conclude answers the caller with the result of the last try.
+func (f *flow) conclude(ctx context.Context, answer *Answer, err error) *Reply {
+	var notRun *NotRun
+	switch {
+	case err == nil:
+		return f.deliver(answer)
+	case errors.Is(err, errNoServer):
+		return f.refuse(reason.NoBackend, err.Error())
+	case errors.As(err, &notRun):
+		return f.refuse(notRun.Why, notRun.Detail)
+	default:
+		f.mayRun = true
+		return f.lost(ctx, err)
+	}
+}
--- /dev/null
+++ b/forward/relay.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"bytes"
+	"io"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mastwheel/mastwheel/reason"
+)
+
+// relay hands a stream on to the caller, whole events at a time: a server may
+// break off in the middle of one. Closing it ends the request.
+type relay struct {
+	*generation
+	stream *Stream
+	// buffer holds what was read and not yet handed on, ready the length of
+	// the whole events in it.
+	buffer  []byte
+	ready   int
+	scratch []byte
+	// ended is the stream's end, once it was seen.
+	ended  error
+	events int
+	last   time.Time
+	gap    time.Duration
+	first  time.Duration
+	closed bool
+}
+
+// relayRead is how much is read at once; an event has some hundred bytes.
+const relayRead = 4 << 10
+
+func newRelay(g *generation, stream *Stream) *relay {
+	return &relay{generation: g, stream: stream, scratch: make([]byte, relayRead), last: time.Now()}
+}
+
+// eventEnd is the empty line that ends an event (WHATWG, server-sent events).
+var eventEnd = []byte("\n\n")
+
+// Read implements io.Reader. It returns io.EOF only after the proper end of
+// the server's stream.
+func (r *relay) Read(p []byte) (int, error) {
+	for r.ready == 0 && r.ended == nil {
+		r.fill()
+	}
+	if r.ready == 0 {
+		return 0, r.ended
+	}
+	n := copy(p, r.buffer[:r.ready])
+	r.buffer = r.buffer[:copy(r.buffer, r.buffer[n:])]
+	r.ready -= n
+	return n, nil
+}
+
+// fill reads once from the server.
+func (r *relay) fill() {
+	n, err := r.stream.Read(r.scratch)
+	if n > 0 {
+		r.decode.Server.Heard(time.Now())
+	}
+	r.buffer = append(r.buffer, r.scratch[:n]...)
+	if end := bytes.LastIndex(r.buffer, eventEnd); end >= 0 {
+		r.arrived(bytes.Count(r.buffer[:end+1], eventEnd) + 1)
+		r.ready = end + len(eventEnd)
+	}
+	if err == nil {
+		return
+	}
+	r.ended = err
+	if err == io.EOF {
+		// What follows the last event is the server's too.
+		r.ready = len(r.buffer)
+	}
+}
+
+// arrived notes whole events.
+func (r *relay) arrived(events int) {
+	now := time.Now()
+	if r.events == 0 {
+		r.first = now.Sub(r.request.Arrived)
+		r.Metrics.FirstToken.WithLabelValues(r.service.Name).Observe(r.first.Seconds())
+	} else {
+		r.gap = max(r.gap, now.Sub(r.last))
+	}
+	r.last = now
+	r.events += events
+}
+
+// Close implements io.Closer.
+func (r *relay) Close() error {
+	if r.closed {
+		return nil
+	}
+	r.closed = true
+	r.stream.Close()
+	r.free()
+	departed := r.ctx.Err() != nil && time.Now().Before(r.deadline)
+	r.cancel()
+	r.leave()
+	r.note("events", r.events)
+	r.note("firstMillis", r.first.Milliseconds())
+	r.note("gapMillis", r.gap.Milliseconds())
+	why, detail := r.reason(departed)
+	r.close(r.stream.Status, why, detail)
+	return nil
+}
+
+func (r *relay) reason(departed bool) (reason.Reason, string) {
+	switch {
+	case r.ended == io.EOF:
+		return reason.None, ""
+	case departed:
+		return reason.CallerGone, ""
+	case r.ended != nil:
+		return reason.StreamBroken, r.ended.Error()
+	default:
+		return reason.CallerGone, "the caller stopped reading"
+	}
+}
+
+// logNotReturned says that a request's leavings have to lapse by themselves.
+func logNotReturned(request, what, server string, err error) {
+	klog.InfoS("Not given back; it lapses", "request", request, "what", what, "server", server, "err", err.Error())
+}
--- /dev/null
+++ b/heartbeat/heartbeat.go
@@ -0,0 +1,102 @@
+// Package heartbeat carries short messages between sibling instances, as UDP
+// datagrams: who is alive, what each has committed at the backend servers, and
+// which addresses the others have. A lost datagram is made good by the next.
+package heartbeat
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/operation"
+	"github.com/mastwheel/mastwheel/route"
+)
+
+// Load is what one instance has committed at one backend server.
+type Load struct {
+	// Server is the route.ServerID of the server.
+	Server uint32 `cbor:"1,keyasint"`
+	// InFlight, Unread and Memory are the parts of a route.Commitment.
+	InFlight int `cbor:"2,keyasint,omitempty"`
+	Unread   int `cbor:"3,keyasint,omitempty"`
+	Memory   int `cbor:"4,keyasint,omitempty"`
+}
+
+// Commitment returns the load in the terms of package route.
+func (l Load) Commitment() route.Commitment {
+	return route.Commitment{InFlight: l.InFlight, Unread: l.Unread, Memory: l.Memory}
+}
+
+// Message is one heartbeat.
+type Message struct {
+	From  member.Info `cbor:"1,keyasint"`
+	Loads []Load      `cbor:"2,keyasint,omitempty"`
+	// Peers are addresses of some other siblings.
+	Peers []string `cbor:"3,keyasint,omitempty"`
+	// Known, if not 0, is the incarnation under which the sender knows the
+	// receiver. A receiver that restarted with a lower one, since its clock was
+	// set back, takes a higher one.
+	Known operation.Incarnation `cbor:"4,keyasint,omitempty"`
+}
+
+// maxDatagram is the largest UDP payload over IPv4.
+const maxDatagram = 65507
+
+// Socket sends and receives heartbeats.
+type Socket struct{ conn *net.UDPConn }
+
+// Listen opens a socket at "ip:port".
+func Listen(address string) (*Socket, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse the address for siblings")
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for siblings")
+	}
+	return &Socket{conn: conn}, nil
+}
+
+// Encode returns the datagram of a message.
+func Encode(message Message) ([]byte, error) {
+	data, err := cbor.Marshal(message)
+	return data, errors.Wrap(err, "encode heartbeat")
+}
+
+// Send sends a datagram to "ip:port".
+func (s *Socket) Send(address string, datagram []byte) error {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Wrap(err, "parse a sibling's address")
+	}
+	_, err = s.conn.WriteToUDPAddrPort(datagram, to)
+	return errors.Wrap(err, "send heartbeat")
+}
+
+// Receive hands each message to handle until ctx ends. Datagrams that are no
+// heartbeats are counted by bad and dropped.
+func (s *Socket) Receive(ctx context.Context, handle func(Message), bad func(error)) error {
+	defer context.AfterFunc(ctx, func() { s.conn.Close() })()
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			bad(err)
+			continue
+		}
+		var message Message
+		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
+			bad(err)
+			continue
+		}
+		handle(message)
+	}
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -2,6 +2,8 @@
 package metrics
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mastwheel/mastwheel/reason"
@@ -22,6 +24,8 @@
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	dropped  *prometheus.CounterVec
+	kept     *prometheus.CounterVec
+	took     *prometheus.HistogramVec
 	// FirstToken and BetweenTokens are in seconds.
 	FirstToken    *prometheus.HistogramVec
 	BetweenTokens *prometheus.HistogramVec
@@ -39,6 +43,9 @@
 // betweenBuckets surround the between-token target of 41 ms.
 var betweenBuckets = []float64{0.01, 0.02, 0.03, 0.035, 0.041, 0.05, 0.07, 0.1, 0.2, 0.5}
 
+// tookBuckets reach from a quick refusal to the longest stream.
+var tookBuckets = []float64{0.005, 0.02, 0.06, 0.12, 0.25, 0.5, 1, 2, 4, 8, 15}
+
 // New returns the metrics of one instance. Every reason's series exists from
 // the start, so that a rate over it is never missing.
 func New() *Set {
@@ -47,7 +54,11 @@
 		requests: counters("requests_total", "Requests that ended, by outcome.", labelService, labelOutcome),
 		refusals: counters("refusals_total", "Requests that ended other than done, by reason.", labelReason),
 		retries:  counters("retries_total", "Attempts that were followed by another, by reason.", labelReason),
-		dropped:  counters("dropped_answers_total", "Answers and tokens that were dropped, by reason.", labelReason),
+		kept:     counters("not_returned_total", "Things taken at backend servers that could not be given back, and lapsed.", "what"),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its end.", Buckets: tookBuckets,
+		}, []string{labelService}),
+		dropped: counters("dropped_answers_total", "Answers and tokens that were dropped, by reason.", labelReason),
 		FirstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "first_token_seconds", Help: "Time to the first token.", Buckets: firstTokenBuckets,
 		}, []string{labelService}),
@@ -60,7 +71,7 @@
 		CancelTries: counter("cancel_tries_total", "Cancel orders sent."),
 		Orphans:     counter("orphans_cancelled_total", "Streams of dead homes that were cancelled."),
 	}
-	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.dropped, s.FirstToken, s.BetweenTokens,
+	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.dropped, s.kept, s.took, s.FirstToken, s.BetweenTokens,
 		s.CancelsPending, s.CancelTries, s.Orphans)
 	for _, info := range reason.All {
 		s.refusals.WithLabelValues(string(info.Reason))
@@ -93,6 +104,15 @@
 // Dropped counts an answer or token that was not passed on.
 func (s *Set) Dropped(why reason.Reason) { s.dropped.WithLabelValues(string(why)).Inc() }
 
+// NotReturned counts something taken at a backend server that could not be
+// given back.
+func (s *Set) NotReturned(what string) { s.kept.WithLabelValues(what).Inc() }
+
+// Took measures a request from its arrival to its end.
+func (s *Set) Took(service string, took time.Duration) {
+	s.took.WithLabelValues(service).Observe(took.Seconds())
+}
+
 // CountStrangers exports the number of sibling connections that were refused
 // for want of a valid key.
 func (s *Set) CountStrangers(count func() int64) {
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -21,6 +21,7 @@
 	OperationExpired Reason = "operation_expired"
 	OperationForeign Reason = "operation_foreign"
 	NoWitness        Reason = "no_witness"
+	Stopping         Reason = "stopping"
 )
 
 // Retries: an attempt was abandoned and the next one took its place.
@@ -38,6 +39,7 @@
 	StreamResumed    Reason = "stream_resumed"
 	ConnectFailed    Reason = "connect_failed"
 	BackendRefused   Reason = "backend_refused"
+	BackendFailed    Reason = "backend_failed"
 )
 
 // Other endings of a request or of an attempt.
@@ -74,6 +76,7 @@
 	{OperationExpired, "the operation id is older than its home allows", "limits.operation_seconds (settings)"},
 	{OperationForeign, "the operation id names another home or an earlier incarnation", "none"},
 	{NoWitness, "the witness did not acknowledge the intent, so the call was not sent", "none"},
+	{Stopping, "the instance is shutting down and could not have seen the stream to its end", "none"},
 	{ReserveRefused, "the steward had no room at the decode engine", "backend.pieces"},
 	{StewardUnreached, "the steward of the decode engine did not answer", "none"},
 	{PrefillFailed, "the prefill engine failed in the middle of a prefill", "none"},
@@ -87,6 +90,7 @@
 	{StreamResumed, "a broken stream was taken up again at the same engine", "none"},
 	{ConnectFailed, "no connection to the backend server; no byte was sent", "none"},
 	{BackendRefused, "the backend server said that it did not run the request", "none"},
+	{BackendFailed, "the backend server answered with an error of its own", "route.attempts"},
 	{CallerGone, "the caller closed its connection", "none"},
 	{AnswerLost, "a byte reached the backend server and no whole answer came back", "none"},
 	{WrongAnswer, "an answer carried another request id or attempt and was dropped", "none"},
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,217 @@
+// Package registry holds what an instance believes of the backend servers that
+// have registered themselves with the platform. It does no I/O and reads no
+// clock: entries and changes come in with the time at which they were read.
+package registry
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Entry is what a backend server says about itself.
+type Entry struct {
+	// ID names one run of the server; a restart has another.
+	ID      string `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	// Address is "ip:port".
+	Address string `cbor:"3,keyasint"`
+	Zone    string `cbor:"4,keyasint"`
+	// Release is the version of the server's software.
+	Release string `cbor:"5,keyasint,omitempty"`
+	// Slots is how many requests it works on at once.
+	Slots int `cbor:"6,keyasint,omitempty"`
+	// Draining is set once it takes no new work.
+	Draining bool `cbor:"7,keyasint,omitempty"`
+	// Role is table.RolePrefill or table.RoleDecode for a model engine, and
+	// empty for others.
+	Role string `cbor:"8,keyasint,omitempty"`
+	// Weights is the version of the model's weights that it serves.
+	Weights int `cbor:"9,keyasint,omitempty"`
+}
+
+// Change is a new entry of a server, or its removal.
+type Change struct {
+	ID string
+	// Entry is nil when the server's entry was removed.
+	Entry *Entry
+}
+
+// Snapshot is a whole list, as read at one position of the platform's log.
+type Snapshot struct {
+	Entries []Entry `cbor:"1,keyasint"`
+	// Position is the log offset that comes next.
+	Position uint64 `cbor:"2,keyasint"`
+}
+
+// Config tunes what a removed entry means.
+type Config struct {
+	// LapseGrace is how long a server stays in use after its entry went while
+	// the platform's store was away: entries lapse then though their servers
+	// live, and come back within this time (source: the users' letter, "about
+	// two seconds of its return").
+	LapseGrace time.Duration
+	// AwayMemory is how long after the store's return a removal may still be
+	// such a lapse.
+	AwayMemory time.Duration
+}
+
+// DefaultConfig follows the users' letter.
+func DefaultConfig() Config {
+	return Config{LapseGrace: 2 * time.Second, AwayMemory: 2500 * time.Millisecond}
+}
+
+// Server is one backend server as this instance sees it.
+type Server struct {
+	Entry
+	// Lapsed is set while the entry is gone and may come back.
+	Lapsed bool
+	// gone is when a lapsed server counts as gone.
+	gone time.Time
+}
+
+// View is an immutable picture of all servers, sorted by id.
+type View struct {
+	Servers []Server
+	// Position is the log offset up to which changes are in it.
+	Position uint64
+	// Read is when the list was last known to be current.
+	Read time.Time
+}
+
+// Find returns the server of that id, or nil.
+func (v *View) Find(id string) *Server {
+	i, found := slices.BinarySearchFunc(v.Servers, id, func(s Server, id string) int {
+		if s.ID < id {
+			return -1
+		}
+		if s.ID > id {
+			return 1
+		}
+		return 0
+	})
+	if !found {
+		return nil
+	}
+	return &v.Servers[i]
+}
+
+// Snapshot returns what siblings need to hold the same belief. Servers that
+// have lapsed are left out: each instance gives them its own time.
+func (v *View) Snapshot() Snapshot {
+	snapshot := Snapshot{Position: v.Position}
+	for _, server := range v.Servers {
+		if !server.Lapsed {
+			snapshot.Entries = append(snapshot.Entries, server.Entry)
+		}
+	}
+	return snapshot
+}
+
+// Registry is the belief itself. Writers hold a lock and swap a new View in;
+// readers load it without one.
+type Registry struct {
+	config Config
+
+	mu      sync.Mutex
+	servers map[string]Server
+	// away is when the store was last found away; zero when it never was.
+	away time.Time
+	view atomic.Pointer[View]
+}
+
+// New returns an empty registry.
+func New(config Config) *Registry {
+	r := &Registry{config: config, servers: make(map[string]Server)}
+	r.view.Store(&View{})
+	return r
+}
+
+// View returns the current picture.
+func (r *Registry) View() *View { return r.view.Load() }
+
+// StoreAway notes that the platform's store did not answer.
+func (r *Registry) StoreAway(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away = now
+}
+
+// Reset takes a whole list in. One that is older than what is known is
+// ignored.
+func (r *Registry) Reset(snapshot Snapshot, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if snapshot.Position < r.view.Load().Position {
+		return
+	}
+	listed := make(map[string]bool, len(snapshot.Entries))
+	for _, entry := range snapshot.Entries {
+		listed[entry.ID] = true
+		r.servers[entry.ID] = Server{Entry: entry}
+	}
+	for id := range r.servers {
+		if !listed[id] {
+			r.remove(id, now)
+		}
+	}
+	r.publish(snapshot.Position, now)
+}
+
+// Apply takes changes in that lead to a position of the log.
+func (r *Registry) Apply(changes []Change, position uint64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if position < r.view.Load().Position {
+		return
+	}
+	for _, change := range changes {
+		if change.Entry == nil {
+			r.remove(change.ID, now)
+			continue
+		}
+		r.servers[change.ID] = Server{Entry: *change.Entry}
+	}
+	r.publish(position, now)
+}
+
+// remove drops a server, or gives it time when its entry may have lapsed
+// while the store was away.
+func (r *Registry) remove(id string, now time.Time) {
+	server, known := r.servers[id]
+	if !known || server.Lapsed {
+		return
+	}
+	mayHaveLapsed := !r.away.IsZero() && now.Sub(r.away) < r.config.AwayMemory
+	if !mayHaveLapsed || server.Draining {
+		delete(r.servers, id)
+		return
+	}
+	server.Lapsed = true
+	server.gone = now.Add(r.config.LapseGrace)
+	r.servers[id] = server
+}
+
+// Tick drops the lapsed servers whose time is up.
+func (r *Registry) Tick(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := len(r.servers)
+	maps.DeleteFunc(r.servers, func(_ string, server Server) bool {
+		return server.Lapsed && !now.Before(server.gone)
+	})
+	if len(r.servers) != before {
+		view := r.view.Load()
+		r.publish(view.Position, view.Read)
+	}
+}
+
+func (r *Registry) publish(position uint64, read time.Time) {
+	next := &View{Servers: make([]Server, 0, len(r.servers)), Position: position, Read: read}
+	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
+		next.Servers = append(next.Servers, r.servers[id])
+	}
+	r.view.Store(next)
+}
--- /dev/null
+++ b/route/forwarding.go
@@ -0,0 +1,43 @@
+package route
+
+import "time"
+
+// Profiles for requests that are forwarded as they came. Siblings tell each
+// other their commitments, so no steward is asked; the engine itself reserves.
+
+// ordinarySilence is longer than a busy server's usual answer: plain calls take
+// 60 ms in the mean and 450 ms at most, and a decode engine sends an event
+// every 60 ms (source: the users' sheets).
+const ordinarySilence = 500 * time.Millisecond
+
+var forwardingFilters = append([]Filter{SilentFilter{Limit: ordinarySilence}}, commonFilters...)
+
+// ForwardPrefill chooses engines that read prompts.
+func ForwardPrefill() *Profile {
+	return &Profile{
+		Filters: forwardingFilters,
+		Scorers: []Weighted{{WaitScorer{}, weightWait}, {ZoneScorer{}, weightZone}},
+		Picker:  BestPicker{},
+	}
+}
+
+// ForwardDecode chooses engines that generate.
+func ForwardDecode() *Profile {
+	return &Profile{
+		Filters: forwardingFilters,
+		Scorers: []Weighted{{FreeScorer{}, weightRoom}, {ZoneScorer{}, weightTie}},
+		Picker:  BestPicker{},
+	}
+}
+
+// weightTie lets the zone decide only between engines with about equal room.
+const weightTie = 0.02
+
+// ForwardPlain chooses servers of plain services.
+func ForwardPlain() *Profile {
+	return &Profile{
+		Filters: forwardingFilters,
+		Scorers: []Weighted{{IdleScorer{}, weightIdle}, {ZoneScorer{}, weightZone}},
+		Picker:  BestPicker{},
+	}
+}
--- a/route/scorer_idle.go
+++ b/route/scorer_idle.go
@@ -8,7 +8,7 @@
 
 // Score implements Scorer.
 func (IdleScorer) Score(_ *Query, c Candidate) float64 {
-	running := c.Server.InFlight()
+	running := c.Server.InFlight() + c.Server.Others().InFlight
 	if report := c.Server.Report(); report != nil {
 		running = max(running, report.Running)
 	}
--- a/route/server.go
+++ b/route/server.go
@@ -43,6 +43,55 @@
 	inFlight atomic.Int64
 	// ownTokens counts this instance's own prompt tokens there, not yet read.
 	ownTokens atomic.Int64
+	// ownMemory counts the tokens of KV memory that this instance's requests
+	// there hold or will need.
+	ownMemory atomic.Int64
+	// others is what siblings said last of their own part.
+	others  atomic.Pointer[Commitment]
+	silence silence
+}
+
+// Commitment is one instance's part, or several instances' parts together, of
+// what a backend server has to do.
+type Commitment struct {
+	// InFlight counts requests.
+	InFlight int
+	// Unread counts prompt tokens not yet read.
+	Unread int
+	// Memory counts tokens of KV memory.
+	Memory int
+}
+
+// Add returns the sum of two commitments.
+func (c Commitment) Add(other Commitment) Commitment {
+	return Commitment{
+		InFlight: c.InFlight + other.InFlight, Unread: c.Unread + other.Unread, Memory: c.Memory + other.Memory,
+	}
+}
+
+// Own returns this instance's part.
+func (s *Server) Own() Commitment {
+	return Commitment{
+		InFlight: int(s.inFlight.Load()), Unread: int(s.ownTokens.Load()), Memory: int(s.ownMemory.Load()),
+	}
+}
+
+// SetOthers replaces what the siblings have said of their parts.
+func (s *Server) SetOthers(others Commitment) { s.others.Store(&others) }
+
+// Others returns what the siblings have said of their parts.
+func (s *Server) Others() Commitment {
+	if others := s.others.Load(); others != nil {
+		return *others
+	}
+	return Commitment{}
+}
+
+// Hold notes that a request will need that many tokens of KV memory; the
+// returned function notes that it no longer does.
+func (s *Server) Hold(tokens int) (end func()) {
+	s.ownMemory.Add(int64(tokens))
+	return func() { s.ownMemory.Add(-int64(tokens)) }
 }
 
 // initialTokenRate stands in until the first prefill was measured, in tokens
@@ -69,11 +118,11 @@
 	}
 }
 
-// WaitingTokens returns the larger of the reported and the own unread tokens:
-// the report lags behind what this instance has just sent, and what it has
-// sent says nothing of the others.
+// WaitingTokens returns the larger of the reported unread tokens and those
+// that this instance and its siblings know of: the report lags behind what was
+// just sent, and what was sent may say nothing of some siblings.
 func (s *Server) WaitingTokens() int {
-	own := int(s.ownTokens.Load())
+	own := int(s.ownTokens.Load()) + s.Others().Unread
 	report := s.report.Load()
 	if report == nil || report.WaitingTokens < own {
 		return own
--- /dev/null
+++ b/sibling/sibling.go
@@ -0,0 +1,96 @@
+// Package sibling asks one instance for what it believes, over HTTP with CBOR:
+// for an instance that cannot reach the platform's store.
+package sibling
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mastwheel/mastwheel/edge"
+)
+
+const (
+	// path asks for beliefs; the arguments say what the asker has.
+	path             = "/beliefs"
+	argumentRevision = "revision"
+	argumentPosition = "position"
+	// askTimeout bounds one question; a table with hundreds of routes has some
+	// hundred kilobytes.
+	askTimeout = 800 * time.Millisecond
+)
+
+// Server answers siblings.
+type Server struct {
+	tell func(edge.Have) edge.Beliefs
+	http *fasthttp.Server
+}
+
+// NewServer returns a server that answers with tell.
+func NewServer(tell func(edge.Have) edge.Beliefs) *Server {
+	s := &Server{tell: tell}
+	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: silent{}}
+	return s
+}
+
+// silent drops the HTTP library's own log lines.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+// Serve answers on listener.
+func (s *Server) Serve(listener net.Listener) error {
+	return errors.Wrap(s.http.Serve(listener), "serve siblings")
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != path {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	arguments := ctx.QueryArgs()
+	have := edge.Have{
+		Revision: uint64(arguments.GetUintOrZero(argumentRevision)),
+		Position: uint64(arguments.GetUintOrZero(argumentPosition)),
+	}
+	body, err := cbor.Marshal(s.tell(have))
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/cbor")
+	ctx.SetBody(body)
+}
+
+// Client asks siblings.
+type Client struct{ http *fasthttp.Client }
+
+// NewClient returns a client.
+func NewClient() *Client {
+	return &Client{http: &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}}
+}
+
+// Beliefs implements edge.Siblings.
+func (c *Client) Beliefs(_ context.Context, address string, have edge.Have) (edge.Beliefs, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + path)
+	arguments := request.URI().QueryArgs()
+	arguments.Set(argumentRevision, strconv.FormatUint(have.Revision, 10))
+	arguments.Set(argumentPosition, strconv.FormatUint(have.Position, 10))
+	if err := c.http.DoTimeout(request, response, askTimeout); err != nil {
+		return edge.Beliefs{}, errors.Wrap(err, "ask a sibling")
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return edge.Beliefs{}, errors.Errorf("sibling answered with status %d", response.StatusCode())
+	}
+	var beliefs edge.Beliefs
+	return beliefs, errors.Wrap(cbor.Unmarshal(response.Body(), &beliefs), "decode a sibling's beliefs")
+}
--- a/table/column.go
+++ b/table/column.go
@@ -15,10 +15,14 @@
 	Pool    Kind = "pool"
 	Backend Kind = "backend"
 	Team    Kind = "team"
+	// Route says which requests go to which services, by host and path.
+	Route Kind = "route"
+	// Limit bounds what callers may send.
+	Limit Kind = "limit"
 )
 
 // Kinds lists the kinds in the order in which tables are shown.
-var Kinds = []Kind{Service, Pool, Backend, Team}
+var Kinds = []Kind{Service, Pool, Backend, Team, Route, Limit}
 
 // Column names a column. Its meaning depends on the row's kind.
 type Column string
@@ -42,6 +46,33 @@
 	ColRetryPercent Column = "retry_percent"
 	ColDrain        Column = "drain"
 	ColWeights      Column = "weights"
+	ColHost         Column = "host"
+	ColPath         Column = "path"
+	// ColSplit lists services with their shares, "a:90,b:10".
+	ColSplit       Column = "split"
+	ColRepeat      Column = "repeat"
+	ColTimeout     Column = "timeout_ms"
+	ColAttempts    Column = "attempts"
+	ColConnections Column = "connections"
+	ColHealth      Column = "health_path"
+	ColMemory      Column = "memory_tokens"
+	ColTokenBytes  Column = "token_bytes"
+	ColHold        Column = "hold_ms"
+	ColHandle      Column = "handle_ms"
+	ColSwitch      Column = "switch_ms"
+	ColHeaderBytes Column = "header_bytes"
+	ColBodyBytes   Column = "body_bytes"
+	ColIdle        Column = "idle_ms"
+)
+
+// What may be repeated on a route.
+const (
+	// RepeatSafe: requests may run more than once.
+	RepeatSafe = "safe"
+	// RepeatNever: requests run at most once.
+	RepeatNever = "never"
+	// RepeatResume: streams may go on at another server after a break.
+	RepeatResume = "resume"
 )
 
 // Types of a service.
@@ -82,6 +113,13 @@
 		{column: ColPriority, check: intIn(0, 9)},
 		{column: ColInFlight, check: intIn(0, 10_000_000)},
 		{column: ColRetryPercent, check: intIn(0, 100)},
+		{column: ColConnections, check: intIn(0, 10_000_000)},
+		{column: ColHealth, check: anyText},
+		{column: ColMemory, check: intIn(0, 1_000_000_000)},
+		{column: ColTokenBytes, check: intIn(0, 1_000_000_000)},
+		{column: ColHold, check: intIn(0, 600_000)},
+		{column: ColHandle, check: intIn(0, 600_000)},
+		{column: ColSwitch, check: intIn(0, 600_000)},
 	},
 	Pool: {
 		{column: ColRole, required: true, check: oneOf(RolePrefill, RoleDecode, RolePlain)},
@@ -100,6 +138,23 @@
 		{column: ColPriority, check: intIn(0, 9)},
 		{column: ColInFlight, check: intIn(0, 10_000_000)},
 	},
+	Route: {
+		{column: ColHost, required: true, check: anyText},
+		{column: ColPath, required: true, check: anyText},
+		{column: ColSplit, required: true, check: splitText},
+		{column: ColRepeat, required: true, check: oneOf(RepeatSafe, RepeatNever, RepeatResume)},
+		{column: ColTimeout, check: intIn(1, 3_600_000)},
+		{column: ColTTFT, check: intIn(1, 600_000)},
+		{column: ColTBT, check: intIn(1, 60_000)},
+		{column: ColPriority, check: intIn(0, 9)},
+		{column: ColAttempts, check: intIn(1, 100)},
+	},
+	Limit: {
+		{column: ColHeaderBytes, check: intIn(1, 1<<30)},
+		{column: ColBodyBytes, check: intIn(1, 1<<30)},
+		{column: ColTimeout, check: intIn(1, 3_600_000)},
+		{column: ColIdle, check: intIn(1, 3_600_000)},
+	},
 }
 
 // Columns returns the columns of a kind in the order in which they are shown.
@@ -144,6 +199,11 @@
 	}
 }
 
+func splitText(value string) error {
+	_, err := ParseSplit(value)
+	return err
+}
+
 func anyText(value string) error {
 	if value == "" {
 		return errors.New("is empty")
--- a/table/view.go
+++ b/table/view.go
@@ -18,6 +18,27 @@
 	Priority     int
 	InFlight     int
 	RetryPercent int
+	// Connections bounds the connections to each server of the service, from
+	// all instances together; 0 means no bound.
+	Connections int
+	// HealthPath answers health checks; empty without.
+	HealthPath string
+	Engine     EngineView
+}
+
+// EngineView describes the model engines of a service; zero values are not
+// known.
+type EngineView struct {
+	// MemoryTokens is the KV memory of one engine, in tokens, and TokenBytes
+	// the bytes of one.
+	MemoryTokens int
+	TokenBytes   int
+	// Hold is the longest time for which memory can be reserved, Handle how
+	// long a prefill result survives, and Switch how long a change of role
+	// takes.
+	Hold   time.Duration
+	Handle time.Duration
+	Switch time.Duration
 }
 
 // BackendView is a backend server row with its values parsed.
@@ -29,6 +50,8 @@
 	Zone    string
 	// Pieces is the decode memory, in pieces; 0 for other roles.
 	Pieces int
+	// MemoryTokens is the KV memory in tokens where it is known so exactly.
+	MemoryTokens int
 	// LinkBytesPerSecond is the rate of the server's link for KV transfers.
 	LinkBytesPerSecond int64
 	Drain              bool
@@ -54,6 +77,9 @@
 	Models   map[string]*ServiceView
 	Backends map[string]*BackendView
 	Teams    map[string]*TeamView
+	// Routes finds the routes of a host, the longest path first.
+	Routes map[string][]*RouteView
+	Limits LimitsView
 	// TopPriority is the highest priority of any model service plus that of
 	// any team.
 	TopPriority int
@@ -94,6 +120,8 @@
 	for _, key := range t.Keys(Team) {
 		view.Teams[key.Name] = t.teamView(key)
 	}
+	view.Routes = t.routeViews()
+	view.Limits = t.limitsView()
 	view.TopPriority = topPriority(view)
 	return view
 }
@@ -139,6 +167,15 @@
 		Priority:     number(cells[ColPriority], 0),
 		InFlight:     number(cells[ColInFlight], 0),
 		RetryPercent: number(cells[ColRetryPercent], defaultRetryPercent),
+		Connections:  number(cells[ColConnections], 0),
+		HealthPath:   cells[ColHealth],
+		Engine: EngineView{
+			MemoryTokens: number(cells[ColMemory], 0),
+			TokenBytes:   number(cells[ColTokenBytes], 0),
+			Hold:         millis(cells[ColHold], 0),
+			Handle:       millis(cells[ColHandle], 0),
+			Switch:       millis(cells[ColSwitch], 0),
+		},
 	}
 }
 
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,137 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Pool keeps the connections to one backend server.
+type Pool struct {
+	address string
+	config  Config
+	dialer  net.Dialer
+	// Dials counts the connections opened.
+	Dials atomic.Int64
+
+	mu     sync.Mutex
+	idle   []*Conn
+	open   int
+	limit  int
+	closed bool
+}
+
+// NewPool returns a pool without connections to "ip:port".
+func NewPool(address string, config Config) *Pool {
+	return &Pool{
+		address: address,
+		config:  config,
+		dialer:  net.Dialer{Timeout: config.DialTimeout, KeepAlive: -1, Control: userTimeout(config.SilenceTimeout)},
+	}
+}
+
+// Limit bounds the connections open at once; 0 means no bound.
+func (p *Pool) Limit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+}
+
+// readBuffer holds a usual header with a small body.
+const readBuffer = 4 << 10
+
+// Acquire returns an idle connection that looks sound, or opens one. Its error
+// is ErrNotSent.
+func (p *Pool) Acquire(ctx context.Context) (*Conn, error) {
+	for {
+		conn, full := p.takeIdle()
+		if full {
+			return nil, errors.WithMessage(ErrNotSent, "connection limit reached")
+		}
+		if conn == nil {
+			return p.dial(ctx)
+		}
+		if conn.usable(time.Now()) {
+			return conn, nil
+		}
+		conn.Discard()
+	}
+}
+
+// takeIdle takes the connection used last. Without one it books a new
+// connection, or says that the limit is reached.
+func (p *Pool) takeIdle() (conn *Conn, full bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.idle); n > 0 {
+		conn = p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return conn, false
+	}
+	if p.limit > 0 && p.open >= p.limit {
+		return nil, true
+	}
+	p.open++
+	return nil, false
+}
+
+func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	p.Dials.Add(1)
+	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		p.forget()
+		return nil, errors.WithMessage(ErrNotSent, err.Error())
+	}
+	return &Conn{pool: p, raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), idleFor: p.config.IdleTimeout}, nil
+}
+
+func (p *Pool) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+func (p *Pool) putIdle(conn *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		p.open--
+		conn.raw.Close()
+		return
+	}
+	p.idle = append(p.idle, conn)
+}
+
+// Prune closes the connections that were idle for too long.
+func (p *Pool) Prune(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, conn := range p.idle {
+		if now.Before(conn.idleUntil) {
+			kept = append(kept, conn)
+			continue
+		}
+		p.open--
+		conn.raw.Close()
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+// Close closes the idle connections, and the others once they are released.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, conn := range p.idle {
+		p.open--
+		conn.raw.Close()
+	}
+	p.idle = nil
+}
