--- a/edge/orders.go
+++ b/edge/orders.go
@@ -17,6 +17,7 @@
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/roles"
+	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
 )
 
@@ -159,6 +160,7 @@
 		return errors.New("the lease has run out")
 	}
 	o.given[change.Engine] = givenOrder{role: change.Role, at: time.Now()}
+	o.announce(change.Engine, service)
 	err = o.deps.Engines.SetRole(ctx, entry, RoleOrder{
 		Role: change.Role, Holder: o.config.Name, Token: token, After: status.Sequence,
 	})
@@ -170,6 +172,21 @@
 	return err
 }
 
+// announce tells this instance and its siblings that an engine takes no work
+// while it changes its role.
+func (o *orders) announce(engine, service string) {
+	view := o.Table()
+	if view == nil || view.Services[service] == nil {
+		return
+	}
+	until := time.Now().Add(view.Services[service].Engine.Switch)
+	if server := o.Fleet.Server(engine); server != nil {
+		server.Changing(until)
+	}
+	o.peers.changes(route.ServerID(engine), until)
+	o.sendHeartbeats()
+}
+
 // hold makes this instance the holder of a service's lease, if it may be.
 func (o *orders) hold(ctx context.Context, service string) (*lease.Candidate, error) {
 	now := time.Now()
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -26,6 +26,9 @@
 	// silent are dropped.
 	heard map[string]time.Time
 	loads map[string][]heartbeat.Load // by sibling's name
+	// changing holds the servers that this instance has ordered to change
+	// their role, with the time when that ends.
+	changing map[uint32]time.Time
 }
 
 // forgetPeer is the silence after which no more heartbeats go to an address:
@@ -33,7 +36,10 @@
 const forgetPeer = time.Minute
 
 func newPeers(self string, seeds []string) *peers {
-	p := &peers{self: self, heard: make(map[string]time.Time), loads: make(map[string][]heartbeat.Load)}
+	p := &peers{
+		self: self, heard: make(map[string]time.Time), loads: make(map[string][]heartbeat.Load),
+		changing: make(map[uint32]time.Time),
+	}
 	for _, seed := range seeds {
 		p.learn(seed, time.Now())
 	}
@@ -60,6 +66,28 @@
 	p.loads[message.From.Name] = message.Loads
 }
 
+// changes notes that a server changes its role until then.
+func (p *peers) changes(server uint32, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changing[server] = until
+}
+
+// underWay lists the changes of role that are under way.
+func (p *peers) underWay(now time.Time) []heartbeat.Change {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var changes []heartbeat.Change
+	for server, until := range p.changing {
+		if !now.Before(until) {
+			delete(p.changing, server)
+			continue
+		}
+		changes = append(changes, heartbeat.Change{Server: server, Left: until.Sub(now)})
+	}
+	return changes
+}
+
 // addresses returns where heartbeats go.
 func (p *peers) addresses(now time.Time) []string {
 	p.mu.Lock()
@@ -120,7 +148,7 @@
 func (in *Instance) sendHeartbeats() {
 	addresses := in.peers.addresses(time.Now())
 	datagram, err := heartbeat.Encode(heartbeat.Message{
-		From: in.info(), Loads: in.loads(), Peers: in.somePeers(addresses),
+		From: in.info(), Loads: in.loads(), Peers: in.somePeers(addresses), Changing: in.peers.underWay(time.Now()),
 	})
 	if err != nil {
 		klog.ErrorS(err, "Heartbeat not sent")
@@ -180,6 +208,11 @@
 	before, known := in.members.View().Find(message.From.Name)
 	if in.members.Heard(message.From, now) {
 		in.peers.take(message, now)
+		for _, change := range message.Changing {
+			if server := in.Fleet.ServerByID(change.Server); server != nil {
+				server.Changing(now.Add(change.Left))
+			}
+		}
 		in.logSibling(before, known, message.From)
 		return
 	}
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -55,7 +55,8 @@
 
 // retryAfter is when a refused caller should come back.
 func (f *flow) retryAfter() time.Duration {
-	return f.config.RetryAfter + time.Duration(f.Random()*float64(f.config.RetrySpread))
+	part := f.config.RetryEarliest + f.Random()*(f.config.RetryLatest-f.config.RetryEarliest)
+	return time.Duration(part * float64(time.Until(f.request.Deadline)))
 }
 
 // refuse ends a request that has not run. Its status promises just that.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -49,11 +49,13 @@
 	// request that cannot be served must be refused for its caller to lose
 	// least (source: the users' rules, a quarter).
 	RefuseWithin float64
-	// RetryAfter is when a refused caller should come back, at the least;
-	// RetrySpread is added in part, at random, so that callers who were refused
-	// together do not return together.
-	RetryAfter  time.Duration
-	RetrySpread time.Duration
+	// RetryEarliest and RetryLatest bound when a refused caller should come
+	// back, as parts of the time that it has left. Callers honour a third at
+	// most (source: the users' protocol). The moment is drawn at random between
+	// them, so that callers who were refused together do not return together;
+	// later ones find the burst over that had them refused.
+	RetryEarliest float64
+	RetryLatest   float64
 	// LandingMargin is kept between the expected first token and its target,
 	// for transfer and first step.
 	LandingMargin time.Duration
@@ -74,8 +76,8 @@
 		ReserveTries:   3,
 		CleanupTimeout: time.Second,
 		RefuseWithin:   0.25,
-		RetryAfter:     900 * time.Millisecond,
-		RetrySpread:    1200 * time.Millisecond,
+		RetryEarliest:  0.16,
+		RetryLatest:    0.32,
 		LandingMargin:  150 * time.Millisecond,
 		AnswerLimit:    4 << 20,
 		StreamGrace:    2500 * time.Millisecond,
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -152,7 +152,9 @@
 			return &stepError{why: reason.PrefillFailed, detail: err.Error()}
 		}
 		g.Metrics.Retried(reason.PrefillFailed)
-		g.tried = append(g.tried, g.prefill.Name)
+		if len(g.servers.Prefill[g.service.Name]) > 1 {
+			g.tried = append(g.tried, g.prefill.Name)
+		}
 		if failed := g.choosePrefill(); failed != nil {
 			return failed
 		}
--- a/forward/learn.go
+++ b/forward/learn.go
@@ -5,7 +5,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
 )
 
@@ -18,9 +17,11 @@
 	switch {
 	case err == nil:
 		server.Heard(now)
+		server.Accepted()
 		server.Breaker.Success()
-	case errors.As(err, &notRun) && notRun.Why == reason.BackendRefused:
+	case errors.As(err, &notRun) && notRun.Sent:
 		server.Heard(now)
+		server.Refused(now)
 	default:
 		server.Breaker.Failure(now)
 	}
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -37,12 +38,22 @@
 	Loads []Load      `cbor:"2,keyasint,omitempty"`
 	// Peers are addresses of some other siblings.
 	Peers []string `cbor:"3,keyasint,omitempty"`
+	// Changing lists the servers that the sender has ordered to change their
+	// role, by route.ServerID.
+	Changing []Change `cbor:"5,keyasint,omitempty"`
 	// Known, if not 0, is the incarnation under which the sender knows the
 	// receiver. A receiver that restarted with a lower one, since its clock was
 	// set back, takes a higher one.
 	Known operation.Incarnation `cbor:"4,keyasint,omitempty"`
 }
 
+// Change is a server's change of role that is under way.
+type Change struct {
+	Server uint32 `cbor:"1,keyasint"`
+	// Left is how much longer it takes.
+	Left time.Duration `cbor:"2,keyasint"`
+}
+
 // maxDatagram is the largest UDP payload over IPv4.
 const maxDatagram = 65507
 
--- a/route/forwarding.go
+++ b/route/forwarding.go
@@ -10,7 +10,7 @@
 // every 60 ms (source: the users' sheets).
 const ordinarySilence = 500 * time.Millisecond
 
-var forwardingFilters = append([]Filter{SilentFilter{Limit: ordinarySilence}}, commonFilters...)
+var forwardingFilters = append([]Filter{SilentFilter{Limit: ordinarySilence}, RefusingFilter{}}, commonFilters...)
 
 // ForwardPrefill chooses engines that read prompts.
 func ForwardPrefill() *Profile {
--- a/route/server.go
+++ b/route/server.go
@@ -47,8 +47,9 @@
 	// there hold or will need.
 	ownMemory atomic.Int64
 	// others is what siblings said last of their own part.
-	others  atomic.Pointer[Commitment]
-	silence silence
+	others   atomic.Pointer[Commitment]
+	silence  silence
+	refusals refusals
 }
 
 // Commitment is one instance's part, or several instances' parts together, of
