--- a/edge/orders.go
+++ b/edge/orders.go
@@ -27,7 +27,7 @@
 	*Instance
 	leases map[string]*lease.Candidate // by service
 	// wanted is since when a service's roles have been other than planned.
-	wanted map[string]time.Time
+	wanted map[string]want
 	// given is the last order that an engine got from here.
 	given map[string]givenOrder
 
@@ -37,6 +37,13 @@
 	builtWith *table.View
 }
 
+// want is a change of roles that is wanted.
+type want struct {
+	since time.Time
+	// engines is how many there were; others begin the wait anew.
+	engines int
+}
+
 // givenOrder is an order that may still be under way.
 type givenOrder struct {
 	role string
@@ -46,7 +53,7 @@
 func newOrders(in *Instance) *orders {
 	return &orders{
 		Instance: in, leases: make(map[string]*lease.Candidate),
-		wanted: make(map[string]time.Time), given: make(map[string]givenOrder),
+		wanted: make(map[string]want), given: make(map[string]givenOrder),
 	}
 }
 
@@ -54,6 +61,9 @@
 	// orderSettle is added to the time that a change of role takes before an
 	// engine counts as not having carried it out: its entry in the list lags.
 	orderSettle = 3 * time.Second
+	// settleFor is how long the number of engines must stay the same before
+	// roles change: at the start they register one after the other.
+	settleFor = 1500 * time.Millisecond
 	// turnEvery is how much longer each instance waits than the one before it
 	// until it gives an order that is wanted.
 	turnEvery = 2 * time.Second
@@ -84,12 +94,13 @@
 		delete(o.wanted, name)
 		return
 	}
-	since, waiting := o.wanted[name]
-	if !waiting {
-		since = now
-		o.wanted[name] = now
+	engines := change.Prefill + change.Decode
+	wanted, waiting := o.wanted[name]
+	if !waiting || wanted.engines != engines {
+		wanted = want{since: now, engines: engines}
+		o.wanted[name] = wanted
 	}
-	if now.Sub(since) < time.Duration(o.turn())*turnEvery {
+	if now.Sub(wanted.since) < settleFor+time.Duration(o.turn())*turnEvery {
 		return
 	}
 	if err := o.give(ctx, name, change); err != nil {
