--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -64,6 +64,13 @@
 	// StreamGrace is how long after the begin of a graceful shutdown streams
 	// are still taken; later ones might not end before the instance does.
 	StreamGrace time.Duration
+	// HintMargin is the part of a caller's guess at the generated tokens for
+	// which memory is reserved.
+	HintMargin float64
+	// UsualMemory is what a request usually needs, in tokens. One that needs
+	// more must leave LargeHeadroom times the excess free.
+	UsualMemory   int
+	LargeHeadroom float64
 	// LateReading is how long after the first token's target a prefill may
 	// still end; a late stream is worth something to its caller.
 	LateReading time.Duration
@@ -81,6 +88,9 @@
 		LandingMargin:  150 * time.Millisecond,
 		AnswerLimit:    4 << 20,
 		StreamGrace:    2500 * time.Millisecond,
+		HintMargin:     1.0,
+		UsualMemory:    9000,
+		LargeHeadroom:  1,
 		LateReading:    600 * time.Millisecond,
 	}
 }
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithDeadline(caller, f.deadline)
 	g := &generation{
 		flow: f, ctx: ctx, cancel: cancel, free: func() {},
-		need:   expectedMemory(f.request.Generation),
+		need:   expectedMemory(f.request.Generation, f.config.HintMargin),
 		target: f.request.Arrived.Add(f.route.TTFT),
 	}
 	stream, failed := g.run()
@@ -65,6 +65,9 @@
 // run takes the steps up to the begin of the stream.
 func (g *generation) run() (*Stream, *stepError) {
 	g.note("memory", g.need)
+	g.note("hint", g.request.Generation.LengthHint)
+	g.note("most", g.request.Generation.MaxTokens)
+	g.note("prompt", g.request.Generation.PromptTokens)
 	for _, step := range []func() *stepError{g.outlast, g.choosePrefill, g.reserve, g.read} {
 		if failed := step(); failed != nil {
 			return nil, failed
@@ -94,6 +97,10 @@
 	}
 	wait := g.prefill.Server.PrefillTime(g.request.Generation.PromptTokens)
 	g.note("prefillMillis", wait.Milliseconds())
+	if _, measured := g.prefill.Server.Prefills.Time(1); !measured {
+		// Nothing is known of this engine yet; the first prompts tell.
+		return nil
+	}
 	landing := time.Now().Add(wait + g.config.LandingMargin)
 	if landing.After(g.target) {
 		return &stepError{why: reason.DeadlineTooClose, detail: "the prompts ahead take too long"}
@@ -110,6 +117,9 @@
 		if chosen == nil {
 			break
 		}
+		if g.tooLarge(chosen) {
+			return &stepError{why: reason.NoDecodeMemory, detail: "the memory left is kept for smaller requests"}
+		}
 		g.tried = append(g.tried, chosen.Name)
 		reservation, err := g.ask(chosen)
 		if err == nil {
@@ -125,6 +135,18 @@
 	return &stepError{why: reason.NoDecodeMemory, detail: "no decode engine reserved memory"}
 }
 
+// tooLarge says whether a request that needs more memory than most would take
+// what is nearly the last of it. For the same memory and time, several smaller
+// ones are served.
+func (g *generation) tooLarge(chosen *route.Rated) bool {
+	excess := g.need - g.config.UsualMemory
+	if excess <= 0 {
+		return false
+	}
+	left := route.FreeTokens(chosen.Candidate) - g.need
+	return float64(left) < g.config.LargeHeadroom*float64(excess)
+}
+
 func (g *generation) ask(chosen *route.Rated) (Reservation, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, g.config.ReserveTimeout)
 	defer cancel()
@@ -242,11 +264,13 @@
 }
 
 // expectedMemory estimates the KV memory that a request will need: its prompt
-// and what it is expected to generate.
-func expectedMemory(want *Generation) int {
+// and what it is expected to generate. margin widens the caller's guess: a
+// request that outgrows its reservation may be preempted and read in again,
+// and one that does not need all of it keeps others out.
+func expectedMemory(want *Generation, margin float64) int {
 	generated := want.MaxTokens
 	if want.LengthHint > 0 {
-		generated = min(generated, want.LengthHint)
+		generated = min(generated, int(float64(want.LengthHint)*margin))
 	}
 	return want.PromptTokens + generated
 }
