Ask the store few long questions; take from siblings what they know first

Entries only change when something changes, so a waiting read is both cheaper and sooner. Removals of many entries at once count as a lapse.

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -38,28 +38,32 @@
 	return beliefs
 }
 
-// catchUp asks a sibling while the store does not answer, or when a sibling
-// has a newer table.
+// catchUp asks a sibling that knows more than the store has told: the store
+// may be away, or slow, or not answer just this instance.
 func (in *Instance) catchUp(ctx context.Context) {
+	var before Have
 	for in.pause(ctx, in.config.CatchUpEvery) {
-		away := in.store.silence(time.Now()) > in.config.StoreSilence
-		sibling, ahead := in.ahead(away)
-		if !ahead {
+		mine := in.have()
+		sibling, ahead := in.ahead(mine)
+		if !ahead || mine != before {
+			before = mine
 			continue
 		}
-		if err := in.ask(ctx, sibling); err != nil {
+		if err := in.ask(ctx, sibling, mine); err != nil {
 			klog.V(1).InfoS("Sibling not asked", "sibling", sibling.Name, "err", err.Error())
 		}
 	}
 }
 
-// ahead finds the sibling that knows most beyond this instance: a newer table
-// always, a newer list of servers only while the store is away.
-func (in *Instance) ahead(away bool) (best member.Sibling, found bool) {
+func (in *Instance) have() Have {
 	mine := in.info()
+	return Have{Revision: mine.Revision, Position: mine.Next}
+}
+
+// ahead finds the sibling that knows most beyond what this instance has.
+func (in *Instance) ahead(mine Have) (best member.Sibling, found bool) {
 	for _, sibling := range in.members.View().Serving() {
-		newer := sibling.Revision > mine.Revision || (away && sibling.Next > mine.Next)
-		if !newer {
+		if sibling.Revision <= mine.Revision && sibling.Next <= mine.Position {
 			continue
 		}
 		further := sibling.Revision > best.Revision || (sibling.Revision == best.Revision && sibling.Next > best.Next)
@@ -70,18 +74,18 @@
 	return best, found
 }
 
-func (in *Instance) ask(ctx context.Context, sibling member.Sibling) error {
-	mine := in.info()
-	beliefs, err := in.deps.Siblings.Beliefs(ctx, sibling.Peer, Have{Revision: mine.Revision, Position: mine.Next})
+func (in *Instance) ask(ctx context.Context, sibling member.Sibling, mine Have) error {
+	beliefs, err := in.deps.Siblings.Beliefs(ctx, sibling.Peer, mine)
 	if err != nil {
 		return err
 	}
 	if beliefs.Table != nil {
 		in.adoptRaw(beliefs.Table, sibling.Name)
 	}
-	if beliefs.Servers != nil && in.store.silence(time.Now()) > in.config.StoreSilence {
+	if beliefs.Servers != nil {
 		in.registry.Reset(*beliefs.Servers, time.Now())
 		in.rebuild()
+		klog.InfoS("List of servers taken from a sibling", "sibling", sibling.Name, "position", beliefs.Servers.Position, "had", mine.Position)
 	}
 	return nil
 }
--- a/edge/dependency.go
+++ b/edge/dependency.go
@@ -42,12 +42,5 @@
 	d.lost = true
 }
 
-// silence returns how long ago it answered last.
-func (d *dependency) silence(now time.Time) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return now.Sub(d.answered)
-}
-
 // logStore logs a call to the store that failed and is not repeated at once.
 func logStore(what string, err error) { klog.InfoS(what, "dependency", "store", "err", err.Error()) }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -108,21 +108,20 @@
 	// Seeds are addresses of siblings that may be out of date.
 	Seeds []string
 
-	// TableWait is how long one question for a newer table waits at the store.
-	// Longer costs fewer calls; a connection that died unnoticed delays changes
-	// by this long.
-	TableWait time.Duration
-	// ServersEvery is the pause between two reads of the list of servers. It
-	// bounds how late a leaving server is noticed; each read is priced.
-	ServersEvery time.Duration
+	// StoreWait is how long one question for news waits at the store. Longer
+	// costs fewer calls; while a connection is dead and that is not noticed,
+	// news come from siblings.
+	StoreWait time.Duration
+	// ReadEvery is the least pause between two reads of the list of servers, so
+	// that changes in quick succession share a call.
+	ReadEvery time.Duration
 	// RetryEvery is the pause after a call to the store that failed.
 	RetryEvery time.Duration
-	// StoreSilence is how long after the last answer the store counts as away,
-	// and siblings are asked instead.
-	StoreSilence time.Duration
-	// CatchUpEvery is the pause between two questions to siblings.
+	// CatchUpEvery is the pause between two looks at what siblings know. One
+	// that was ahead at two looks in a row is asked for it.
 	CatchUpEvery time.Duration
 	// RosterEvery is the pause between two looks at the list of instances.
+	// Siblings name each other, so only those that know nobody depend on it.
 	RosterEvery time.Duration
 
 	// Members tunes the detection of failed siblings.
@@ -146,12 +145,11 @@
 // DefaultConfig suits installations of up to a hundred instances.
 func DefaultConfig() Config {
 	return Config{
-		TableWait:    4 * time.Second,
-		ServersEvery: 450 * time.Millisecond,
+		StoreWait:    10 * time.Second,
+		ReadEvery:    150 * time.Millisecond,
 		RetryEvery:   250 * time.Millisecond,
-		StoreSilence: 1200 * time.Millisecond,
-		CatchUpEvery: 300 * time.Millisecond,
-		RosterEvery:  5 * time.Second,
+		CatchUpEvery: 250 * time.Millisecond,
+		RosterEvery:  30 * time.Second,
 		Members: member.Config{
 			HeartbeatEvery: 150 * time.Millisecond,
 			SuspectAfter:   900 * time.Millisecond,
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -24,7 +24,7 @@
 		var raw []byte
 		var err error
 		if known {
-			raw, position, err = in.deps.Tables.Since(ctx, position, in.config.TableWait)
+			raw, position, err = in.deps.Tables.Since(ctx, position, in.config.StoreWait)
 		} else {
 			raw, position, err = in.deps.Tables.Newest(ctx)
 			known = err == nil
@@ -80,7 +80,7 @@
 			known = true
 			in.store.ok(now)
 			in.rebuild()
-			in.pause(ctx, in.config.ServersEvery)
+			in.pause(ctx, in.config.ReadEvery)
 		case errors.Is(err, oplog.ErrTruncated):
 			known = false
 		case ctx.Err() == nil:
@@ -100,7 +100,7 @@
 		in.registry.Reset(snapshot, time.Now())
 		return nil
 	}
-	changes, next, err := in.deps.Servers.Since(ctx, in.registry.View().Position, 0)
+	changes, next, err := in.deps.Servers.Since(ctx, in.registry.View().Position, in.config.StoreWait)
 	if err != nil {
 		return err
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -56,11 +56,15 @@
 	// AwayMemory is how long after the store's return a removal may still be
 	// such a lapse.
 	AwayMemory time.Duration
+	// ManyAtOnce is the share of all entries whose removal in one read is taken
+	// for a lapse even where the store was not seen to be away: planned work
+	// empties fewer servers at a time.
+	ManyAtOnce float64
 }
 
 // DefaultConfig follows the users' letter.
 func DefaultConfig() Config {
-	return Config{LapseGrace: 2 * time.Second, AwayMemory: 2500 * time.Millisecond}
+	return Config{LapseGrace: 2 * time.Second, AwayMemory: 2500 * time.Millisecond, ManyAtOnce: 0.3}
 }
 
 // Server is one backend server as this instance sees it.
@@ -152,11 +156,13 @@
 		listed[entry.ID] = true
 		r.servers[entry.ID] = Server{Entry: entry}
 	}
+	var removed []string
 	for id := range r.servers {
 		if !listed[id] {
-			r.remove(id, now)
+			removed = append(removed, id)
 		}
 	}
+	r.remove(removed, now)
 	r.publish(snapshot.Position, now)
 }
 
@@ -167,31 +173,36 @@
 	if position < r.view.Load().Position {
 		return
 	}
+	gone := make(map[string]bool)
 	for _, change := range changes {
-		if change.Entry == nil {
-			r.remove(change.ID, now)
-			continue
+		gone[change.ID] = change.Entry == nil
+		if change.Entry != nil {
+			r.servers[change.ID] = Server{Entry: *change.Entry}
 		}
-		r.servers[change.ID] = Server{Entry: *change.Entry}
 	}
+	maps.DeleteFunc(gone, func(_ string, removed bool) bool { return !removed })
+	r.remove(slices.Collect(maps.Keys(gone)), now)
 	r.publish(position, now)
 }
 
-// remove drops a server, or gives it time when its entry may have lapsed
+// remove drops servers, or gives them time when their entries may have lapsed
 // while the store was away.
-func (r *Registry) remove(id string, now time.Time) {
-	server, known := r.servers[id]
-	if !known || server.Lapsed {
-		return
-	}
-	mayHaveLapsed := !r.away.IsZero() && now.Sub(r.away) < r.config.AwayMemory
-	if !mayHaveLapsed || server.Draining {
-		delete(r.servers, id)
-		return
+func (r *Registry) remove(ids []string, now time.Time) {
+	sawAway := !r.away.IsZero() && now.Sub(r.away) < r.config.AwayMemory
+	many := float64(len(ids)) >= r.config.ManyAtOnce*float64(len(r.servers))
+	for _, id := range ids {
+		server, known := r.servers[id]
+		if !known || server.Lapsed {
+			continue
+		}
+		if server.Draining || !(sawAway || many) {
+			delete(r.servers, id)
+			continue
+		}
+		server.Lapsed = true
+		server.gone = now.Add(r.config.LapseGrace)
+		r.servers[id] = server
 	}
-	server.Lapsed = true
-	server.gone = now.Add(r.config.LapseGrace)
-	r.servers[id] = server
 }
 
 // Tick drops the lapsed servers whose time is up.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -31,7 +31,7 @@
 	return &Pool{
 		address: address,
 		config:  config,
-		dialer:  net.Dialer{Timeout: config.DialTimeout, KeepAlive: -1, Control: userTimeout(config.SilenceTimeout)},
+		dialer:  net.Dialer{Timeout: config.DialTimeout, KeepAlive: -1, Control: UserTimeout(config.SilenceTimeout)},
 	}
 }
 
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -8,8 +8,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// userTimeout sets TCP_USER_TIMEOUT on a new socket.
-func userTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+// UserTimeout returns a net.Dialer's Control that sets TCP_USER_TIMEOUT on a
+// new socket: bytes that stay unacknowledged for so long end the connection.
+func UserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var failed error
 		err := raw.Control(func(fd uintptr) {
