--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,190 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/mastwheel/mastwheel/edge"
+	"github.com/mastwheel/mastwheel/forward"
+	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/platform"
+	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/sibling"
+	"github.com/mastwheel/mastwheel/upstream"
+	"github.com/mastwheel/mastwheel/wait"
+)
+
+// Platform is one instance on the users' platform, with its listeners.
+type Platform struct {
+	settings platform.Settings
+	edge     *edge.Instance
+	gateway  *forward.Gateway
+	backends *platform.Backends
+	metrics  *metrics.Set
+	// metricsPort is 0 without metrics.
+	metricsPort int
+}
+
+// NewPlatform prepares an instance and opens its socket for siblings.
+// metricsPort, if not 0, is where it serves its metrics.
+func NewPlatform(settings platform.Settings, metricsPort int) (*Platform, error) {
+	socket, err := heartbeat.Listen(settings.Siblings)
+	if err != nil {
+		return nil, err
+	}
+	p := &Platform{settings: settings, metricsPort: metricsPort, metrics: metrics.New()}
+	store := platform.NewStore(settings.Store, nil)
+	p.backends = platform.NewBackends(upstream.DefaultConfig(), p.connectionLimit)
+	config := edge.DefaultConfig()
+	config.Name, config.Zone = settings.Name, settings.Zone
+	config.CallerAddress, config.SiblingAddress, config.Seeds = settings.Callers, settings.Siblings, settings.Seeds
+	config.RetryRatio, config.RetrySlack = settings.Bounds.RetryRatio, settings.Bounds.RetrySlack
+	config.Lease = edge.LeaseConfig(settings.Bounds.Lease)
+	p.edge = edge.New(config, edge.Deps{
+		Tables:         platform.Tables{Store: store},
+		Servers:        platform.Servers{Store: store},
+		Roster:         platform.Roster{Store: store},
+		Claims:         platform.Claims{Store: store},
+		Engines:        p.backends,
+		Siblings:       sibling.NewClient(),
+		Socket:         socket,
+		Random:         rand.Float64,
+		ServersChanged: func(*registry.View) { p.keepConnections() },
+	})
+	p.gateway = forward.New(forward.Deps{
+		Zone: settings.Zone, Beliefs: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
+		Budget: p.edge.Budget, Metrics: p.metrics, Random: rand.Float64,
+	}, forward.DefaultConfig())
+	return p, nil
+}
+
+// connectionShare is the part of a server's connections that the instances
+// together may open: others connect there too.
+const connectionShare = 0.8
+
+// connectionLimit is this instance's share of the connections to one server.
+func (p *Platform) connectionLimit(service string) int {
+	view := p.edge.Table()
+	if view == nil || view.Services[service] == nil {
+		return 0
+	}
+	limit := float64(view.Services[service].Connections) * connectionShare
+	return int(limit / float64(p.edge.Instances()))
+}
+
+// keepConnections drops the connections that are no longer of use.
+func (p *Platform) keepConnections() {
+	servers := p.edge.Servers()
+	p.backends.Keep(func(id string) bool { return servers.ByID[id] != nil }, time.Now())
+}
+
+// keepEvery is the pause between two looks at idle connections; they are few,
+// and closing one a little late costs nothing.
+const keepEvery = time.Second
+
+// listenerFor is one address with what is served there.
+type listenerFor struct {
+	address string
+	serve   func(net.Listener) error
+}
+
+func (p *Platform) listeners() []listenerFor {
+	directory := platform.NewDirectory(p.edge, p.settings.Bounds.EntryTTL)
+	all := []listenerFor{
+		{p.settings.Callers, platform.NewIngress(p.gateway).Serve},
+		{p.settings.Ready, directory.Serve},
+		{p.settings.Directory, directory.Serve},
+		{p.settings.Siblings, sibling.NewServer(p.edge.Tell).Serve},
+	}
+	if p.metricsPort > 0 {
+		all = append(all, listenerFor{metricsAddress(p.settings.Callers, p.metricsPort), p.serveMetrics})
+	}
+	return all
+}
+
+// Run serves until stop ends and the graceful shutdown that follows is done,
+// or until ctx ends.
+func (p *Platform) Run(ctx, stop context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, one := range p.listeners() {
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		defer listener.Close()
+		context.AfterFunc(ctx, func() { listener.Close() })
+		group.Go(func() error { return endedBy(ctx, one.serve(listener)) })
+	}
+	group.Go(func() error { return p.edge.Run(ctx) })
+	group.Go(func() error {
+		for wait.For(ctx, keepEvery) {
+			p.keepConnections()
+		}
+		return nil
+	})
+	group.Go(func() error {
+		select {
+		case <-stop.Done():
+		case <-ctx.Done():
+			return nil
+		}
+		p.drain()
+		return errStopped
+	})
+	err := group.Wait()
+	if errors.Is(err, errStopped) {
+		klog.InfoS("Stop", "instance", p.settings.Name, "inFlight", p.gateway.InFlight())
+		return nil
+	}
+	return err
+}
+
+// endedBy drops the error of a listener that was closed since ctx ended.
+func endedBy(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// errStopped ends a group of services after a graceful shutdown.
+var errStopped = errors.New("stopped")
+
+// lastMoment is kept of the time until the process is killed, to write the
+// last lines and to close what is open.
+const lastMoment = 700 * time.Millisecond
+
+// drain serves on for as long as the platform allows: callers keep this
+// instance's address for a while after siblings have stopped naming it.
+func (p *Platform) drain() {
+	began := time.Now()
+	p.gateway.Stop(began)
+	klog.InfoS("Graceful shutdown begins", "instance", p.settings.Name, "inFlight", p.gateway.InFlight())
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.Grace-lastMoment)
+	defer cancel()
+	p.edge.Stop(ctx)
+	<-ctx.Done()
+}
+
+func metricsAddress(callers string, port int) string {
+	host, _, err := net.SplitHostPort(callers)
+	if err != nil {
+		panic("daemon: an address that was checked is no address: " + err.Error())
+	}
+	return net.JoinHostPort(host, fmt.Sprint(port))
+}
+
+func (p *Platform) serveMetrics(listener net.Listener) error {
+	handler := promhttp.HandlerFor(p.metrics.Registry, promhttp.HandlerOpts{})
+	return errors.Wrap(http.Serve(listener, handler), "serve metrics")
+}
