--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -49,6 +49,7 @@
 	config.Name, config.Zone = settings.Name, settings.Zone
 	config.CallerAddress, config.SiblingAddress, config.Seeds = settings.Callers, settings.Siblings, settings.Seeds
 	config.RetryRatio, config.RetrySlack = settings.Bounds.RetryRatio, settings.Bounds.RetrySlack
+	config.RetryWindow = settings.Bounds.RetryWindow
 	config.Lease = edge.LeaseConfig(settings.Bounds.Lease)
 	p.edge = edge.New(config, edge.Deps{
 		Tables:         platform.Tables{Store: store},
--- a/edge/budgets.go
+++ b/edge/budgets.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/mastwheel/mastwheel/route"
 )
@@ -9,6 +10,7 @@
 // budgets holds this instance's share of each service's retry budget.
 type budgets struct {
 	ratio, slack float64
+	window       time.Duration
 
 	mu        sync.RWMutex
 	instances int
@@ -19,8 +21,8 @@
 // small costs a retry, one that is too large breaks the budget.
 const unknownInstances = 16
 
-func newBudgets(ratio, slack float64) *budgets {
-	return &budgets{ratio: ratio, slack: slack, instances: unknownInstances, byService: make(map[string]*route.SharedBudget)}
+func newBudgets(ratio, slack float64, window time.Duration) *budgets {
+	return &budgets{ratio: ratio, slack: slack, window: window, instances: unknownInstances, byService: make(map[string]*route.SharedBudget)}
 }
 
 func (b *budgets) of(service string) *route.SharedBudget {
@@ -33,7 +35,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if found = b.byService[service]; found == nil {
-		found = route.NewSharedBudget(b.ratio, b.part())
+		found = route.NewSharedBudget(b.ratio, b.window, b.part(), time.Now())
 		b.byService[service] = found
 	}
 	return found
@@ -50,7 +52,7 @@
 	}
 	b.instances = instances
 	for _, budget := range b.byService {
-		budget.SetPart(b.part())
+		budget.SetPart(b.part(), time.Now())
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -131,8 +131,9 @@
 
 	// RetryRatio and RetrySlack bound the retries to one service in a window,
 	// from all instances together.
-	RetryRatio float64
-	RetrySlack float64
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 
 	// Lease bounds who may give orders.
 	Lease lease.Config
@@ -225,7 +226,7 @@
 		Fleet:    route.NewFleet(),
 		members:  member.New(operation.Member{Name: config.Name}, config.Members),
 		peers:    newPeers(config.SiblingAddress, config.Seeds),
-		budgets:  newBudgets(config.RetryRatio, config.RetrySlack),
+		budgets:  newBudgets(config.RetryRatio, config.RetrySlack, config.RetryWindow),
 		store:    newDependency("store"),
 	}
 	in.self.Store(uint64(time.Now().UnixMilli()))
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -167,7 +167,7 @@
 	}
 	g.inFlight.Add(1)
 	f.leave = sync.OnceFunc(func() { g.inFlight.Add(-1) })
-	g.Budget(f.service.Name).Earn()
+	g.Budget(f.service.Name).Earn(r.Arrived)
 	if f.service.Type == table.TypeModel && r.Generation != nil {
 		return f.generate(ctx)
 	}
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -170,7 +170,7 @@
 		if g.ctx.Err() != nil {
 			return &stepError{why: reason.CallerGone, detail: err.Error()}
 		}
-		if try == maxPrefills || !g.Budget(g.service.Name).Spend() {
+		if try == maxPrefills || !g.Budget(g.service.Name).Spend(time.Now()) {
 			return &stepError{why: reason.PrefillFailed, detail: err.Error()}
 		}
 		g.Metrics.Retried(reason.PrefillFailed)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -92,7 +92,7 @@
 	if attempt >= f.route.Attempts {
 		return final
 	}
-	if !f.Budget(f.service.Name).Spend() {
+	if !f.Budget(f.service.Name).Spend(time.Now()) {
 		f.note("budget", "spent")
 		return final
 	}
