--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -44,7 +44,14 @@
 		s.start()
 	}
 	for _, r := range s.instances {
-		s.until("instance is ready", func() bool { return s.ready(r) })
+		s.until("instance is ready", func() bool {
+			select {
+			case err := <-r.done:
+				t.Fatalf("the instance ended: %v", err)
+			default:
+			}
+			return s.ready(r)
+		})
 	}
 	return s
 }
--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,126 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000, 0)
+
+func entries(count int) []Entry {
+	var all []Entry
+	for i := range count {
+		all = append(all, Entry{ID: fmt.Sprintf("s%d", i), Service: "a", Address: "127.0.0.1:1"})
+	}
+	return all
+}
+
+func filled(count int) *Registry {
+	r := New(DefaultConfig())
+	r.Reset(Snapshot{Entries: entries(count), Position: 10}, start)
+	return r
+}
+
+func TestARemovedServerIsGoneAtOnce(t *testing.T) {
+	r := filled(10)
+	r.Apply([]Change{{ID: "s3"}}, 11, start.Add(time.Second))
+	if r.View().Find("s3") != nil {
+		t.Fatal("still there")
+	}
+}
+
+func TestALapsedServerHasItsTime(t *testing.T) {
+	r := filled(10)
+	r.StoreAway(start.Add(4 * time.Second))
+	back := start.Add(5 * time.Second)
+	r.Apply([]Change{{ID: "s3"}}, 11, back)
+	if found := r.View().Find("s3"); found == nil || !found.Lapsed {
+		t.Fatal("a server whose entry may have lapsed is gone at once")
+	}
+	r.Tick(back.Add(1900 * time.Millisecond))
+	if r.View().Find("s3") == nil {
+		t.Fatal("gone before its time")
+	}
+	r.Tick(back.Add(2 * time.Second))
+	if r.View().Find("s3") != nil {
+		t.Fatal("still there after its time")
+	}
+}
+
+func TestALapsedServerComesBack(t *testing.T) {
+	r := filled(10)
+	r.StoreAway(start)
+	r.Apply([]Change{{ID: "s3"}}, 11, start)
+	again := Entry{ID: "s3", Service: "a", Address: "127.0.0.1:1"}
+	r.Apply([]Change{{ID: "s3", Entry: &again}}, 12, start.Add(time.Second))
+	r.Tick(start.Add(time.Minute))
+	if found := r.View().Find("s3"); found == nil || found.Lapsed {
+		t.Fatal("an entry that came back is not believed")
+	}
+}
+
+func TestADrainingServerDoesNotLapse(t *testing.T) {
+	r := filled(10)
+	draining := Entry{ID: "s3", Service: "a", Draining: true}
+	r.Apply([]Change{{ID: "s3", Entry: &draining}}, 11, start)
+	r.StoreAway(start)
+	r.Apply([]Change{{ID: "s3"}}, 12, start)
+	if r.View().Find("s3") != nil {
+		t.Fatal("a server that was leaving is kept")
+	}
+}
+
+func TestManyRemovalsAtOnceAreALapse(t *testing.T) {
+	r := filled(10)
+	r.Apply([]Change{{ID: "s1"}, {ID: "s2"}, {ID: "s3"}, {ID: "s4"}}, 14, start)
+	if found := r.View().Find("s1"); found == nil || !found.Lapsed {
+		t.Fatal("four of ten servers went at once and are gone")
+	}
+}
+
+func TestAnOlderListChangesNothing(t *testing.T) {
+	r := filled(10)
+	r.Reset(Snapshot{Entries: entries(2), Position: 9}, start)
+	r.Apply([]Change{{ID: "s3"}}, 9, start)
+	if len(r.View().Servers) != 10 {
+		t.Fatalf("%d servers", len(r.View().Servers))
+	}
+}
+
+// TestFollowingEqualsReading: whoever follows all changes believes the same as
+// whoever reads the whole list at the end.
+func TestFollowingEqualsReading(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		follower, truth := New(DefaultConfig()), make(map[string]Entry)
+		now, position := start, uint64(1)
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "away") {
+				follower.StoreAway(now)
+			}
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "id")
+			change := Change{ID: id}
+			delete(truth, id)
+			if rapid.Bool().Draw(t, "there") {
+				entry := Entry{ID: id, Draining: rapid.Bool().Draw(t, "draining")}
+				change.Entry = &entry
+				truth[id] = entry
+			}
+			position++
+			follower.Apply([]Change{change}, position, now)
+			follower.Tick(now)
+		}
+		follower.Tick(now.Add(time.Hour))
+		if len(follower.View().Servers) != len(truth) {
+			t.Fatalf("%d servers, the list has %d", len(follower.View().Servers), len(truth))
+		}
+		for _, server := range follower.View().Servers {
+			if truth[server.ID] != server.Entry {
+				t.Fatalf("%+v, the list has %+v", server.Entry, truth[server.ID])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/roles/roles_test.go
@@ -0,0 +1,77 @@
+package roles
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// TestChangesLeadToThePlan: orders carried out late or at once, the roles reach
+// the plan, with no more orders than are needed, and never lose a role.
+func TestChangesLeadToThePlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 40).Draw(t, "engines")
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		engines := make([]Engine, count)
+		prefill := 0
+		for i := range engines {
+			engines[i] = Engine{Name: fmt.Sprint(i), Zone: fmt.Sprint(i % 3), Role: table.RoleDecode}
+			if rapid.Bool().Draw(t, "prefill") {
+				engines[i].Role = table.RolePrefill
+				prefill++
+			}
+		}
+		want := Wanted(count, share)
+		needed := max(prefill-want, want-prefill)
+		orders := 0
+		for {
+			change, ok := Next(engines, share)
+			if !ok {
+				break
+			}
+			orders++
+			if orders > needed {
+				t.Fatalf("%d orders, %d are needed", orders, needed)
+			}
+			carryOut(t, engines, change)
+		}
+		if orders != needed {
+			t.Fatalf("%d orders, %d are needed", orders, needed)
+		}
+		if want < 1 || want > count-1 {
+			t.Fatalf("%d of %d engines are to read prompts", want, count)
+		}
+	})
+}
+
+// carryOut gives the order, and carries out any of those under way.
+func carryOut(t *rapid.T, engines []Engine, change Change) {
+	for i := range engines {
+		if engines[i].Name == change.Engine {
+			engines[i].Ordered = change.Role
+		}
+		if engines[i].Ordered != "" && rapid.Bool().Draw(t, "carried out") {
+			engines[i].Role = engines[i].Ordered
+		}
+		if engines[i].Ordered == engines[i].Role && rapid.Bool().Draw(t, "forgotten") {
+			engines[i].Ordered = ""
+		}
+	}
+}
+
+func TestTheZoneWithMostGivesAnEngine(t *testing.T) {
+	engines := []Engine{
+		{Name: "a", Zone: "1", Role: table.RolePrefill},
+		{Name: "b", Zone: "2", Role: table.RolePrefill},
+		{Name: "c", Zone: "2", Role: table.RolePrefill},
+		{Name: "d", Zone: "1", Role: table.RoleDecode},
+		{Name: "e", Zone: "3", Role: table.RoleDecode},
+	}
+	change, ok := Next(engines, 0.2)
+	if !ok || change.Engine != "b" && change.Engine != "c" || change.Role != table.RoleDecode {
+		t.Fatalf("%+v %v", change, ok)
+	}
+}
--- /dev/null
+++ b/route/forwarding_test.go
@@ -0,0 +1,169 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// TestSharedBudgetsKeepTheWhole: however requests and retries fall on the
+// instances, no window sees more retries than the whole budget allows.
+func TestSharedBudgetsKeepTheWhole(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0, 0.5).Draw(t, "ratio")
+		slack := rapid.Float64Range(0, 200).Draw(t, "slack")
+		instances := rapid.IntRange(1, 10).Draw(t, "instances")
+		now := time.Unix(0, 0)
+		budgets := make([]*SharedBudget, instances)
+		for i := range budgets {
+			budgets[i] = NewSharedBudget(ratio, window, slack/float64(instances), now)
+		}
+		var firsts, retries []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			budget := budgets[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			budget.Earn(now)
+			firsts = append(firsts, now)
+			for range rapid.IntRange(0, 5).Draw(t, "tries") {
+				if budget.Spend(now) {
+					retries = append(retries, now)
+				}
+			}
+			inWindow := count(retries, now.Add(-window), now)
+			allowed := ratio*float64(count(firsts, now.Add(-window), now)) + slack
+			// A part below two retries is rounded up to one that can be saved.
+			allowed += float64(instances) * max(0, 1-slack/float64(instances)/2)
+			if float64(inWindow) > allowed+1e-6 {
+				t.Fatalf("%d retries in a window, %.1f are allowed", inWindow, allowed)
+			}
+		}
+	})
+}
+
+func count(times []time.Time, after, until time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(after) && !at.After(until) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestASmallerPartTakesCreditAway(t *testing.T) {
+	now := time.Unix(0, 0)
+	budget := NewSharedBudget(0.2, time.Second, 40, now)
+	budget.SetPart(4, now)
+	if left := budget.Left(now); left != 2 {
+		t.Fatalf("%v left", left)
+	}
+	budget.SetPart(40, now)
+	if left := budget.Left(now); left != 2 {
+		t.Fatalf("a larger part was granted at once: %v", left)
+	}
+}
+
+func TestSilenceIsOnlyOfThoseWhoAreWaitedFor(t *testing.T) {
+	now := time.Now()
+	server := &Server{Name: "a"}
+	if server.SilentFor(now.Add(time.Hour)) != 0 {
+		t.Fatal("silent though nobody waits")
+	}
+	done := server.Await(now)
+	second := server.Await(now.Add(time.Second))
+	if got := server.SilentFor(now.Add(2 * time.Second)); got != 2*time.Second {
+		t.Fatalf("silent for %v", got)
+	}
+	server.Heard(now.Add(2 * time.Second))
+	done()
+	if got := server.SilentFor(now.Add(3 * time.Second)); got != time.Second {
+		t.Fatalf("silent for %v", got)
+	}
+	second()
+	if server.SilentFor(now.Add(time.Hour)) != 0 {
+		t.Fatal("silent though nobody waits")
+	}
+}
+
+func candidatesOf(servers ...*Server) (*Fleet, []*table.BackendView) {
+	backends := make(map[string]*table.BackendView)
+	var pool []*table.BackendView
+	for _, server := range servers {
+		backend := &table.BackendView{Name: server.Name, MemoryTokens: 1000}
+		backends[server.Name] = backend
+		pool = append(pool, backend)
+	}
+	fleet := NewFleet()
+	fleet.Adopt(&table.View{Backends: backends})
+	return fleet, pool
+}
+
+func TestForwardingLeavesUnfitServersAlone(t *testing.T) {
+	now := time.Now()
+	for name, make := range map[string]func(*Server){
+		"silent":   func(s *Server) { s.Await(now.Add(-time.Second)) },
+		"refusing": func(s *Server) { s.Refused(now) },
+		"changing": func(s *Server) { s.Changing(now.Add(time.Second)) },
+		"broken": func(s *Server) {
+			for range breakerThreshold {
+				s.Breaker.Failure(now)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet, pool := candidatesOf(&Server{Name: "fit"}, &Server{Name: "unfit"})
+			make(fleet.Server("unfit"))
+			for i := range 20 {
+				query := &Query{RequestID: fmt.Sprint(i), Now: now}
+				for _, profile := range []*Profile{ForwardPlain(), ForwardPrefill(), ForwardDecode()} {
+					decision := profile.Decide(query, fleet, pool)
+					if decision.Chosen == nil || decision.Chosen.Name != "fit" {
+						t.Fatalf("chose %+v", decision.Chosen)
+					}
+				}
+			}
+		})
+	}
+}
+
+func TestRefusalsInARowAreLeftAloneLonger(t *testing.T) {
+	now := time.Now()
+	server := &Server{Name: "a"}
+	keeps := func(after time.Duration) bool {
+		return RefusingFilter{}.Keep(&Query{Now: now.Add(after)}, Candidate{Server: server})
+	}
+	server.Refused(now)
+	if keeps(0) || !keeps(firstShun) {
+		t.Fatal("after one refusal")
+	}
+	for range 20 {
+		server.Refused(now)
+	}
+	if keeps(longestShun-time.Millisecond) || !keeps(longestShun) {
+		t.Fatal("after many refusals")
+	}
+	server.Accepted()
+	server.Refused(now)
+	if !keeps(firstShun) {
+		t.Fatal("what was accepted in between does not count")
+	}
+}
+
+func TestMemoryCommittedBySiblingsCounts(t *testing.T) {
+	fleet, pool := candidatesOf(&Server{Name: "a"}, &Server{Name: "b"})
+	fleet.Server("a").SetOthers(Commitment{Memory: 800})
+	release := fleet.Server("b").Hold(300)
+	query := &Query{Now: time.Now()}
+	if got := ForwardDecode().Decide(query, fleet, pool).Pick; got != "b" {
+		t.Fatalf("chose %s", got)
+	}
+	release()
+	if got := fleet.Server("b").Own(); got != (Commitment{}) {
+		t.Fatalf("left over: %+v", got)
+	}
+}
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,239 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// scripted is a server that answers each request with the next text of its
+// script; "close" closes the connection instead.
+type scripted struct {
+	listener net.Listener
+	conns    atomic.Int64
+	script   chan string
+}
+
+func newScripted(t *testing.T, script ...string) *scripted {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{listener: listener, script: make(chan string, len(script))}
+	for _, text := range script {
+		s.script <- text
+	}
+	t.Cleanup(func() { listener.Close() })
+	go s.accept()
+	return s
+}
+
+func (s *scripted) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.conns.Add(1)
+		go s.serve(conn)
+	}
+}
+
+func (s *scripted) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		text := <-s.script
+		if text == "close" {
+			return
+		}
+		if _, err := io.WriteString(conn, text); err != nil || strings.HasSuffix(text, "cut") {
+			return
+		}
+	}
+}
+
+func (s *scripted) pool() *Pool { return NewPool(s.listener.Addr().String(), DefaultConfig()) }
+
+// answerTo is a whole answer with an id.
+func answerTo(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func messageOf(id string) Message {
+	return Message{
+		Method: http.MethodGet, Bytes: []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		Mine: func(header http.Header) bool { return header.Get("Id") == id },
+	}
+}
+
+// exchange sends one request and reads its whole answer.
+func exchange(pool *Pool, id string) (string, error) {
+	conn, err := pool.Acquire(context.Background())
+	if err != nil {
+		return "", err
+	}
+	answer, err := conn.Do(context.Background(), messageOf(id))
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := answer.ReadAll(1 << 10)
+	return string(body), err
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	s := newScripted(t, answerTo("a", "one"), answerTo("b", "two"))
+	pool := s.pool()
+	for id, want := range map[string]string{"a": "one"} {
+		if got, err := exchange(pool, id); got != want || err != nil {
+			t.Fatal(got, err)
+		}
+	}
+	if got, err := exchange(pool, "b"); got != "two" || err != nil {
+		t.Fatal(got, err)
+	}
+	if s.conns.Load() != 1 {
+		t.Fatalf("%d connections for two requests in turn", s.conns.Load())
+	}
+}
+
+func TestALateAnswerToAnotherRequestIsDropped(t *testing.T) {
+	s := newScripted(t, answerTo("old", "stale")+answerTo("a", "mine"))
+	if got, err := exchange(s.pool(), "a"); got != "mine" || err != nil {
+		t.Fatal(got, err)
+	}
+}
+
+func TestAConnectionThatSaidTooMuchIsNotUsedAgain(t *testing.T) {
+	s := newScripted(t, answerTo("a", "one")+answerTo("a", "one"), answerTo("b", "two"))
+	pool := s.pool()
+	if got, err := exchange(pool, "a"); got != "one" || err != nil {
+		t.Fatal(got, err)
+	}
+	if got, err := exchange(pool, "b"); got != "two" || err != nil {
+		t.Fatal(got, err)
+	}
+	if s.conns.Load() != 2 {
+		t.Fatalf("%d connections", s.conns.Load())
+	}
+}
+
+func TestAnswersThatEndEarlyAreBroken(t *testing.T) {
+	for name, text := range map[string]string{
+		"closed before the answer": "close",
+		"cut in the header":        "HTTP/1.1 200 OK\r\nId: acut",
+		"cut in the body":          "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 20\r\n\r\nbegin cut",
+		"cut in a chunk":           "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nbegin cut",
+		"no answer at all":         "this is no protocol\r\n\r\n",
+		"a stray without an end":   "HTTP/1.1 200 OK\r\nId: other\r\n\r\nhello cut",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScripted(t, text)
+			if got, err := exchange(s.pool(), "a"); !errors.Is(err, ErrBroken) {
+				t.Fatalf("%q, %v", got, err)
+			}
+		})
+	}
+}
+
+func TestAnUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	s := newScripted(t, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole, then cut", answerTo("b", "two"))
+	pool := s.pool()
+	if got, err := exchange(pool, "a"); got != "whole, then cut" || err != nil {
+		t.Fatal(got, err)
+	}
+	if got, err := exchange(pool, "b"); got != "two" || err != nil {
+		t.Fatal(got, err)
+	}
+}
+
+func TestNothingIsSentWithoutAConnection(t *testing.T) {
+	s := newScripted(t)
+	pool := s.pool()
+	s.listener.Close()
+	if _, err := exchange(pool, "a"); !errors.Is(err, ErrNotSent) {
+		t.Fatal(err)
+	}
+}
+
+func TestTheLimitOfConnectionsHolds(t *testing.T) {
+	s := newScripted(t, answerTo("a", "one"))
+	pool := s.pool()
+	pool.Limit(1)
+	held, err := pool.Acquire(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pool.Acquire(context.Background()); !errors.Is(err, ErrNotSent) {
+		t.Fatal(err)
+	}
+	held.Discard()
+	if got, err := exchange(pool, "a"); got != "one" || err != nil {
+		t.Fatal(got, err)
+	}
+}
+
+func TestAConnectionTheServerClosedIsNotUsed(t *testing.T) {
+	s := newScripted(t, answerTo("a", "one")[:len(answerTo("a", "one"))-3]+"cut", answerTo("b", "two"))
+	pool := s.pool()
+	// "cut" is the body, and the server closes right behind it.
+	if got, err := exchange(pool, "a"); got != "cut" || err != nil {
+		t.Fatal(got, err)
+	}
+	for silentSince := time.Now(); time.Since(silentSince) < 10*time.Second && len(pool.idle) > 0 && silent(pool.idle[0].raw); {
+		time.Sleep(time.Millisecond)
+	}
+	if got, err := exchange(pool, "b"); got != "two" || err != nil {
+		t.Fatal(got, err)
+	}
+}
+
+func TestAnEndedContextEndsTheRequest(t *testing.T) {
+	s := newScripted(t)
+	conn, err := s.pool().Acquire(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := conn.Do(ctx, messageOf("a"))
+		ended <- err
+	}()
+	cancel()
+	if err := <-ended; !errors.Is(err, ErrBroken) {
+		t.Fatal(err)
+	}
+}
+
+func TestIdleTimeoutsThatServersAnnounce(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"timeout=5": 5 * time.Second, "max=100, timeout=2": 2 * time.Second, "Timeout=1": time.Second,
+	} {
+		if got, ok := keepAlive(http.Header{"Keep-Alive": {text}}); got != want || !ok {
+			t.Errorf("%s: %v %v", text, got, ok)
+		}
+	}
+	for _, text := range []string{"", "max=3", "timeout=soon"} {
+		if _, ok := keepAlive(http.Header{"Keep-Alive": {text}}); ok {
+			t.Errorf("%q was taken for a timeout", text)
+		}
+	}
+}
