--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -67,6 +67,9 @@
 	// HintMargin is the part of a caller's guess at the generated tokens for
 	// which memory is reserved.
 	HintMargin float64
+	// Headroom is the part of an engine's memory that is left free for
+	// requests that outgrow what was expected of them.
+	Headroom float64
 	// UsualMemory is what a request usually needs, in tokens. One that needs
 	// more must leave LargeHeadroom times the excess free.
 	UsualMemory   int
@@ -89,6 +92,7 @@
 		AnswerLimit:    4 << 20,
 		StreamGrace:    2500 * time.Millisecond,
 		HintMargin:     1.0,
+		Headroom:       0.08,
 		UsualMemory:    9000,
 		LargeHeadroom:  1,
 		LateReading:    600 * time.Millisecond,
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -28,8 +28,10 @@
 	// reservation and result are what the request has taken and not yet used.
 	reservation string
 	result      *Prefilled
-	// free ends the notes of what it has committed at the decode engine.
-	free func()
+	// committed is the memory that is noted for it at the decode engine.
+	committed int
+	// done ends the notes of its running there.
+	done func()
 }
 
 // stepError says why a step failed, in the terms of the reply.
@@ -43,7 +45,7 @@
 func (f *flow) generate(caller context.Context) *Reply {
 	ctx, cancel := context.WithDeadline(caller, f.deadline)
 	g := &generation{
-		flow: f, ctx: ctx, cancel: cancel, free: func() {},
+		flow: f, ctx: ctx, cancel: cancel, done: func() {},
 		need:   expectedMemory(f.request.Generation, f.config.HintMargin),
 		target: f.request.Arrived.Add(f.route.TTFT),
 	}
@@ -124,7 +126,8 @@
 		reservation, err := g.ask(chosen)
 		if err == nil {
 			g.decode, g.reservation = chosen, reservation.ID
-			g.free = chosen.Server.Hold(g.need)
+			g.committed = g.need
+			chosen.Server.Hold(g.need)
 			return nil
 		}
 		g.note("reserve."+chosen.Name, err.Error())
@@ -135,16 +138,16 @@
 	return &stepError{why: reason.NoDecodeMemory, detail: "no decode engine reserved memory"}
 }
 
-// tooLarge says whether a request that needs more memory than most would take
-// what is nearly the last of it. For the same memory and time, several smaller
-// ones are served.
+// tooLarge says whether a request would take what is nearly the last of an
+// engine's memory. Some is left for requests that outgrow what was expected:
+// once one must be preempted, the reading of its prompt holds up all others of
+// its engine. A request that needs more than most must leave more: for the
+// same memory and time, several smaller ones are served.
 func (g *generation) tooLarge(chosen *route.Rated) bool {
-	excess := g.need - g.config.UsualMemory
-	if excess <= 0 {
-		return false
-	}
+	excess := max(g.need-g.config.UsualMemory, 0)
 	left := route.FreeTokens(chosen.Candidate) - g.need
-	return float64(left) < g.config.LargeHeadroom*float64(excess)
+	headroom := g.config.Headroom*float64(chosen.Backend.MemoryTokens) + g.config.LargeHeadroom*float64(excess)
+	return float64(left) < headroom
 }
 
 func (g *generation) ask(chosen *route.Rated) (Reservation, error) {
@@ -227,8 +230,7 @@
 		g.mayRun = true
 		// The engine has used both up.
 		g.reservation, g.result = "", nil
-		release := g.free
-		g.free = func() { release(); done(); heard() }
+		g.done = func() { done(); heard() }
 		return stream, nil
 	}
 	done()
@@ -242,6 +244,24 @@
 	return nil, &stepError{why: reason.DecodeFailed, detail: err.Error(), lost: err}
 }
 
+// grow notes that the request needs more memory than was expected.
+func (g *generation) grow(tokens int) {
+	if tokens <= g.committed {
+		return
+	}
+	g.decode.Server.Hold(tokens - g.committed)
+	g.committed = tokens
+}
+
+// free ends the notes of what it has committed at the decode engine.
+func (g *generation) free() {
+	g.done()
+	if g.decode != nil {
+		g.decode.Server.Hold(-g.committed)
+	}
+	g.committed = 0
+}
+
 // giveBack frees what the request has taken and not used.
 func (g *generation) giveBack() {
 	g.free()
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -86,6 +86,7 @@
 	}
 	r.last = now
 	r.events += events
+	r.grow(r.request.Generation.PromptTokens + r.events*r.service.Engine.EventTokens)
 }
 
 // Close implements io.Closer.
--- a/route/forwarding_test.go
+++ b/route/forwarding_test.go
@@ -157,12 +157,12 @@
 func TestMemoryCommittedBySiblingsCounts(t *testing.T) {
 	fleet, pool := candidatesOf(&Server{Name: "a"}, &Server{Name: "b"})
 	fleet.Server("a").SetOthers(Commitment{Memory: 800})
-	release := fleet.Server("b").Hold(300)
+	fleet.Server("b").Hold(300)
 	query := &Query{Now: time.Now()}
 	if got := ForwardDecode().Decide(query, fleet, pool).Pick; got != "b" {
 		t.Fatalf("chose %s", got)
 	}
-	release()
+	fleet.Server("b").Hold(-300)
 	if got := fleet.Server("b").Own(); got != (Commitment{}) {
 		t.Fatalf("left over: %+v", got)
 	}
--- a/route/server.go
+++ b/route/server.go
@@ -88,12 +88,9 @@
 	return Commitment{}
 }
 
-// Hold notes that a request will need that many tokens of KV memory; the
-// returned function notes that it no longer does.
-func (s *Server) Hold(tokens int) (end func()) {
-	s.ownMemory.Add(int64(tokens))
-	return func() { s.ownMemory.Add(-int64(tokens)) }
-}
+// Hold notes that this instance's requests need that many more tokens of KV
+// memory; fewer, if negative.
+func (s *Server) Hold(tokens int) { s.ownMemory.Add(int64(tokens)) }
 
 // initialTokenRate stands in until the first prefill was measured, in tokens
 // a second.
--- a/table/column.go
+++ b/table/column.go
@@ -60,6 +60,7 @@
 	ColHold        Column = "hold_ms"
 	ColHandle      Column = "handle_ms"
 	ColSwitch      Column = "switch_ms"
+	ColStride      Column = "event_tokens"
 	ColHeaderBytes Column = "header_bytes"
 	ColBodyBytes   Column = "body_bytes"
 	ColIdle        Column = "idle_ms"
@@ -120,6 +121,7 @@
 		{column: ColHold, check: intIn(0, 600_000)},
 		{column: ColHandle, check: intIn(0, 600_000)},
 		{column: ColSwitch, check: intIn(0, 600_000)},
+		{column: ColStride, check: intIn(0, 100_000)},
 	},
 	Pool: {
 		{column: ColRole, required: true, check: oneOf(RolePrefill, RoleDecode, RolePlain)},
--- a/table/view.go
+++ b/table/view.go
@@ -39,6 +39,8 @@
 	Hold   time.Duration
 	Handle time.Duration
 	Switch time.Duration
+	// EventTokens is how many tokens one event of a stream usually holds.
+	EventTokens int
 }
 
 // BackendView is a backend server row with its values parsed.
@@ -175,6 +177,7 @@
 			Hold:         millis(cells[ColHold], 0),
 			Handle:       millis(cells[ColHandle], 0),
 			Switch:       millis(cells[ColSwitch], 0),
+			EventTokens:  number(cells[ColStride], 1),
 		},
 	}
 }
