Decode engines read prompts where no prefill engine would in time

One prompt at a time at each decode engine, as siblings' loads tell. Memory is asked for again within a quarter of the first-token target.

--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -43,6 +43,9 @@
 	// ReserveTries bounds the engines that are asked in turn. More find the
 	// last free memory; each costs a round trip of a few milliseconds.
 	ReserveTries int
+	// ReservePause is the pause before the engines are asked again. Shorter
+	// finds freed memory sooner; each question is a round trip.
+	ReservePause time.Duration
 	// CleanupTimeout bounds giving back what a request had taken.
 	CleanupTimeout time.Duration
 	// RefuseWithin is the part of the first-token target within which a
@@ -84,6 +87,7 @@
 	return Config{
 		ReserveTimeout: 150 * time.Millisecond,
 		ReserveTries:   3,
+		ReservePause:   40 * time.Millisecond,
 		CleanupTimeout: time.Second,
 		RefuseWithin:   0.25,
 		RetryEarliest:  0.16,
@@ -115,11 +119,13 @@
 // Gateway forwards requests.
 type Gateway struct {
 	Deps
-	config   Config
-	prefill  *route.Profile
-	decode   *route.Profile
-	plain    *route.Profile
-	inFlight atomic.Int64
+	config  Config
+	prefill *route.Profile
+	decode  *route.Profile
+	// readingDecode chooses decode engines that are to read the prompt too.
+	readingDecode *route.Profile
+	plain         *route.Profile
+	inFlight      atomic.Int64
 	// stopping is when a graceful shutdown began, and nil before.
 	stopping atomic.Pointer[time.Time]
 	// cleanups waits for what outlives its request.
@@ -129,11 +135,12 @@
 // New returns a gateway.
 func New(deps Deps, config Config) *Gateway {
 	return &Gateway{
-		Deps:    deps,
-		config:  config,
-		prefill: route.ForwardPrefill(),
-		decode:  route.ForwardDecode(),
-		plain:   route.ForwardPlain(),
+		Deps:          deps,
+		config:        config,
+		prefill:       route.ForwardPrefill(),
+		decode:        route.ForwardDecode(),
+		readingDecode: route.ForwardReadingDecode(),
+		plain:         route.ForwardPlain(),
 	}
 }
 
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -9,6 +10,7 @@
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
+	"github.com/mastwheel/mastwheel/wait"
 )
 
 // generation is a request to a model service while it is forwarded. Memory at
@@ -30,6 +32,10 @@
 	result      *Prefilled
 	// committed is the memory that is noted for it at the decode engine.
 	committed int
+	// readAtDecode has the decode engine read the prompt itself.
+	readAtDecode bool
+	// readDone ends the note that the decode engine reads its prompt.
+	readDone func()
 	// done ends the notes of its running there.
 	done func()
 }
@@ -90,32 +96,49 @@
 	return &stepError{why: reason.Stopping, detail: "the instance is stopping"}
 }
 
-// choosePrefill finds the engine that reads the prompt, and refuses a request
-// whose first token can no longer come in time.
+// choosePrefill finds the engine that reads the prompt. Without one that would
+// be done in time, the decode engine reads it.
 func (g *generation) choosePrefill() *stepError {
 	g.prefill = g.choose(g.Gateway.prefill, g.servers.Prefill[g.service.Name])
 	if g.prefill == nil {
-		return &stepError{why: reason.NoBackend, detail: "no prefill engine"}
-	}
-	wait := g.prefill.Server.PrefillTime(g.request.Generation.PromptTokens)
-	g.note("prefillMillis", wait.Milliseconds())
-	if _, measured := g.prefill.Server.Prefills.Time(1); !measured {
-		// Nothing is known of this engine yet; the first prompts tell.
+		g.readAtDecode = true
+		g.note("readAtDecode", reason.NoBackend)
 		return nil
 	}
-	landing := time.Now().Add(wait + g.config.LandingMargin)
-	if landing.After(g.target) {
-		return &stepError{why: reason.DeadlineTooClose, detail: "the prompts ahead take too long"}
+	ahead := g.prefill.Server.PrefillTime(g.request.Generation.PromptTokens)
+	g.note("prefillMillis", ahead.Milliseconds())
+	_, measured := g.prefill.Server.Prefills.Time(1)
+	landing := time.Now().Add(ahead + g.config.LandingMargin)
+	// Of an engine that was never measured nothing is known; the first prompts
+	// tell.
+	g.readAtDecode = measured && landing.After(g.target)
+	if g.readAtDecode {
+		g.note("readAtDecode", reason.DeadlineTooClose)
 	}
 	return nil
 }
 
-// reserve has a decode engine keep memory free. Engines that look full are
-// asked last, and only some: a quick refusal serves the caller better than a
-// long search.
+// reserve has a decode engine keep memory free. While there is none, it asks
+// again for a short while: a caller that is refused within a part of its target
+// loses least.
 func (g *generation) reserve() *stepError {
+	until := g.request.Arrived.Add(time.Duration(g.config.RefuseWithin * float64(g.route.TTFT)))
+	for {
+		failed := g.reserveOnce()
+		if failed == nil || failed.why != reason.NoDecodeMemory || time.Now().Add(g.config.ReservePause).After(until) {
+			return failed
+		}
+		if !wait.For(g.ctx, g.config.ReservePause) {
+			return &stepError{why: reason.CallerGone, detail: g.ctx.Err().Error()}
+		}
+		g.tried = g.tried[:0]
+	}
+}
+
+// reserveOnce asks the engines with most memory left, only some of them.
+func (g *generation) reserveOnce() *stepError {
 	for range g.config.ReserveTries {
-		chosen := g.choose(g.Gateway.decode, g.servers.Decode[g.service.Name])
+		chosen := g.choose(g.decodeProfile(), g.servers.Decode[g.service.Name])
 		if chosen == nil {
 			break
 		}
@@ -135,9 +158,21 @@
 			return &stepError{why: reason.CallerGone, detail: err.Error()}
 		}
 	}
+	if g.readAtDecode {
+		return &stepError{why: reason.DeadlineTooClose, detail: "the prompts ahead take too long"}
+	}
 	return &stepError{why: reason.NoDecodeMemory, detail: "no decode engine reserved memory"}
 }
 
+// decodeProfile chooses an engine that generates; one that is to read the
+// prompt too must not be reading another.
+func (g *generation) decodeProfile() *route.Profile {
+	if g.readAtDecode {
+		return g.Gateway.readingDecode
+	}
+	return g.Gateway.decode
+}
+
 // tooLarge says whether a request would take what is nearly the last of an
 // engine's memory. Some is left for requests that outgrow what was expected:
 // once one must be preempted, the reading of its prompt holds up all others of
@@ -164,6 +199,9 @@
 // read has the prompt read. A prefill does not run the request, so whatever
 // becomes of it the request can still be refused.
 func (g *generation) read() *stepError {
+	if g.readAtDecode {
+		return nil
+	}
 	for try := 1; ; try++ {
 		err := g.readOnce()
 		if err == nil {
@@ -180,7 +218,7 @@
 		if len(g.servers.Prefill[g.service.Name]) > 1 {
 			g.tried = append(g.tried, g.prefill.Name)
 		}
-		if failed := g.choosePrefill(); failed != nil {
+		if failed := g.choosePrefill(); failed != nil || g.readAtDecode {
 			return failed
 		}
 	}
@@ -216,11 +254,15 @@
 func (g *generation) begin() (*Stream, *stepError) {
 	server := g.decode.Server
 	g.path = append(g.path, g.decode.Name)
-	order := DecodeOrder{
-		Source: g.entry(g.prefill), Handle: g.result.Handle,
-		Reservation: g.reservation, LastEvent: g.request.LastEvent,
+	order := DecodeOrder{Reservation: g.reservation, LastEvent: g.request.LastEvent}
+	unread := 0
+	if g.result != nil {
+		order.Source, order.Handle = g.entry(g.prefill), g.result.Handle
+	} else {
+		unread = g.request.Generation.PromptTokens
 	}
 	done := server.Begin(0)
+	g.readDone = sync.OnceFunc(server.Unread(unread))
 	heard := server.Await(time.Now())
 	stream, err := g.Backends.Decode(g.ctx, g.entry(g.decode), g.request, order, g.deadline)
 	if g.ctx.Err() == nil {
@@ -230,11 +272,12 @@
 		g.mayRun = true
 		// The engine has used both up.
 		g.reservation, g.result = "", nil
-		g.done = func() { done(); heard() }
+		g.done = func() { done(); heard(); g.readDone() }
 		return stream, nil
 	}
 	done()
 	heard()
+	g.readDone()
 	g.note("decode."+g.decode.Name, err.Error())
 	var notRun *NotRun
 	if errors.As(err, &notRun) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -79,6 +79,7 @@
 func (r *relay) arrived(events int) {
 	now := time.Now()
 	if r.events == 0 {
+		r.readDone()
 		r.first = now.Sub(r.request.Arrived)
 		r.Metrics.FirstToken.WithLabelValues(r.service.Name).Observe(r.first.Seconds())
 	} else {
--- a/route/forwarding.go
+++ b/route/forwarding.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// ForwardReadingDecode chooses engines that generate and are to read the prompt
+// too. That holds up all that they generate, so one reads one prompt at a time.
+func ForwardReadingDecode() *Profile {
+	profile := ForwardDecode()
+	profile.Filters = append([]Filter{NotReadingFilter{}}, profile.Filters...)
+	return profile
+}
+
 // weightTie lets the zone decide only between engines with about equal room.
 const weightTie = 0.02
 
--- a/route/server.go
+++ b/route/server.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// Unread notes that this instance has sent that many prompt tokens that are not
+// yet read; the returned function notes that they are.
+func (s *Server) Unread(tokens int) (read func()) {
+	s.ownTokens.Add(int64(tokens))
+	return func() { s.ownTokens.Add(-int64(tokens)) }
+}
+
 // WaitingTokens returns the larger of the reported unread tokens and those
 // that this instance and its siblings know of: the report lags behind what was
 // just sent, and what was sent may say nothing of some siblings.
