A stopping instance takes no call that it might not answer

Ruled out: the kill at the end of the grace (8 s). Cause: plain calls were taken until the process ended. Change: none in the last 1.6 s, refused as not run with a time to come back of 50 ms; the process ends early only with nothing in flight.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -161,20 +161,31 @@
 // errStopped ends a group of services after a graceful shutdown.
 var errStopped = errors.New("stopped")
 
-// lastMoment is kept of the time until the process is killed, to write the
-// last lines and to close what is open.
-const lastMoment = 700 * time.Millisecond
+const (
+	// lastMoment is kept of the time until the process is killed, to write the
+	// last lines and to close what is open.
+	lastMoment = 250 * time.Millisecond
+	// quietEnd is how long before the end an instance ends that has nothing
+	// left to do: callers that keep its address for longer find another one
+	// sooner.
+	quietEnd = 900 * time.Millisecond
+	// quietPoll is the pause between two looks at whether there is.
+	quietPoll = 20 * time.Millisecond
+)
 
 // drain serves on for as long as the platform allows: callers keep this
 // instance's address for a while after siblings have stopped naming it.
 func (p *Platform) drain() {
 	began := time.Now()
-	p.gateway.Stop(began)
+	ends := began.Add(p.settings.Bounds.Grace - lastMoment)
+	p.gateway.Stop(began, ends)
 	klog.InfoS("Graceful shutdown begins", "instance", p.settings.Name, "inFlight", p.gateway.InFlight())
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Bounds.Grace-lastMoment)
+	ctx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
 	p.edge.Stop(ctx)
-	<-ctx.Done()
+	wait.Until(ctx, ends.Add(-quietEnd))
+	for p.gateway.InFlight() > 0 && wait.For(ctx, quietPoll) {
+	}
 }
 
 func metricsAddress(callers string, port int) string {
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -512,6 +513,37 @@
 	stopping.done <- nil
 }
 
+// TestPlatformCutsOffNoCallWhenItStops: a call that a stopping instance takes is
+// answered before it ends; one that it can no longer answer is refused.
+func TestPlatformCutsOffNoCallWhenItStops(t *testing.T) {
+	s := startSite(t, 1)
+	s.behaveAll(s.Plain, func(b *standin.Behaviour) { b.AnswerAfter = 100 * time.Millisecond })
+	stopping := s.instances[0]
+	var callers sync.WaitGroup
+	ctx, leave := context.WithCancel(context.Background())
+	for caller := range 8 {
+		callers.Go(func() {
+			for call := 0; ctx.Err() == nil; call++ {
+				s.sendID(fmt.Sprintf("call-%d-%d", caller, call), stopping, "POST", standin.PathUnsafe+"x", nil)
+			}
+		})
+	}
+	stopping.stop()
+	if err := <-stopping.done; err != nil {
+		t.Fatal(err)
+	}
+	for _, server := range s.Plain {
+		for _, run := range server.Runs() {
+			if !run.Finished {
+				t.Errorf("the instance ended while a server worked on %s", run.Attempt)
+			}
+		}
+	}
+	leave()
+	callers.Wait()
+	stopping.done <- nil
+}
+
 // resolve asks an instance's directory.
 func (s *site) resolve(r *running) string {
 	response, err := s.client.Get("http://" + r.settings.Directory + "/resolve?name=" + standin.Host + "&region=r1&zone=z1")
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -54,7 +54,10 @@
 func (f *flow) entry(chosen *route.Rated) *registry.Entry { return f.servers.ByID[chosen.Name] }
 
 // retryAfter is when a refused caller should come back.
-func (f *flow) retryAfter() time.Duration {
+func (f *flow) retryAfter(why reason.Reason) time.Duration {
+	if why == reason.Stopping {
+		return f.config.RetryElsewhere
+	}
 	part := f.config.RetryEarliest + f.Random()*(f.config.RetryLatest-f.config.RetryEarliest)
 	return time.Duration(part * float64(time.Until(f.request.Deadline)))
 }
@@ -64,7 +67,7 @@
 	if f.mayRun {
 		return f.fail(why, detail)
 	}
-	return f.end(&Reply{Status: statusUnavailable, Reason: why, RetryAfter: f.retryAfter()}, detail)
+	return f.end(&Reply{Status: statusUnavailable, Reason: why, RetryAfter: f.retryAfter(why)}, detail)
 }
 
 // fail ends a request that may have run. Its status promises nothing.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -64,6 +64,12 @@
 	LandingMargin time.Duration
 	// AnswerLimit bounds the body of a plain answer, in bytes.
 	AnswerLimit int64
+	// LastCalls is how long before the end of a graceful shutdown plain
+	// requests are no longer taken; longer than nearly all take.
+	LastCalls time.Duration
+	// RetryElsewhere is when a caller should come back that a stopping instance
+	// refuses: at once, since the others serve.
+	RetryElsewhere time.Duration
 	// StreamGrace is how long after the begin of a graceful shutdown streams
 	// are still taken; later ones might not end before the instance does.
 	StreamGrace time.Duration
@@ -94,10 +100,12 @@
 		RetryLatest:    0.32,
 		LandingMargin:  150 * time.Millisecond,
 		AnswerLimit:    4 << 20,
+		LastCalls:      1600 * time.Millisecond,
+		RetryElsewhere: 50 * time.Millisecond,
 		StreamGrace:    2500 * time.Millisecond,
-		HintMargin:     1.0,
-		Headroom:       0.08,
-		UsualMemory:    9000,
+		HintMargin:     0.5,
+		Headroom:       0.2,
+		UsualMemory:    7500,
 		LargeHeadroom:  1,
 		LateReading:    600 * time.Millisecond,
 	}
@@ -126,8 +134,8 @@
 	readingDecode *route.Profile
 	plain         *route.Profile
 	inFlight      atomic.Int64
-	// stopping is when a graceful shutdown began, and nil before.
-	stopping atomic.Pointer[time.Time]
+	// stopping is set once a graceful shutdown has begun.
+	stopping atomic.Pointer[shutdown]
 	// cleanups waits for what outlives its request.
 	cleanups sync.WaitGroup
 }
@@ -147,8 +155,13 @@
 // InFlight counts the requests that are being forwarded.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
-// Stop begins a graceful shutdown: requests that would outlast it are refused.
-func (g *Gateway) Stop(now time.Time) { g.stopping.CompareAndSwap(nil, &now) }
+// shutdown is a graceful shutdown.
+type shutdown struct{ began, ends time.Time }
+
+// Stop begins a graceful shutdown: requests that might outlast it are refused.
+func (g *Gateway) Stop(now, ends time.Time) {
+	g.stopping.CompareAndSwap(nil, &shutdown{began: now, ends: ends})
+}
 
 // Stopping says whether a graceful shutdown has begun.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() != nil }
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -86,11 +86,8 @@
 
 // outlast refuses a stream that a stopping instance could not see to its end.
 func (g *generation) outlast() *stepError {
-	began := g.stopping.Load()
-	if began == nil {
-		return nil
-	}
-	if time.Since(*began) < g.config.StreamGrace {
+	stopping := g.stopping.Load()
+	if stopping == nil || time.Since(stopping.began) < g.config.StreamGrace {
 		return nil
 	}
 	return &stepError{why: reason.Stopping, detail: "the instance is stopping"}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -13,6 +13,9 @@
 // call forwards a plain request to one server, and to another only where that
 // is allowed.
 func (f *flow) call(caller context.Context) *Reply {
+	if stopping := f.stopping.Load(); stopping != nil && time.Until(stopping.ends) < f.config.LastCalls {
+		return f.refuse(reason.Stopping, "the instance is stopping")
+	}
 	ctx, cancel := context.WithDeadline(caller, f.deadline)
 	defer cancel()
 	for attempt := 1; ; {
