Hold neither departed callers nor an own pause against servers

Ruled out: the servers (other instances used them). Cause: time outs that the pause itself made, and callers that left (28 in 2 s), counted as failures.

--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -420,6 +420,27 @@
 	})
 }
 
+func TestPlatformHoldsNoCallerAgainstAServer(t *testing.T) {
+	s := startSite(t, 1)
+	s.behaveAll(s.Plain, func(b *standin.Behaviour) { b.Mute = true })
+	for call := range 20 {
+		ctx, leave := context.WithCancel(context.Background())
+		left := make(chan struct{})
+		id := fmt.Sprintf("impatient-%d", call)
+		go func() {
+			defer close(left)
+			s.sendID(id, s.instances[0], "POST", standin.PathUnsafe+"x", func(r *http.Request) { *r = *r.WithContext(ctx) })
+		}()
+		s.until("a server works on it", func() bool { return s.ran(id) == 1 })
+		leave()
+		<-left
+	}
+	s.behaveAll(s.Plain, func(b *standin.Behaviour) { b.Mute = false })
+	if got := s.send(s.instances[0], "POST", standin.PathUnsafe+"x", nil); got.status != 200 {
+		t.Fatalf("refused since other callers had left: %+v", got)
+	}
+}
+
 func TestPlatformLeavesDrainingServersAlone(t *testing.T) {
 	s := startSite(t, 2)
 	leaving := s.Plain[0]
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -126,6 +126,9 @@
 
 	// Members tunes the detection of failed siblings.
 	Members member.Config
+	// LongPause is how late a timer must be for this instance to have stood
+	// still itself, rather than having been busy.
+	LongPause time.Duration
 	// PeersTold is how many other siblings a heartbeat names.
 	PeersTold int
 
@@ -158,6 +161,7 @@
 			AbandonAfter:   30 * time.Second,
 			ForgetAfter:    2 * time.Minute,
 		},
+		LongPause:    600 * time.Millisecond,
 		PeersTold:    4,
 		PrefillShare: defaultPrefillShare,
 		OrdersEvery:  500 * time.Millisecond,
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -110,8 +110,14 @@
 
 // tick lets time pass for what is believed.
 func (in *Instance) tick(ctx context.Context) {
+	last := time.Now()
 	for wait.For(ctx, in.config.Members.HeartbeatEvery) {
 		now := time.Now()
+		if stood := now.Sub(last) - in.config.Members.HeartbeatEvery; stood > in.config.LongPause {
+			klog.InfoS("This instance stood still; what it held against servers is forgotten", "pauseMillis", stood.Milliseconds())
+			in.Fleet.Forgive(now)
+		}
+		last = now
 		in.members.Tick(now)
 		in.registry.Tick(now)
 		in.rebuild()
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -59,7 +59,10 @@
 	defer chosen.Server.Begin(0)()
 	defer chosen.Server.Await(time.Now())()
 	answer, err := f.Backends.Call(ctx, f.entry(chosen), f.request, f.deadline)
-	f.learn(chosen.Server, err)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		// A caller that left says nothing of the server.
+		f.learn(chosen.Server, err)
+	}
 	return answer, err
 }
 
--- a/route/server.go
+++ b/route/server.go
@@ -189,6 +189,16 @@
 // nil.
 func (f *Fleet) ServerByID(id uint32) *Server { return f.index.Load().byID[id] }
 
+// Forgive forgets failures, silence and refusals of all servers: after this
+// instance itself stood still, they say more of it than of them.
+func (f *Fleet) Forgive(now time.Time) {
+	for _, server := range f.index.Load().byName {
+		server.Breaker.Success()
+		server.Heard(now)
+		server.Accepted()
+	}
+}
+
 // Adopt makes the fleet match the table's backend servers. Servers that stay
 // keep their state. Only one goroutine may call it.
 func (f *Fleet) Adopt(view *table.View) {
