--- a/edge/edge.go
+++ b/edge/edge.go
@@ -115,8 +115,11 @@
 	// ReadEvery is the least pause between two reads of the list of servers, so
 	// that changes in quick succession share a call.
 	ReadEvery time.Duration
-	// RetryEvery is the pause after a call to the store that failed.
-	RetryEvery time.Duration
+	// RetryEvery is the pause after a call to the store that failed; after more
+	// in a row it doubles, up to RetryAtMost: all calls are priced, and entries
+	// that lapsed must be seen soon after the store's return.
+	RetryEvery  time.Duration
+	RetryAtMost time.Duration
 	// CatchUpEvery is the pause between two looks at what siblings know. One
 	// that was ahead at two looks in a row is asked for it.
 	CatchUpEvery time.Duration
@@ -129,6 +132,8 @@
 	// LongPause is how late a timer must be for this instance to have stood
 	// still itself, rather than having been busy.
 	LongPause time.Duration
+	// FarPerBeat is about how many siblings of other zones get each heartbeat.
+	FarPerBeat int
 	// PeersTold is how many other siblings a heartbeat names.
 	PeersTold int
 
@@ -152,6 +157,7 @@
 		StoreWait:    10 * time.Second,
 		ReadEvery:    150 * time.Millisecond,
 		RetryEvery:   250 * time.Millisecond,
+		RetryAtMost:  time.Second,
 		CatchUpEvery: 250 * time.Millisecond,
 		RosterEvery:  30 * time.Second,
 		Members: member.Config{
@@ -162,6 +168,7 @@
 			ForgetAfter:    2 * time.Minute,
 		},
 		LongPause:    600 * time.Millisecond,
+		FarPerBeat:   12,
 		PeersTold:    4,
 		PrefillShare: defaultPrefillShare,
 		OrdersEvery:  500 * time.Millisecond,
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -17,9 +17,14 @@
 	return wait.For(ctx, time.Duration(float64(mean)*(0.75+0.5*in.deps.Random())))
 }
 
+// backoff is the pause after so many failures in a row.
+func (in *Instance) backoff(failures int) time.Duration {
+	return min(in.config.RetryEvery<<min(failures-1, 10), in.config.RetryAtMost)
+}
+
 // followTable keeps the table in force up to date.
 func (in *Instance) followTable(ctx context.Context) {
-	position, known := uint64(0), false
+	position, known, failures := uint64(0), false, 0
 	for ctx.Err() == nil {
 		var raw []byte
 		var err error
@@ -37,10 +42,12 @@
 			continue
 		}
 		if err != nil && ctx.Err() == nil {
+			failures++
 			in.store.failed(time.Now(), err)
-			in.pause(ctx, in.config.RetryEvery)
+			in.pause(ctx, in.backoff(failures))
 			continue
 		}
+		failures = 0
 		in.store.ok(time.Now())
 		if raw == nil && in.table.Load() == nil {
 			in.pause(ctx, in.config.RetryEvery)
@@ -71,13 +78,13 @@
 
 // followServers keeps the list of backend servers up to date.
 func (in *Instance) followServers(ctx context.Context) {
-	known := false
+	known, failures := false, 0
 	for ctx.Err() == nil {
 		err := in.readServers(ctx, known)
 		now := time.Now()
 		switch {
 		case err == nil:
-			known = true
+			known, failures = true, 0
 			in.store.ok(now)
 			in.rebuild()
 			in.pause(ctx, in.config.ReadEvery)
@@ -85,8 +92,9 @@
 			known = false
 		case ctx.Err() == nil:
 			in.store.failed(now, err)
+			failures++
 			in.registry.StoreAway(now)
-			in.pause(ctx, in.config.RetryEvery)
+			in.pause(ctx, in.backoff(failures))
 		}
 	}
 }
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -137,18 +137,52 @@
 	return info
 }
 
-// beat sends heartbeats until ctx ends.
+// beat sends heartbeats until ctx ends. Siblings of the same zone get each one;
+// of many in other zones each gets only some, since bytes between zones are
+// dear, and is given more time before it counts as silent.
 func (in *Instance) beat(ctx context.Context) {
 	in.sendHeartbeats()
-	for wait.For(ctx, in.config.Members.HeartbeatEvery) {
-		in.sendHeartbeats()
+	for turn := 0; wait.For(ctx, in.config.Members.HeartbeatEvery); turn++ {
+		addresses := in.peers.addresses(time.Now())
+		every := max(1, len(addresses)/in.config.FarPerBeat)
+		in.members.SetSuspectAfter(max(in.config.Members.SuspectAfter, time.Duration(every*patientBeats)*in.config.Members.HeartbeatEvery))
+		in.sendTo(in.due(addresses, turn, every), addresses)
 	}
 }
 
+// patientBeats is how many heartbeats may be missing before a sibling counts
+// as silent, where they are rare: datagrams are lost now and then.
+const patientBeats = 4
+
+// due picks the siblings that get a heartbeat in a turn.
+func (in *Instance) due(addresses []string, turn, every int) []string {
+	if every == 1 {
+		return addresses
+	}
+	near := make(map[string]bool)
+	for _, sibling := range in.members.View().Siblings {
+		if sibling.Zone == in.config.Zone {
+			near[sibling.Peer] = true
+		}
+	}
+	var picked []string
+	for i, address := range addresses {
+		if near[address] || (i+turn)%every == 0 {
+			picked = append(picked, address)
+		}
+	}
+	return picked
+}
+
+// sendHeartbeats sends one to every sibling.
 func (in *Instance) sendHeartbeats() {
 	addresses := in.peers.addresses(time.Now())
+	in.sendTo(addresses, addresses)
+}
+
+func (in *Instance) sendTo(addresses, known []string) {
 	datagram, err := heartbeat.Encode(heartbeat.Message{
-		From: in.info(), Loads: in.loads(), Peers: in.somePeers(addresses), Changing: in.peers.underWay(time.Now()),
+		From: in.info(), Loads: in.loads(), Peers: in.somePeers(known), Changing: in.peers.underWay(time.Now()),
 	})
 	if err != nil {
 		klog.ErrorS(err, "Heartbeat not sent")
--- a/member/member.go
+++ b/member/member.go
@@ -149,6 +149,14 @@
 // View returns the current picture.
 func (m *Members) View() *View { return m.view.Load() }
 
+// SetSuspectAfter changes the silence after which a member gets no new work, as
+// heartbeats come more or less often.
+func (m *Members) SetSuspectAfter(silence time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.config.SuspectAfter = silence
+}
+
 // Heard takes a heartbeat, and says whether it counted. One of an earlier
 // incarnation does not, nor does one that leaves out the addresses of a run
 // that is not known yet.
