A log line for each decision of a request; bounded; beliefs in the metrics

Each choice with its candidates and scores, each reservation, reading, call and retry with its inputs, and the revision, position and age of the list behind it. Found by reading them: the largest hints were not cut at the most tokens that a request allows before a part of them was taken.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -66,9 +66,22 @@
 		Zone: settings.Zone, Beliefs: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
 		Budget: p.edge.Budget, Metrics: p.metrics, Random: rand.Float64,
 	}, forward.DefaultConfig())
+	p.watch()
 	return p, nil
 }
 
+// watch exports what the instance believes, and how old that is.
+func (p *Platform) watch() {
+	age := func() float64 { return time.Since(p.edge.Servers().Read).Seconds() }
+	p.metrics.Watch("table_revision", "Revision of the table in force.", func() float64 { return float64(p.edge.Revision()) })
+	p.metrics.Watch("server_list_age_seconds", "Time since the list of backend servers was last known to be current.", age)
+	p.metrics.Watch("servers", "Backend servers believed.", func() float64 { return float64(len(p.edge.Servers().ByID)) })
+	p.metrics.Watch("siblings_serving", "Siblings that serve.", func() float64 { return float64(p.edge.Serving()) })
+	p.metrics.Watch("requests_in_flight", "Requests being forwarded.", func() float64 { return float64(p.gateway.InFlight()) })
+	p.metrics.Watch("decode_memory_free_tokens", "KV memory of decode engines that nobody has committed.", func() float64 { return float64(p.gateway.FreeMemory()) })
+	p.metrics.Watch("retry_budget_left", "Retries left over all services.", p.edge.RetriesLeft)
+}
+
 // connectionShare is the part of a server's connections that the instances
 // together may open: others connect there too.
 const connectionShare = 0.8
--- a/edge/budgets.go
+++ b/edge/budgets.go
@@ -59,3 +59,14 @@
 // Instances returns how many instances share what is shared, at the most: this
 // one and every sibling that was heard lately.
 func (in *Instance) Instances() int { return len(in.members.View().Siblings) + 1 }
+
+// RetriesLeft returns the retries that are left over all services.
+func (in *Instance) RetriesLeft() float64 {
+	in.budgets.mu.RLock()
+	defer in.budgets.mu.RUnlock()
+	left := 0.0
+	for _, budget := range in.budgets.byService {
+		left += budget.Left(time.Now())
+	}
+	return left
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -270,6 +270,17 @@
 	return nil
 }
 
+// Revision returns the number of the table in force; 0 before there is one.
+func (in *Instance) Revision() uint64 {
+	if revision := in.table.Load(); revision != nil {
+		return revision.Number
+	}
+	return 0
+}
+
+// Serving counts the siblings that serve.
+func (in *Instance) Serving() int { return len(in.members.View().Serving()) }
+
 // Servers implements forward.Beliefs.
 func (in *Instance) Servers() *forward.Servers { return in.servers.Load() }
 
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -131,9 +131,7 @@
 		Uptime:      time.Since(in.started),
 		Next:        in.registry.View().Position,
 	}
-	if revision := in.table.Load(); revision != nil {
-		info.Revision = revision.Number
-	}
+	info.Revision = in.Revision()
 	return info
 }
 
--- /dev/null
+++ b/forward/decision.go
@@ -0,0 +1,123 @@
+package forward
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/route"
+)
+
+// decision is one step that was decided for a request, with what decided it.
+type decision struct {
+	at   time.Time
+	step string
+	// outcome is what was decided.
+	outcome string
+	inputs  []any
+	// rated is what a choice of server saw; nil for other steps.
+	rated []route.Rated
+}
+
+// Steps of a request, as they stand in the log.
+const (
+	stepEstimate = "estimate"
+	stepChoose   = "choose"
+	stepReserve  = "reserve"
+	stepRead     = "read"
+	stepDecode   = "decode"
+	stepCall     = "call"
+	stepRetry    = "retry"
+	stepStream   = "stream"
+)
+
+// decide notes a step for the request's log lines.
+func (f *flow) decide(step, outcome string, inputs ...any) {
+	f.decisions = append(f.decisions, decision{at: time.Now(), step: step, outcome: outcome, inputs: inputs})
+}
+
+// resultOf is the outcome of a step that a server answered.
+func resultOf(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return err.Error()
+}
+
+// logOneIn is how many served requests stand for one in the log. Requests that
+// were not served are all logged, up to the limit of lines.
+const logOneIn = 50
+
+// logged says whether a request is written to the log.
+func (f *flow) logged(outcome reason.Outcome) bool {
+	if outcome == reason.Done && !bool(klog.V(logServed).Enabled()) && xxhash.Sum64String(f.request.ID)%logOneIn != 0 {
+		return false
+	}
+	if f.lines.Allow(time.Now()) {
+		return true
+	}
+	f.Metrics.Withheld()
+	return false
+}
+
+// log writes a line for each decision of a request, and one for its end.
+func (f *flow) log(service string, outcome reason.Outcome, status int, why reason.Reason, detail string) {
+	if !f.logged(outcome) {
+		return
+	}
+	for i := range f.decisions {
+		f.decisions[i].log(f)
+	}
+	fields := []any{
+		"request", f.request.ID, "service", service, "outcome", outcome, "status", status, "reason", why,
+		"servers", f.path, "tookMillis", time.Since(f.request.Arrived).Milliseconds(),
+	}
+	if f.route != nil {
+		fields = append(fields, "route", f.route.Name)
+	}
+	if detail != "" {
+		fields = append(fields, "detail", detail)
+	}
+	klog.InfoS("Request ended", append(fields, f.versions()...)...)
+}
+
+// versions says by which beliefs the request was decided.
+func (f *flow) versions() []any {
+	return []any{
+		"revision", f.revision, "listPosition", f.servers.Position,
+		"listAgeMillis", time.Since(f.servers.Read).Milliseconds(),
+	}
+}
+
+func (d *decision) log(f *flow) {
+	fields := []any{
+		"request", f.request.ID, "step", d.step, "outcome", d.outcome,
+		"atMillis", d.at.Sub(f.request.Arrived).Milliseconds(),
+	}
+	fields = append(fields, d.inputs...)
+	if d.rated != nil {
+		fields = append(fields, "candidates", candidates(d.rated))
+	}
+	klog.InfoS("Decided", append(fields, f.versions()...)...)
+}
+
+// candidates writes what a choice saw: each server with its score, or with the
+// filter that dropped it.
+func candidates(rated []route.Rated) string {
+	var text strings.Builder
+	for i, one := range rated {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		if one.DroppedBy != "" {
+			fmt.Fprintf(&text, "%s:%s", one.Name, one.DroppedBy)
+			continue
+		}
+		fmt.Fprintf(&text, "%s:%.3f", one.Name, one.Total)
+	}
+	return text.String()
+}
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
@@ -30,25 +28,23 @@
 	path []string
 	// mayRun is set once a backend server may have run the request.
 	mayRun bool
-	notes  []any
+	// decisions are what was decided for the request so far.
+	decisions []decision
 }
 
-// note adds an input of a decision to the request's log line.
-func (f *flow) note(key string, value any) { f.notes = append(f.notes, key, value) }
-
 // choose decides by a profile among servers; nil when every one was dropped.
 func (f *flow) choose(profile *route.Profile, pool []*table.BackendView) *route.Rated {
 	query := &route.Query{RequestID: f.request.ID, Zone: f.Zone, Exclude: f.tried, Now: time.Now()}
 	if f.request.Generation != nil {
 		query.PromptTokens = f.request.Generation.PromptTokens
 	}
-	decision := profile.Decide(query, f.Fleet, pool)
-	if decision.Chosen == nil {
-		for _, rated := range decision.Rated {
-			f.note("dropped."+rated.Name, rated.DroppedBy)
-		}
+	made := profile.Decide(query, f.Fleet, pool)
+	outcome := made.Pick
+	if made.Chosen == nil {
+		outcome = "none"
 	}
-	return decision.Chosen
+	f.decisions = append(f.decisions, decision{at: query.Now, step: stepChoose, outcome: outcome, rated: made.Rated})
+	return made.Chosen
 }
 
 func (f *flow) entry(chosen *route.Rated) *registry.Entry { return f.servers.ByID[chosen.Name] }
@@ -132,27 +128,5 @@
 	}
 }
 
-// Verbosity of the log lines about requests: those served are numerous.
+// logServed is the verbosity at which every served request is logged.
 const logServed = 2
-
-func (f *flow) log(service string, outcome reason.Outcome, status int, why reason.Reason, detail string) {
-	level := klog.Level(0)
-	if outcome == reason.Done {
-		level = logServed
-	}
-	if !klog.V(level).Enabled() {
-		return
-	}
-	fields := []any{
-		"request", f.request.ID, "service", service, "outcome", outcome, "status", status, "reason", why,
-		"revision", f.revision, "servers", f.path, "tookMillis", time.Since(f.request.Arrived).Milliseconds(),
-		"listPosition", f.servers.Position, "listAgeMillis", time.Since(f.servers.Read).Milliseconds(),
-	}
-	if f.route != nil {
-		fields = append(fields, "route", f.route.Name)
-	}
-	if detail != "" {
-		fields = append(fields, "detail", detail)
-	}
-	klog.V(level).InfoS("Request ended", append(fields, f.notes...)...)
-}
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mastwheel/mastwheel/logging"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
@@ -136,10 +137,19 @@
 	inFlight      atomic.Int64
 	// stopping is set once a graceful shutdown has begun.
 	stopping atomic.Pointer[shutdown]
+	// lines bounds how many requests are logged.
+	lines *logging.Limit
 	// cleanups waits for what outlives its request.
 	cleanups sync.WaitGroup
 }
 
+// Requests that are logged: enough for every refusal of a burst at the users'
+// sizes, some five lines each, and a few hundred kilobytes a second at most.
+const (
+	logPerSecond = 60
+	logBurst     = 300
+)
+
 // New returns a gateway.
 func New(deps Deps, config Config) *Gateway {
 	return &Gateway{
@@ -149,6 +159,7 @@
 		decode:        route.ForwardDecode(),
 		readingDecode: route.ForwardReadingDecode(),
 		plain:         route.ForwardPlain(),
+		lines:         logging.NewLimit(logPerSecond, logBurst, time.Now()),
 	}
 }
 
@@ -158,6 +169,20 @@
 // shutdown is a graceful shutdown.
 type shutdown struct{ began, ends time.Time }
 
+// FreeMemory estimates the KV memory of all decode engines that nobody needs,
+// in tokens.
+func (g *Gateway) FreeMemory() int {
+	free := 0
+	for _, pool := range g.Beliefs.Servers().Decode {
+		for _, backend := range pool {
+			if server := g.Fleet.Server(backend.Name); server != nil {
+				free += max(route.FreeTokens(route.Candidate{Backend: backend, Server: server}), 0)
+			}
+		}
+	}
+	return free
+}
+
 // Stop begins a graceful shutdown: requests that might outlast it are refused.
 func (g *Gateway) Stop(now, ends time.Time) {
 	g.stopping.CompareAndSwap(nil, &shutdown{began: now, ends: ends})
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -72,10 +73,8 @@
 
 // run takes the steps up to the begin of the stream.
 func (g *generation) run() (*Stream, *stepError) {
-	g.note("memory", g.need)
-	g.note("hint", g.request.Generation.LengthHint)
-	g.note("most", g.request.Generation.MaxTokens)
-	g.note("prompt", g.request.Generation.PromptTokens)
+	want := g.request.Generation
+	g.decide(stepEstimate, strconv.Itoa(g.need), "prompt", want.PromptTokens, "hint", want.LengthHint, "most", want.MaxTokens)
 	for _, step := range []func() *stepError{g.outlast, g.choosePrefill, g.reserve, g.read} {
 		if failed := step(); failed != nil {
 			return nil, failed
@@ -99,18 +98,17 @@
 	g.prefill = g.choose(g.Gateway.prefill, g.servers.Prefill[g.service.Name])
 	if g.prefill == nil {
 		g.readAtDecode = true
-		g.note("readAtDecode", reason.NoBackend)
+		g.decide(stepRead, "at_decode", "why", reason.NoBackend)
 		return nil
 	}
 	ahead := g.prefill.Server.PrefillTime(g.request.Generation.PromptTokens)
-	g.note("prefillMillis", ahead.Milliseconds())
 	_, measured := g.prefill.Server.Prefills.Time(1)
 	landing := time.Now().Add(ahead + g.config.LandingMargin)
 	// Of an engine that was never measured nothing is known; the first prompts
 	// tell.
 	g.readAtDecode = measured && landing.After(g.target)
 	if g.readAtDecode {
-		g.note("readAtDecode", reason.DeadlineTooClose)
+		g.decide(stepRead, "at_decode", "why", reason.DeadlineTooClose, "aheadMillis", ahead.Milliseconds())
 	}
 	return nil
 }
@@ -140,17 +138,19 @@
 			break
 		}
 		if g.tooLarge(chosen) {
+			g.decide(stepReserve, "too_large", "server", chosen.Name, "free", route.FreeTokens(chosen.Candidate))
 			return &stepError{why: reason.NoDecodeMemory, detail: "the memory left is kept for smaller requests"}
 		}
 		g.tried = append(g.tried, chosen.Name)
 		reservation, err := g.ask(chosen)
 		if err == nil {
+			g.decide(stepReserve, "ok", "server", chosen.Name, "free", route.FreeTokens(chosen.Candidate))
 			g.decode, g.reservation = chosen, reservation.ID
 			g.committed = g.need
 			chosen.Server.Hold(g.need)
 			return nil
 		}
-		g.note("reserve."+chosen.Name, err.Error())
+		g.decide(stepReserve, err.Error(), "server", chosen.Name, "free", route.FreeTokens(chosen.Candidate))
 		if g.ctx.Err() != nil {
 			return &stepError{why: reason.CallerGone, detail: err.Error()}
 		}
@@ -204,7 +204,6 @@
 		if err == nil {
 			return nil
 		}
-		g.note("prefill."+g.prefill.Name, err.Error())
 		if g.ctx.Err() != nil {
 			return &stepError{why: reason.CallerGone, detail: err.Error()}
 		}
@@ -238,12 +237,12 @@
 	if g.ctx.Err() == nil {
 		g.learn(server, err)
 	}
+	g.decide(stepRead, resultOf(err), "server", g.prefill.Name, "waiting", waiting, "tookMillis", time.Since(began).Milliseconds())
 	if err != nil {
 		return err
 	}
 	server.Prefills.Measure(max(waiting, tokens), time.Since(began))
 	g.result = &result
-	g.note("readMillis", time.Since(began).Milliseconds())
 	return nil
 }
 
@@ -265,6 +264,7 @@
 	if g.ctx.Err() == nil {
 		g.learn(server, err)
 	}
+	g.decide(stepDecode, resultOf(err), "server", g.decode.Name, "unread", unread)
 	if err == nil {
 		g.mayRun = true
 		// The engine has used both up.
@@ -275,7 +275,6 @@
 	done()
 	heard()
 	g.readDone()
-	g.note("decode."+g.decode.Name, err.Error())
 	var notRun *NotRun
 	if errors.As(err, &notRun) {
 		return nil, &stepError{why: notRun.Why, detail: notRun.Detail}
@@ -324,13 +323,13 @@
 }
 
 // expectedMemory estimates the KV memory that a request will need: its prompt
-// and what it is expected to generate. margin widens the caller's guess: a
-// request that outgrows its reservation may be preempted and read in again,
-// and one that does not need all of it keeps others out.
+// and a part of what it is expected to generate. While it grows to all of that,
+// others end: a larger part keeps out requests that would have found room, and
+// with a smaller one requests are preempted and read in again.
 func expectedMemory(want *Generation, margin float64) int {
 	generated := want.MaxTokens
 	if want.LengthHint > 0 {
-		generated = min(generated, int(float64(want.LengthHint)*margin))
+		generated = min(generated, want.LengthHint)
 	}
-	return want.PromptTokens + generated
+	return want.PromptTokens + int(float64(generated)*margin)
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -59,6 +60,7 @@
 	defer chosen.Server.Begin(0)()
 	defer chosen.Server.Await(time.Now())()
 	answer, err := f.Backends.Call(ctx, f.entry(chosen), f.request, f.deadline)
+	f.decide(stepCall, callResult(answer, err), "server", chosen.Name, "inFlight", chosen.Server.InFlight())
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		// A caller that left says nothing of the server.
 		f.learn(chosen.Server, err)
@@ -66,6 +68,15 @@
 	return answer, err
 }
 
+// callResult is the outcome of a call: the server's status, or why there is
+// none.
+func callResult(answer *Answer, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return strconv.Itoa(answer.Status)
+}
+
 // serverError is the lowest status of a server that failed.
 const serverError = 500
 
@@ -99,11 +110,11 @@
 		return final
 	}
 	if !f.Budget(f.service.Name).Spend(time.Now()) {
-		f.note("budget", "spent")
+		f.decide(stepRetry, "no", "why", why, "attempt", attempt, "budgetLeft", 0)
 		return final
 	}
 	f.Metrics.Retried(why)
-	f.note("retried", why)
+	f.decide(stepRetry, "yes", "why", why, "attempt", attempt, "budgetLeft", f.Budget(f.service.Name).Left(time.Now()))
 	return again
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -101,10 +101,8 @@
 	departed := r.ctx.Err() != nil && time.Now().Before(r.deadline)
 	r.cancel()
 	r.leave()
-	r.note("events", r.events)
-	r.note("firstMillis", r.first.Milliseconds())
-	r.note("gapMillis", r.gap.Milliseconds())
 	why, detail := r.reason(departed)
+	r.decide(stepStream, resultOf(r.ended), "events", r.events, "firstMillis", r.first.Milliseconds(), "longestGapMillis", r.gap.Milliseconds())
 	r.close(r.stream.Status, why, detail)
 	return nil
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -25,6 +25,7 @@
 	retries  *prometheus.CounterVec
 	dropped  *prometheus.CounterVec
 	kept     *prometheus.CounterVec
+	withheld prometheus.Counter
 	took     *prometheus.HistogramVec
 	// FirstToken and BetweenTokens are in seconds.
 	FirstToken    *prometheus.HistogramVec
@@ -54,6 +55,7 @@
 		requests: counters("requests_total", "Requests that ended, by outcome.", labelService, labelOutcome),
 		refusals: counters("refusals_total", "Requests that ended other than done, by reason.", labelReason),
 		retries:  counters("retries_total", "Attempts that were followed by another, by reason.", labelReason),
+		withheld: counter("log_requests_withheld_total", "Requests that were not logged, for the limit of log lines."),
 		kept:     counters("not_returned_total", "Things taken at backend servers that could not be given back, and lapsed.", "what"),
 		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its end.", Buckets: tookBuckets,
@@ -71,7 +73,7 @@
 		CancelTries: counter("cancel_tries_total", "Cancel orders sent."),
 		Orphans:     counter("orphans_cancelled_total", "Streams of dead homes that were cancelled."),
 	}
-	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.dropped, s.kept, s.took, s.FirstToken, s.BetweenTokens,
+	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.dropped, s.kept, s.withheld, s.took, s.FirstToken, s.BetweenTokens,
 		s.CancelsPending, s.CancelTries, s.Orphans)
 	for _, info := range reason.All {
 		s.refusals.WithLabelValues(string(info.Reason))
@@ -108,6 +110,14 @@
 // given back.
 func (s *Set) NotReturned(what string) { s.kept.WithLabelValues(what).Inc() }
 
+// Withheld counts a request that was not logged.
+func (s *Set) Withheld() { s.withheld.Inc() }
+
+// Watch exports a figure that is read when the metrics are.
+func (s *Set) Watch(name, help string, read func() float64) {
+	s.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
 // Took measures a request from its arrival to its end.
 func (s *Set) Took(service string, took time.Duration) {
 	s.took.WithLabelValues(service).Observe(took.Seconds())
