--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -104,10 +104,10 @@
 		LastCalls:      1600 * time.Millisecond,
 		RetryElsewhere: 50 * time.Millisecond,
 		StreamGrace:    2500 * time.Millisecond,
-		HintMargin:     0.5,
-		Headroom:       0.2,
+		HintMargin:     0.6,
+		Headroom:       0.12,
 		UsualMemory:    7500,
-		LargeHeadroom:  1,
+		LargeHeadroom:  0.5,
 		LateReading:    600 * time.Millisecond,
 	}
 }
