--- a/cmd/mastwheel/try.go
+++ b/cmd/mastwheel/try.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/mastwheel/mastwheel/logging"
+	"github.com/mastwheel/mastwheel/platform/standin"
 	"github.com/mastwheel/mastwheel/trial"
 )
 
@@ -32,6 +33,7 @@
 			&cli.DurationFlag{Name: "call-time", Usage: "how long a plain call takes; 0 for the deployment's own"},
 			&cli.IntFlag{Name: "answer", Usage: "mean answer in tokens; 0 for the deployment's own"},
 			&cli.BoolFlag{Name: "list-faults", Usage: "list the faults and stop"},
+			&cli.BoolFlag{Name: "platform", Usage: "against the stand-in of the users' platform, with its callers; uses instances, duration, seed and faults"},
 			&cli.BoolFlag{Name: "no-traffic", Usage: "leave the sample traffic out"},
 			jsonFlag(),
 		},
@@ -53,6 +55,9 @@
 	if err != nil {
 		return err
 	}
+	if command.Bool("platform") {
+		return tryPlatform(ctx, out, options, command.Bool("json"))
+	}
 	if err := logging.Setup(io.Discard, 0); err != nil {
 		return err
 	}
@@ -73,6 +78,34 @@
 	return nil
 }
 
+// tryPlatform runs instances against the stand-in of the users' platform.
+func tryPlatform(ctx context.Context, out io.Writer, options trial.Options, asJSON bool) error {
+	if err := logging.Setup(io.Discard, 0); err != nil {
+		return err
+	}
+	summary, err := standin.RunTrial(ctx, standin.TrialOptions{
+		Instances: options.Instances, Duration: options.Duration, Seed: options.Seed, Faults: len(options.Faults) > 0,
+	})
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		printJSON(out, summary)
+	} else {
+		fmt.Fprintf(out, "requests            %d: %d served, %d refused as not run, %d without an answer or failed\n",
+			summary.Requests, summary.Served, summary.Refused, summary.Failed)
+		fmt.Fprintf(out, "faults              %d\n", summary.Faults)
+		fmt.Fprintf(out, "violations          %d\n", len(summary.Violations))
+		for _, violation := range summary.Violations {
+			fmt.Fprintf(out, "  %s\n", violation)
+		}
+	}
+	if len(summary.Violations) > 0 {
+		return errors.Errorf("%d violations", len(summary.Violations))
+	}
+	return nil
+}
+
 func tryOptions(command *cli.Command) (trial.Options, error) {
 	deployment, err := trial.FindDeployment(command.String("deployment"))
 	if err != nil {
