--- a/cmd/mastwheel/main.go
+++ b/cmd/mastwheel/main.go
@@ -65,11 +65,15 @@
 	}
 }
 
-func operatorFlags() []cli.Flag {
+func operatorFlags() []cli.Flag { return operatorFlagsOr(true) }
+
+// operatorFlagsOr are the flags of a command that needs an instance only if
+// required.
+func operatorFlagsOr(required bool) []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{
 			Name: "operator", Usage: "operator `ADDRESS` of an instance, ip:port",
-			Sources: cli.EnvVars("MASTWHEEL_OPERATOR"), Required: true,
+			Sources: cli.EnvVars("MASTWHEEL_OPERATOR"), Required: required,
 		},
 		&cli.StringFlag{
 			Name: "token", Usage: "bearer `TOKEN` of the operators' interface",
--- a/cmd/mastwheel/operator.go
+++ b/cmd/mastwheel/operator.go
@@ -102,13 +102,19 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "show why a request went where it did",
+		Usage:     "show why a request went where it did, from an instance or from its logs",
 		ArgsUsage: "REQUEST-ID",
-		Flags:     operatorFlags(),
+		Flags:     append(operatorFlagsOr(false), logFlag()),
 		Action: func(ctx context.Context, command *cli.Command) error {
+			if files := command.StringSlice(flagLog); len(files) > 0 && command.Args().Len() == 1 {
+				return explainFromLogs(command, files)
+			}
 			if command.Args().Len() != 1 {
 				return errors.New("explain: give one REQUEST-ID")
 			}
+			if command.String("operator") == "" {
+				return errors.New("explain: give --operator, or --log with the log files")
+			}
 			var raw json.RawMessage
 			if err := ask(ctx, command, operator.PathRequests+"/"+command.Args().First(), &raw); err != nil {
 				return err
--- a/cmd/mastwheeld/main.go
+++ b/cmd/mastwheeld/main.go
@@ -47,7 +47,7 @@
 
 func run(ctx context.Context, command *cli.Command) error {
 	if command.String("config") == "" {
-		return errors.New("--config names no settings file")
+		return errors.New(`Required flag "config" not set`)
 	}
 	settings, err := config.Load(command.String("config"))
 	if err != nil {
