--- a/edge/edge.go
+++ b/edge/edge.go
@@ -232,18 +232,27 @@
 	in := &Instance{
 		config:   config,
 		deps:     deps,
-		started:  time.Now(),
 		registry: registry.New(registry.DefaultConfig()),
-		Fleet:    route.NewFleet(),
-		members:  member.New(operation.Member{Name: config.Name}, config.Members),
+		members:  newMembers(config),
 		peers:    newPeers(config.SiblingAddress, config.Seeds),
-		budgets:  newBudgets(config.RetryRatio, config.RetrySlack, config.RetryWindow),
-		store:    newDependency("store"),
 	}
+	in.init()
 	in.self.Store(uint64(time.Now().UnixMilli()))
+	return in
+}
+
+func newMembers(config Config) *member.Members {
+	return member.New(operation.Member{Name: config.Name}, config.Members)
+}
+
+// init sets up what depends on nothing outside.
+func (in *Instance) init() {
+	in.started = time.Now()
+	in.Fleet = route.NewFleet()
+	in.budgets = newBudgets(in.config.RetryRatio, in.config.RetrySlack, in.config.RetryWindow)
+	in.store = newDependency("store")
 	in.servers.Store(&forward.Servers{})
 	in.orders = newOrders(in)
-	return in
 }
 
 // Run follows table, servers and siblings until ctx ends.
--- /dev/null
+++ b/edge/edge_test.go
@@ -0,0 +1,291 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mastwheel/mastwheel/engine"
+	"github.com/mastwheel/mastwheel/lease"
+	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// claims is the store's part of the lease on orders, in memory.
+type claims struct {
+	mu    sync.Mutex
+	state lease.State
+	end   uint64
+}
+
+// Last implements Claims.
+func (c *claims) Last(context.Context, string) (lease.State, uint64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state, c.end, nil
+}
+
+// Claim implements Claims.
+func (c *claims) Claim(_ context.Context, claim lease.Claim, condition uint64) (lease.State, bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if condition != c.end {
+		return lease.State{}, false, nil
+	}
+	c.end++
+	c.state = lease.State{Holder: claim.Holder, Token: c.end, Serial: claim.Serial}
+	return c.state, true, nil
+}
+
+// given is one order as an engine saw it.
+type given struct {
+	at    time.Time
+	order RoleOrder
+}
+
+// engines takes orders in memory, and carries them out after a while.
+type engines struct {
+	mu     sync.Mutex
+	roles  map[string]string
+	orders map[string][]given
+	stale  bool
+}
+
+// Status implements Engines.
+func (e *engines) Status(_ context.Context, server *registry.Entry) (EngineStatus, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return EngineStatus{Role: e.roles[server.ID], Sequence: uint64(len(e.orders[server.ID]))}, nil
+}
+
+// SetRole implements Engines.
+func (e *engines) SetRole(_ context.Context, server *registry.Entry, order RoleOrder) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders[server.ID] = append(e.orders[server.ID], given{time.Now(), order})
+	if e.stale {
+		return engine.ErrStale
+	}
+	e.roles[server.ID] = order.Role
+	return nil
+}
+
+const apart = 3 * time.Second
+
+// candidate is an instance with only what orders need.
+func candidate(name string, shared *claims, workers *engines) *Instance {
+	config := DefaultConfig()
+	config.Name = name
+	config.Lease = LeaseConfig(apart)
+	in := &Instance{
+		config:   config,
+		deps:     Deps{Claims: shared, Engines: workers, Random: func() float64 { return 0.5 }},
+		registry: registry.New(registry.DefaultConfig()),
+		peers:    newPeers("", nil),
+		members:  newMembers(config),
+	}
+	in.init()
+	in.self.Store(1)
+	in.table.Store(&Revision{Number: 1, View: &table.View{Services: map[string]*table.ServiceView{
+		"model": {Name: "model", Type: table.TypeModel, Engine: table.EngineView{Switch: 6 * time.Second}},
+	}}})
+	return in
+}
+
+func (in *Instance) see(workers *engines) {
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	snapshot := registry.Snapshot{Position: in.registry.View().Position + 1}
+	for id, role := range workers.roles {
+		snapshot.Entries = append(snapshot.Entries, registry.Entry{ID: id, Service: "model", Role: role})
+	}
+	in.registry.Reset(snapshot, time.Now())
+	in.rebuild()
+}
+
+func workersOf(prefill, decode int) *engines {
+	e := &engines{roles: make(map[string]string), orders: make(map[string][]given)}
+	for i := range prefill {
+		e.roles[fmt.Sprintf("p%d", i)] = table.RolePrefill
+	}
+	for i := range decode {
+		e.roles[fmt.Sprintf("d%d", i)] = table.RoleDecode
+	}
+	return e
+}
+
+// TestOrdersComeFromOneHolderAtATime: two instances that do not hear each other
+// both want to change roles. Engines see one holder for each token, rising
+// tokens, and a pause between two holders' orders.
+func TestOrdersComeFromOneHolderAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, workers := new(claims), workersOf(8, 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for _, name := range []string{"a", "b"} {
+			in := candidate(name, shared, workers)
+			running.Go(func() { in.orders.run(ctx) })
+			running.Go(func() {
+				for ctx.Err() == nil {
+					in.see(workers)
+					time.Sleep(700 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(2 * time.Minute)
+		cancel()
+		running.Wait()
+		var all []given
+		for _, orders := range workers.orders {
+			all = append(all, orders...)
+		}
+		if len(all) < 6 {
+			t.Fatalf("%d orders, six are needed", len(all))
+		}
+		checkHolders(t, all)
+	})
+}
+
+// checkHolders checks the orders of all engines together, which is more than
+// the users ask.
+func checkHolders(t *testing.T, all []given) {
+	t.Helper()
+	holders := make(map[uint64]string)
+	for _, one := range all {
+		if holder, seen := holders[one.order.Token]; seen && holder != one.order.Holder {
+			t.Errorf("token %d was used by %s and by %s", one.order.Token, holder, one.order.Holder)
+		}
+		holders[one.order.Token] = one.order.Holder
+		for _, other := range all {
+			between := other.at.Sub(one.at)
+			if other.order.Holder != one.order.Holder && between >= 0 && between < apart {
+				t.Errorf("%s gave an order %v after %s", other.order.Holder, between, one.order.Holder)
+			}
+			if between > 0 && other.order.Token < one.order.Token {
+				t.Errorf("token %d after %d", other.order.Token, one.order.Token)
+			}
+		}
+	}
+}
+
+// TestAStaleHolderClaimsAnew: an engine that has seen a higher token refuses;
+// the same token is not used again.
+func TestAStaleHolderClaimsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, workers := new(claims), workersOf(3, 1)
+		workers.stale = true
+		in := candidate("a", shared, workers)
+		in.see(workers)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		in.orders.run(ctx)
+		tokens := make(map[uint64]bool)
+		for _, orders := range workers.orders {
+			for _, one := range orders {
+				if tokens[one.order.Token] {
+					t.Errorf("token %d was used again after it was refused", one.order.Token)
+				}
+				tokens[one.order.Token] = true
+			}
+		}
+		if len(tokens) < 2 {
+			t.Fatalf("%d tokens", len(tokens))
+		}
+	})
+}
+
+func TestNoOrderWhileEnginesStillRegister(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, workers := new(claims), workersOf(3, 1)
+		in := candidate("a", shared, workers)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { in.orders.run(ctx) })
+		for i := range 6 {
+			workers.mu.Lock()
+			workers.roles[fmt.Sprintf("late%d", i)] = table.RoleDecode
+			workers.mu.Unlock()
+			in.see(workers)
+			time.Sleep(time.Second)
+		}
+		workers.mu.Lock()
+		early := len(workers.orders)
+		workers.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		cancel()
+		running.Wait()
+		if early > 0 || len(workers.orders) == 0 {
+			t.Fatalf("%d engines got orders while others registered, %d in all", early, len(workers.orders))
+		}
+	})
+}
+
+// told is a sibling that answers with fixed beliefs.
+type told struct {
+	beliefs Beliefs
+	asked   int
+}
+
+// Beliefs implements Siblings.
+func (s *told) Beliefs(context.Context, string, Have) (Beliefs, error) {
+	s.asked++
+	return s.beliefs, nil
+}
+
+// TestASiblingThatIsAheadIsAsked: an instance whose store does not answer takes
+// list and table from a sibling, and asks no sibling that knows no more.
+func TestASiblingThatIsAheadIsAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := candidate("a", new(claims), workersOf(0, 0))
+		sibling := &told{beliefs: Beliefs{Servers: &registry.Snapshot{Entries: []registry.Entry{{ID: "x", Service: "s"}}, Position: 9}}}
+		in.deps.Siblings = sibling
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { in.catchUp(ctx) })
+		in.members.Heard(member.Info{Name: "b", Incarnation: 1, Peer: "127.0.0.1:1", Next: 9}, time.Now())
+		time.Sleep(5 * in.config.CatchUpEvery)
+		cancel()
+		running.Wait()
+		if in.Servers().ByID["x"] == nil || in.registry.View().Position != 9 {
+			t.Fatalf("%+v", in.registry.View())
+		}
+		if sibling.asked != 1 {
+			t.Fatalf("asked %d times", sibling.asked)
+		}
+	})
+}
+
+func TestHeartbeatsToManySiblings(t *testing.T) {
+	in := candidate("a", new(claims), workersOf(0, 0))
+	in.config.Zone = "near"
+	var addresses []string
+	for i := range 60 {
+		zone := "far"
+		if i%3 == 0 {
+			zone = "near"
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", 1000+i)
+		addresses = append(addresses, address)
+		in.members.Heard(member.Info{Name: fmt.Sprint(i), Incarnation: 1, Zone: zone, Peer: address}, time.Now())
+	}
+	every := len(addresses) / in.config.FarPerBeat
+	sent := make(map[string]int)
+	for turn := range 10 * every {
+		for _, address := range in.due(addresses, turn, every) {
+			sent[address]++
+		}
+	}
+	for i, address := range addresses {
+		want := 10
+		if i%3 == 0 {
+			want *= every
+		}
+		if sent[address] != want {
+			t.Errorf("sibling %d got %d heartbeats, not %d", i, sent[address], want)
+		}
+	}
+}
