--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -181,6 +181,7 @@
 func (in *Instance) sendTo(addresses, known []string) {
 	datagram, err := heartbeat.Encode(heartbeat.Message{
 		From: in.info(), Loads: in.loads(), Peers: in.somePeers(known), Changing: in.peers.underWay(time.Now()),
+		Refused: in.Recall.Fresh(time.Now()),
 	})
 	if err != nil {
 		klog.ErrorS(err, "Heartbeat not sent")
@@ -240,6 +241,7 @@
 	before, known := in.members.View().Find(message.From.Name)
 	if in.members.Heard(message.From, now) {
 		in.peers.take(message, now)
+		in.Recall.Told(message.Refused, now)
 		for _, change := range message.Changing {
 			if server := in.Fleet.ServerByID(change.Server); server != nil {
 				server.Changing(now.Add(change.Left))
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -80,6 +80,8 @@
 	// Headroom is the part of an engine's memory that is left free for
 	// requests that outgrow what was expected of them.
 	Headroom float64
+	// ReturnedHeadroom is the same part for requests that were refused before.
+	ReturnedHeadroom float64
 	// UsualMemory is what a request usually needs, in tokens. One that needs
 	// more must leave LargeHeadroom times the excess free.
 	UsualMemory   int
@@ -92,23 +94,24 @@
 // DefaultConfig suits the sizes of the users' sheets.
 func DefaultConfig() Config {
 	return Config{
-		ReserveTimeout: 150 * time.Millisecond,
-		ReserveTries:   3,
-		ReservePause:   40 * time.Millisecond,
-		CleanupTimeout: time.Second,
-		RefuseWithin:   0.25,
-		RetryEarliest:  0.16,
-		RetryLatest:    0.32,
-		LandingMargin:  150 * time.Millisecond,
-		AnswerLimit:    4 << 20,
-		LastCalls:      1600 * time.Millisecond,
-		RetryElsewhere: 50 * time.Millisecond,
-		StreamGrace:    2500 * time.Millisecond,
-		HintMargin:     0.6,
-		Headroom:       0.12,
-		UsualMemory:    7500,
-		LargeHeadroom:  0.5,
-		LateReading:    600 * time.Millisecond,
+		ReserveTimeout:   150 * time.Millisecond,
+		ReserveTries:     3,
+		ReservePause:     40 * time.Millisecond,
+		CleanupTimeout:   time.Second,
+		RefuseWithin:     0.25,
+		RetryEarliest:    0.16,
+		RetryLatest:      0.32,
+		LandingMargin:    150 * time.Millisecond,
+		AnswerLimit:      4 << 20,
+		LastCalls:        1600 * time.Millisecond,
+		RetryElsewhere:   50 * time.Millisecond,
+		StreamGrace:      2500 * time.Millisecond,
+		HintMargin:       0.6,
+		Headroom:         0.18,
+		ReturnedHeadroom: 0.06,
+		UsualMemory:      7500,
+		LargeHeadroom:    0.5,
+		LateReading:      600 * time.Millisecond,
 	}
 }
 
@@ -117,6 +120,7 @@
 	Zone     string
 	Beliefs  Beliefs
 	Fleet    *route.Fleet
+	Recall   *route.Recall
 	Backends Backends
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *route.SharedBudget
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -33,6 +33,8 @@
 	result      *Prefilled
 	// committed is the memory that is noted for it at the decode engine.
 	committed int
+	// returned is set for a request that was refused before.
+	returned bool
 	// readAtDecode has the decode engine read the prompt itself.
 	readAtDecode bool
 	// readDone ends the note that the decode engine reads its prompt.
@@ -53,8 +55,9 @@
 	ctx, cancel := context.WithDeadline(caller, f.deadline)
 	g := &generation{
 		flow: f, ctx: ctx, cancel: cancel, done: func() {},
-		need:   expectedMemory(f.request.Generation, f.config.HintMargin),
-		target: f.request.Arrived.Add(f.route.TTFT),
+		need:     expectedMemory(f.request.Generation, f.config.HintMargin),
+		target:   f.request.Arrived.Add(f.route.TTFT),
+		returned: f.Recall.Returns(f.request.Generation.Own, f.request.Arrived),
 	}
 	stream, failed := g.run()
 	if failed == nil {
@@ -68,13 +71,16 @@
 	if ctx.Err() != nil {
 		return f.lost(ctx, ctx.Err())
 	}
+	if f.request.Generation.Own != 0 && !f.mayRun {
+		f.Recall.Refused(f.request.Generation.Own, time.Now())
+	}
 	return f.refuse(failed.why, failed.detail)
 }
 
 // run takes the steps up to the begin of the stream.
 func (g *generation) run() (*Stream, *stepError) {
 	want := g.request.Generation
-	g.decide(stepEstimate, strconv.Itoa(g.need), "prompt", want.PromptTokens, "hint", want.LengthHint, "most", want.MaxTokens)
+	g.decide(stepEstimate, strconv.Itoa(g.need), "prompt", want.PromptTokens, "hint", want.LengthHint, "most", want.MaxTokens, "returned", g.returned)
 	for _, step := range []func() *stepError{g.outlast, g.choosePrefill, g.reserve, g.read} {
 		if failed := step(); failed != nil {
 			return nil, failed
@@ -174,12 +180,16 @@
 // engine's memory. Some is left for requests that outgrow what was expected:
 // once one must be preempted, the reading of its prompt holds up all others of
 // its engine. A request that needs more than most must leave more: for the
-// same memory and time, several smaller ones are served.
+// same memory and time, several smaller ones are served. A request that was
+// refused before may take more of it.
 func (g *generation) tooLarge(chosen *route.Rated) bool {
+	left := float64(route.FreeTokens(chosen.Candidate) - g.need)
+	memory := float64(chosen.Backend.MemoryTokens)
+	if g.returned {
+		return left < g.config.ReturnedHeadroom*memory
+	}
 	excess := max(g.need-g.config.UsualMemory, 0)
-	left := route.FreeTokens(chosen.Candidate) - g.need
-	headroom := g.config.Headroom*float64(chosen.Backend.MemoryTokens) + g.config.LargeHeadroom*float64(excess)
-	return float64(left) < headroom
+	return left < g.config.Headroom*memory+g.config.LargeHeadroom*float64(excess)
 }
 
 func (g *generation) ask(chosen *route.Rated) (Reservation, error) {
