--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -11,6 +11,7 @@
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/lease"
 	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/table"
 )
@@ -311,3 +312,36 @@
 		}
 	}
 }
+
+// truncated is a log that drops its history again and again.
+type truncated struct{ calls int }
+
+// Newest implements Tables.
+func (l *truncated) Newest(context.Context) ([]byte, uint64, error) {
+	l.calls++
+	return nil, 1, nil
+}
+
+// Since implements Tables.
+func (l *truncated) Since(context.Context, uint64, time.Duration) ([]byte, uint64, error) {
+	l.calls++
+	return nil, 0, oplog.ErrTruncated
+}
+
+// Decode implements Tables.
+func (l *truncated) Decode([]byte) (*Revision, error) { return &Revision{}, nil }
+
+// TestHistoryThatIsDroppedAgainAndAgain costs few calls: all are priced.
+func TestHistoryThatIsDroppedAgainAndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := candidate("a", new(claims), workersOf(0, 0))
+		log := new(truncated)
+		in.deps.Tables = log
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		in.followTable(ctx)
+		if log.calls > 150 {
+			t.Fatalf("%d calls in a minute", log.calls)
+		}
+	})
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -28,6 +28,7 @@
 	for ctx.Err() == nil {
 		var raw []byte
 		var err error
+		followed := known
 		if known {
 			raw, position, err = in.deps.Tables.Since(ctx, position, in.config.StoreWait)
 		} else {
@@ -38,7 +39,10 @@
 			in.adoptRaw(raw, "store")
 		}
 		if errors.Is(err, oplog.ErrTruncated) {
+			// What was dropped may be dropped again while it is read anew.
+			failures++
 			known = false
+			in.pause(ctx, in.backoff(failures))
 			continue
 		}
 		if err != nil && ctx.Err() == nil {
@@ -47,7 +51,9 @@
 			in.pause(ctx, in.backoff(failures))
 			continue
 		}
-		failures = 0
+		if followed {
+			failures = 0
+		}
 		in.store.ok(time.Now())
 		if raw == nil && in.table.Load() == nil {
 			in.pause(ctx, in.config.RetryEvery)
@@ -84,12 +90,17 @@
 		now := time.Now()
 		switch {
 		case err == nil:
-			known, failures = true, 0
+			if known {
+				failures = 0
+			}
+			known = true
 			in.store.ok(now)
 			in.rebuild()
 			in.pause(ctx, in.config.ReadEvery)
 		case errors.Is(err, oplog.ErrTruncated):
+			failures++
 			known = false
+			in.pause(ctx, in.backoff(failures))
 		case ctx.Err() == nil:
 			in.store.failed(now, err)
 			failures++
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -277,6 +277,9 @@
 	g.decide(stepDecode, resultOf(err), "server", g.decode.Name, "unread", unread)
 	if err == nil {
 		g.mayRun = true
+		if g.result != nil {
+			g.prefill.Server.HandoffDone()
+		}
 		// The engine has used both up.
 		g.reservation, g.result = "", nil
 		g.done = func() { done(); heard(); g.readDone() }
@@ -287,12 +290,34 @@
 	g.readDone()
 	var notRun *NotRun
 	if errors.As(err, &notRun) {
-		return nil, &stepError{why: notRun.Why, detail: notRun.Detail}
+		return g.readAfterAll(notRun)
 	}
 	g.mayRun = true
 	return nil, &stepError{why: reason.DecodeFailed, detail: err.Error(), lost: err}
 }
 
+// readAfterAll goes on when the decode engine did not take the prefill's
+// result, which may have lapsed: once more at the same engine, which then reads
+// the prompt itself.
+func (g *generation) readAfterAll(refused *NotRun) (*Stream, *stepError) {
+	failed := &stepError{why: refused.Why, detail: refused.Detail}
+	if g.result == nil || !refused.Sent {
+		return nil, failed
+	}
+	g.prefill.Server.HandoffLost(time.Now())
+	late := time.Now().After(g.target.Add(-g.config.LandingMargin))
+	if late || !g.Budget(g.service.Name).Spend(time.Now()) {
+		return nil, failed
+	}
+	g.Metrics.Retried(refused.Why)
+	g.decide(stepRetry, "read_at_decode", "why", refused.Why)
+	// Whether the engine has used up the reservation, and whether the result
+	// still is there, is not known.
+	g.returnTaken()
+	g.readAtDecode = true
+	return g.begin()
+}
+
 // grow notes that the request needs more memory than was expected.
 func (g *generation) grow(tokens int) {
 	if tokens <= g.committed {
@@ -311,9 +336,14 @@
 	g.committed = 0
 }
 
-// giveBack frees what the request has taken and not used.
+// giveBack ends the request's part at the engines.
 func (g *generation) giveBack() {
 	g.free()
+	g.returnTaken()
+}
+
+// returnTaken frees what the request has taken and not used.
+func (g *generation) returnTaken() {
 	if g.reservation != "" {
 		server, id := g.entry(g.decode), g.reservation
 		g.cleanup(func(ctx context.Context) { g.report("reservation", server, g.Backends.Release(ctx, server, id)) })
@@ -322,6 +352,7 @@
 		server, handle := g.entry(g.prefill), g.result.Handle
 		g.cleanup(func(ctx context.Context) { g.report("prefill result", server, g.Backends.Free(ctx, server, handle)) })
 	}
+	g.reservation, g.result = "", nil
 }
 
 // report notes that something could not be given back. It lapses by itself.
--- a/route/forwarding.go
+++ b/route/forwarding.go
@@ -41,11 +41,13 @@
 // weightTie lets the zone decide only between engines with about equal room.
 const weightTie = 0.02
 
-// ForwardPlain chooses servers of plain services.
+// ForwardPlain chooses servers of plain services: the better of two drawn at
+// random, since many instances that all follow the same lagged loads would send
+// to the same server at once.
 func ForwardPlain() *Profile {
 	return &Profile{
 		Filters: forwardingFilters,
-		Scorers: []Weighted{{IdleScorer{}, weightIdle}, {ZoneScorer{}, weightZone}},
-		Picker:  BestPicker{},
+		Scorers: []Weighted{{IdleScorer{}, weightIdle}, {ZoneScorer{}, weightTie}},
+		Picker:  TwoChoicesPicker{},
 	}
 }
--- a/route/refusal.go
+++ b/route/refusal.go
@@ -16,42 +16,56 @@
 	firstShun = 50 * time.Millisecond
 	// longestShun bounds the time after many refusals in a row.
 	longestShun = 1600 * time.Millisecond
+	// firstLostHandoff is how long a prefill engine is left alone after one of
+	// its results could not be used: each costs a whole prompt.
+	firstLostHandoff = 200 * time.Millisecond
 )
 
-// refusals tracks a server's refusals in a row. Of two at the same time, one
-// may be lost; it is only a hint.
+// refusals tracks failures in a row that leave a server alone for a while. Of
+// two at the same time, one may be lost; it is only a hint.
 type refusals struct {
 	inRow atomic.Int64
 	// until is in nanoseconds on the clock of epoch.
 	until atomic.Int64
-	// changing is until when the server is changing its role, on that clock.
-	changing atomic.Int64
 }
 
-// Refused notes that the server refused work.
-func (s *Server) Refused(now time.Time) {
-	shun := firstShun << min(s.refusals.inRow.Add(1)-1, 10)
-	s.refusals.until.Store(int64(now.Add(min(shun, longestShun)).Sub(epoch)))
+// add notes one more, which counts for first, doubled for each in a row.
+func (r *refusals) add(now time.Time, first time.Duration) {
+	shun := first << min(r.inRow.Add(1)-1, 10)
+	r.until.Store(int64(now.Add(min(shun, longestShun)).Sub(epoch)))
 }
 
-// Accepted notes that the server took work.
-func (s *Server) Accepted() {
-	if s.refusals.inRow.Load() != 0 {
-		s.refusals.inRow.Store(0)
+// end begins the row anew.
+func (r *refusals) end() {
+	if r.inRow.Load() != 0 {
+		r.inRow.Store(0)
 	}
 }
 
+// active says whether the server is to be left alone.
+func (r *refusals) active(now time.Time) bool { return int64(now.Sub(epoch)) < r.until.Load() }
+
+// Refused notes that the server refused work.
+func (s *Server) Refused(now time.Time) { s.refusals.add(now, firstShun) }
+
+// Accepted notes that the server took work.
+func (s *Server) Accepted() { s.refusals.end() }
+
+// HandoffLost notes that a prefill result of the server could not be used.
+func (s *Server) HandoffLost(now time.Time) { s.handoffs.add(now, firstLostHandoff) }
+
+// HandoffDone notes that one was.
+func (s *Server) HandoffDone() { s.handoffs.end() }
+
 // Changing notes that the server changes its role until then, and takes no
 // work before.
-func (s *Server) Changing(until time.Time) { s.refusals.changing.Store(int64(until.Sub(epoch))) }
+func (s *Server) Changing(until time.Time) { s.changing.Store(int64(until.Sub(epoch))) }
 
 // IsChanging says whether the server is changing its role.
-func (s *Server) IsChanging(now time.Time) bool {
-	return int64(now.Sub(epoch)) < s.refusals.changing.Load()
-}
+func (s *Server) IsChanging(now time.Time) bool { return int64(now.Sub(epoch)) < s.changing.Load() }
 
-// RefusingFilter drops servers that have just refused, and those that change
-// their role.
+// RefusingFilter drops servers that have just refused, whose results could not
+// be used, or that change their role.
 type RefusingFilter struct{}
 
 // Name implements Filter.
@@ -59,8 +73,5 @@
 
 // Keep implements Filter.
 func (RefusingFilter) Keep(q *Query, c Candidate) bool {
-	if c.Server.IsChanging(q.Now) {
-		return false
-	}
-	return int64(q.Now.Sub(epoch)) >= c.Server.refusals.until.Load()
+	return !c.Server.IsChanging(q.Now) && !c.Server.refusals.active(q.Now) && !c.Server.handoffs.active(q.Now)
 }
--- a/route/server.go
+++ b/route/server.go
@@ -50,6 +50,9 @@
 	others   atomic.Pointer[Commitment]
 	silence  silence
 	refusals refusals
+	handoffs refusals
+	// changing is until when the server changes its role, on the clock of epoch.
+	changing atomic.Int64
 }
 
 // Commitment is one instance's part, or several instances' parts together, of
