--- a/caller/server.go
+++ b/caller/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/mastwheel/mastwheel/connwatch"
 	"github.com/mastwheel/mastwheel/instance"
+	"github.com/mastwheel/mastwheel/logging"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/reason"
 )
@@ -91,17 +92,11 @@
 		// A closed connection during shutdown would cut off an answer.
 		CloseOnShutdown:              true,
 		DisablePreParseMultipartForm: true,
-		Logger:                       silent{},
+		Logger:                       logging.Silent{},
 	}
 	return s
 }
 
-// silent drops the HTTP library's own log lines; what matters is counted.
-type silent struct{}
-
-// Printf implements fasthttp.Logger.
-func (silent) Printf(string, ...any) {}
-
 // Serve answers callers on listener until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
 	return errors.Wrap(s.http.Serve(connwatch.Listener{Listener: listener}), "serve callers")
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -23,3 +23,10 @@
 	klog.SetSlogLogger(slog.New(handler))
 	return nil
 }
+
+// Silent drops the lines that an HTTP library writes by itself; what matters is
+// logged where it is decided.
+type Silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (Silent) Printf(string, ...any) {}
--- a/sibling/sibling.go
+++ b/sibling/sibling.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/mastwheel/mastwheel/edge"
+	"github.com/mastwheel/mastwheel/logging"
 )
 
 const (
@@ -34,16 +35,10 @@
 // NewServer returns a server that answers with tell.
 func NewServer(tell func(edge.Have) edge.Beliefs) *Server {
 	s := &Server{tell: tell}
-	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: silent{}}
+	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: logging.Silent{}}
 	return s
 }
 
-// silent drops the HTTP library's own log lines.
-type silent struct{}
-
-// Printf implements fasthttp.Logger.
-func (silent) Printf(string, ...any) {}
-
 // Serve answers on listener.
 func (s *Server) Serve(listener net.Listener) error {
 	return errors.Wrap(s.http.Serve(listener), "serve siblings")
