--- a/standin/engine.go
+++ b/standin/engine.go
@@ -168,9 +168,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if e.Faults.Leaving.Load() && e.leavingSince.IsZero() {
-		e.leavingSince = now
-	}
+	e.noteLeavingLocked(now)
 	if e.reported.IsZero() || now.Sub(e.reported) >= e.config.ReportLag {
 		e.reported = now
 		e.report = engine.Load{
--- a/standin/engine_decode.go
+++ b/standin/engine_decode.go
@@ -73,17 +73,27 @@
 	return nil
 }
 
+// noteLeavingLocked notes since when the engine says that it is leaving. It is
+// called with each report and each order: between two spells of leaving there
+// may be no order that would show the first to be over.
+func (e *Engine) noteLeavingLocked(now time.Time) {
+	switch {
+	case !e.Faults.Leaving.Load():
+		e.leavingSince = time.Time{}
+	case e.leavingSince.IsZero():
+		e.leavingSince = now
+	}
+}
+
 // refusesLocked says whether the engine takes no new work because it is
 // leaving, and counts work that comes too late.
 func (e *Engine) refusesLocked() bool {
-	if !e.Faults.Leaving.Load() {
-		e.leavingSince = time.Time{}
-		return false
-	}
+	now := time.Now()
+	e.noteLeavingLocked(now)
 	if e.leavingSince.IsZero() {
-		e.leavingSince = time.Now()
+		return false
 	}
-	if time.Since(e.leavingSince) > LeavingGrace {
+	if now.Sub(e.leavingSince) > LeavingGrace {
 		e.ledger.LateOrders++
 	}
 	return true
