--- a/cmd/mastwheeld/platform.go
+++ b/cmd/mastwheeld/platform.go
@@ -48,6 +48,8 @@
 		return err
 	}
 	limitMemory(settings.MemoryBytes)
+	// A reader of the output that has gone must not end the instance.
+	signal.Ignore(syscall.SIGPIPE)
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	instance, err := daemon.NewPlatform(settings, command.Int("metrics-port"))
