--- a/edge/edge.go
+++ b/edge/edge.go
@@ -132,8 +132,11 @@
 	// LongPause is how late a timer must be for this instance to have stood
 	// still itself, rather than having been busy.
 	LongPause time.Duration
-	// FarPerBeat is about how many siblings of other zones get each heartbeat.
-	FarPerBeat int
+	// NearPerBeat and FarPerBeat are about how many siblings of the own and of
+	// other zones get each heartbeat. More tell loads and failures sooner; what
+	// an instance sends and receives grows with them, not with the siblings.
+	NearPerBeat int
+	FarPerBeat  int
 	// PeersTold is how many other siblings a heartbeat names.
 	PeersTold int
 
@@ -168,6 +171,7 @@
 			ForgetAfter:    2 * time.Minute,
 		},
 		LongPause:    600 * time.Millisecond,
+		NearPerBeat:  24,
 		FarPerBeat:   12,
 		PeersTold:    4,
 		PrefillShare: defaultPrefillShare,
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -297,6 +297,7 @@
 	}
 	every := len(addresses) / in.config.FarPerBeat
 	sent := make(map[string]int)
+	in.config.NearPerBeat = 24
 	for turn := range 10 * every {
 		for _, address := range in.due(addresses, turn, every) {
 			sent[address]++
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -113,8 +113,9 @@
 func (in *Instance) sumLoads() {
 	total := in.peers.sum(in.members.View().Serving())
 	for id := range in.servers.Load().ByID {
-		if server := in.Fleet.Server(id); server != nil {
-			server.SetOthers(total[route.ServerID(id)])
+		server := in.Fleet.Server(id)
+		if others := total[route.ServerID(id)]; server != nil && server.Others() != others {
+			server.SetOthers(others)
 		}
 	}
 }
@@ -135,9 +136,9 @@
 	return info
 }
 
-// beat sends heartbeats until ctx ends. Siblings of the same zone get each one;
-// of many in other zones each gets only some, since bytes between zones are
-// dear, and is given more time before it counts as silent.
+// beat sends heartbeats until ctx ends. Where there are many siblings each gets
+// only some, and is given more time before it counts as silent; those of the
+// same zone get more, since bytes between zones are dear.
 func (in *Instance) beat(ctx context.Context) {
 	in.sendHeartbeats()
 	for turn := 0; wait.For(ctx, in.config.Members.HeartbeatEvery); turn++ {
@@ -163,9 +164,14 @@
 			near[sibling.Peer] = true
 		}
 	}
+	nearEvery := max(1, len(near)/in.config.NearPerBeat)
 	var picked []string
 	for i, address := range addresses {
-		if near[address] || (i+turn)%every == 0 {
+		turns := every
+		if near[address] {
+			turns = nearEvery
+		}
+		if (i+turn)%turns == 0 {
 			picked = append(picked, address)
 		}
 	}
@@ -238,7 +244,7 @@
 	if message.From.Name == in.config.Name || message.From.Peer == "" {
 		return
 	}
-	before, known := in.members.View().Find(message.From.Name)
+	before, known := in.members.Find(message.From.Name)
 	if in.members.Heard(message.From, now) {
 		in.peers.take(message, now)
 		in.Recall.Told(message.Refused, now)
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -106,10 +106,10 @@
 		LastCalls:        1600 * time.Millisecond,
 		RetryElsewhere:   50 * time.Millisecond,
 		StreamGrace:      2500 * time.Millisecond,
-		HintMargin:       0.6,
-		Headroom:         0.18,
+		HintMargin:       0.8,
+		Headroom:         0.15,
 		ReturnedHeadroom: 0.06,
-		UsualMemory:      7500,
+		UsualMemory:      8000,
 		LargeHeadroom:    0.5,
 		LateReading:      600 * time.Millisecond,
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -132,6 +132,9 @@
 	siblings map[string]Sibling
 	listed   listing
 	view     atomic.Pointer[View]
+	// changed is set while the view is older than the siblings. With hundreds of
+	// siblings it is made anew when somebody looks, not at each heartbeat.
+	changed atomic.Bool
 }
 
 // New returns the members of an instance that has heard of nobody.
@@ -147,7 +150,22 @@
 }
 
 // View returns the current picture.
-func (m *Members) View() *View { return m.view.Load() }
+func (m *Members) View() *View {
+	if m.changed.Load() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.build()
+	}
+	return m.view.Load()
+}
+
+// Find returns what is known of one sibling, without making a picture of all.
+func (m *Members) Find(name string) (Sibling, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sibling, known := m.siblings[name]
+	return sibling, known
+}
 
 // SetSuspectAfter changes the silence after which a member gets no new work, as
 // heartbeats come more or less often.
@@ -215,7 +233,12 @@
 	}
 }
 
-func (m *Members) publish() {
+// publish notes that the siblings have changed.
+func (m *Members) publish() { m.changed.Store(true) }
+
+// build makes the picture anew. The caller holds the lock.
+func (m *Members) build() {
+	m.changed.Store(false)
 	next := &View{Siblings: make([]Sibling, 0, len(m.siblings)), self: m.self}
 	for _, sibling := range m.siblings {
 		next.Siblings = append(next.Siblings, sibling)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -123,7 +123,9 @@
 	servers map[string]Server
 	// away is when the store was last found away; zero when it never was.
 	away time.Time
-	view atomic.Pointer[View]
+	// lapsing is set while there may be lapsed servers.
+	lapsing bool
+	view    atomic.Pointer[View]
 }
 
 // New returns an empty registry.
@@ -200,6 +202,7 @@
 			continue
 		}
 		server.Lapsed = true
+		r.lapsing = true
 		server.gone = now.Add(r.config.LapseGrace)
 		r.servers[id] = server
 	}
@@ -209,10 +212,17 @@
 func (r *Registry) Tick(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.lapsing {
+		return
+	}
 	before := len(r.servers)
 	maps.DeleteFunc(r.servers, func(_ string, server Server) bool {
 		return server.Lapsed && !now.Before(server.gone)
 	})
+	r.lapsing = false
+	for _, server := range r.servers {
+		r.lapsing = r.lapsing || server.Lapsed
+	}
 	if len(r.servers) != before {
 		view := r.view.Load()
 		r.publish(view.Position, view.Read)
