--- a/edge/follow.go
+++ b/edge/follow.go
@@ -26,41 +26,41 @@
 func (in *Instance) followTable(ctx context.Context) {
 	position, known, failures := uint64(0), false, 0
 	for ctx.Err() == nil {
-		var raw []byte
-		var err error
-		followed := known
-		if known {
-			raw, position, err = in.deps.Tables.Since(ctx, position, in.config.StoreWait)
-		} else {
-			raw, position, err = in.deps.Tables.Newest(ctx)
-			known = err == nil
-		}
+		raw, next, err := in.readTable(ctx, position, known)
 		if raw != nil {
 			in.adoptRaw(raw, "store")
 		}
-		if errors.Is(err, oplog.ErrTruncated) {
+		switch {
+		case err == nil:
+			if known {
+				failures = 0
+			}
+			position, known = next, true
+			in.store.ok(time.Now())
+			if raw == nil && in.table.Load() == nil {
+				in.pause(ctx, in.config.RetryEvery)
+			}
+		case errors.Is(err, oplog.ErrTruncated):
 			// What was dropped may be dropped again while it is read anew.
 			failures++
 			known = false
 			in.pause(ctx, in.backoff(failures))
-			continue
-		}
-		if err != nil && ctx.Err() == nil {
+		case ctx.Err() == nil:
 			failures++
 			in.store.failed(time.Now(), err)
 			in.pause(ctx, in.backoff(failures))
-			continue
-		}
-		if followed {
-			failures = 0
-		}
-		in.store.ok(time.Now())
-		if raw == nil && in.table.Load() == nil {
-			in.pause(ctx, in.config.RetryEvery)
 		}
 	}
 }
 
+// readTable reads what is new after a position, or the whole without one.
+func (in *Instance) readTable(ctx context.Context, position uint64, known bool) ([]byte, uint64, error) {
+	if known {
+		return in.deps.Tables.Since(ctx, position, in.config.StoreWait)
+	}
+	return in.deps.Tables.Newest(ctx)
+}
+
 // adoptRaw makes a configuration the table in force, if it is newer.
 func (in *Instance) adoptRaw(raw []byte, from string) {
 	revision, err := in.deps.Tables.Decode(raw)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -72,36 +72,26 @@
 type NotRun struct {
 	Why reason.Reason
 	// Sent says whether the request reached the server.
-	Sent bool
-	// Answer is the server's refusal; nil when it was not reached.
-	Answer *Answer
+	Sent   bool
 	Detail string
 }
 
 // Error implements error.
 func (e *NotRun) Error() string { return "not run: " + string(e.Why) + ": " + e.Detail }
 
-// Reservation is KV memory and a slot that a decode engine keeps free.
-type Reservation struct {
-	ID string
-	// Until is when it lapses.
-	Until time.Time
-}
+// Reservation names KV memory and a slot that a decode engine keeps free.
+type Reservation string
 
-// Prefilled is the result of a prefill that waits at its engine.
-type Prefilled struct {
-	Handle  string
-	Tokens  int
-	Weights int
-}
+// Prefilled names the result of a prefill that waits at its engine.
+type Prefilled string
 
 // DecodeOrder says how a decode engine gets at a request's KV cache.
 type DecodeOrder struct {
 	// Source is the engine that has the result; nil when the decode engine is
 	// to read the prompt itself.
 	Source      *registry.Entry
-	Handle      string
-	Reservation string
+	Result      Prefilled
+	Reservation Reservation
 	LastEvent   string
 }
 
@@ -113,11 +103,11 @@
 	// Reserve keeps KV memory free at a decode engine.
 	Reserve(ctx context.Context, server *registry.Entry, tokens int, ttl time.Duration) (Reservation, error)
 	// Release gives a reservation up.
-	Release(ctx context.Context, server *registry.Entry, id string) error
+	Release(ctx context.Context, server *registry.Entry, reservation Reservation) error
 	// Prefill has an engine read the prompt. It does not run the request.
 	Prefill(ctx context.Context, server *registry.Entry, r *Request, deadline time.Time) (Prefilled, error)
 	// Free gives the result of a prefill up.
-	Free(ctx context.Context, server *registry.Entry, handle string) error
+	Free(ctx context.Context, server *registry.Entry, result Prefilled) error
 	// Decode runs the request and returns its stream.
 	Decode(ctx context.Context, server *registry.Entry, r *Request, order DecodeOrder, deadline time.Time) (*Stream, error)
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -63,8 +63,6 @@
 	// LandingMargin is kept between the expected first token and its target,
 	// for transfer and first step.
 	LandingMargin time.Duration
-	// AnswerLimit bounds the body of a plain answer, in bytes.
-	AnswerLimit int64
 	// LastCalls is how long before the end of a graceful shutdown plain
 	// requests are no longer taken; longer than nearly all take.
 	LastCalls time.Duration
@@ -102,7 +100,6 @@
 		RetryEarliest:    0.16,
 		RetryLatest:      0.32,
 		LandingMargin:    150 * time.Millisecond,
-		AnswerLimit:      4 << 20,
 		LastCalls:        1600 * time.Millisecond,
 		RetryElsewhere:   50 * time.Millisecond,
 		StreamGrace:      2500 * time.Millisecond,
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -27,8 +27,8 @@
 	prefill *route.Rated
 	decode  *route.Rated
 	// reservation and result are what the request has taken and not yet used.
-	reservation string
-	result      *Prefilled
+	reservation Reservation
+	result      Prefilled
 	// committed is the memory that is noted for it at the decode engine.
 	committed int
 	// returned is set for a request that was refused before.
@@ -102,8 +102,8 @@
 	g.path = append(g.path, g.decode.Name)
 	order := DecodeOrder{Reservation: g.reservation, LastEvent: g.request.LastEvent}
 	unread := 0
-	if g.result != nil {
-		order.Source, order.Handle = g.entry(g.prefill), g.result.Handle
+	if g.result != "" {
+		order.Source, order.Result = g.entry(g.prefill), g.result
 	} else {
 		unread = g.request.Generation.PromptTokens
 	}
@@ -117,11 +117,11 @@
 	g.decide(stepDecode, resultOf(err), "server", g.decode.Name, "unread", unread)
 	if err == nil {
 		g.mayRun = true
-		if g.result != nil {
+		if g.result != "" {
 			g.prefill.Server.HandoffDone()
 		}
 		// The engine has used both up.
-		g.reservation, g.result = "", nil
+		g.reservation, g.result = "", ""
 		g.done = func() { done(); heard(); g.readDone() }
 		return stream, nil
 	}
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -42,7 +42,7 @@
 		reservation, err := g.ask(chosen)
 		if err == nil {
 			g.decide(stepReserve, "ok", "server", chosen.Name, "free", route.FreeTokens(chosen.Candidate))
-			g.decode, g.reservation = chosen, reservation.ID
+			g.decode, g.reservation = chosen, reservation
 			g.committed = g.need
 			chosen.Server.Hold(g.need)
 			return nil
@@ -121,14 +121,16 @@
 // returnTaken frees what the request has taken and not used.
 func (g *generation) returnTaken() {
 	if g.reservation != "" {
-		server, id := g.entry(g.decode), g.reservation
-		g.cleanup(func(ctx context.Context) { g.report("reservation", server, g.Backends.Release(ctx, server, id)) })
+		server, reservation := g.entry(g.decode), g.reservation
+		g.cleanup(func(ctx context.Context) {
+			g.report("reservation", server, g.Backends.Release(ctx, server, reservation))
+		})
 	}
-	if g.result != nil {
-		server, handle := g.entry(g.prefill), g.result.Handle
-		g.cleanup(func(ctx context.Context) { g.report("prefill result", server, g.Backends.Free(ctx, server, handle)) })
+	if g.result != "" {
+		server, result := g.entry(g.prefill), g.result
+		g.cleanup(func(ctx context.Context) { g.report("prefill result", server, g.Backends.Free(ctx, server, result)) })
 	}
-	g.reservation, g.result = "", nil
+	g.reservation, g.result = "", ""
 }
 
 // report notes that something could not be given back. It lapses by itself.
--- a/forward/read.go
+++ b/forward/read.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	server.Prefills.Measure(max(waiting, tokens), time.Since(began))
-	g.result = &result
+	g.result = result
 	return nil
 }
 
@@ -86,7 +86,7 @@
 // the prompt itself.
 func (g *generation) readAfterAll(refused *NotRun) (*Stream, *stepError) {
 	failed := &stepError{why: refused.Why, detail: refused.Detail}
-	if g.result == nil || !refused.Sent {
+	if g.result == "" || !refused.Sent {
 		return nil, failed
 	}
 	g.prefill.Server.HandoffLost(time.Now())
