--- a/cmd/mastwheeld/platform.go
+++ b/cmd/mastwheeld/platform.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
@@ -34,6 +35,10 @@
 // few seconds' worth under load, and less than a megabyte.
 const logQueue = 2000
 
+// lastLines bounds the wait for the log at the end; the process is killed 250 ms
+// after it should have ended.
+const lastLines = 150 * time.Millisecond
+
 func runPlatform(ctx context.Context, command *cli.Command) error {
 	settings, err := platform.LoadSettings()
 	if err != nil {
@@ -59,6 +64,7 @@
 	go watchHangups()
 	klog.InfoS("Start", "instance", settings.Name, "zone", settings.Zone, "callers", settings.Callers,
 		"siblings", settings.Siblings, "store", settings.Store)
+	defer output.Flush(lastLines)
 	return instance.Run(ctx, stop)
 }
 
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -50,6 +50,25 @@
 	}
 }
 
+func TestFlushWaitsForTheLines(t *testing.T) {
+	out := new(stuck)
+	out.gate.Lock()
+	bounded := NewBounded(out, 10)
+	defer bounded.Close()
+	if _, err := bounded.Write([]byte("last words\n")); err != nil {
+		t.Fatal(err)
+	}
+	// With a reader that has stopped it gives up.
+	bounded.Flush(time.Millisecond)
+	out.gate.Unlock()
+	bounded.Flush(time.Minute)
+	out.gate.Lock()
+	defer out.gate.Unlock()
+	if out.text.String() != "last words\n" {
+		t.Fatalf("%q is out", out.text.String())
+	}
+}
+
 func TestALimitFillsWithTime(t *testing.T) {
 	now := time.Unix(0, 0)
 	limit := NewLimit(10, 5, now)
