--- a/instance/cells.go
+++ b/instance/cells.go
@@ -54,16 +54,17 @@
 		next.zoneCells = i.config.Cell.Count(len(own))
 		next.cell = cell.Of(i.self.Name, i.config.Zone, next.zoneCells)
 	}
-	before := i.cells.place.Swap(next)
+	before := i.cells.place.Load()
 	if before.cell != next.cell || before.zoneCells != next.zoneCells {
-		i.keeper.restrict(i.ownWorkers())
+		// The workers first: an instance that has its cell counts as ready.
+		i.keeper.restrict(i.workersOf(next))
 	}
+	i.cells.place.Store(next)
 }
 
-// ownWorkers returns whether a backend server is one of this cell's. Plain
+// workersOf returns whether a backend server is one of a place's cell. Plain
 // servers belong to all cells: nobody is steward of them.
-func (i *Instance) ownWorkers() func(*table.BackendView) bool {
-	at := i.cells.place.Load()
+func (i *Instance) workersOf(at *place) func(*table.BackendView) bool {
 	return func(backend *table.BackendView) bool {
 		if at.cell == "" {
 			return false
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -80,7 +80,7 @@
 		keeper:     newKeeper(fleet),
 	}
 	i.cells.place.Store(&place{})
-	i.keeper.restrict(i.ownWorkers())
+	i.keeper.restrict(i.workersOf(i.cells.place.Load()))
 	i.cells.far = make(map[string][]instancelist.Entry)
 	i.Runner = request.NewRunner(request.Deps{
 		Home:       self.String(),
