--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,8 +15,6 @@
 	address string
 	config  Config
 	dialer  net.Dialer
-	// Dials counts the connections opened.
-	Dials atomic.Int64
 
 	mu     sync.Mutex
 	idle   []*Conn
@@ -81,7 +78,6 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
-	p.Dials.Add(1)
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		p.forget()
