Read no prompt at a decode engine if that makes its streams late

A decode engine reads at half the speed between the tokens of its streams. Change: such a prompt is refused if its reading and the usual pause are over the target. The caller comes back; without any prefill engine all prompts are read as before. Tests: package forward has a harness on a virtual clock; the new test failed before.

--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -88,6 +88,9 @@
 	// LateReading is how long after the first token's target a prefill may
 	// still end; a late stream is worth something to its caller.
 	LateReading time.Duration
+	// EventPause is the usual pause between two events of a stream (source: the
+	// users' sheets, 64 tokens of 0.8 ms).
+	EventPause time.Duration
 }
 
 // DefaultConfig suits the sizes of the users' sheets.
@@ -110,6 +113,7 @@
 		UsualMemory:      8000,
 		LargeHeadroom:    0.5,
 		LateReading:      600 * time.Millisecond,
+		EventPause:       60 * time.Millisecond,
 	}
 }
 
--- /dev/null
+++ b/forward/harness_test.go
@@ -0,0 +1,238 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/route"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// Figures of the service under test.
+const (
+	testMemory   = 40_000
+	testPrompt   = 4000
+	testMost     = 2000
+	testTarget   = 900 * time.Millisecond
+	testPause    = 300 * time.Millisecond
+	testReadRate = 50_000 // tokens a second
+)
+
+// engines stands in for all backend servers. Each call is noted; a function
+// that is not nil answers in place of success.
+type engines struct {
+	mu    sync.Mutex
+	calls []string
+
+	reserve func(server string) error
+	prefill func(server string) error
+	decode  func(server string, order DecodeOrder) error
+	call    func(server string) (*Answer, error)
+	// readFor is how long a prompt is read.
+	readFor time.Duration
+}
+
+func (e *engines) note(step, server string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calls = append(e.calls, step+" "+server)
+}
+
+func (e *engines) Call(_ context.Context, server *registry.Entry, _ *Request, _ time.Time) (*Answer, error) {
+	e.note("call", server.ID)
+	if e.call != nil {
+		return e.call(server.ID)
+	}
+	return &Answer{Status: 200}, nil
+}
+
+func (e *engines) Reserve(_ context.Context, server *registry.Entry, _ int, _ time.Duration) (Reservation, error) {
+	e.note("reserve", server.ID)
+	if e.reserve != nil {
+		if err := e.reserve(server.ID); err != nil {
+			return "", err
+		}
+	}
+	return Reservation("r-" + server.ID), nil
+}
+
+func (e *engines) Release(_ context.Context, server *registry.Entry, _ Reservation) error {
+	e.note("release", server.ID)
+	return nil
+}
+
+func (e *engines) Prefill(ctx context.Context, server *registry.Entry, _ *Request, _ time.Time) (Prefilled, error) {
+	e.note("prefill", server.ID)
+	select {
+	case <-time.After(e.readFor):
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+	if e.prefill != nil {
+		if err := e.prefill(server.ID); err != nil {
+			return "", err
+		}
+	}
+	return Prefilled("p-" + server.ID), nil
+}
+
+func (e *engines) Free(_ context.Context, server *registry.Entry, _ Prefilled) error {
+	e.note("free", server.ID)
+	return nil
+}
+
+func (e *engines) Decode(_ context.Context, server *registry.Entry, _ *Request, order DecodeOrder, _ time.Time) (*Stream, error) {
+	e.note("decode", server.ID)
+	if e.decode != nil {
+		if err := e.decode(server.ID, order); err != nil {
+			return nil, err
+		}
+	}
+	return &Stream{Status: 200, ReadCloser: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))}, nil
+}
+
+// beliefs are fixed.
+type beliefs struct {
+	view    *table.View
+	servers *Servers
+}
+
+func (b *beliefs) Table() *table.View { return b.view }
+func (b *beliefs) Servers() *Servers  { return b.servers }
+
+// bench is a gateway before engines that the test plays.
+type bench struct {
+	*Gateway
+	engines *engines
+	t       *testing.T
+}
+
+// newBench returns a gateway with two prefill engines, p1 and p2, and two decode
+// engines, d1 and d2, of a service "llm", and with two servers, s1 and s2, of a
+// plain service "web".
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	made, err := table.New(1, map[table.RowKey]map[table.Column]string{
+		{Kind: table.Service, Name: "llm"}: {
+			table.ColType: table.TypeModel, table.ColModel: "m", table.ColPrefillPool: "llm/prefill", table.ColDecodePool: "llm/decode",
+			table.ColMemory: "40000", table.ColHold: "2000", table.ColHandle: "500", table.ColStride: "64",
+		},
+		{Kind: table.Service, Name: "web"}:      {table.ColType: table.TypePlain, table.ColPool: "web"},
+		{Kind: table.Pool, Name: "llm/prefill"}: {table.ColRole: table.RolePrefill},
+		{Kind: table.Pool, Name: "llm/decode"}:  {table.ColRole: table.RoleDecode},
+		{Kind: table.Pool, Name: "web"}:         {table.ColRole: table.RolePlain},
+		{Kind: table.Route, Name: "stream"}: {
+			table.ColHost: "h", table.ColPath: "/stream/", table.ColSplit: "llm:100", table.ColRepeat: table.RepeatNever,
+			table.ColTimeout: "14000", table.ColTTFT: "900", table.ColTBT: "300", table.ColAttempts: "1",
+		},
+		{Kind: table.Route, Name: "safe"}: {
+			table.ColHost: "h", table.ColPath: "/safe/", table.ColSplit: "web:100", table.ColRepeat: table.RepeatSafe,
+			table.ColTimeout: "1500", table.ColTTFT: "300", table.ColAttempts: "2",
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	servers := &Servers{ByID: map[string]*registry.Entry{}, Plain: map[string][]*table.BackendView{}, Prefill: map[string][]*table.BackendView{}, Decode: map[string][]*table.BackendView{}}
+	backends := make(map[string]*table.BackendView)
+	add := func(pools map[string][]*table.BackendView, service string, ids ...string) {
+		for _, id := range ids {
+			backend := &table.BackendView{Name: id, Pool: service, Zone: "z", MemoryTokens: testMemory}
+			servers.ByID[id] = &registry.Entry{ID: id, Service: service, Zone: "z", Address: id}
+			pools[service] = append(pools[service], backend)
+			backends[id] = backend
+		}
+	}
+	add(servers.Prefill, "llm", "p1", "p2")
+	add(servers.Decode, "llm", "d1", "d2")
+	add(servers.Plain, "web", "s1", "s2")
+	fleet := route.NewFleet()
+	fleet.Adopt(&table.View{Backends: backends})
+	for _, id := range []string{"p1", "p2"} {
+		fleet.Server(id).Prefills.Measure(testReadRate, time.Second)
+	}
+	budget := route.NewSharedBudget(0.2, 10*time.Second, 20, time.Now())
+	random := rand.New(rand.NewPCG(1, 2))
+	b := &bench{engines: &engines{readFor: 50 * time.Millisecond}, t: t}
+	b.Gateway = New(Deps{
+		Zone: "z", Beliefs: &beliefs{made.Compile(), servers}, Fleet: fleet, Recall: route.NewRecall(6*time.Second, time.Second),
+		Backends: b.engines, Budget: func(string) *route.SharedBudget { return budget }, Metrics: metrics.New(), Random: random.Float64,
+	}, DefaultConfig())
+	return b
+}
+
+// generation makes a request for a stream.
+func (b *bench) generation(id string, prompt int) *Request {
+	now := time.Now()
+	return &Request{
+		ID: id, Method: "POST", Target: "/stream/x", Path: "/stream/x", Host: "h", Arrived: now, Deadline: now.Add(14 * time.Second),
+		Generation: &Generation{Model: "m", PromptTokens: prompt, MaxTokens: testMost, LengthHint: testMost / 2, Own: uint32(len(id)) + 1},
+	}
+}
+
+// plain makes a request of a safe route.
+func (b *bench) plain(id string) *Request {
+	now := time.Now()
+	return &Request{ID: id, Method: "GET", Target: "/safe/x", Path: "/safe/x", Host: "h", Arrived: now, Deadline: now.Add(3 * time.Second)}
+}
+
+// serve takes a request to its end.
+func (b *bench) serve(r *Request) *Reply {
+	reply := b.Serve(context.Background(), r)
+	if reply.Stream != nil {
+		if _, err := io.Copy(io.Discard, reply.Stream); err != nil {
+			b.t.Errorf("stream of %s: %v", r.ID, err)
+		}
+		reply.Stream.Close()
+	}
+	b.Wait()
+	return reply
+}
+
+// did counts the calls that begin with a text.
+func (b *bench) did(text string) int {
+	b.engines.mu.Lock()
+	defer b.engines.mu.Unlock()
+	count := 0
+	for _, call := range b.engines.calls {
+		if strings.HasPrefix(call, text) {
+			count++
+		}
+	}
+	return count
+}
+
+// nothingHeld checks that no note of a request is left over.
+func (b *bench) nothingHeld() {
+	b.t.Helper()
+	for id := range b.Beliefs.Servers().ByID {
+		if own := b.Fleet.Server(id).Own(); own != (route.Commitment{}) {
+			b.t.Errorf("left over at %s: %+v", id, own)
+		}
+	}
+	if n := b.InFlight(); n != 0 {
+		b.t.Errorf("%d requests are in flight", n)
+	}
+}
+
+// sinceVirtualStart leads from the virtual clock's begin beyond today.
+const sinceVirtualStart = 50 * 365 * 24 * time.Hour
+
+// play runs a test on a virtual clock.
+func play(t *testing.T, test func(b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		// The virtual clock begins in 2000; what package route notes of a server
+		// counts from the process's start.
+		time.Sleep(sinceVirtualStart)
+		test(newBench(t))
+	})
+}
--- a/forward/read.go
+++ b/forward/read.go
@@ -22,12 +22,27 @@
 	// Of an engine that was never measured nothing is known; the first prompts
 	// tell.
 	g.readAtDecode = measured && landing.After(g.target)
-	if g.readAtDecode {
-		g.decide(stepRead, "at_decode", "why", reason.DeadlineTooClose, "aheadMillis", ahead.Milliseconds())
+	if !g.readAtDecode {
+		return nil
+	}
+	g.decide(stepRead, "at_decode", "why", reason.DeadlineTooClose, "aheadMillis", ahead.Milliseconds())
+	if pause := g.pauseAtDecode(); pause > g.route.TBT {
+		return &stepError{why: reason.DeadlineTooClose, detail: "reading the prompt between their tokens would delay others by " + pause.String()}
 	}
 	return nil
 }
 
+// decodeReadsSlower is how much longer a decode engine takes to read a prompt
+// than a prefill engine (source: the users' protocol, half the speed).
+const decodeReadsSlower = 2
+
+// pauseAtDecode estimates the pause between two events of the other streams of
+// a decode engine that reads the prompt: they get their tokens between its
+// parts.
+func (g *generation) pauseAtDecode() time.Duration {
+	return decodeReadsSlower*g.prefill.Server.ReadTime(g.request.Generation.PromptTokens) + g.config.EventPause
+}
+
 // read has the prompt read. A prefill does not run the request, so whatever
 // becomes of it the request can still be refused.
 func (g *generation) read() *stepError {
--- /dev/null
+++ b/forward/reading_test.go
@@ -0,0 +1,36 @@
+package forward
+
+import (
+	"testing"
+
+	"github.com/mastwheel/mastwheel/reason"
+)
+
+func TestPromptsAreReadAtDecodeEnginesOnlyIfOthersStayOnTime(t *testing.T) {
+	play(t, func(b *bench) {
+		// Both prefill engines have two seconds of prompts ahead.
+		for _, id := range []string{"p1", "p2"} {
+			defer b.Fleet.Server(id).Unread(2 * testReadRate)()
+		}
+		// At half of testReadRate, 5,000 tokens take 200 ms and 7,000 280 ms;
+		// with the usual pause between events the latter is over the target.
+		if reply := b.serve(b.generation("short", 5000)); reply.Status != 200 || b.did("prefill") != 0 || b.did("decode") != 1 {
+			t.Errorf("short: status %d after %v", reply.Status, b.engines.calls)
+		}
+		b.engines.calls = nil
+		reply := b.serve(b.generation("long", 7000))
+		if reply.Status != 503 || reply.Reason != reason.DeadlineTooClose || reply.RetryAfter == 0 || len(b.engines.calls) != 0 {
+			t.Errorf("long: status %d, %s after %v", reply.Status, reply.Reason, b.engines.calls)
+		}
+	})
+}
+
+func TestWithoutPrefillEnginesAnyPromptIsRead(t *testing.T) {
+	play(t, func(b *bench) {
+		b.Beliefs.Servers().Prefill["llm"] = nil
+		if reply := b.serve(b.generation("long", 9000)); reply.Status != 200 || b.did("decode") != 1 {
+			t.Errorf("status %d after %v", reply.Status, b.engines.calls)
+		}
+		b.nothingHeld()
+	})
+}
