Take a prefill's result elsewhere when the decode engine turns out to be another

Each prompt was read for nothing, the request sent to the same engine again and refused. The reservation that succeeded wiped out the refusal before. Change: a 421 has the server left alone for as long as its entry may live on, and the result goes to another decode engine while it lasts.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -72,8 +72,11 @@
 type NotRun struct {
 	Why reason.Reason
 	// Sent says whether the request reached the server.
-	Sent   bool
-	Detail string
+	Sent bool
+	// Misdirected is set when another server answers at the address, or one
+	// that has another role by now.
+	Misdirected bool
+	Detail      string
 }
 
 // Error implements error.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -88,6 +88,9 @@
 	// LateReading is how long after the first token's target a prefill may
 	// still end; a late stream is worth something to its caller.
 	LateReading time.Duration
+	// HandleMargin is how long before a prefill's result lapses it is no longer
+	// handed to another engine: a reservation and the transfer take that long.
+	HandleMargin time.Duration
 	// EventPause is the usual pause between two events of a stream (source: the
 	// users' sheets, 64 tokens of 0.8 ms).
 	EventPause time.Duration
@@ -114,6 +117,7 @@
 		LargeHeadroom:    0.5,
 		LateReading:      600 * time.Millisecond,
 		EventPause:       60 * time.Millisecond,
+		HandleMargin:     100 * time.Millisecond,
 	}
 }
 
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -29,6 +29,8 @@
 	// reservation and result are what the request has taken and not yet used.
 	reservation Reservation
 	result      Prefilled
+	// readAt is when the result was ready.
+	readAt time.Time
 	// committed is the memory that is noted for it at the decode engine.
 	committed int
 	// returned is set for a request that was refused before.
--- a/forward/learn.go
+++ b/forward/learn.go
@@ -19,6 +19,9 @@
 		server.Heard(now)
 		server.Accepted()
 		server.Breaker.Success()
+	case errors.As(err, &notRun) && notRun.Misdirected:
+		server.Heard(now)
+		server.Misdirected(now)
 	case errors.As(err, &notRun) && notRun.Sent:
 		server.Heard(now)
 		server.Refused(now)
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -106,6 +106,11 @@
 // free ends the notes of what it has committed at the decode engine.
 func (g *generation) free() {
 	g.done()
+	g.uncommit()
+}
+
+// uncommit ends the note of its memory at the decode engine.
+func (g *generation) uncommit() {
 	if g.decode != nil {
 		g.decode.Server.Hold(-g.committed)
 	}
@@ -120,17 +125,23 @@
 
 // returnTaken frees what the request has taken and not used.
 func (g *generation) returnTaken() {
+	g.returnReservation()
+	if g.result != "" {
+		server, result := g.entry(g.prefill), g.result
+		g.cleanup(func(ctx context.Context) { g.report("prefill result", server, g.Backends.Free(ctx, server, result)) })
+	}
+	g.result = ""
+}
+
+// returnReservation gives up memory that was reserved and is not used.
+func (g *generation) returnReservation() {
 	if g.reservation != "" {
 		server, reservation := g.entry(g.decode), g.reservation
 		g.cleanup(func(ctx context.Context) {
 			g.report("reservation", server, g.Backends.Release(ctx, server, reservation))
 		})
 	}
-	if g.result != "" {
-		server, result := g.entry(g.prefill), g.result
-		g.cleanup(func(ctx context.Context) { g.report("prefill result", server, g.Backends.Free(ctx, server, result)) })
-	}
-	g.reservation, g.result = "", ""
+	g.reservation = ""
 }
 
 // report notes that something could not be given back. It lapses by itself.
--- a/forward/read.go
+++ b/forward/read.go
@@ -92,7 +92,7 @@
 		return err
 	}
 	server.Prefills.Measure(max(waiting, tokens), time.Since(began))
-	g.result = result
+	g.result, g.readAt = result, time.Now()
 	return nil
 }
 
@@ -104,6 +104,9 @@
 	if g.result == "" || !refused.Sent {
 		return nil, failed
 	}
+	if refused.Misdirected {
+		return g.handOffElsewhere(failed)
+	}
 	g.prefill.Server.HandoffLost(time.Now())
 	late := time.Now().After(g.target.Add(-g.config.LandingMargin))
 	if late || !g.Budget(g.service.Name).Spend(time.Now()) {
@@ -117,3 +120,21 @@
 	g.readAtDecode = true
 	return g.begin()
 }
+
+// handOffElsewhere takes a prefill's result to another decode engine when the
+// first turned out not to be one. The result waits only for a short while.
+func (g *generation) handOffElsewhere(failed *stepError) (*Stream, *stepError) {
+	lapses := g.readAt.Add(g.service.Engine.Handle - g.config.HandleMargin)
+	if time.Now().After(lapses) || !g.Budget(g.service.Name).Spend(time.Now()) {
+		return nil, failed
+	}
+	g.Metrics.Retried(failed.why)
+	g.decide(stepRetry, "elsewhere", "why", failed.why)
+	g.returnReservation()
+	g.uncommit()
+	g.tried = append(g.tried[:0], g.decode.Name)
+	if failed := g.reserveOnce(); failed != nil {
+		return nil, failed
+	}
+	return g.begin()
+}
--- a/route/refusal.go
+++ b/route/refusal.go
@@ -57,6 +57,16 @@
 // HandoffDone notes that one was.
 func (s *Server) HandoffDone() { s.handoffs.end() }
 
+// misdirectedFor is how long a server is left alone that is not the one, or not
+// in the role, that the list of servers says: the list lags by a second, and the
+// entry of a server that has ended lapses after three of its heartbeats (source:
+// the users' settings, 1.2 s each).
+const misdirectedFor = 3600 * time.Millisecond
+
+// Misdirected notes that another server answered in its place, or that it has
+// changed its role.
+func (s *Server) Misdirected(now time.Time) { s.Changing(now.Add(misdirectedFor)) }
+
 // Changing notes that the server changes its role until then, and takes no
 // work before.
 func (s *Server) Changing(until time.Time) { s.changing.Store(int64(until.Sub(epoch))) }
