Tell siblings of new requests at once, and count what they tell at once

Cause: requests were still preempted while other engines had room. All instances send to the engine with most memory left, and heard of each other's requests only after a heartbeat (150 ms) and the next sum (150 ms): up to 13 requests of a burst met at one engine. Change: a heartbeat goes out as soon as loads have changed, 30 ms after the last at the earliest, 5 ms more for each sibling, so that with 30 or more all is as before. What arrives is summed within 30 ms.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -137,6 +137,11 @@
 	// an instance sends and receives grows with them, not with the siblings.
 	NearPerBeat int
 	FarPerBeat  int
+	// NewsEvery is the least pause between two heartbeats, and between two looks
+	// at what siblings have told. Shorter lets siblings know sooner of requests
+	// that an engine got; NewsPerSibling stretches it where there are many.
+	NewsEvery      time.Duration
+	NewsPerSibling time.Duration
 	// PeersTold is how many other siblings a heartbeat names.
 	PeersTold int
 
@@ -170,12 +175,14 @@
 			AbandonAfter:   30 * time.Second,
 			ForgetAfter:    2 * time.Minute,
 		},
-		LongPause:    600 * time.Millisecond,
-		NearPerBeat:  24,
-		FarPerBeat:   12,
-		PeersTold:    4,
-		PrefillShare: defaultPrefillShare,
-		OrdersEvery:  500 * time.Millisecond,
+		LongPause:      600 * time.Millisecond,
+		NearPerBeat:    24,
+		FarPerBeat:     12,
+		PeersTold:      4,
+		NewsEvery:      30 * time.Millisecond,
+		NewsPerSibling: 5 * time.Millisecond,
+		PrefillShare:   defaultPrefillShare,
+		OrdersEvery:    500 * time.Millisecond,
 	}
 }
 
@@ -228,8 +235,10 @@
 	peers    *peers
 	budgets  *budgets
 	store    *dependency
-	stopping atomic.Bool
-	orders   *orders
+	// loadsHeard is set once siblings have told of loads that are not yet summed.
+	loadsHeard atomic.Bool
+	stopping   atomic.Bool
+	orders     *orders
 }
 
 // New returns an instance that knows nothing yet.
@@ -273,7 +282,7 @@
 func (in *Instance) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		in.followTable, in.followServers, in.followRoster, in.catchUp, in.beat, in.tick, in.orders.run,
+		in.followTable, in.followServers, in.followRoster, in.catchUp, in.beat, in.followLoads, in.tick, in.orders.run,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -109,6 +110,15 @@
 	return total
 }
 
+// followLoads takes in what siblings tell of their loads.
+func (in *Instance) followLoads(ctx context.Context) {
+	for wait.For(ctx, in.config.NewsEvery) {
+		if in.loadsHeard.Swap(false) {
+			in.sumLoads()
+		}
+	}
+}
+
 // sumLoads tells each server's state what the siblings have committed there.
 func (in *Instance) sumLoads() {
 	total := in.peers.sum(in.members.View().Serving())
@@ -136,17 +146,57 @@
 	return info
 }
 
-// beat sends heartbeats until ctx ends. Where there are many siblings each gets
+// beat sends heartbeats until ctx ends, and one more whenever there is news.
+// Where there are many siblings each gets
 // only some, and is given more time before it counts as silent; those of the
 // same zone get more, since bytes between zones are dear.
 func (in *Instance) beat(ctx context.Context) {
 	in.sendHeartbeats()
-	for turn := 0; wait.For(ctx, in.config.Members.HeartbeatEvery); turn++ {
-		addresses := in.peers.addresses(time.Now())
+	var told []heartbeat.Load
+	sent, turn := time.Now(), 0
+	for wait.For(ctx, in.quickBeat()) {
+		now := time.Now()
+		loads := in.loads()
+		if now.Sub(sent) < in.config.Members.HeartbeatEvery && !newsIn(told, loads) {
+			continue
+		}
+		addresses := in.peers.addresses(now)
 		every := max(1, len(addresses)/in.config.FarPerBeat)
 		in.members.SetSuspectAfter(max(in.config.Members.SuspectAfter, time.Duration(every*patientBeats)*in.config.Members.HeartbeatEvery))
 		in.sendTo(in.due(addresses, turn, every), addresses)
+		told, sent = loads, now
+		turn++
+	}
+}
+
+// quickBeat is the least pause between two heartbeats. Siblings that do not
+// know of each other's requests send theirs to the same engine, so news are told
+// at once where there are few siblings; each datagram costs every one of them.
+func (in *Instance) quickBeat() time.Duration {
+	pause := time.Duration(len(in.members.View().Siblings)) * in.config.NewsPerSibling
+	return min(max(pause, in.config.NewsEvery), in.config.Members.HeartbeatEvery)
+}
+
+// newsMemory is the change of the memory committed at an engine that siblings
+// should hear of at once: a percent of an engine (source: the users' sheets).
+const newsMemory = 1000
+
+// newsIn says whether loads have changed so that siblings would decide
+// otherwise.
+func newsIn(told, loads []heartbeat.Load) bool {
+	if len(told) != len(loads) {
+		return true
+	}
+	for i, load := range loads {
+		before := told[i]
+		if before.Server != load.Server || before.InFlight != load.InFlight || before.Unread != load.Unread {
+			return true
+		}
+		if off := load.Memory - before.Memory; off >= newsMemory || off <= -newsMemory {
+			return true
+		}
 	}
+	return false
 }
 
 // patientBeats is how many heartbeats may be missing before a sibling counts
@@ -213,7 +263,7 @@
 	return picked
 }
 
-// loads lists what this instance has committed.
+// loads lists what this instance has committed, by server.
 func (in *Instance) loads() []heartbeat.Load {
 	var loads []heartbeat.Load
 	for id := range in.servers.Load().ByID {
@@ -228,6 +278,7 @@
 			})
 		}
 	}
+	slices.SortFunc(loads, func(a, b heartbeat.Load) int { return cmp.Compare(a.Server, b.Server) })
 	return loads
 }
 
@@ -247,6 +298,7 @@
 	before, known := in.members.Find(message.From.Name)
 	if in.members.Heard(message.From, now) {
 		in.peers.take(message, now)
+		in.loadsHeard.Store(true)
 		in.Recall.Told(message.Refused, now)
 		for _, change := range message.Changing {
 			if server := in.Fleet.ServerByID(change.Server); server != nil {
