Choose the better of two decode engines among those with room

Cause: with many instances, news of each other's requests is rarer (150 ms from 30 on), and all still send to the engine that they believe best. Change: two engines are drawn among those that have room for the request, and the better one taken. Room is a filter now, so the log names it for each engine. With fewer preempted, 0.15 of each engine stays free in place of 0.22. Ruled out: less free still (0.10, 0.06) and callers sent back later (0.27 to 0.33 of their time) make no difference beyond noise.

--- a/forward/flow.go
+++ b/forward/flow.go
@@ -34,10 +34,19 @@
 
 // choose decides by a profile among servers; nil when every one was dropped.
 func (f *flow) choose(profile *route.Profile, pool []*table.BackendView) *route.Rated {
+	return f.chooseBy(f.query(), profile, pool)
+}
+
+// query is what a decision needs to know of the request.
+func (f *flow) query() *route.Query {
 	query := &route.Query{RequestID: f.request.ID, Zone: f.Zone, Exclude: f.tried, Now: time.Now()}
 	if f.request.Generation != nil {
 		query.PromptTokens = f.request.Generation.PromptTokens
 	}
+	return query
+}
+
+func (f *flow) chooseBy(query *route.Query, profile *route.Profile, pool []*table.BackendView) *route.Rated {
 	made := profile.Decide(query, f.Fleet, pool)
 	outcome := made.Pick
 	if made.Chosen == nil {
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -111,7 +111,7 @@
 		RetryElsewhere:   50 * time.Millisecond,
 		StreamGrace:      2500 * time.Millisecond,
 		HintMargin:       0.6,
-		Headroom:         0.22,
+		Headroom:         0.15,
 		ReturnedHeadroom: 0.06,
 		UsualMemory:      8000,
 		LargeHeadroom:    0.5,
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -30,14 +30,12 @@
 // reserveOnce asks the engines with most memory left, only some of them.
 func (g *generation) reserveOnce() *stepError {
 	for range g.config.ReserveTries {
-		chosen := g.choose(g.decodeProfile(), g.servers.Decode[g.service.Name])
+		query := g.query()
+		query.MemoryTokens, query.Spare = g.need, g.spare()
+		chosen := g.chooseBy(query, g.decodeProfile(), g.servers.Decode[g.service.Name])
 		if chosen == nil {
 			break
 		}
-		if g.tooLarge(chosen) {
-			g.decide(stepReserve, "too_large", "server", chosen.Name, "free", route.FreeTokens(chosen.Candidate))
-			return &stepError{why: reason.NoDecodeMemory, detail: "the memory left is kept for smaller requests"}
-		}
 		g.tried = append(g.tried, chosen.Name)
 		reservation, err := g.ask(chosen)
 		if err == nil {
@@ -55,7 +53,7 @@
 	if g.readAtDecode {
 		return &stepError{why: reason.DeadlineTooClose, detail: "the prompts ahead take too long"}
 	}
-	return &stepError{why: reason.NoDecodeMemory, detail: "no decode engine reserved memory"}
+	return &stepError{why: reason.NoDecodeMemory, detail: "no decode engine has enough memory left"}
 }
 
 // decodeProfile chooses an engine that generates; one that is to read the
@@ -67,20 +65,21 @@
 	return g.Gateway.decode
 }
 
-// tooLarge says whether a request would take what is nearly the last of an
-// engine's memory. Some is left for requests that outgrow what was expected:
-// once one must be preempted, the reading of its prompt holds up all others of
-// its engine. A request that needs more than most must leave more: for the
-// same memory and time, several smaller ones are served. A request that was
-// refused before may take more of it.
-func (g *generation) tooLarge(chosen *route.Rated) bool {
-	left := float64(route.FreeTokens(chosen.Candidate) - g.need)
-	memory := float64(chosen.Backend.MemoryTokens)
+// spare is the part of an engine's memory that must stay free beside the
+// request. Some is left for requests that outgrow what was expected: once one
+// must be preempted, the reading of its prompt holds up all others of its
+// engine. A request that needs more than most must leave more: for the same
+// memory and time, several smaller ones are served. A request that was refused
+// before may take more of it.
+func (g *generation) spare() float64 {
 	if g.returned {
-		return left < g.config.ReturnedHeadroom*memory
+		return g.config.ReturnedHeadroom
+	}
+	if g.service.Engine.MemoryTokens == 0 {
+		return g.config.Headroom
 	}
 	excess := max(g.need-g.config.UsualMemory, 0)
-	return left < g.config.Headroom*memory+g.config.LargeHeadroom*float64(excess)
+	return g.config.Headroom + g.config.LargeHeadroom*float64(excess)/float64(g.service.Engine.MemoryTokens)
 }
 
 func (g *generation) ask(chosen *route.Rated) (Reservation, error) {
--- a/route/decide.go
+++ b/route/decide.go
@@ -13,6 +13,10 @@
 	Zone         string
 	PromptTokens int
 	Pieces       int
+	// MemoryTokens is the KV memory that the request needs at a decode engine,
+	// and Spare the part of the engine's memory that must stay free beside it.
+	MemoryTokens int
+	Spare        float64
 	// Prefixes are hashes of the prompt's prefixes, the longest last.
 	Prefixes []uint64
 	// Exclude names servers that this request has already tried in vain.
--- a/route/forwarding.go
+++ b/route/forwarding.go
@@ -21,12 +21,14 @@
 	}
 }
 
-// ForwardDecode chooses engines that generate.
+// ForwardDecode chooses engines that generate: the better of two drawn at
+// random, since instances that have not yet heard of each other's requests
+// would all send theirs to the best.
 func ForwardDecode() *Profile {
 	return &Profile{
-		Filters: forwardingFilters,
+		Filters: append([]Filter{RoomFilter{}}, forwardingFilters...),
 		Scorers: []Weighted{{FreeScorer{}, weightRoom}, {ZoneScorer{}, weightTie}},
-		Picker:  BestPicker{},
+		Picker:  TwoChoicesPicker{},
 	}
 }
 
