mastwheel log: find requests in instances' logs by how they ended

An on-call engineer without an id had only grep. Lists or counts requests by reason, outcome, service, route, server and table revision; reads the same lines as explain, which shares the scanning.

--- a/cmd/mastwheel/explain.go
+++ b/cmd/mastwheel/explain.go
@@ -19,6 +19,18 @@
 
 // explainFromLogs tells a request's story from the log lines of instances.
 func explainFromLogs(command *cli.Command, files []string) error {
+	request := command.Args().First()
+	return withLogs(command, files, func(logs io.Reader) error {
+		lines, err := explain.Read(logs, request)
+		if err != nil {
+			return err
+		}
+		return explain.Write(command.Root().Writer, request, lines)
+	})
+}
+
+// withLogs reads log files one after the other; "-" is standard input.
+func withLogs(command *cli.Command, files []string, read func(logs io.Reader) error) error {
 	var logs []io.Reader
 	for _, name := range files {
 		if name == "-" {
@@ -32,10 +44,5 @@
 		defer file.Close()
 		logs = append(logs, file)
 	}
-	request := command.Args().First()
-	lines, err := explain.Read(io.MultiReader(logs...), request)
-	if err != nil {
-		return err
-	}
-	return explain.Write(command.Root().Writer, request, lines)
+	return read(io.MultiReader(logs...))
 }
--- a/cmd/mastwheel/main.go
+++ b/cmd/mastwheel/main.go
@@ -35,6 +35,7 @@
 			tableCommand(),
 			statusCommand(),
 			explainCommand(),
+			logCommand(),
 			loadCommand(),
 			tryCommand(),
 			standinsCommand(),
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -35,20 +35,11 @@
 // first brace of a line is too, since collectors put names and times there.
 func Read(log io.Reader, request string) ([]Line, error) {
 	var lines []Line
-	scanner := bufio.NewScanner(log)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		text := scanner.Text()
-		brace := strings.IndexByte(text, '{')
-		if brace < 0 || !strings.Contains(text, request) {
-			continue
+	err := scan(log, request, func(fields map[string]any) {
+		if fields["request"] == request {
+			lines = append(lines, lineOf(fields))
 		}
-		var fields map[string]any
-		if json.Unmarshal([]byte(text[brace:]), &fields) != nil || fields["request"] != request {
-			continue
-		}
-		lines = append(lines, lineOf(fields))
-	}
+	})
 	slices.SortStableFunc(lines, func(a, b Line) int {
 		switch {
 		case a.AtMillis < b.AtMillis:
@@ -59,7 +50,25 @@
 			return 0
 		}
 	})
-	return lines, errors.Wrap(scanner.Err(), "read the log")
+	return lines, err
+}
+
+// scan hands on the fields of each JSON line that contains a text.
+func scan(log io.Reader, containing string, each func(fields map[string]any)) error {
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		brace := strings.IndexByte(text, '{')
+		if brace < 0 || !strings.Contains(text, containing) {
+			continue
+		}
+		var fields map[string]any
+		if json.Unmarshal([]byte(text[brace:]), &fields) == nil {
+			each(fields)
+		}
+	}
+	return errors.Wrap(scanner.Err(), "read the log")
 }
 
 // told are the fields that the story tells in a place of their own, and those
