--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -22,7 +22,6 @@
 	testPrompt   = 4000
 	testMost     = 2000
 	testTarget   = 900 * time.Millisecond
-	testPause    = 300 * time.Millisecond
 	testReadRate = 50_000 // tokens a second
 )
 
@@ -174,10 +173,13 @@
 	now := time.Now()
 	return &Request{
 		ID: id, Method: "POST", Target: "/stream/x", Path: "/stream/x", Host: "h", Arrived: now, Deadline: now.Add(14 * time.Second),
-		Generation: &Generation{Model: "m", PromptTokens: prompt, MaxTokens: testMost, LengthHint: testMost / 2, Own: uint32(len(id)) + 1},
+		Generation: &Generation{Model: "m", PromptTokens: prompt, MaxTokens: testMost, LengthHint: testMost / 2, Own: own(id)},
 	}
 }
 
+// own stands for a prompt: ids of one letter are tries of one caller.
+func own(id string) uint32 { return uint32(len(id)) }
+
 // plain makes a request of a safe route.
 func (b *bench) plain(id string) *Request {
 	now := time.Now()
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -17,7 +17,11 @@
 	until := g.request.Arrived.Add(time.Duration(g.config.RefuseWithin * float64(g.route.TTFT)))
 	for {
 		failed := g.reserveOnce()
-		if failed == nil || failed.why != reason.NoDecodeMemory || time.Now().Add(g.config.ReservePause).After(until) {
+		if failed == nil || failed.why != reason.NoDecodeMemory {
+			return failed
+		}
+		if time.Now().Add(g.config.ReservePause).After(until) {
+			g.decide(stepReserve, "none", "need", g.need, "spare", g.spare(), "mostFree", g.mostFree())
 			return failed
 		}
 		if !wait.For(g.ctx, g.config.ReservePause) {
@@ -65,6 +69,17 @@
 	return g.Gateway.decode
 }
 
+// mostFree is the most KV memory that any decode engine has left, in tokens.
+func (g *generation) mostFree() int {
+	most := 0
+	for _, backend := range g.servers.Decode[g.service.Name] {
+		if server := g.Fleet.Server(backend.Name); server != nil {
+			most = max(most, route.FreeTokens(route.Candidate{Backend: backend, Server: server}))
+		}
+	}
+	return most
+}
+
 // spare is the part of an engine's memory that must stay free beside the
 // request. Some is left for requests that outgrow what was expected: once one
 // must be preempted, the reading of its prompt holds up all others of its
--- /dev/null
+++ b/forward/memory_test.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mastwheel/mastwheel/reason"
+)
+
+func TestARequestWithoutRoomIsRefusedWithinAPartOfItsTarget(t *testing.T) {
+	play(t, func(b *bench) {
+		for _, id := range []string{"d1", "d2"} {
+			b.Fleet.Server(id).Hold(testMemory - testPrompt)
+		}
+		r := b.generation("a", testPrompt)
+		reply := b.serve(r)
+		latest := r.Arrived.Add(testTarget / 4)
+		if reply.Status != 503 || reply.Reason != reason.NoDecodeMemory || reply.RetryAfter == 0 || len(b.engines.calls) != 0 {
+			t.Errorf("status %d, %s after %v", reply.Status, reply.Reason, b.engines.calls)
+		}
+		if time.Now().After(latest) {
+			t.Errorf("refused after %v", time.Since(r.Arrived))
+		}
+	})
+}
+
+func TestMemoryThatBecomesFreeIsTaken(t *testing.T) {
+	play(t, func(b *bench) {
+		for _, id := range []string{"d1", "d2"} {
+			b.Fleet.Server(id).Hold(testMemory)
+		}
+		time.AfterFunc(testTarget/8, func() { b.Fleet.Server("d2").Hold(-testMemory) })
+		if reply := b.serve(b.generation("a", testPrompt)); reply.Status != 200 || !slices.Contains(b.engines.calls, "decode d2") {
+			t.Errorf("status %d after %v", reply.Status, b.engines.calls)
+		}
+	})
+}
+
+func TestACallerWhoComesBackMayTakeMoreOfTheMemory(t *testing.T) {
+	play(t, func(b *bench) {
+		// What is left is enough for the request and the smaller of the two
+		// parts that must stay free.
+		need := testPrompt + int(float64(testMost/2)*b.config.HintMargin)
+		left := need + int(b.config.ReturnedHeadroom*testMemory) + 1
+		b.Fleet.Server("d1").Hold(testMemory - left)
+		b.Fleet.Server("d2").Hold(testMemory)
+		if reply := b.serve(b.generation("a", testPrompt)); reply.Status != 503 {
+			t.Fatalf("first: status %d", reply.Status)
+		}
+		if reply := b.serve(b.generation("b", testPrompt)); reply.Status != 200 {
+			t.Errorf("back: status %d after %v", reply.Status, b.engines.calls)
+		}
+		if reply := b.serve(b.generation("other", testPrompt)); reply.Status != 503 {
+			t.Errorf("another: status %d", reply.Status)
+		}
+	})
+}
+
+func TestARefusalByTheEngineLeadsToAnother(t *testing.T) {
+	play(t, func(b *bench) {
+		refused := ""
+		b.engines.reserve = func(server string) error {
+			if refused == "" {
+				refused = server
+				return &NotRun{Why: reason.BackendRefused, Sent: true, Detail: "status 503"}
+			}
+			return nil
+		}
+		reply := b.serve(b.generation("a", testPrompt))
+		if reply.Status != 200 || b.did("reserve") != 2 || strings.HasSuffix(b.engines.calls[len(b.engines.calls)-1], refused) {
+			t.Errorf("status %d after %v", reply.Status, b.engines.calls)
+		}
+		b.nothingHeld()
+	})
+}
