An instance's first look at the engines comes after it knows the table

Cause: a golden session differed beside load (57 of 240 runs with six processes at once, 0 of 60 alone): whether the first look at the engines found the table was left to the scheduler, and so when a dead home's stream was cancelled. First tried: the first work in a goroutine of its own; the detector found it racing the next one.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -198,7 +198,7 @@
 	i.goEvery(ctx, group, snapshotLook, i.writeSnapshot)
 	i.goEvery(ctx, group, ordersEvery, i.runOrders)
 	i.goEvery(ctx, group, i.config.Member.HeartbeatEvery, i.heartbeat)
-	i.goEvery(ctx, group, i.config.LoadEvery, i.inspectWorkers)
+	i.goAfter(ctx, group, i.config.LoadEvery, i.inspectWorkers)
 	err := group.Wait()
 	if ctx.Err() != nil {
 		return nil
@@ -223,23 +223,39 @@
 // drainPoll is how often a draining instance looks whether it is done.
 const drainPoll = 50 * time.Millisecond
 
-// goEvery calls work at once and then once a period, until ctx ends. The
-// period begins at a random phase, so that instances started together do not
-// all work at the same moment.
+// goEvery calls work at once and then as goAfter does.
 func (i *Instance) goEvery(ctx context.Context, group *errgroup.Group, period time.Duration, work func(context.Context)) {
-	phase := time.Duration(i.deps.Random() * float64(period))
+	phase := i.phase(period)
 	group.Go(func() error {
 		work(ctx)
-		wait.For(ctx, phase)
-		ticker := time.NewTicker(period)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-				work(ctx)
-			case <-ctx.Done():
-				return ctx.Err()
-			}
-		}
+		return repeat(ctx, phase, period, work)
 	})
 }
+
+// goAfter calls work once a period, until ctx ends. The period begins at a
+// random phase, so that instances started together do not all work at the same
+// moment, and work that needs what others find out at the start comes after
+// them.
+func (i *Instance) goAfter(ctx context.Context, group *errgroup.Group, period time.Duration, work func(context.Context)) {
+	phase := i.phase(period)
+	group.Go(func() error { return repeat(ctx, phase, period, work) })
+}
+
+func (i *Instance) phase(period time.Duration) time.Duration {
+	return time.Duration(i.deps.Random() * float64(period))
+}
+
+// repeat calls work once a period, after a phase, until ctx ends.
+func repeat(ctx context.Context, phase, period time.Duration, work func(context.Context)) error {
+	wait.For(ctx, phase)
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			work(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
