Learn lengths for each service by itself; a misdirected request cuts no change of role short

Found in reading the change: a deployment may have several model services, and an engine that changes its role for six seconds may answer 421 in that time. Tests for both.

--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -149,8 +149,9 @@
 	stopping atomic.Pointer[shutdown]
 	// lines bounds how many requests are logged.
 	lines *logging.Limit
-	// lengths is what callers' guesses at the length of answers are worth.
-	lengths route.Lengths
+	// lengths is what callers' guesses at the length of answers are worth, a
+	// *route.Lengths for each service's name.
+	lengths sync.Map
 	// cleanups waits for what outlives its request.
 	cleanups sync.WaitGroup
 }
@@ -181,6 +182,12 @@
 // shutdown is a graceful shutdown.
 type shutdown struct{ began, ends time.Time }
 
+// lengthsOf returns what guesses are worth for a service.
+func (g *Gateway) lengthsOf(service string) *route.Lengths {
+	known, _ := g.lengths.LoadOrStore(service, new(route.Lengths))
+	return known.(*route.Lengths)
+}
+
 // FreeMemory estimates the KV memory of all decode engines that nobody needs,
 // in tokens.
 func (g *Gateway) FreeMemory() int {
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -55,10 +55,11 @@
 	ctx, cancel := context.WithDeadline(caller, f.deadline)
 	g := &generation{
 		flow: f, ctx: ctx, cancel: cancel, done: func() {},
-		need:     expectedMemory(f.request.Generation, f.lengths.Guessed(expectedLength(f.request.Generation)), f.config.HintMargin),
 		target:   f.request.Arrived.Add(f.route.TTFT),
 		returned: f.Recall.Returns(f.request.Generation.Own, f.request.Arrived),
 	}
+	expected := f.lengthsOf(f.service.Name).Guessed(expectedLength(f.request.Generation))
+	g.need = expectedMemory(f.request.Generation, expected, f.config.HintMargin)
 	stream, failed := g.run()
 	if failed == nil {
 		return &Reply{Status: stream.Status, Fields: stream.Fields, Stream: newRelay(g, stream)}
--- a/forward/memory_test.go
+++ b/forward/memory_test.go
@@ -75,3 +75,14 @@
 		b.nothingHeld()
 	})
 }
+
+func TestLengthsOfOneServiceSayNothingOfAnother(t *testing.T) {
+	play(t, func(b *bench) {
+		for range 100 {
+			b.lengthsOf("short").Guessed(100)
+		}
+		if got := b.lengthsOf("long").Guessed(9000); got != 9000 {
+			t.Errorf("9000 became %d", got)
+		}
+	})
+}
--- a/route/forwarding_test.go
+++ b/route/forwarding_test.go
@@ -167,3 +167,21 @@
 		t.Fatalf("left over: %+v", got)
 	}
 }
+
+func TestAMisdirectedServerIsLeftAloneWhateverElseItTakes(t *testing.T) {
+	now := time.Now()
+	server := &Server{Name: "a"}
+	keeps := func(after time.Duration) bool {
+		return RefusingFilter{}.Keep(&Query{Now: now.Add(after)}, Candidate{Server: server})
+	}
+	server.Misdirected(now)
+	server.Accepted()
+	if keeps(misdirectedFor-time.Millisecond) || !keeps(misdirectedFor) {
+		t.Fatal("after a misdirected request")
+	}
+	server.Changing(now.Add(2 * misdirectedFor))
+	server.Misdirected(now)
+	if keeps(misdirectedFor) {
+		t.Fatal("a longer change of role was cut short")
+	}
+}
--- a/route/refusal.go
+++ b/route/refusal.go
@@ -65,7 +65,12 @@
 
 // Misdirected notes that another server answered in its place, or that it has
 // changed its role.
-func (s *Server) Misdirected(now time.Time) { s.Changing(now.Add(misdirectedFor)) }
+func (s *Server) Misdirected(now time.Time) {
+	until := now.Add(misdirectedFor)
+	if !s.IsChanging(until) {
+		s.Changing(until)
+	}
+}
 
 // Changing notes that the server changes its role until then, and takes no
 // work before.
