--- a/edge/edge.go
+++ b/edge/edge.go
@@ -137,9 +137,10 @@
 	// an instance sends and receives grows with them, not with the siblings.
 	NearPerBeat int
 	FarPerBeat  int
-	// NewsEvery is the least pause between two heartbeats, and between two looks
-	// at what siblings have told. Shorter lets siblings know sooner of requests
-	// that an engine got; NewsPerSibling stretches it where there are many.
+	// NewsEvery is the least pause between two heartbeats, and between two sums
+	// of what siblings have told. Shorter lets siblings know sooner of requests
+	// that an engine got; NewsPerSibling stretches it where there are many, up
+	// to the period of heartbeats.
 	NewsEvery      time.Duration
 	NewsPerSibling time.Duration
 	// PeersTold is how many other siblings a heartbeat names.
@@ -235,7 +236,7 @@
 	peers    *peers
 	budgets  *budgets
 	store    *dependency
-	// loadsHeard is set once siblings have told of loads that are not yet summed.
+	// loadsHeard is set when what siblings have told is to be summed anew.
 	loadsHeard atomic.Bool
 	stopping   atomic.Bool
 	orders     *orders
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -140,7 +140,8 @@
 		in.members.Tick(now)
 		in.registry.Tick(now)
 		in.rebuild()
-		in.sumLoads()
+		// A sibling that died, or a server that came, changes the sums too.
+		in.loadsHeard.Store(true)
 		in.budgets.share(len(in.members.View().Siblings) + 1)
 	}
 }
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -110,9 +110,10 @@
 	return total
 }
 
-// followLoads takes in what siblings tell of their loads.
+// followLoads takes in what siblings tell of their loads, as often as they may
+// tell it.
 func (in *Instance) followLoads(ctx context.Context) {
-	for wait.For(ctx, in.config.NewsEvery) {
+	for wait.For(ctx, in.quickBeat()) {
 		if in.loadsHeard.Swap(false) {
 			in.sumLoads()
 		}
@@ -163,7 +164,7 @@
 		addresses := in.peers.addresses(now)
 		every := max(1, len(addresses)/in.config.FarPerBeat)
 		in.members.SetSuspectAfter(max(in.config.Members.SuspectAfter, time.Duration(every*patientBeats)*in.config.Members.HeartbeatEvery))
-		in.sendTo(in.due(addresses, turn, every), addresses)
+		in.sendTo(in.due(addresses, turn, every), addresses, loads)
 		told, sent = loads, now
 		turn++
 	}
@@ -231,12 +232,13 @@
 // sendHeartbeats sends one to every sibling.
 func (in *Instance) sendHeartbeats() {
 	addresses := in.peers.addresses(time.Now())
-	in.sendTo(addresses, addresses)
+	in.sendTo(addresses, addresses, in.loads())
 }
 
-func (in *Instance) sendTo(addresses, known []string) {
+// sendTo sends a heartbeat that tells of loads and of some known addresses.
+func (in *Instance) sendTo(addresses, known []string, loads []heartbeat.Load) {
 	datagram, err := heartbeat.Encode(heartbeat.Message{
-		From: in.info(), Loads: in.loads(), Peers: in.somePeers(known), Changing: in.peers.underWay(time.Now()),
+		From: in.info(), Loads: loads, Peers: in.somePeers(known), Changing: in.peers.underWay(time.Now()),
 		Refused: in.Recall.Fresh(time.Now()),
 	})
 	if err != nil {
