--- a/edge/news_test.go
+++ b/edge/news_test.go
@@ -81,3 +81,35 @@
 		synctest.Wait()
 	})
 }
+
+func TestSumsOverManySiblingsAreRarer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := workersOf(0, 1)
+		in := candidate("a", &claims{}, engines)
+		in.see(engines)
+		for i := range 100 {
+			in.members.Heard(member.Info{Name: string(rune('A' + i)), Incarnation: 1, Peer: "127.0.0.1:1"}, time.Now())
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		go in.followLoads(ctx)
+		var engine string
+		for engine = range in.servers.Load().ByID {
+		}
+		in.heard(heartbeat.Message{
+			From:  member.Info{Name: "b", Incarnation: 1, Peer: "127.0.0.1:1"},
+			Loads: []heartbeat.Load{{Server: route.ServerID(engine), Memory: 7000}},
+		})
+		time.Sleep(in.config.Members.HeartbeatEvery - time.Millisecond)
+		synctest.Wait()
+		if got := in.Fleet.Server(engine).Others().Memory; got != 0 {
+			t.Errorf("summed early: %d tokens", got)
+		}
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		if got := in.Fleet.Server(engine).Others().Memory; got != 7000 {
+			t.Errorf("siblings hold %d tokens", got)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
