--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -148,9 +148,9 @@
 }
 
 // beat sends heartbeats until ctx ends, and one more whenever there is news.
-// Where there are many siblings each gets
-// only some, and is given more time before it counts as silent; those of the
-// same zone get more, since bytes between zones are dear.
+// Where there are many siblings each gets only some, and is given more time
+// before it counts as silent; those of the same zone get more, since bytes
+// between zones are dear.
 func (in *Instance) beat(ctx context.Context) {
 	in.sendHeartbeats()
 	var told []heartbeat.Load
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -46,6 +46,7 @@
 	return query
 }
 
+// chooseBy decides as choose does, for a query that says more.
 func (f *flow) chooseBy(query *route.Query, profile *route.Profile, pool []*table.BackendView) *route.Rated {
 	made := profile.Decide(query, f.Fleet, pool)
 	outcome := made.Pick
--- a/route/lengths.go
+++ b/route/lengths.go
@@ -25,9 +25,11 @@
 	// (source: the users' sheets).
 	guessError = 0.5
 	// fewGuesses is how many guesses must be known before they are drawn to
-	// their mean.
+	// their mean: with ten, the mean is off by 0.25 of the logarithm.
 	fewGuesses = 10
-	// leastTrust is the least weight of the guess itself.
+	// leastTrust is the least weight of the guess itself, for guesses that vary
+	// less than their error would let them; half of what they are worth on the
+	// users' sheets.
 	leastTrust = 0.3
 )
 
