Leave memory free by how far lengths are seen to be off

Cause: 0.15 of each engine's memory stayed free, a figure of the first users' deployments, where an answer is as long as its prompt.

Change: what stays free is 1.645 standard deviations of the sum of an engine's errors: each request's generated less expected tokens, seen at its end. Before twenty have ended, the error of callers' guesses stands in.

--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -76,14 +76,12 @@
 	// memory is reserved. With less, requests outgrow their reservation and are
 	// preempted; with more, less is left for others.
 	HintMargin float64
-	// Headroom is the part of an engine's memory that is left free for
-	// requests that outgrow what was expected of them.
-	Headroom float64
-	// ReturnedHeadroom is the same part for requests that were refused before.
-	ReturnedHeadroom float64
-	// UsualMemory is what a request usually needs, in tokens. One that needs
-	// more must leave LargeHeadroom times the excess free.
-	UsualMemory   int
+	// ReturnedSpare is the part of what usually stays free that must stay free
+	// beside a request that was refused before.
+	ReturnedSpare float64
+	// LargeHeadroom is how much more must stay free beside a request that needs
+	// more memory than the mean, as a part of the excess: for the same memory
+	// and time, several smaller ones are served.
 	LargeHeadroom float64
 	// LateReading is how long after the first token's target a prefill may
 	// still end; a late stream is worth something to its caller.
@@ -99,25 +97,23 @@
 // DefaultConfig suits the sizes of the users' sheets.
 func DefaultConfig() Config {
 	return Config{
-		ReserveTimeout:   150 * time.Millisecond,
-		ReserveTries:     3,
-		ReservePause:     40 * time.Millisecond,
-		CleanupTimeout:   time.Second,
-		RefuseWithin:     0.25,
-		RetryEarliest:    0.16,
-		RetryLatest:      0.32,
-		LandingMargin:    150 * time.Millisecond,
-		LastCalls:        1600 * time.Millisecond,
-		RetryElsewhere:   50 * time.Millisecond,
-		StreamGrace:      2500 * time.Millisecond,
-		HintMargin:       0.6,
-		Headroom:         0.15,
-		ReturnedHeadroom: 0.06,
-		UsualMemory:      8000,
-		LargeHeadroom:    0.5,
-		LateReading:      600 * time.Millisecond,
-		EventPause:       60 * time.Millisecond,
-		HandleMargin:     100 * time.Millisecond,
+		ReserveTimeout: 150 * time.Millisecond,
+		ReserveTries:   3,
+		ReservePause:   40 * time.Millisecond,
+		CleanupTimeout: time.Second,
+		RefuseWithin:   0.25,
+		RetryEarliest:  0.16,
+		RetryLatest:    0.32,
+		LandingMargin:  150 * time.Millisecond,
+		LastCalls:      1600 * time.Millisecond,
+		RetryElsewhere: 50 * time.Millisecond,
+		StreamGrace:    2500 * time.Millisecond,
+		HintMargin:     0.6,
+		ReturnedSpare:  0.4,
+		LargeHeadroom:  0.5,
+		LateReading:    600 * time.Millisecond,
+		EventPause:     60 * time.Millisecond,
+		HandleMargin:   100 * time.Millisecond,
 	}
 }
 
@@ -152,6 +148,8 @@
 	// lengths is what callers' guesses at the length of answers are worth, a
 	// *route.Lengths for each service's name.
 	lengths sync.Map
+	// sizes is what requests need, a *route.Sizes for each service's name.
+	sizes sync.Map
 	// cleanups waits for what outlives its request.
 	cleanups sync.WaitGroup
 }
@@ -188,6 +186,12 @@
 	return known.(*route.Lengths)
 }
 
+// sizesOf returns what requests of a service need.
+func (g *Gateway) sizesOf(service string) *route.Sizes {
+	known, _ := g.sizes.LoadOrStore(service, new(route.Sizes))
+	return known.(*route.Sizes)
+}
+
 // FreeMemory estimates the KV memory of all decode engines that nobody needs,
 // in tokens.
 func (g *Gateway) FreeMemory() int {
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -19,8 +19,10 @@
 	*flow
 	ctx    context.Context
 	cancel context.CancelFunc
-	// need is the KV memory that the request will need, in tokens.
-	need int
+	// expected is how many tokens the request is expected to generate, and need
+	// the KV memory that is reserved for it, in tokens.
+	expected int
+	need     int
 	// target is when the first token is due.
 	target time.Time
 
@@ -58,8 +60,9 @@
 		target:   f.request.Arrived.Add(f.route.TTFT),
 		returned: f.Recall.Returns(f.request.Generation.Own, f.request.Arrived),
 	}
-	expected := f.lengthsOf(f.service.Name).Guessed(expectedLength(f.request.Generation))
-	g.need = expectedMemory(f.request.Generation, expected, f.config.HintMargin)
+	g.expected = f.lengthsOf(f.service.Name).Guessed(expectedLength(f.request.Generation))
+	g.need = expectedMemory(f.request.Generation, g.expected, f.config.HintMargin)
+	f.sizesOf(f.service.Name).Asked(g.need, g.expected)
 	stream, failed := g.run()
 	if failed == nil {
 		return &Reply{Status: stream.Status, Fields: stream.Fields, Stream: newRelay(g, stream)}
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -81,20 +81,20 @@
 }
 
 // spare is the part of an engine's memory that must stay free beside the
-// request. Some is left for requests that outgrow what was expected: once one
-// must be preempted, the reading of its prompt holds up all others of its
-// engine. A request that needs more than most must leave more: for the same
-// memory and time, several smaller ones are served. A request that was refused
-// before may take more of it.
+// request: some for requests that outgrow what was expected of them, and more
+// beside one that needs more than most. A request that was refused before may
+// take more of it.
 func (g *generation) spare() float64 {
-	if g.returned {
-		return g.config.ReturnedHeadroom
+	memory := g.service.Engine.MemoryTokens
+	if memory == 0 {
+		return 0
 	}
-	if g.service.Engine.MemoryTokens == 0 {
-		return g.config.Headroom
+	sizes := g.sizesOf(g.service.Name)
+	if g.returned {
+		return g.config.ReturnedSpare * sizes.Spare(memory)
 	}
-	excess := max(g.need-g.config.UsualMemory, 0)
-	return g.config.Headroom + g.config.LargeHeadroom*float64(excess)/float64(g.service.Engine.MemoryTokens)
+	excess := max(float64(g.need)-sizes.Need(), 0)
+	return sizes.Spare(memory) + g.config.LargeHeadroom*excess/float64(memory)
 }
 
 func (g *generation) ask(chosen *route.Rated) (Reservation, error) {
--- a/forward/memory_test.go
+++ b/forward/memory_test.go
@@ -43,7 +43,9 @@
 		// What is left is enough for the request and the smaller of the two
 		// parts that must stay free.
 		need := testPrompt + int(float64(testMost/2)*b.config.HintMargin)
-		left := need + int(b.config.ReturnedHeadroom*testMemory) + 1
+		b.sizesOf("llm").Asked(need, testMost/2)
+		spare := b.sizesOf("llm").Spare(testMemory)
+		left := need + int(b.config.ReturnedSpare*spare*testMemory) + 1
 		b.Fleet.Server("d1").Hold(testMemory - left)
 		b.Fleet.Server("d2").Hold(testMemory)
 		if reply := b.serve(b.generation("a", testPrompt)); reply.Status != 503 {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -101,6 +101,9 @@
 	departed := r.ctx.Err() != nil && time.Now().Before(r.deadline)
 	r.cancel()
 	r.leave()
+	if r.ended == io.EOF {
+		r.sizesOf(r.service.Name).Ended(r.expected, r.events*r.service.Engine.EventTokens)
+	}
 	why, detail := r.reason(departed)
 	r.decide(stepStream, resultOf(r.ended), "events", r.events, "firstMillis", r.first.Milliseconds(), "longestGapMillis", r.gap.Milliseconds())
 	r.close(r.stream.Status, why, detail)
