Ask no more free memory beside large requests

Cause: a request that needs more than most had to leave half of the excess free too, so that several smaller ones are served in its place.

--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -79,10 +79,6 @@
 	// ReturnedSpare is the part of what usually stays free that must stay free
 	// beside a request that was refused before.
 	ReturnedSpare float64
-	// LargeHeadroom is how much more must stay free beside a request that needs
-	// more memory than the mean, as a part of the excess: for the same memory
-	// and time, several smaller ones are served.
-	LargeHeadroom float64
 	// LateReading is how long after the first token's target a prefill may
 	// still end; a late stream is worth something to its caller.
 	LateReading time.Duration
@@ -110,7 +106,6 @@
 		StreamGrace:    2500 * time.Millisecond,
 		HintMargin:     0.6,
 		ReturnedSpare:  0.4,
-		LargeHeadroom:  0.5,
 		LateReading:    600 * time.Millisecond,
 		EventPause:     60 * time.Millisecond,
 		HandleMargin:   100 * time.Millisecond,
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -81,9 +81,8 @@
 }
 
 // spare is the part of an engine's memory that must stay free beside the
-// request: some for requests that outgrow what was expected of them, and more
-// beside one that needs more than most. A request that was refused before may
-// take more of it.
+// request, for those that outgrow what was expected of them. A request that was
+// refused before may take more of it.
 func (g *generation) spare() float64 {
 	memory := g.service.Engine.MemoryTokens
 	if memory == 0 {
@@ -93,8 +92,7 @@
 	if g.returned {
 		return g.config.ReturnedSpare * sizes.Spare(memory)
 	}
-	excess := max(float64(g.need)-sizes.Need(), 0)
-	return sizes.Spare(memory) + g.config.LargeHeadroom*excess/float64(memory)
+	return sizes.Spare(memory)
 }
 
 func (g *generation) ask(chosen *route.Rated) (Reservation, error) {
