Learn how long streams pause while a decode engine reads a prompt

Change: the moment that 95 in 100 pauses do not exceed, by stochastic approximation, for pauses with and without a prompt being read; before five were seen, parts of 256 tokens for each token of an event.

--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -85,8 +85,8 @@
 	// HandleMargin is how long before a prefill's result lapses it is no longer
 	// handed to another engine: a reservation and the transfer take that long.
 	HandleMargin time.Duration
-	// EventPause is the usual pause between two events of a stream (source: the
-	// users' sheets, 64 tokens of 0.8 ms).
+	// EventPause stands in for the usual pause between two events of a stream
+	// until some were seen (source: the users' sheets, 64 tokens of 0.8 ms).
 	EventPause time.Duration
 }
 
@@ -145,6 +145,8 @@
 	lengths sync.Map
 	// sizes is what requests need, a *route.Sizes for each service's name.
 	sizes sync.Map
+	// pauses is how long streams pause, a *pauses for each service's name.
+	pauses sync.Map
 	// cleanups waits for what outlives its request.
 	cleanups sync.WaitGroup
 }
@@ -187,6 +189,19 @@
 	return known.(*route.Sizes)
 }
 
+// pauses is how long the streams of a service pause between two events.
+type pauses struct {
+	usual route.Pauses
+	// reading is the same while the decode engine reads a prompt.
+	reading route.Pauses
+}
+
+// pausesOf returns how long streams of a service pause.
+func (g *Gateway) pausesOf(service string) *pauses {
+	known, _ := g.pauses.LoadOrStore(service, new(pauses))
+	return known.(*pauses)
+}
+
 // FreeMemory estimates the KV memory of all decode engines that nobody needs,
 // in tokens.
 func (g *Gateway) FreeMemory() int {
--- a/forward/read.go
+++ b/forward/read.go
@@ -25,8 +25,9 @@
 	if !g.readAtDecode {
 		return nil
 	}
-	g.decide(stepRead, "at_decode", "why", reason.DeadlineTooClose, "aheadMillis", ahead.Milliseconds())
-	if pause := g.pauseAtDecode(); pause > g.route.TBT {
+	pause := g.pauseAtDecode()
+	g.decide(stepRead, "at_decode", "why", reason.DeadlineTooClose, "aheadMillis", ahead.Milliseconds(), "pauseMillis", pause.Milliseconds())
+	if pause > g.route.TBT {
 		return &stepError{why: reason.DeadlineTooClose, detail: "reading the prompt between their tokens would delay others by " + pause.String()}
 	}
 	return nil
@@ -36,11 +37,31 @@
 // than a prefill engine (source: the users' protocol, half the speed).
 const decodeReadsSlower = 2
 
+// readPart is how many tokens of a prompt a decode engine reads between two
+// tokens of its streams, until pauses tell (source: the users' sheets and
+// protocol, a quarter of 1,024).
+const readPart = 256
+
 // pauseAtDecode estimates the pause between two events of the other streams of
 // a decode engine that reads the prompt: they get their tokens between its
 // parts.
 func (g *generation) pauseAtDecode() time.Duration {
-	return decodeReadsSlower*g.prefill.Server.ReadTime(g.request.Generation.PromptTokens) + g.config.EventPause
+	seen := g.pausesOf(g.service.Name)
+	usual, known := seen.usual.Most()
+	if !known {
+		usual = g.config.EventPause
+	}
+	prompt := g.request.Generation.PromptTokens
+	if most, known := seen.reading.Most(); known {
+		return min(most, usual+g.decodeReadTime(prompt))
+	}
+	return usual + g.decodeReadTime(min(prompt, readPart*g.service.Engine.EventTokens))
+}
+
+// decodeReadTime estimates how long a decode engine takes to read so many
+// tokens.
+func (g *generation) decodeReadTime(tokens int) time.Duration {
+	return decodeReadsSlower * g.prefill.Server.ReadTime(tokens)
 }
 
 // read has the prompt read. A prefill does not run the request, so whatever
--- a/forward/reading_test.go
+++ b/forward/reading_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/mastwheel/mastwheel/reason"
 )
@@ -34,3 +35,26 @@
 		b.nothingHeld()
 	})
 }
+
+func TestPausesThatWereSeenDecideWhetherADecodeEngineReads(t *testing.T) {
+	play(t, func(b *bench) {
+		for _, id := range []string{"p1", "p2"} {
+			defer b.Fleet.Server(id).Unread(2 * testReadRate)()
+		}
+		seen := func(pause time.Duration) {
+			for range 100 {
+				b.pausesOf("llm").reading.Observe(pause)
+			}
+		}
+		// Engines that read a prompt in parts hold up their streams only for a
+		// part of it.
+		seen(190 * time.Millisecond)
+		if reply := b.serve(b.generation("long", 7000)); reply.Status != 200 || b.did("prefill") != 0 || b.did("decode") != 1 {
+			t.Errorf("status %d after %v", reply.Status, b.engines.calls)
+		}
+		seen(400 * time.Millisecond)
+		if reply := b.serve(b.generation("longer", 7000)); reply.Status != 503 {
+			t.Errorf("status %d where pauses are late", reply.Status)
+		}
+	})
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -26,7 +26,9 @@
 	last   time.Time
 	gap    time.Duration
 	first  time.Duration
-	closed bool
+	// reading is set if the engine had a prompt to read at the last event.
+	reading bool
+	closed  bool
 }
 
 // relayRead is how much is read at once; an event has some hundred bytes.
@@ -83,13 +85,25 @@
 		r.first = now.Sub(r.request.Arrived)
 		r.Metrics.FirstToken.WithLabelValues(r.service.Name).Observe(r.first.Seconds())
 	} else {
-		r.gap = max(r.gap, now.Sub(r.last))
+		r.paused(now.Sub(r.last))
 	}
+	r.reading = r.decode.Server.WaitingTokens() > 0
 	r.last = now
 	r.events += events
 	r.grow(r.request.Generation.PromptTokens + r.events*r.service.Engine.EventTokens)
 }
 
+// paused notes a pause between two events.
+func (r *relay) paused(pause time.Duration) {
+	r.gap = max(r.gap, pause)
+	seen := r.pausesOf(r.service.Name)
+	if r.reading || r.decode.Server.WaitingTokens() > 0 {
+		seen.reading.Observe(pause)
+		return
+	}
+	seen.usual.Observe(pause)
+}
+
 // Close implements io.Closer.
 func (r *relay) Close() error {
 	if r.closed {
