Leave a server alone that cannot be connected to

The second try also took from the budget of retries, though nothing had been sent.

Change: a server that was not reached is left alone for 0.2 s, doubled up to 1.6 s, and a prompt is tried at another engine, up to four, without taking from the budget. The test fails before: refused after one engine's refusal with no budget, and asked again.

--- a/forward/learn.go
+++ b/forward/learn.go
@@ -14,6 +14,9 @@
 func (f *flow) learn(server *route.Server, err error) {
 	now := time.Now()
 	var notRun *NotRun
+	if !errors.As(err, &notRun) || notRun.Sent {
+		server.Reached()
+	}
 	switch {
 	case err == nil:
 		server.Heard(now)
@@ -25,6 +28,9 @@
 	case errors.As(err, &notRun) && notRun.Sent:
 		server.Heard(now)
 		server.Refused(now)
+	case errors.As(err, &notRun):
+		server.Unreached(now)
+		server.Breaker.Failure(now)
 	default:
 		server.Breaker.Failure(now)
 	}
--- a/forward/read.go
+++ b/forward/read.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mastwheel/mastwheel/reason"
 )
 
@@ -78,7 +80,7 @@
 		if g.ctx.Err() != nil {
 			return &stepError{why: reason.CallerGone, detail: err.Error()}
 		}
-		if try == maxPrefills || !g.Budget(g.service.Name).Spend(time.Now()) {
+		if !g.mayReadAgain(err, try) {
 			return &stepError{why: reason.PrefillFailed, detail: err.Error()}
 		}
 		g.Metrics.Retried(reason.PrefillFailed)
@@ -91,8 +93,24 @@
 	}
 }
 
-// maxPrefills bounds the tries to have one prompt read.
-const maxPrefills = 2
+// mayReadAgain says whether a prompt is read once more after a try that failed.
+// An engine that was not reached costs the others nothing, so another is tried
+// without taking from the budget.
+func (g *generation) mayReadAgain(failed error, try int) bool {
+	var notRun *NotRun
+	if errors.As(failed, &notRun) && !notRun.Sent {
+		return try < maxUnreached
+	}
+	return try < maxPrefills && g.Budget(g.service.Name).Spend(time.Now())
+}
+
+const (
+	// maxPrefills bounds the tries to have one prompt read.
+	maxPrefills = 2
+	// maxUnreached bounds them where engines are not reached: connections that
+	// are refused take a round trip each, and one zone's engines may all be gone.
+	maxUnreached = 4
+)
 
 func (g *generation) readOnce() error {
 	server := g.prefill.Server
--- a/forward/reading_test.go
+++ b/forward/reading_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/route"
 )
 
 func TestPromptsAreReadAtDecodeEnginesOnlyIfOthersStayOnTime(t *testing.T) {
@@ -58,3 +59,36 @@
 		}
 	})
 }
+
+func TestAnEngineThatIsNotReachedIsLeftAlone(t *testing.T) {
+	play(t, func(b *bench) {
+		budget := b.Budget("llm").Left(time.Now())
+		gone := ""
+		b.engines.prefill = func(server string) error {
+			if gone == "" {
+				gone = server
+			}
+			if server == gone {
+				return &NotRun{Why: reason.ConnectFailed, Detail: "connection refused"}
+			}
+			return nil
+		}
+		if reply := b.serve(b.generation("a", testPrompt)); reply.Status != 200 || b.did("prefill") != 2 {
+			t.Fatalf("status %d after %v", reply.Status, b.engines.calls)
+		}
+		if left := b.Budget("llm").Left(time.Now()); left < budget {
+			t.Errorf("%.1f retries left of %.1f: nothing was sent twice", left, budget)
+		}
+		b.engines.calls = nil
+		for range 5 {
+			b.serve(b.generation("b", testPrompt))
+		}
+		if b.did("prefill "+gone) > 1 {
+			t.Errorf("asked again and again: %v", b.engines.calls)
+		}
+		time.Sleep(2 * time.Second)
+		if query := (&route.Query{Now: time.Now()}); !(route.RefusingFilter{}).Keep(query, route.Candidate{Server: b.Fleet.Server(gone)}) {
+			t.Error("still left alone after two seconds")
+		}
+	})
+}
--- a/route/refusal.go
+++ b/route/refusal.go
@@ -16,6 +16,9 @@
 	firstShun = 50 * time.Millisecond
 	// longestShun bounds the time after many refusals in a row.
 	longestShun = 1600 * time.Millisecond
+	// firstUnreached is how long a server is left alone that could not be
+	// connected to: its process is down, and comes back in seconds if at all.
+	firstUnreached = 200 * time.Millisecond
 	// firstLostHandoff is how long a prefill engine is left alone after one of
 	// its results could not be used: each costs a whole prompt.
 	firstLostHandoff = 200 * time.Millisecond
@@ -51,6 +54,14 @@
 // Accepted notes that the server took work.
 func (s *Server) Accepted() { s.refusals.end() }
 
+// Unreached notes that no connection to the server could be opened. Five such
+// requests in a row would open the breaker; each is a caller kept waiting or
+// refused.
+func (s *Server) Unreached(now time.Time) { s.unreached.add(now, firstUnreached) }
+
+// Reached notes that the server was connected to.
+func (s *Server) Reached() { s.unreached.end() }
+
 // HandoffLost notes that a prefill result of the server could not be used.
 func (s *Server) HandoffLost(now time.Time) { s.handoffs.add(now, firstLostHandoff) }
 
@@ -79,8 +90,8 @@
 // IsChanging says whether the server is changing its role.
 func (s *Server) IsChanging(now time.Time) bool { return int64(now.Sub(epoch)) < s.changing.Load() }
 
-// RefusingFilter drops servers that have just refused, whose results could not
-// be used, or that change their role.
+// RefusingFilter drops servers that have just refused, that could not be reached,
+// whose results could not be used, or that change their role.
 type RefusingFilter struct{}
 
 // Name implements Filter.
@@ -88,5 +99,7 @@
 
 // Keep implements Filter.
 func (RefusingFilter) Keep(q *Query, c Candidate) bool {
-	return !c.Server.IsChanging(q.Now) && !c.Server.refusals.active(q.Now) && !c.Server.handoffs.active(q.Now)
+	server := c.Server
+	left := server.refusals.active(q.Now) || server.handoffs.active(q.Now) || server.unreached.active(q.Now)
+	return !left && !server.IsChanging(q.Now)
 }
--- a/route/server.go
+++ b/route/server.go
@@ -51,6 +51,8 @@
 	silence  silence
 	refusals refusals
 	handoffs refusals
+	// unreached tracks connections that could not be opened.
+	unreached refusals
 	// changing is until when the server changes its role, on the clock of epoch.
 	changing atomic.Int64
 }
@@ -199,6 +201,7 @@
 		server.Breaker.Success()
 		server.Heard(now)
 		server.Accepted()
+		server.Reached()
 	}
 }
 
