Check once more that engines do not leave before they get a stream

Cause: the list of servers was looked at once, when a request came. It may wait 0.2 s for memory and 1.5 s for its prompt; with a list read each 0.6 s a stream could reach an engine more than two seconds after it said that it leaves.

Change: the list is looked at again while memory is awaited and before the stream; a result then goes to another engine, or the request is refused, which is true. Entries of servers that were chosen are kept: the engine with the result may be gone from the list. Four tests, which fail before.

--- a/forward/flow.go
+++ b/forward/flow.go
@@ -22,6 +22,8 @@
 	deadline time.Time
 	// leave takes the request off the count of those in flight.
 	leave func()
+	// entries holds those of the servers that were chosen, by name.
+	entries map[string]*registry.Entry
 	// tried names servers that failed this request.
 	tried []string
 	// path names the servers that the request was sent to, in order.
@@ -54,10 +56,15 @@
 		outcome = "none"
 	}
 	f.decisions = append(f.decisions, decision{at: query.Now, step: stepChoose, outcome: outcome, rated: made.Rated})
+	if made.Chosen != nil {
+		f.entries[made.Pick] = f.servers.ByID[made.Pick]
+	}
 	return made.Chosen
 }
 
-func (f *flow) entry(chosen *route.Rated) *registry.Entry { return f.servers.ByID[chosen.Name] }
+// entry returns the entry of a server that was chosen, as it was then: the
+// server may be gone from the list by now.
+func (f *flow) entry(chosen *route.Rated) *registry.Entry { return f.entries[chosen.Name] }
 
 // retryAfter is when a refused caller should come back.
 func (f *flow) retryAfter(why reason.Reason) time.Duration {
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -230,7 +230,7 @@
 // Serve forwards one request. ctx ends when its caller departs.
 func (g *Gateway) Serve(ctx context.Context, r *Request) *Reply {
 	view := g.Beliefs.Table()
-	f := &flow{Gateway: g, request: r, servers: g.Beliefs.Servers()}
+	f := &flow{Gateway: g, request: r, servers: g.Beliefs.Servers(), entries: make(map[string]*registry.Entry)}
 	if view == nil {
 		return f.refuse(reason.StaleTable, "no table is known yet")
 	}
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -102,8 +102,13 @@
 	return &stepError{why: reason.Stopping, detail: "the instance is stopping"}
 }
 
-// begin starts the stream at the decode engine that has the reservation.
+// begin starts the stream at the decode engine that has the reservation, unless
+// that began to leave while the prompt was read: a second and more after it said
+// so, an engine must get no new work.
 func (g *generation) begin() (*Stream, *stepError) {
+	if g.leaving(g.decode.Name) {
+		return g.handOffElsewhere(&stepError{why: reason.HandoffRefused, detail: "the decode engine is leaving"})
+	}
 	server := g.decode.Server
 	g.path = append(g.path, g.decode.Name)
 	order := DecodeOrder{Reservation: g.reservation, LastEvent: g.request.LastEvent}
--- a/forward/handoff_test.go
+++ b/forward/handoff_test.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"maps"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/table"
 )
 
 // misdirected is what an engine says that is not the one that was meant.
@@ -53,3 +56,95 @@
 		b.nothingHeld()
 	})
 }
+
+// leave has a server say that it leaves.
+func (b *bench) leave(id string) {
+	before := b.Beliefs.Servers()
+	after := &Servers{ByID: maps.Clone(before.ByID), Prefill: before.Prefill, Plain: before.Plain, Decode: map[string][]*table.BackendView{}}
+	for _, backend := range before.Decode["llm"] {
+		next := *backend
+		next.Drain = next.Drain || next.Name == id
+		after.Decode["llm"] = append(after.Decode["llm"], &next)
+	}
+	entry := *before.ByID[id]
+	entry.Draining = true
+	after.ByID[id] = &entry
+	b.Beliefs.(*beliefs).servers = after
+}
+
+func TestAnEngineThatLeavesWhileThePromptIsReadGetsNoStream(t *testing.T) {
+	play(t, func(b *bench) {
+		left := ""
+		b.engines.prefill = func(string) error {
+			for _, call := range b.engines.calls {
+				if server, ok := strings.CutPrefix(call, "reserve "); ok && left == "" {
+					left = server
+				}
+			}
+			b.leave(left)
+			return nil
+		}
+		reply := b.serve(b.generation("a", testPrompt))
+		if reply.Status != 200 || left == "" || b.did("decode "+left) != 0 || b.did("decode") != 1 || b.did("release "+left) != 1 {
+			t.Errorf("status %d after %v", reply.Status, b.engines.calls)
+		}
+		b.nothingHeld()
+	})
+}
+
+func TestWithNoOtherEngineARequestForALeavingOneIsRefused(t *testing.T) {
+	play(t, func(b *bench) {
+		b.leave("d1")
+		b.engines.prefill = func(string) error {
+			b.leave("d2")
+			return nil
+		}
+		reply := b.serve(b.generation("a", testPrompt))
+		if reply.Status != 503 || reply.RetryAfter == 0 || b.did("decode") != 0 || b.did("free") != 1 {
+			t.Errorf("status %d after %v", reply.Status, b.engines.calls)
+		}
+		b.nothingHeld()
+	})
+}
+
+func TestAnEngineThatLeavesWhileMemoryIsAwaitedIsNotReserved(t *testing.T) {
+	play(t, func(b *bench) {
+		for _, id := range []string{"d1", "d2"} {
+			b.Fleet.Server(id).Hold(testMemory)
+		}
+		time.AfterFunc(testTarget/8, func() {
+			b.leave("d1")
+			b.Fleet.Server("d1").Hold(-testMemory)
+		})
+		if reply := b.serve(b.generation("a", testPrompt)); reply.Status != 503 || b.did("reserve") != 0 {
+			t.Errorf("status %d after %v", reply.Status, b.engines.calls)
+		}
+	})
+}
+
+func TestAPrefillEngineThatIsGoneMeanwhileStillHasItsResult(t *testing.T) {
+	play(t, func(b *bench) {
+		b.engines.prefill = func(string) error {
+			before := b.Beliefs.Servers()
+			after := &Servers{ByID: maps.Clone(before.ByID), Plain: before.Plain, Decode: before.Decode, Prefill: map[string][]*table.BackendView{}}
+			delete(after.ByID, "p1")
+			delete(after.ByID, "p2")
+			b.Beliefs.(*beliefs).servers = after
+			for _, call := range b.engines.calls {
+				if server, ok := strings.CutPrefix(call, "reserve "); ok {
+					b.leave(server)
+				}
+			}
+			return nil
+		}
+		b.engines.decode = func(_ string, order DecodeOrder) error {
+			if order.Source == nil || order.Result == "" {
+				t.Errorf("the result was lost: %+v", order)
+			}
+			return nil
+		}
+		if reply := b.serve(b.generation("a", testPrompt)); reply.Status != 200 {
+			t.Errorf("status %d after %v", reply.Status, b.engines.calls)
+		}
+	})
+}
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -28,6 +28,8 @@
 			return &stepError{why: reason.CallerGone, detail: g.ctx.Err().Error()}
 		}
 		g.tried = g.tried[:0]
+		// Servers may have begun to leave in the meantime.
+		g.servers = g.Beliefs.Servers()
 	}
 }
 
--- a/forward/read.go
+++ b/forward/read.go
@@ -160,17 +160,25 @@
 	return g.begin()
 }
 
-// handOffElsewhere takes a prefill's result to another decode engine when the
-// first turned out not to be one. The result waits only for a short while.
+// leaving says whether a server has begun to leave, or is gone.
+func (g *generation) leaving(name string) bool {
+	entry := g.Beliefs.Servers().ByID[name]
+	return entry == nil || entry.Draining
+}
+
+// handOffElsewhere takes a request to another decode engine when the first
+// turned out not to be one, or is leaving. A prefill's result waits only for a
+// short while.
 func (g *generation) handOffElsewhere(failed *stepError) (*Stream, *stepError) {
 	lapses := g.readAt.Add(g.service.Engine.Handle - g.config.HandleMargin)
-	if time.Now().After(lapses) || !g.Budget(g.service.Name).Spend(time.Now()) {
+	if g.result != "" && time.Now().After(lapses) || !g.Budget(g.service.Name).Spend(time.Now()) {
 		return nil, failed
 	}
 	g.Metrics.Retried(failed.why)
 	g.decide(stepRetry, "elsewhere", "why", failed.why)
 	g.returnReservation()
 	g.uncommit()
+	g.servers = g.Beliefs.Servers()
 	g.tried = append(g.tried[:0], g.decode.Name)
 	if failed := g.reserveOnce(); failed != nil {
 		return nil, failed
