Take a broken or silent stream up at another engine

Cause: nine in ten streams of the new customer may go on at another engine within one answer, and none did: a crash ended them, and a caller waits 3.6 s on one that has gone silent before it comes back by itself.

Change: behind the last whole event the request is placed anew, its prompt read, and the stream goes on under the headers of its first engine, within the route's attempts and the shared budget. A stream counts as silent after three of the longest pauses in time, its first event after the first token's target; where it may not go on elsewhere, silence ends nothing. A run lost before its answer began is made up for likewise. An engine at which a run broke is not asked again.

The tests fail before: a broken stream ends.

--- a/forward/flow.go
+++ b/forward/flow.go
@@ -24,6 +24,8 @@
 	leave func()
 	// entries holds those of the servers that were chosen, by name.
 	entries map[string]*registry.Entry
+	// broken names servers at which a run of this request broke off.
+	broken []string
 	// tried names servers that failed this request.
 	tried []string
 	// path names the servers that the request was sent to, in order.
@@ -41,7 +43,7 @@
 
 // query is what a decision needs to know of the request.
 func (f *flow) query() *route.Query {
-	query := &route.Query{RequestID: f.request.ID, Zone: f.Zone, Exclude: f.tried, Now: time.Now()}
+	query := &route.Query{RequestID: f.request.ID, Zone: f.Zone, Exclude: append(f.broken[:len(f.broken):len(f.broken)], f.tried...), Now: time.Now()}
 	if f.request.Generation != nil {
 		query.PromptTokens = f.request.Generation.PromptTokens
 	}
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -23,8 +23,18 @@
 	// the KV memory that is reserved for it, in tokens.
 	expected int
 	need     int
-	// target is when the first token is due.
+	// since is when its caller began to wait for the next event, and target when
+	// that is due.
+	since  time.Time
 	target time.Time
+	// runs counts the engines that may have run it.
+	runs int
+	// noRerun is set once there was no way to run it at another engine.
+	noRerun bool
+	// stall ends the run at hand when it falls silent; nil if it may not go on
+	// elsewhere. cut ends it at once.
+	stall *time.Timer
+	cut   context.CancelFunc
 
 	prefill *route.Rated
 	decode  *route.Rated
@@ -57,13 +67,16 @@
 	ctx, cancel := context.WithDeadline(caller, f.deadline)
 	g := &generation{
 		flow: f, ctx: ctx, cancel: cancel, done: func() {},
-		target:   f.request.Arrived.Add(f.route.TTFT),
+		since: f.request.Arrived, target: f.request.Arrived.Add(f.route.TTFT),
 		returned: f.Recall.Returns(f.request.Generation.Own, f.request.Arrived),
 	}
 	g.expected = f.lengthsOf(f.service.Name).Guessed(expectedLength(f.request.Generation))
 	g.need = expectedMemory(f.request.Generation, g.expected, f.config.HintMargin)
 	f.sizesOf(f.service.Name).Asked(g.need, g.expected)
 	stream, failed := g.run()
+	for failed != nil && failed.lost != nil && g.mayRerun() {
+		stream, failed = g.rerun(failed.lost)
+	}
 	if failed == nil {
 		return &Reply{Status: stream.Status, Fields: stream.Fields, Stream: newRelay(g, stream)}
 	}
@@ -121,7 +134,10 @@
 	done := server.Begin(0)
 	g.readDone = sync.OnceFunc(server.Unread(unread))
 	heard := server.Await(time.Now())
-	stream, err := g.Backends.Decode(g.ctx, g.entry(g.decode), g.request, order, g.deadline)
+	g.runs++
+	var ctx context.Context
+	ctx, g.cut = g.watch()
+	stream, err := g.Backends.Decode(ctx, g.entry(g.decode), g.request, order, g.deadline)
 	if g.ctx.Err() == nil {
 		g.learn(server, err)
 	}
@@ -133,14 +149,17 @@
 		}
 		// The engine has used both up.
 		g.reservation, g.result = "", ""
-		g.done = func() { done(); heard(); g.readDone() }
+		g.done = sync.OnceFunc(func() { done(); heard(); g.readDone() })
 		return stream, nil
 	}
+	g.unwatch()
+	g.cut()
 	done()
 	heard()
 	g.readDone()
 	var notRun *NotRun
 	if errors.As(err, &notRun) {
+		g.runs--
 		return g.readAfterAll(notRun)
 	}
 	g.mayRun = true
--- a/forward/handoff_test.go
+++ b/forward/handoff_test.go
@@ -69,7 +69,7 @@
 	entry := *before.ByID[id]
 	entry.Draining = true
 	after.ByID[id] = &entry
-	b.Beliefs.(*beliefs).servers = after
+	b.believe(after)
 }
 
 func TestAnEngineThatLeavesWhileThePromptIsReadGetsNoStream(t *testing.T) {
@@ -129,7 +129,7 @@
 			after := &Servers{ByID: maps.Clone(before.ByID), Plain: before.Plain, Decode: before.Decode, Prefill: map[string][]*table.BackendView{}}
 			delete(after.ByID, "p1")
 			delete(after.ByID, "p2")
-			b.Beliefs.(*beliefs).servers = after
+			b.believe(after)
 			for _, call := range b.engines.calls {
 				if server, ok := strings.CutPrefix(call, "reserve "); ok {
 					b.leave(server)
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,8 @@
 	prefill func(server string) error
 	decode  func(server string, order DecodeOrder) error
 	call    func(server string) (*Answer, error)
+	// stream makes the stream of a run; it ends with an error, or io.EOF.
+	stream func(ctx context.Context, server, lastEvent string) io.ReadCloser
 	// readFor is how long a prompt is read.
 	readFor time.Duration
 }
@@ -88,24 +91,30 @@
 	return nil
 }
 
-func (e *engines) Decode(_ context.Context, server *registry.Entry, _ *Request, order DecodeOrder, _ time.Time) (*Stream, error) {
+func (e *engines) Decode(ctx context.Context, server *registry.Entry, _ *Request, order DecodeOrder, _ time.Time) (*Stream, error) {
 	e.note("decode", server.ID)
 	if e.decode != nil {
 		if err := e.decode(server.ID, order); err != nil {
 			return nil, err
 		}
 	}
+	if e.stream != nil {
+		return &Stream{Status: 200, Fields: []Field{{Name: "By", Value: server.ID}}, ReadCloser: e.stream(ctx, server.ID, order.LastEvent)}, nil
+	}
 	return &Stream{Status: 200, ReadCloser: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))}, nil
 }
 
-// beliefs are fixed.
+// beliefs are what the test says.
 type beliefs struct {
 	view    *table.View
-	servers *Servers
+	servers atomic.Pointer[Servers]
 }
 
 func (b *beliefs) Table() *table.View { return b.view }
-func (b *beliefs) Servers() *Servers  { return b.servers }
+func (b *beliefs) Servers() *Servers  { return b.servers.Load() }
+
+// believe replaces what is believed of the servers.
+func (b *bench) believe(servers *Servers) { b.Beliefs.(*beliefs).servers.Store(servers) }
 
 // bench is a gateway before engines that the test plays.
 type bench struct {
@@ -132,6 +141,10 @@
 			table.ColHost: "h", table.ColPath: "/stream/", table.ColSplit: "llm:100", table.ColRepeat: table.RepeatNever,
 			table.ColTimeout: "14000", table.ColTTFT: "900", table.ColTBT: "300", table.ColAttempts: "1",
 		},
+		{Kind: table.Route, Name: "resume"}: {
+			table.ColHost: "h", table.ColPath: "/resume/", table.ColSplit: "llm:100", table.ColRepeat: table.RepeatResume,
+			table.ColTimeout: "14000", table.ColTTFT: "900", table.ColTBT: "300", table.ColAttempts: "2",
+		},
 		{Kind: table.Route, Name: "safe"}: {
 			table.ColHost: "h", table.ColPath: "/safe/", table.ColSplit: "web:100", table.ColRepeat: table.RepeatSafe,
 			table.ColTimeout: "1500", table.ColTTFT: "300", table.ColAttempts: "2",
@@ -161,8 +174,10 @@
 	budget := route.NewSharedBudget(0.2, 10*time.Second, 20, time.Now())
 	random := rand.New(rand.NewPCG(1, 2))
 	b := &bench{engines: &engines{readFor: 50 * time.Millisecond}, t: t}
+	believed := &beliefs{view: made.Compile()}
+	believed.servers.Store(servers)
 	b.Gateway = New(Deps{
-		Zone: "z", Beliefs: &beliefs{made.Compile(), servers}, Fleet: fleet, Recall: route.NewRecall(6*time.Second, time.Second),
+		Zone: "z", Beliefs: believed, Fleet: fleet, Recall: route.NewRecall(6*time.Second, time.Second),
 		Backends: b.engines, Budget: func(string) *route.SharedBudget { return budget }, Metrics: metrics.New(), Random: random.Float64,
 	}, DefaultConfig())
 	return b
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -14,7 +14,7 @@
 // again for a short while: a caller that is refused within a part of its target
 // loses least.
 func (g *generation) reserve() *stepError {
-	until := g.request.Arrived.Add(time.Duration(g.config.RefuseWithin * float64(g.route.TTFT)))
+	until := g.since.Add(time.Duration(g.config.RefuseWithin * float64(g.route.TTFT)))
 	for {
 		failed := g.reserveOnce()
 		if failed == nil || failed.why != reason.NoDecodeMemory {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -23,6 +23,8 @@
 	// ended is the stream's end, once it was seen.
 	ended  error
 	events int
+	// lastID is the id of the last whole event.
+	lastID string
 	last   time.Time
 	gap    time.Duration
 	first  time.Duration
@@ -64,17 +66,64 @@
 	}
 	r.buffer = append(r.buffer, r.scratch[:n]...)
 	if end := bytes.LastIndex(r.buffer, eventEnd); end >= 0 {
-		r.arrived(bytes.Count(r.buffer[:end+1], eventEnd) + 1)
-		r.ready = end + len(eventEnd)
+		whole := r.buffer[:end+len(eventEnd)]
+		r.arrived(bytes.Count(whole, eventEnd))
+		r.lastID = lastID(whole, r.lastID)
+		r.ready = len(whole)
 	}
-	if err == nil {
-		return
-	}
-	r.ended = err
-	if err == io.EOF {
+	switch {
+	case err == nil:
+	case err == io.EOF:
 		// What follows the last event is the server's too.
+		r.ended = err
 		r.ready = len(r.buffer)
+	default:
+		r.goOn(err)
+	}
+}
+
+// goOn takes a broken stream up at another engine, if that may be. What arrived
+// of an event that is not whole is dropped: it comes again.
+func (r *relay) goOn(broken error) {
+	r.ended = broken
+	r.unwatch()
+	if r.mayRerun() && time.Now().Before(r.deadline) && (r.events == 0 || r.lastID != "") {
+		r.stream.Close()
+		r.cut()
+		r.buffer = r.buffer[:r.ready]
+		r.behindLast()
+		r.decode.Server.Breaker.Failure(time.Now())
+		if stream, failed := r.rerun(broken); failed == nil {
+			r.stream, r.ended = stream, nil
+		}
+	}
+}
+
+// behindLast has the next run go on behind the last whole event.
+func (r *relay) behindLast() {
+	if r.lastID == "" {
+		return
+	}
+	next := *r.request
+	next.LastEvent = r.lastID
+	r.request = &next
+	generated := r.events * r.service.Engine.EventTokens
+	r.need = max(r.need, r.request.Generation.PromptTokens+generated+int(float64(r.expected-generated)*r.config.HintMargin))
+}
+
+// idField begins the line of an event that holds its id (WHATWG, server-sent
+// events).
+var idField = []byte("id:")
+
+// lastID returns the id of the last event in whole that has one, or else the
+// one before.
+func lastID(whole []byte, before string) string {
+	for line := range bytes.Lines(whole) {
+		if id, ok := bytes.CutPrefix(line, idField); ok {
+			before = string(bytes.TrimSpace(id))
+		}
 	}
+	return before
 }
 
 // arrived notes whole events.
@@ -90,6 +139,7 @@
 	r.reading = r.decode.Server.WaitingTokens() > 0
 	r.last = now
 	r.events += events
+	r.alive(r.events)
 	r.grow(r.request.Generation.PromptTokens + r.events*r.service.Engine.EventTokens)
 }
 
@@ -110,7 +160,9 @@
 		return nil
 	}
 	r.closed = true
+	r.unwatch()
 	r.stream.Close()
+	r.cut()
 	r.free()
 	departed := r.ctx.Err() != nil && time.Now().Before(r.deadline)
 	r.cancel()
