Choose decode engines near the prefill engine, not near the instance

Cause: a prefill engine in the instance's own zone was preferred so much that in a burst prompts waited 1.5 s at one and 0.5 s at the other; and a decode engine was preferred in the instance's zone, though what moves between zones is the prefill's result, at twice the time and up to three times the price.

Change: the zone is a near tie's judge for prefill engines, and for decode engines it is the prefill engine's.

--- a/forward/memory.go
+++ b/forward/memory.go
@@ -38,6 +38,9 @@
 	for range g.config.ReserveTries {
 		query := g.query()
 		query.MemoryTokens, query.Spare = g.need, g.spare()
+		if g.prefill != nil && !g.readAtDecode {
+			query.Zone = g.prefill.Backend.Zone
+		}
 		chosen := g.chooseBy(query, g.decodeProfile(), g.servers.Decode[g.service.Name])
 		if chosen == nil {
 			break
--- a/forward/memory_test.go
+++ b/forward/memory_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/table"
 )
 
 func TestARequestWithoutRoomIsRefusedWithinAPartOfItsTarget(t *testing.T) {
@@ -88,3 +90,19 @@
 		}
 	})
 }
+
+func TestAResultStaysInItsZoneWhereRoomIsEqual(t *testing.T) {
+	play(t, func(b *bench) {
+		servers := b.Beliefs.Servers()
+		for _, backend := range []*table.BackendView{servers.Prefill["llm"][0], servers.Prefill["llm"][1], servers.Decode["llm"][0]} {
+			backend.Zone = "far"
+		}
+		for i := range 40 {
+			b.serve(b.generation(strconv.Itoa(i), testPrompt))
+		}
+		// Two of two are drawn three times in four.
+		if stayed := b.did("decode d1"); stayed < 24 {
+			t.Errorf("%d of 40 results stayed in their zone", stayed)
+		}
+	})
+}
--- a/route/forwarding.go
+++ b/route/forwarding.go
@@ -12,22 +12,26 @@
 
 var forwardingFilters = append([]Filter{SilentFilter{Limit: ordinarySilence}, RefusingFilter{}}, commonFilters...)
 
-// ForwardPrefill chooses engines that read prompts.
+// ForwardPrefill chooses engines that read prompts. Zones decide only between
+// those that are done about equally soon: with more weight, one engine's queue
+// grows to three times another's in a burst.
 func ForwardPrefill() *Profile {
 	return &Profile{
 		Filters: forwardingFilters,
-		Scorers: []Weighted{{WaitScorer{}, weightWait}, {ZoneScorer{}, weightZone}},
+		Scorers: []Weighted{{WaitScorer{}, weightWait}, {ZoneScorer{}, weightTie}},
 		Picker:  BestPicker{},
 	}
 }
 
 // ForwardDecode chooses engines that generate: the better of two drawn at
 // random, since instances that have not yet heard of each other's requests
-// would all send theirs to the best.
+// would all send theirs to the best. The zone in the query is that of the prefill
+// engine: a transfer to another takes twice as long and costs up to three times as
+// much.
 func ForwardDecode() *Profile {
 	return &Profile{
 		Filters: append([]Filter{RoomFilter{}}, forwardingFilters...),
-		Scorers: []Weighted{{FreeScorer{}, weightRoom}, {ZoneScorer{}, weightTie}},
+		Scorers: []Weighted{{FreeScorer{}, weightRoom}, {ZoneScorer{}, weightZone}},
 		Picker:  TwoChoicesPicker{},
 	}
 }
