--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -36,12 +36,21 @@
 	prefill func(server string) error
 	decode  func(server string, order DecodeOrder) error
 	call    func(server string) (*Answer, error)
+	// statusOf returns the status of a run; nil for 200.
+	statusOf func(server string) int
 	// stream makes the stream of a run; it ends with an error, or io.EOF.
 	stream func(ctx context.Context, server, lastEvent string) io.ReadCloser
 	// readFor is how long a prompt is read.
 	readFor time.Duration
 }
 
+func (e *engines) status(server string) int {
+	if e.statusOf == nil {
+		return 200
+	}
+	return e.statusOf(server)
+}
+
 func (e *engines) note(step, server string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -99,7 +108,7 @@
 		}
 	}
 	if e.stream != nil {
-		return &Stream{Status: 200, Fields: []Field{{Name: "By", Value: server.ID}}, ReadCloser: e.stream(ctx, server.ID, order.LastEvent)}, nil
+		return &Stream{Status: e.status(server.ID), Fields: []Field{{Name: "By", Value: server.ID}}, ReadCloser: e.stream(ctx, server.ID, order.LastEvent)}, nil
 	}
 	return &Stream{Status: 200, ReadCloser: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))}, nil
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -94,11 +94,24 @@
 		r.behindLast()
 		r.decode.Server.Breaker.Failure(time.Now())
 		if stream, failed := r.rerun(broken); failed == nil {
-			r.stream, r.ended = stream, nil
+			r.takeUp(stream)
 		}
 	}
 }
 
+// takeUp reads on from another engine's stream. An answer that is no stream of
+// events, as an engine's own failure, is not a part of the first engine's.
+func (r *relay) takeUp(next *Stream) {
+	before := r.stream.Status
+	r.stream = next
+	if next.Status != before {
+		r.decide(stepRetry, "failed", "status", next.Status)
+		r.unwatch()
+		return
+	}
+	r.ended = nil
+}
+
 // behindLast has the next run go on behind the last whole event.
 func (r *relay) behindLast() {
 	if r.lastID == "" {
--- a/forward/rerun_test.go
+++ b/forward/rerun_test.go
@@ -203,6 +203,24 @@
 	})
 }
 
+// The other engine's own failure is no end of the first one's answer.
+func TestAFailureOfTheOtherEngineDoesNotEndTheStreamWhole(t *testing.T) {
+	play(t, func(b *bench) {
+		ran := b.breaksOnce(2, errCrashed)
+		b.engines.statusOf = func(string) int {
+			if b.did("decode") > 1 {
+				return 500
+			}
+			return 200
+		}
+		_, body, err := b.read(b.resumable("a"))
+		if err == nil || strings.Count(body, "data:") != 2 || len(ran()) != 2 {
+			t.Errorf("%v, %q at %v", err, body, ran())
+		}
+		b.nothingHeld()
+	})
+}
+
 // A run that was lost before its answer began is made up for likewise; the
 // request may have run, so without another run nothing is promised.
 func TestARunLostBeforeItsBeginGoesOnAtAnotherEngine(t *testing.T) {
