Choose prefill engines by the better of two, and make the two differ

Cause: instances that have not heard of each other's prompts all sent theirs to the engine with the shortest queue; with 58 of them news is up to 150 ms old. Where two were drawn, for decode engines and plain servers, they could be the same one, so that one of three times with three servers nothing was chosen at all.

--- a/route/forwarding.go
+++ b/route/forwarding.go
@@ -14,12 +14,14 @@
 
 // ForwardPrefill chooses engines that read prompts. Zones decide only between
 // those that are done about equally soon: with more weight, one engine's queue
-// grows to three times another's in a burst.
+// grows to three times another's in a burst. The better of two drawn at random is
+// taken, as for decode engines below: worth 0.02 with 58 instances (four days of
+// fixed seeds), and with two engines it is the better of all.
 func ForwardPrefill() *Profile {
 	return &Profile{
 		Filters: forwardingFilters,
 		Scorers: []Weighted{{WaitScorer{}, weightWait}, {ZoneScorer{}, weightTie}},
-		Picker:  BestPicker{},
+		Picker:  TwoChoicesPicker{},
 	}
 }
 
--- a/route/picker_baseline.go
+++ b/route/picker_baseline.go
@@ -37,7 +37,11 @@
 func (TwoChoicesPicker) Pick(q *Query, rated []Rated) int {
 	hash := pairHash(q.RequestID, rated[0].Name)
 	one := int(hash % uint64(len(rated)))
-	other := int((hash >> 32) % uint64(len(rated)))
+	if len(rated) == 1 {
+		return one
+	}
+	// Another than the first: of two candidates the better is taken.
+	other := (one + 1 + int((hash>>32)%uint64(len(rated)-1))) % len(rated)
 	if rated[other].Total > rated[one].Total {
 		return other
 	}
