Cut a silent stream only if another engine could take it up

Cause: found in reading: a stream that was cut for its silence and then found no memory or no budget elsewhere was lost, though its engine might have gone on.

Change: when a stream stalls, another engine must have room and the budget two retries (the run and the reading of its prompt), or the wait goes on. Two tests, which fail before: ended after 1 s of silence.

--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
 )
 
@@ -68,17 +69,53 @@
 	return stallPauses * g.route.TBT
 }
 
-// watch returns a context for one run that ends when the run stalls and may go
+// watch returns a context for one run that ends when the run stalls and can go
 // on elsewhere. A server's silence alone ends no answer.
 func (g *generation) watch() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(g.ctx)
 	g.stall = nil
-	if g.mayRerun() {
-		g.stall = time.AfterFunc(g.stallAfter(0), cancel)
+	if !g.mayRerun() {
+		return ctx, cancel
 	}
+	service, at, need := g.service.Name, g.decode.Name, g.need
+	recheck := g.stallAfter(1)
+	var stall *time.Timer
+	ready := make(chan struct{})
+	stall = time.AfterFunc(g.stallAfter(0), func() {
+		<-ready
+		if g.Gateway.hasRoomBeside(at, service, need) {
+			cancel()
+			return
+		}
+		stall.Reset(recheck)
+	})
+	g.stall = stall
+	close(ready)
 	return ctx, cancel
 }
 
+// rerunRetries is what a run at another engine takes from the budget: the run
+// itself and the reading of its prompt.
+const rerunRetries = 2
+
+// hasRoomBeside says whether another engine than one would take a run of so much
+// memory, and whether the budget allows it.
+func (g *Gateway) hasRoomBeside(one, service string, need int) bool {
+	if g.Budget(service).Left(time.Now()) < rerunRetries {
+		return false
+	}
+	for _, backend := range g.Beliefs.Servers().Decode[service] {
+		server := g.Fleet.Server(backend.Name)
+		if backend.Name == one || backend.Drain || server == nil {
+			continue
+		}
+		if backend.MemoryTokens == 0 || route.FreeTokens(route.Candidate{Backend: backend, Server: server}) >= need {
+			return true
+		}
+	}
+	return false
+}
+
 // alive notes an event of the run.
 func (g *generation) alive(events int) {
 	if g.stall != nil {
--- a/forward/rerun_test.go
+++ b/forward/rerun_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/mastwheel/mastwheel/route"
 )
 
 // testEvents is how many events a whole stream has.
@@ -169,6 +171,31 @@
 	})
 }
 
+func TestSilenceEndsNoStreamThatHasNoRoomElsewhere(t *testing.T) {
+	for name, busy := range map[string]func(b *bench){
+		"memory": func(b *bench) { b.Beliefs.Servers().Decode["llm"] = b.Beliefs.Servers().Decode["llm"][:1] },
+		"budget": func(b *bench) {
+			none := route.NewSharedBudget(0, time.Second, 0, time.Now())
+			b.Gateway.Budget = func(string) *route.SharedBudget { return none }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(b *bench) {
+				busy(b)
+				ran := b.breaksOnce(2, nil)
+				began := time.Now()
+				r := b.resumable("a")
+				r.Deadline = began.Add(3 * time.Second)
+				b.read(r)
+				if took := time.Since(began); took < 2900*time.Millisecond || len(ran()) != 1 {
+					t.Errorf("ended after %v at %v", took, ran())
+				}
+				b.nothingHeld()
+			})
+		})
+	}
+}
+
 func TestAStreamRunsAtNoMoreEnginesThanItsRouteAllows(t *testing.T) {
 	play(t, func(b *bench) {
 		ran := b.breaks(5, 1, errCrashed)
