Remove the memory of refused callers

Cause: instances remembered whom they or a sibling had refused and left those who came back more of an engine's memory, since being refused twice was what a caller lost most by.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -63,7 +63,7 @@
 		ServersChanged: func(*registry.View) { p.keepConnections() },
 	})
 	p.gateway = forward.New(forward.Deps{
-		Zone: settings.Zone, Beliefs: p.edge, Fleet: p.edge.Fleet, Recall: p.edge.Recall, Backends: p.backends,
+		Zone: settings.Zone, Beliefs: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
 		Budget: p.edge.Budget, Metrics: p.metrics, Random: rand.Float64,
 	}, forward.DefaultConfig())
 	p.watch()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -239,7 +239,6 @@
 	registry *registry.Registry
 	servers  atomic.Pointer[forward.Servers]
 	Fleet    *route.Fleet
-	Recall   *route.Recall
 	members  *member.Members
 	peers    *peers
 	budgets  *budgets
@@ -264,14 +263,6 @@
 	return in
 }
 
-const (
-	// recallFor outlasts the longest time after which a refused caller comes
-	// back: a third of 14 s (source: the users' protocol and sheets).
-	recallFor = 6 * time.Second
-	// tellFor covers six heartbeats, so that a few may be lost.
-	tellFor = time.Second
-)
-
 func newMembers(config Config) *member.Members {
 	return member.New(operation.Member{Name: config.Name}, config.Members)
 }
@@ -280,7 +271,6 @@
 func (in *Instance) init() {
 	in.started = time.Now()
 	in.Fleet = route.NewFleet()
-	in.Recall = route.NewRecall(recallFor, tellFor)
 	in.budgets = newBudgets(in.config.RetryRatio, in.config.RetrySlack, in.config.RetryWindow)
 	in.store = newDependency("store")
 	in.servers.Store(&forward.Servers{})
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -239,7 +239,6 @@
 func (in *Instance) sendTo(addresses, known []string, loads []heartbeat.Load) {
 	datagram, err := heartbeat.Encode(heartbeat.Message{
 		From: in.info(), Loads: loads, Peers: in.somePeers(known), Changing: in.peers.underWay(time.Now()),
-		Refused: in.Recall.Fresh(time.Now()),
 	})
 	if err != nil {
 		klog.ErrorS(err, "Heartbeat not sent")
@@ -301,7 +300,6 @@
 	if in.members.Heard(message.From, now) {
 		in.peers.take(message, now)
 		in.loadsHeard.Store(true)
-		in.Recall.Told(message.Refused, now)
 		for _, change := range message.Changing {
 			if server := in.Fleet.ServerByID(change.Server); server != nil {
 				server.Changing(now.Add(change.Left))
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -47,9 +47,6 @@
 	PromptTokens int
 	MaxTokens    int
 	LengthHint   int
-	// Own stands for the part of the prompt that is the request's own: the same
-	// when its caller tries again. 0 without one.
-	Own uint32
 }
 
 // Answer is a backend server's whole answer.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -76,9 +76,6 @@
 	// memory is reserved. With less, requests outgrow their reservation and are
 	// preempted; with more, less is left for others.
 	HintMargin float64
-	// ReturnedSpare is the part of what usually stays free that must stay free
-	// beside a request that was refused before.
-	ReturnedSpare float64
 	// LateReading is how long after the first token's target a prefill may
 	// still end; a late stream is worth something to its caller.
 	LateReading time.Duration
@@ -105,7 +102,6 @@
 		RetryElsewhere: 50 * time.Millisecond,
 		StreamGrace:    2500 * time.Millisecond,
 		HintMargin:     0.6,
-		ReturnedSpare:  0.4,
 		LateReading:    600 * time.Millisecond,
 		EventPause:     60 * time.Millisecond,
 		HandleMargin:   100 * time.Millisecond,
@@ -117,7 +113,6 @@
 	Zone     string
 	Beliefs  Beliefs
 	Fleet    *route.Fleet
-	Recall   *route.Recall
 	Backends Backends
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *route.SharedBudget
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -45,8 +45,6 @@
 	readAt time.Time
 	// committed is the memory that is noted for it at the decode engine.
 	committed int
-	// returned is set for a request that was refused before.
-	returned bool
 	// readAtDecode has the decode engine read the prompt itself.
 	readAtDecode bool
 	// readDone ends the note that the decode engine reads its prompt.
@@ -68,7 +66,6 @@
 	g := &generation{
 		flow: f, ctx: ctx, cancel: cancel, done: func() {},
 		since: f.request.Arrived, target: f.request.Arrived.Add(f.route.TTFT),
-		returned: f.Recall.Returns(f.request.Generation.Own, f.request.Arrived),
 	}
 	g.expected = f.lengthsOf(f.service.Name).Guessed(expectedLength(f.request.Generation))
 	g.need = expectedMemory(f.request.Generation, g.expected, f.config.HintMargin)
@@ -88,16 +85,13 @@
 	if ctx.Err() != nil {
 		return f.lost(ctx, ctx.Err())
 	}
-	if f.request.Generation.Own != 0 && !f.mayRun {
-		f.Recall.Refused(f.request.Generation.Own, time.Now())
-	}
 	return f.refuse(failed.why, failed.detail)
 }
 
 // run takes the steps up to the begin of the stream.
 func (g *generation) run() (*Stream, *stepError) {
 	want := g.request.Generation
-	g.decide(stepEstimate, strconv.Itoa(g.need), "prompt", want.PromptTokens, "hint", want.LengthHint, "most", want.MaxTokens, "returned", g.returned)
+	g.decide(stepEstimate, strconv.Itoa(g.need), "prompt", want.PromptTokens, "hint", want.LengthHint, "most", want.MaxTokens)
 	for _, step := range []func() *stepError{g.outlast, g.choosePrefill, g.reserve, g.read} {
 		if failed := step(); failed != nil {
 			return nil, failed
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -86,17 +86,13 @@
 }
 
 // spare is the part of an engine's memory that must stay free beside the
-// request, for those that outgrow what was expected of them. A request that was
-// refused before may take more of it.
+// request, for those that outgrow what was expected of them.
 func (g *generation) spare() float64 {
 	memory := g.service.Engine.MemoryTokens
 	if memory == 0 {
 		return 0
 	}
 	sizes := g.sizesOf(g.service.Name)
-	if g.returned {
-		return g.config.ReturnedSpare * sizes.Spare(memory)
-	}
 	return sizes.Spare(memory)
 }
 
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -41,9 +41,6 @@
 	// Changing lists the servers that the sender has ordered to change their
 	// role, by route.ServerID.
 	Changing []Change `cbor:"5,keyasint,omitempty"`
-	// Refused lists requests that the sender has just refused, by what their
-	// callers send again.
-	Refused []uint32 `cbor:"6,keyasint,omitempty"`
 	// Known, if not 0, is the incarnation under which the sender knows the
 	// receiver. A receiver that restarted with a lower one, since its clock was
 	// set back, takes a higher one.
