--- a/forward/generate.go
+++ b/forward/generate.go
@@ -27,6 +27,8 @@
 	// that is due.
 	since  time.Time
 	target time.Time
+	// partial is set if its caller had a part of the stream when it came.
+	partial bool
 	// runs counts the engines that may have run it.
 	runs int
 	// noRerun is set once there was no way to run it at another engine.
@@ -66,6 +68,7 @@
 	g := &generation{
 		flow: f, ctx: ctx, cancel: cancel, done: func() {},
 		since: f.request.Arrived, target: f.request.Arrived.Add(f.route.TTFT),
+		partial: f.request.LastEvent != "",
 	}
 	g.expected = f.lengthsOf(f.service.Name).Guessed(expectedLength(f.request.Generation))
 	g.need = expectedMemory(f.request.Generation, g.expected, f.config.HintMargin)
--- a/forward/memory_test.go
+++ b/forward/memory_test.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"context"
+	"io"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -101,3 +104,28 @@
 		}
 	})
 }
+
+// What an engine's failure or the rest of a stream says of lengths is nothing.
+func TestOnlyWholeStreamsTellOfLengths(t *testing.T) {
+	play(t, func(b *bench) {
+		b.breaks(0, 0, nil)
+		spare := func() float64 { return b.sizesOf("llm").Spare(testMemory) }
+		b.serve(b.generation("a", testPrompt))
+		before := spare()
+		b.engines.statusOf = func(string) int { return 500 }
+		b.engines.stream = func(context.Context, string, string) io.ReadCloser { return io.NopCloser(strings.NewReader("failed")) }
+		for range 30 {
+			b.serve(b.generation("a", testPrompt))
+		}
+		b.engines.statusOf = nil
+		b.breaks(0, 0, nil)
+		for range 30 {
+			r := b.generation("a", testPrompt)
+			r.LastEvent = "4"
+			b.serve(r)
+		}
+		if after := spare(); math.Abs(after-before) > 0.002 {
+			t.Errorf("%.3f stayed free, now %.3f", before, after)
+		}
+	})
+}
--- a/forward/read.go
+++ b/forward/read.go
@@ -171,7 +171,11 @@
 // short while.
 func (g *generation) handOffElsewhere(failed *stepError) (*Stream, *stepError) {
 	lapses := g.readAt.Add(g.service.Engine.Handle - g.config.HandleMargin)
-	if g.result != "" && time.Now().After(lapses) || !g.Budget(g.service.Name).Spend(time.Now()) {
+	if g.result != "" && time.Now().After(lapses) {
+		return nil, failed
+	}
+	// An engine that got nothing yet costs no retry.
+	if !g.leaving(g.decode.Name) && !g.Budget(g.service.Name).Spend(time.Now()) {
 		return nil, failed
 	}
 	g.Metrics.Retried(failed.why)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -180,7 +180,7 @@
 	departed := r.ctx.Err() != nil && time.Now().Before(r.deadline)
 	r.cancel()
 	r.leave()
-	if r.ended == io.EOF {
+	if r.ended == io.EOF && r.events > 0 && !r.partial {
 		r.sizesOf(r.service.Name).Ended(r.expected, r.events*r.service.Engine.EventTokens)
 	}
 	why, detail := r.reason(departed)
--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -83,6 +83,9 @@
 	ready := make(chan struct{})
 	stall = time.AfterFunc(g.stallAfter(0), func() {
 		<-ready
+		if ctx.Err() != nil {
+			return
+		}
 		if g.Gateway.hasRoomBeside(at, service, need) {
 			cancel()
 			return
