The time of a lapse counts from the store's return

Ruled out: the longer pause between two reads of the list; the removal was known at once.

Change: lapsed entries are back within 2 s of the store's return, so that is what is waited for, whenever the removal is read.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -104,7 +104,7 @@
 		case ctx.Err() == nil:
 			in.store.failed(now, err)
 			failures++
-			in.registry.StoreAway(now)
+			in.registry.StoreAway()
 			in.pause(ctx, in.backoff(failures))
 		}
 	}
@@ -122,6 +122,7 @@
 		if err != nil {
 			return err
 		}
+		in.registry.StoreAnswered(time.Now())
 		in.registry.Reset(snapshot, time.Now())
 		return nil
 	}
@@ -129,6 +130,7 @@
 	if err != nil {
 		return err
 	}
+	in.registry.StoreAnswered(time.Now())
 	in.registry.Apply(changes, next, time.Now())
 	return nil
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -53,9 +53,6 @@
 	// live, and come back within this time (source: the users' letter, "about
 	// two seconds of its return").
 	LapseGrace time.Duration
-	// AwayMemory is how long after the store's return a removal may still be
-	// such a lapse.
-	AwayMemory time.Duration
 	// ManyAtOnce is the share of all entries whose removal in one read is taken
 	// for a lapse even where the store was not seen to be away: planned work
 	// empties fewer servers at a time.
@@ -64,7 +61,7 @@
 
 // DefaultConfig follows the users' letter.
 func DefaultConfig() Config {
-	return Config{LapseGrace: 2 * time.Second, AwayMemory: 2500 * time.Millisecond, ManyAtOnce: 0.3}
+	return Config{LapseGrace: 2 * time.Second, ManyAtOnce: 0.3}
 }
 
 // Server is one backend server as this instance sees it.
@@ -121,8 +118,10 @@
 
 	mu      sync.Mutex
 	servers map[string]Server
-	// away is when the store was last found away; zero when it never was.
-	away time.Time
+	// away is set while the store does not answer, and returned is when it last
+	// did again; zero when it never was away.
+	away     bool
+	returned time.Time
 	// lapsing is set while there may be lapsed servers.
 	lapsing bool
 	view    atomic.Pointer[View]
@@ -139,10 +138,19 @@
 func (r *Registry) View() *View { return r.view.Load() }
 
 // StoreAway notes that the platform's store did not answer.
-func (r *Registry) StoreAway(now time.Time) {
+func (r *Registry) StoreAway() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.away = now
+	r.away = true
+}
+
+// StoreAnswered notes that it did.
+func (r *Registry) StoreAnswered(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.away {
+		r.away, r.returned = false, now
+	}
 }
 
 // Reset takes a whole list in. One that is older than what is known is
@@ -190,24 +198,35 @@
 // remove drops servers, or gives them time when their entries may have lapsed
 // while the store was away.
 func (r *Registry) remove(ids []string, now time.Time) {
-	sawAway := !r.away.IsZero() && now.Sub(r.away) < r.config.AwayMemory
-	many := float64(len(ids)) >= r.config.ManyAtOnce*float64(len(r.servers))
+	gone := r.lapsesUntil(len(ids), now)
 	for _, id := range ids {
 		server, known := r.servers[id]
 		if !known || server.Lapsed {
 			continue
 		}
-		if server.Draining || !(sawAway || many) {
+		if server.Draining || !now.Before(gone) {
 			delete(r.servers, id)
 			continue
 		}
 		server.Lapsed = true
 		r.lapsing = true
-		server.gone = now.Add(r.config.LapseGrace)
+		server.gone = gone
 		r.servers[id] = server
 	}
 }
 
+// lapsesUntil is until when so many servers that are removed at once may come
+// back. Lapsed entries are back within a time of the store's return, whenever the
+// removal is read: counted from the removal, a server that left just after the
+// return would get work for longer than it may.
+func (r *Registry) lapsesUntil(removed int, now time.Time) time.Time {
+	many := float64(removed) >= r.config.ManyAtOnce*float64(len(r.servers))
+	if r.away || many {
+		return now.Add(r.config.LapseGrace)
+	}
+	return r.returned.Add(r.config.LapseGrace)
+}
+
 // Tick drops the lapsed servers whose time is up.
 func (r *Registry) Tick(now time.Time) {
 	r.mu.Lock()
