--- a/edge/follow.go
+++ b/edge/follow.go
@@ -86,7 +86,7 @@
 func (in *Instance) followServers(ctx context.Context) {
 	known, failures := false, 0
 	for ctx.Err() == nil {
-		err := in.readServers(ctx, known)
+		err := in.readServers(ctx, known, in.listWait(failures))
 		now := time.Now()
 		switch {
 		case err == nil:
@@ -116,7 +116,17 @@
 	return min(stretched, in.config.ReadAtMost)
 }
 
-func (in *Instance) readServers(ctx context.Context, known bool) error {
+// listWait is how long a question for changes of the list may wait. The first
+// after a failure is answered at once, so that it is known when the store was
+// back, not when the next change came.
+func (in *Instance) listWait(failures int) time.Duration {
+	if failures > 0 {
+		return 0
+	}
+	return in.config.StoreWait
+}
+
+func (in *Instance) readServers(ctx context.Context, known bool, wait time.Duration) error {
 	if !known {
 		snapshot, err := in.deps.Servers.Newest(ctx)
 		if err != nil {
@@ -126,7 +136,7 @@
 		in.registry.Reset(snapshot, time.Now())
 		return nil
 	}
-	changes, next, err := in.deps.Servers.Since(ctx, in.registry.View().Position, in.config.StoreWait)
+	changes, next, err := in.deps.Servers.Since(ctx, in.registry.View().Position, wait)
 	if err != nil {
 		return err
 	}
--- a/edge/news_test.go
+++ b/edge/news_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
 )
 
@@ -130,3 +133,41 @@
 		t.Errorf("four hundred: %v", got)
 	}
 }
+
+// lists answers questions for changes of the list; some of the first fail.
+type lists struct {
+	fail  int
+	waits []time.Duration
+}
+
+func (l *lists) Newest(context.Context) (registry.Snapshot, error) {
+	return registry.Snapshot{Position: 1}, nil
+}
+
+func (l *lists) Since(ctx context.Context, position uint64, wait time.Duration) ([]registry.Change, uint64, error) {
+	l.waits = append(l.waits, wait)
+	if len(l.waits) <= l.fail {
+		return nil, position, errors.New("away")
+	}
+	select {
+	case <-time.After(wait):
+		return nil, position, nil
+	case <-ctx.Done():
+		return nil, position, ctx.Err()
+	}
+}
+
+func TestTheFirstQuestionAfterAFailureDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := candidate("a", &claims{}, workersOf(1, 1))
+		list := &lists{fail: 2}
+		in.deps.Servers = list
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		in.followServers(ctx)
+		want := []time.Duration{in.config.StoreWait, 0, 0, in.config.StoreWait}
+		if len(list.waits) < len(want) || !slices.Equal(list.waits[:len(want)], want) {
+			t.Errorf("asked with waits of %v, want %v", list.waits, want)
+		}
+	})
+}
