Sight: the log says by which list a request was decided, and since when a question stood

Three hypotheses on requests at servers that had left could not be told apart. The store is now two dependencies, since the answer about the table hid how old that about the servers was; a lost one says since when its question was under way. Each decision of a request says which list it was made by, how old that was then, and the newest position that the instance had. A lapse has a line of its own. No logic changed.

--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -17,12 +17,12 @@
 	if list == in.orders.builtFrom && view == in.orders.builtWith {
 		return
 	}
-	before := in.servers.Load()
+	before := in.orders.builtFrom
 	next := build(list, view)
 	in.Fleet.Adopt(&table.View{Backends: backendsOf(next)})
 	in.servers.Store(next)
 	in.orders.builtFrom, in.orders.builtWith = list, view
-	logServers(before, next)
+	logServers(before, list)
 	if in.deps.ServersChanged != nil {
 		in.deps.ServersChanged(list)
 	}
@@ -81,18 +81,24 @@
 	return backends
 }
 
-// logServers writes a line for each server that came, went or changed.
-func logServers(before, after *forward.Servers) {
-	for id, entry := range after.ByID {
-		old := before.ByID[id]
-		if old != nil && *old == *entry {
-			continue
+// logServers writes a line for each server that came, changed, lapsed or went.
+func logServers(before, after *registry.View) {
+	if before == nil {
+		before = &registry.View{}
+	}
+	for i := range after.Servers {
+		server := &after.Servers[i]
+		old := before.Find(server.ID)
+		switch {
+		case old == nil || old.Entry != server.Entry || (old.Lapsed && !server.Lapsed):
+			klog.InfoS("Server believed", "server", server.ID, "service", server.Service, "address", server.Address, "zone", server.Zone,
+				"role", server.Role, "draining", server.Draining, "position", after.Position)
+		case server.Lapsed && !old.Lapsed:
+			klog.InfoS("Server lapsed; it may come back", "server", server.ID, "usedForMillis", server.Gone.Sub(after.Read).Milliseconds(), "position", after.Position)
 		}
-		klog.InfoS("Server believed", "server", id, "service", entry.Service, "address", entry.Address, "zone", entry.Zone,
-			"role", entry.Role, "draining", entry.Draining, "position", after.Position)
 	}
-	for id := range before.ByID {
-		if after.ByID[id] == nil {
+	for i := range before.Servers {
+		if id := before.Servers[i].ID; after.Find(id) == nil {
 			klog.InfoS("Server gone", "server", id, "position", after.Position)
 		}
 	}
--- a/edge/dependency.go
+++ b/edge/dependency.go
@@ -32,12 +32,13 @@
 	d.answered, d.lost = now, false
 }
 
-// failed notes a call without a useful answer.
-func (d *dependency) failed(now time.Time, err error) {
+// failed notes a call without a useful answer, and when it was made.
+func (d *dependency) failed(now, asked time.Time, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.lost {
-		klog.InfoS("Dependency lost", "dependency", d.name, "err", err.Error(), "answeredMillisAgo", now.Sub(d.answered).Milliseconds())
+		klog.InfoS("Dependency lost", "dependency", d.name, "err", err.Error(), "askedMillisAgo", now.Sub(asked).Milliseconds(),
+			"answeredMillisAgo", now.Sub(d.answered).Milliseconds())
 	}
 	d.lost = true
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -243,7 +243,9 @@
 	members  *member.Members
 	peers    *peers
 	budgets  *budgets
-	store    *dependency
+	// tableStore and listStore say whether the store answers about each.
+	tableStore *dependency
+	listStore  *dependency
 	// loadsHeard is set when what siblings have told is to be summed anew.
 	loadsHeard atomic.Bool
 	stopping   atomic.Bool
@@ -273,7 +275,8 @@
 	in.started = time.Now()
 	in.Fleet = route.NewFleet()
 	in.budgets = newBudgets(in.config.RetryRatio, in.config.RetrySlack, in.config.RetryWindow)
-	in.store = newDependency("store")
+	in.tableStore = newDependency("store: table")
+	in.listStore = newDependency("store: list of servers")
 	in.servers.Store(&forward.Servers{})
 	in.orders = newOrders(in)
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -26,6 +26,7 @@
 func (in *Instance) followTable(ctx context.Context) {
 	position, known, failures := uint64(0), false, 0
 	for ctx.Err() == nil {
+		asked := time.Now()
 		raw, next, err := in.readTable(ctx, position, known)
 		if raw != nil {
 			in.adoptRaw(raw, "store")
@@ -36,7 +37,7 @@
 				failures = 0
 			}
 			position, known = next, true
-			in.store.ok(time.Now())
+			in.tableStore.ok(time.Now())
 			if raw == nil && in.table.Load() == nil {
 				in.pause(ctx, in.config.RetryEvery)
 			}
@@ -47,7 +48,7 @@
 			in.pause(ctx, in.backoff(failures))
 		case ctx.Err() == nil:
 			failures++
-			in.store.failed(time.Now(), err)
+			in.tableStore.failed(time.Now(), asked, err)
 			in.pause(ctx, in.backoff(failures))
 		}
 	}
@@ -86,6 +87,7 @@
 func (in *Instance) followServers(ctx context.Context) {
 	known, failures := false, 0
 	for ctx.Err() == nil {
+		asked := time.Now()
 		err := in.readServers(ctx, known, in.listWait(failures))
 		now := time.Now()
 		switch {
@@ -94,7 +96,7 @@
 				failures = 0
 			}
 			known = true
-			in.store.ok(now)
+			in.listStore.ok(now)
 			in.rebuild()
 			in.pause(ctx, in.readPause())
 		case errors.Is(err, oplog.ErrTruncated):
@@ -102,7 +104,7 @@
 			known = false
 			in.pause(ctx, in.backoff(failures))
 		case ctx.Err() == nil:
-			in.store.failed(now, err)
+			in.listStore.failed(now, asked, err)
 			failures++
 			in.registry.StoreAway()
 			in.pause(ctx, in.backoff(failures))
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -21,6 +21,12 @@
 	inputs  []any
 	// rated is what a choice of server saw; nil for other steps.
 	rated []route.Rated
+	// by is the picture of the servers that it was made by, and age how old that
+	// was then.
+	by  *Servers
+	age time.Duration
+	// newest is the position of the newest picture that the instance had then.
+	newest uint64
 }
 
 // Steps of a request, as they stand in the log.
@@ -37,7 +43,15 @@
 
 // decide notes a step for the request's log lines.
 func (f *flow) decide(step, outcome string, inputs ...any) {
-	f.decisions = append(f.decisions, decision{at: time.Now(), step: step, outcome: outcome, inputs: inputs})
+	f.note(decision{at: time.Now(), step: step, outcome: outcome, inputs: inputs})
+}
+
+// note keeps a decision with the picture of the servers that it was made by.
+func (f *flow) note(made decision) {
+	made.by = f.servers
+	made.age = made.at.Sub(f.servers.Read)
+	made.newest = f.Beliefs.Servers().Position
+	f.decisions = append(f.decisions, made)
 }
 
 // resultOf is the outcome of a step that a server answered.
@@ -82,15 +96,8 @@
 	if detail != "" {
 		fields = append(fields, "detail", detail)
 	}
-	klog.InfoS("Request ended", append(fields, f.versions()...)...)
-}
-
-// versions says by which beliefs the request was decided.
-func (f *flow) versions() []any {
-	return []any{
-		"revision", f.revision, "listPosition", f.servers.Position,
-		"listAgeMillis", time.Since(f.servers.Read).Milliseconds(),
-	}
+	fields = append(fields, "revision", f.revision, "listPosition", f.servers.Position)
+	klog.InfoS("Request ended", fields...)
 }
 
 func (d *decision) log(f *flow) {
@@ -102,7 +109,9 @@
 	if d.rated != nil {
 		fields = append(fields, "candidates", candidates(d.rated))
 	}
-	klog.InfoS("Decided", append(fields, f.versions()...)...)
+	fields = append(fields, "revision", f.revision, "listPosition", d.by.Position, "listNewest", d.newest,
+		"listAgeMillis", d.age.Milliseconds())
+	klog.InfoS("Decided", fields...)
 }
 
 // candidates writes what a choice saw: each server with its score, or with the
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -57,7 +57,7 @@
 	if made.Chosen == nil {
 		outcome = "none"
 	}
-	f.decisions = append(f.decisions, decision{at: query.Now, step: stepChoose, outcome: outcome, rated: made.Rated})
+	f.note(decision{at: query.Now, step: stepChoose, outcome: outcome, rated: made.Rated})
 	if made.Chosen != nil {
 		f.entries[made.Pick] = f.servers.ByID[made.Pick]
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -69,8 +69,8 @@
 	Entry
 	// Lapsed is set while the entry is gone and may come back.
 	Lapsed bool
-	// gone is when a lapsed server counts as gone.
-	gone time.Time
+	// Gone is when a lapsed server counts as gone.
+	Gone time.Time
 }
 
 // View is an immutable picture of all servers, sorted by id.
@@ -210,7 +210,7 @@
 		}
 		server.Lapsed = true
 		r.lapsing = true
-		server.gone = gone
+		server.Gone = gone
 		r.servers[id] = server
 	}
 }
@@ -236,7 +236,7 @@
 	}
 	before := len(r.servers)
 	maps.DeleteFunc(r.servers, func(_ string, server Server) bool {
-		return server.Lapsed && !now.Before(server.gone)
+		return server.Lapsed && !now.Before(server.Gone)
 	})
 	r.lapsing = false
 	for _, server := range r.servers {
