Each choice of a server goes by the newest list

Cause: a request kept the picture of the servers that it arrived with. A call that is tried again after a second, a prompt that is read again, or one whose memory took a while to reserve went by it, though the instance knew that a server had begun to leave.

--- a/forward/flow.go
+++ b/forward/flow.go
@@ -13,7 +13,10 @@
 // flow is one request while it is forwarded.
 type flow struct {
 	*Gateway
-	request  *Request
+	request *Request
+	// servers is the picture that the last choice was made by. Each choice is made
+	// by the newest: a request may last longer than a server that leaves may be
+	// used for.
 	servers  *Servers
 	revision uint64
 	route    *table.RouteView
@@ -36,9 +39,29 @@
 	decisions []decision
 }
 
+// pool picks the servers of a service from a picture of all.
+type pool func(servers *Servers, service string) []*table.BackendView
+
+func prefillPool(servers *Servers, service string) []*table.BackendView {
+	return servers.Prefill[service]
+}
+
+func decodePool(servers *Servers, service string) []*table.BackendView {
+	return servers.Decode[service]
+}
+
+// plainPool is the servers of a plain service; a model service's engines answer
+// plain requests too.
+func plainPool(servers *Servers, service string) []*table.BackendView {
+	if plain := servers.Plain[service]; len(plain) > 0 {
+		return plain
+	}
+	return servers.Decode[service]
+}
+
 // choose decides by a profile among servers; nil when every one was dropped.
-func (f *flow) choose(profile *route.Profile, pool []*table.BackendView) *route.Rated {
-	return f.chooseBy(f.query(), profile, pool)
+func (f *flow) choose(profile *route.Profile, from pool) *route.Rated {
+	return f.chooseBy(f.query(), profile, from)
 }
 
 // query is what a decision needs to know of the request.
@@ -51,8 +74,9 @@
 }
 
 // chooseBy decides as choose does, for a query that says more.
-func (f *flow) chooseBy(query *route.Query, profile *route.Profile, pool []*table.BackendView) *route.Rated {
-	made := profile.Decide(query, f.Fleet, pool)
+func (f *flow) chooseBy(query *route.Query, profile *route.Profile, from pool) *route.Rated {
+	f.servers = f.Beliefs.Servers()
+	made := profile.Decide(query, f.Fleet, from(f.servers, f.service.Name))
 	outcome := made.Pick
 	if made.Chosen == nil {
 		outcome = "none"
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -28,8 +28,6 @@
 			return &stepError{why: reason.CallerGone, detail: g.ctx.Err().Error()}
 		}
 		g.tried = g.tried[:0]
-		// Servers may have begun to leave in the meantime.
-		g.servers = g.Beliefs.Servers()
 	}
 }
 
@@ -41,7 +39,7 @@
 		if g.prefill != nil && !g.readAtDecode {
 			query.Zone = g.prefill.Backend.Zone
 		}
-		chosen := g.chooseBy(query, g.decodeProfile(), g.servers.Decode[g.service.Name])
+		chosen := g.chooseBy(query, g.decodeProfile(), decodePool)
 		if chosen == nil {
 			break
 		}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -47,11 +47,7 @@
 var errNoServer = errors.New("no backend server is left to try")
 
 func (f *flow) callOnce(ctx context.Context) (*Answer, error) {
-	pool := f.servers.Plain[f.service.Name]
-	if len(pool) == 0 {
-		pool = f.servers.Decode[f.service.Name]
-	}
-	chosen := f.choose(f.plain, pool)
+	chosen := f.choose(f.plain, plainPool)
 	if chosen == nil {
 		return nil, errNoServer
 	}
--- a/forward/read.go
+++ b/forward/read.go
@@ -12,7 +12,7 @@
 // choosePrefill finds the engine that reads the prompt. Without one that would
 // be done in time, the decode engine reads it.
 func (g *generation) choosePrefill() *stepError {
-	g.prefill = g.choose(g.Gateway.prefill, g.servers.Prefill[g.service.Name])
+	g.prefill = g.choose(g.Gateway.prefill, prefillPool)
 	if g.prefill == nil {
 		g.readAtDecode = true
 		g.decide(stepRead, "at_decode", "why", reason.NoBackend)
@@ -67,11 +67,17 @@
 }
 
 // read has the prompt read. A prefill does not run the request, so whatever
-// becomes of it the request can still be refused.
+// becomes of it the request can still be refused. The engine was chosen before memory
+// was reserved; one that began to leave meanwhile is replaced.
 func (g *generation) read() *stepError {
 	if g.readAtDecode {
 		return nil
 	}
+	if g.leaving(g.prefill.Name) {
+		if failed := g.choosePrefill(); failed != nil || g.readAtDecode {
+			return failed
+		}
+	}
 	for try := 1; ; try++ {
 		err := g.readOnce()
 		if err == nil {
@@ -182,7 +188,6 @@
 	g.decide(stepRetry, "elsewhere", "why", failed.why)
 	g.returnReservation()
 	g.uncommit()
-	g.servers = g.Beliefs.Servers()
 	g.tried = append(g.tried[:0], g.decode.Name)
 	if failed := g.reserveOnce(); failed != nil {
 		return nil, failed
--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -33,7 +33,6 @@
 	g.returnTaken()
 	g.broken = append(g.broken, g.decode.Name)
 	g.tried = g.tried[:0]
-	g.servers = g.Beliefs.Servers()
 	now := time.Now()
 	g.since, g.target = now, now.Add(g.route.TTFT)
 	for _, step := range []func() *stepError{g.choosePrefill, g.reserve, g.readAgain} {
