A caller that still sends gets the answer to a body that is too large

Cause: the answer was written and the connection closed with the rest of the body unread. That resets the connection, and the reset drops the answer that the caller has not read yet.

--- a/caller/server.go
+++ b/caller/server.go
@@ -151,6 +151,7 @@
 		f = failure{status: fasthttp.StatusRequestTimeout, why: reason.Malformed, detail: "the request arrived too slowly"}
 	}
 	s.instance.Metrics.Ended("", reason.NotRun, f.why)
+	connwatch.AnswerUnread(ctx.Conn())
 	s.refuse(ctx, f)
 }
 
--- a/connwatch/connwatch.go
+++ b/connwatch/connwatch.go
@@ -1,10 +1,12 @@
 // Package connwatch notices a caller that goes away while its request is
 // being worked on. An HTTP server does not read from the connection in that
-// time, so nothing else would tell until the next write fails.
+// time, so nothing else would tell until the next write fails. It also lets a
+// caller read the answer to a request that was not read whole.
 package connwatch
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -37,6 +39,56 @@
 	// begin of a pipelined request.
 	early    byte
 	hasEarly bool
+	// unread is set once a request was answered before all of it was read.
+	unread bool
+}
+
+// A connection that is closed with bytes unread is reset, and a caller that is
+// still sending then loses the answer that was on its way to it. So what is left
+// is read for a while, and dropped.
+const (
+	// unreadTime bounds it in time: callers that never end do not hold a
+	// connection for longer.
+	unreadTime = time.Second
+	// unreadBytes bounds it in bytes; bodies are refused from 1 MiB on.
+	unreadBytes = 8 << 20
+)
+
+// AnswerUnread notes that the request on conn is answered though it was not read
+// whole.
+func AnswerUnread(conn net.Conn) {
+	of, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	of.unread = true
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	unread := c.unread
+	c.unread = false
+	c.mu.Unlock()
+	if unread {
+		c.dropRest()
+	}
+	return c.Conn.Close()
+}
+
+// dropRest ends the sending side and reads what the caller still sends. Its
+// errors mean that there is nothing left to wait for.
+func (c *Conn) dropRest() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	if c.Conn.SetReadDeadline(time.Now().Add(unreadTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.Conn, unreadBytes)
 }
 
 // Read implements net.Conn.
--- a/connwatch/connwatch_test.go
+++ b/connwatch/connwatch_test.go
@@ -80,3 +80,29 @@
 	defer c.mu.Unlock()
 	return c.hasEarly
 }
+
+// A caller that was refused while it was still sending got a broken pipe in place
+// of its answer: once in a run of all tests, beside load. The close with bytes
+// unread resets the connection, and the reset drops what the caller has not read.
+func TestACallerThatStillSendsGetsItsAnswer(t *testing.T) {
+	for range 20 {
+		watched, callerEnd := pair(t)
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			_, _ = watched.Read(make([]byte, 1<<10))
+			_, _ = watched.Write([]byte("too large"))
+			AnswerUnread(watched)
+			watched.Close()
+		}()
+		if _, err := callerEnd.Write(make([]byte, 4<<20)); err != nil {
+			t.Fatalf("send: %v", err)
+		}
+		answer, err := io.ReadAll(callerEnd)
+		if err != nil || string(answer) != "too large" {
+			t.Fatalf("answer %q, %v", answer, err)
+		}
+		callerEnd.Close()
+		<-closed
+	}
+}
