Sight: age of table and list, questions beside and given up, as metrics

The age counted from the last change that was read; it counts now from when the belief was last known to be current, and a request's line says the same.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -72,9 +72,20 @@
 
 // watch exports what the instance believes, and how old that is.
 func (p *Platform) watch() {
-	age := func() float64 { return time.Since(p.edge.Servers().Read).Seconds() }
+	age := func(confirmed func() time.Time) func() float64 {
+		return func() float64 { return time.Since(confirmed()).Seconds() }
+	}
 	p.metrics.Watch("table_revision", "Revision of the table in force.", func() float64 { return float64(p.edge.Revision()) })
-	p.metrics.Watch("server_list_age_seconds", "Time since the list of backend servers was last known to be current.", age)
+	p.metrics.Watch("table_age_seconds", "Time since the table was last known to be the newest.", age(p.edge.TableConfirmed))
+	p.metrics.Watch("server_list_age_seconds", "Time since the list of backend servers was last known to be current.", age(p.edge.Confirmed))
+	p.metrics.Count("store_probes_total", "Questions to the store beside those that wait there.", func() float64 {
+		beside, _ := p.edge.Questions()
+		return float64(beside)
+	})
+	p.metrics.Count("store_questions_given_up_total", "Questions to the store that told less than others did, or that were given up for another reason.", func() float64 {
+		_, givenUp := p.edge.Questions()
+		return float64(givenUp)
+	})
 	p.metrics.Watch("servers", "Backend servers believed.", func() float64 { return float64(len(p.edge.Servers().ByID)) })
 	p.metrics.Watch("siblings_serving", "Siblings that serve.", func() float64 { return float64(p.edge.Serving()) })
 	p.metrics.Watch("requests_in_flight", "Requests being forwarded.", func() float64 { return float64(p.gateway.InFlight()) })
--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -32,7 +32,6 @@
 func build(list *registry.View, view *table.View) *forward.Servers {
 	servers := &forward.Servers{
 		Position: list.Position,
-		Read:     list.Read,
 		ByID:     make(map[string]*registry.Entry, len(list.Servers)),
 		Plain:    make(map[string][]*table.BackendView),
 		Prefill:  make(map[string][]*table.BackendView),
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -348,6 +348,22 @@
 // Servers implements forward.Beliefs.
 func (in *Instance) Servers() *forward.Servers { return in.servers.Load() }
 
+// Confirmed implements forward.Beliefs.
+func (in *Instance) Confirmed() time.Time { return in.list.confirmed() }
+
+// TableConfirmed returns when the table was last known to be the newest.
+func (in *Instance) TableConfirmed() time.Time { return in.tableFeed.confirmed() }
+
+// Questions counts what this instance asked the store beside the questions that
+// wait there, and the questions that it gave up.
+func (in *Instance) Questions() (beside, givenUp uint64) {
+	for _, feed := range in.feeds() {
+		beside += feed.probes.Load()
+		givenUp += feed.givenUp.Load()
+	}
+	return beside, givenUp
+}
+
 // Budget returns the retry budget of a service.
 func (in *Instance) Budget(service string) *route.SharedBudget { return in.budgets.of(service) }
 
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,6 +36,9 @@
 	// returned is told when the store answers again after it was away.
 	returned func(at time.Time)
 
+	// probes and givenUp count questions.
+	probes, givenUp atomic.Uint64
+
 	mu sync.Mutex
 	// question is the one that is under way; nil between two.
 	question *question
@@ -194,6 +198,7 @@
 
 // probe asks for what is new at once, and tells the siblings.
 func (f *feed) probe(ctx context.Context) {
+	f.probes.Add(1)
 	asked, before := time.Now(), f.progress()
 	at, err := f.read(ctx, true, 0)
 	if ctx.Err() != nil {
@@ -246,6 +251,7 @@
 	}
 	klog.InfoS("Question to the store given up", "dependency", f.store.name, "why", why,
 		"askedMillisAgo", time.Since(f.question.asked).Milliseconds(), "waitMillis", f.question.wait.Milliseconds())
+	f.givenUp.Add(1)
 	f.question.givenUp = true
 	f.question.giveUp()
 }
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -21,9 +21,9 @@
 	inputs  []any
 	// rated is what a choice of server saw; nil for other steps.
 	rated []route.Rated
-	// by is the picture of the servers that it was made by, and age how old that
-	// was then.
-	by  *Servers
+	// by is the picture of the servers that it was made by.
+	by *Servers
+	// age is how long before it the newest picture was last known to be current.
 	age time.Duration
 	// newest is the position of the newest picture that the instance had then.
 	newest uint64
@@ -49,7 +49,7 @@
 // note keeps a decision with the picture of the servers that it was made by.
 func (f *flow) note(made decision) {
 	made.by = f.servers
-	made.age = made.at.Sub(f.servers.Read)
+	made.age = made.at.Sub(f.Beliefs.Confirmed())
 	made.newest = f.Beliefs.Servers().Position
 	f.decisions = append(f.decisions, made)
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -22,13 +22,14 @@
 	// Servers returns the registered backend servers with the table rows made
 	// of them.
 	Servers() *Servers
+	// Confirmed returns when the picture was last known to be current.
+	Confirmed() time.Time
 }
 
 // Servers is an immutable picture of the backend servers, by service.
 type Servers struct {
-	// Position and Read say how current the picture is.
+	// Position is the log offset up to which changes are in the picture.
 	Position uint64
-	Read     time.Time
 	ByID     map[string]*registry.Entry
 	Plain    map[string][]*table.BackendView
 	Prefill  map[string][]*table.BackendView
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -122,6 +122,9 @@
 func (b *beliefs) Table() *table.View { return b.view }
 func (b *beliefs) Servers() *Servers  { return b.servers.Load() }
 
+// Confirmed implements Beliefs.
+func (b *beliefs) Confirmed() time.Time { return time.Now() }
+
 // believe replaces what is believed of the servers.
 func (b *bench) believe(servers *Servers) { b.Beliefs.(*beliefs).servers.Store(servers) }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -130,3 +130,8 @@
 		Namespace: namespace, Name: "peer_strangers_total", Help: "Sibling connections refused for want of a valid key.",
 	}, func() float64 { return float64(count()) }))
 }
+
+// Count exports a count that is read when the metrics are.
+func (s *Set) Count(name, help string, read func() float64) {
+	s.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -78,7 +78,7 @@
 	Servers []Server
 	// Position is the log offset up to which changes are in it.
 	Position uint64
-	// Read is when the list was last known to be current.
+	// Read is when changes were last taken in.
 	Read time.Time
 }
 
