--- a/sibling/sibling.go
+++ b/sibling/sibling.go
@@ -24,6 +24,10 @@
 	// askTimeout bounds one question; a table with hundreds of routes has some
 	// hundred kilobytes.
 	askTimeout = 800 * time.Millisecond
+	// idle keeps connections between questions that follow each other; one that
+	// rested for longer may have gone silent without a reset, which costs a
+	// question its time-out.
+	idle = time.Second
 )
 
 // Server answers siblings.
@@ -68,7 +72,11 @@
 
 // NewClient returns a client.
 func NewClient() *Client {
-	return &Client{http: &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}}
+	return &Client{http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
+		// A question that was given up must not hold its connection for ever.
+		ReadTimeout: askTimeout, WriteTimeout: askTimeout, MaxIdleConnDuration: idle,
+	}}
 }
 
 // Beliefs implements edge.Siblings.
