--- a/cmd/mastwheeld/platform.go
+++ b/cmd/mastwheeld/platform.go
@@ -25,6 +25,7 @@
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "check", Usage: "only check the settings"},
 			&cli.IntFlag{Name: "verbosity", Usage: "log `LEVEL`: 0 for refusals, failures and beliefs, 2 for every request"},
+			&cli.StringFlag{Name: "advertise-siblings", Usage: "`IP:PORT` at which siblings reach this instance, if other than where it listens for them"},
 			&cli.IntFlag{Name: "metrics-port", Usage: "serve metrics at this `PORT`; 0 for none"},
 		},
 		Action: runPlatform,
@@ -57,7 +58,9 @@
 	signal.Ignore(syscall.SIGPIPE)
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	instance, err := daemon.NewPlatform(settings, command.Int("metrics-port"))
+	instance, err := daemon.NewPlatform(settings, daemon.PlatformOptions{
+		MetricsPort: command.Int("metrics-port"), AdvertiseSiblings: command.String("advertise-siblings"),
+	})
 	if err != nil {
 		return err
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,19 +37,31 @@
 	metricsPort int
 }
 
+// PlatformOptions is what the platform's settings do not say.
+type PlatformOptions struct {
+	// MetricsPort, if not 0, is where the instance serves its metrics.
+	MetricsPort int
+	// AdvertiseSiblings is the "ip:port" that the instance tells its siblings to
+	// use, where something stands between; empty for where it listens.
+	AdvertiseSiblings string
+}
+
 // NewPlatform prepares an instance and opens its socket for siblings.
-// metricsPort, if not 0, is where it serves its metrics.
-func NewPlatform(settings platform.Settings, metricsPort int) (*Platform, error) {
+func NewPlatform(settings platform.Settings, options PlatformOptions) (*Platform, error) {
+	advertised := cmp.Or(options.AdvertiseSiblings, settings.Siblings)
+	if _, err := netip.ParseAddrPort(advertised); err != nil {
+		return nil, errors.Wrap(err, "parse the address advertised to siblings")
+	}
 	socket, err := heartbeat.Listen(settings.Siblings)
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{settings: settings, metricsPort: metricsPort, metrics: metrics.New()}
+	p := &Platform{settings: settings, metricsPort: options.MetricsPort, metrics: metrics.New()}
 	store := platform.NewStore(settings.Store, nil)
 	p.backends = platform.NewBackends(upstream.DefaultConfig(), p.connectionLimit)
 	config := edge.DefaultConfig()
 	config.Name, config.Zone = settings.Name, settings.Zone
-	config.CallerAddress, config.SiblingAddress, config.Seeds = settings.Callers, settings.Siblings, settings.Seeds
+	config.CallerAddress, config.SiblingAddress, config.Seeds = settings.Callers, advertised, settings.Seeds
 	config.RetryRatio, config.RetrySlack = settings.Bounds.RetryRatio, settings.Bounds.RetrySlack
 	config.RetryWindow = settings.Bounds.RetryWindow
 	config.Lease = edge.LeaseConfig(settings.Bounds.Lease)
