--- a/soak/checks.go
+++ b/soak/checks.go
@@ -26,7 +26,7 @@
 	// (source: the users' rules, lossSlackMs).
 	crossing = 200 * time.Millisecond
 	// departed is how long a server may work on for a caller that has left.
-	departed = 2 * time.Second
+	departed = time.Second
 	// slack is for the soak's own processes, which share the machine.
 	slack = 250 * time.Millisecond
 	// budgetWindow, budgetRatio and budgetSlack bound the repetitions of a service.
--- a/soak/standin.go
+++ b/soak/standin.go
@@ -138,8 +138,8 @@
 // slowAnswer is how long a slow server works on a plain request, and slowEvent the
 // pause between the events of a stream, where calm ones take next to nothing.
 const (
-	slowAnswer = 400 * time.Millisecond
-	slowEvent  = 150 * time.Millisecond
+	slowAnswer = time.Second
+	slowEvent  = 800 * time.Millisecond
 	calmEvent  = 5 * time.Millisecond
 	calmAnswer = 10 * time.Millisecond
 	calmRead   = 20 * time.Millisecond
--- a/soak/steps.go
+++ b/soak/steps.go
@@ -132,7 +132,10 @@
 		wait.For(w.ctx, step.For)
 		s.Signal(syscall.SIGCONT)
 	case Misbehave:
-		w.record.disturbed(s.id, step.For+slack)
+		if step.How != Slow {
+			// A slow server excuses nothing.
+			w.record.disturbed(s.id, step.For+slack)
+		}
 		s.do(Command{Do: doBehave, Behaviour: step.How})
 		wait.For(w.ctx, step.For)
 		s.do(Command{Do: doBehave})
