--- /dev/null
+++ b/edge/fuzz_test.go
@@ -0,0 +1,43 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/member"
+)
+
+// FuzzDatagram: no datagram ends the instance, or makes it take a belief for
+// newer than it is.
+func FuzzDatagram(f *testing.F) {
+	for _, age := range []time.Duration{0, time.Second, -time.Hour} {
+		datagram, err := heartbeat.Encode(heartbeat.Message{
+			From:       member.Info{Name: "b", Incarnation: 1, Peer: "127.0.0.1:1"},
+			Loads:      []heartbeat.Load{{Server: 1, InFlight: -1, Memory: -5}},
+			Changing:   []heartbeat.Change{{Server: 1, Left: time.Hour}},
+			TableHeard: &age, ServersHeard: &age,
+		})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(datagram)
+	}
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		var message heartbeat.Message
+		if cbor.Unmarshal(datagram, &message) != nil {
+			return
+		}
+		in := candidate("a", &claims{}, workersOf(1, 1))
+		in.heard(message)
+		in.sumLoads()
+		now := time.Now()
+		for _, feed := range in.feeds() {
+			if feed.latest().After(now) || feed.confirmed().After(now) {
+				t.Fatalf("%s was heard at %v, after %v", feed.name, feed.latest(), now)
+			}
+		}
+	})
+}
