--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -318,9 +318,10 @@
 }
 
 // hears takes in how long ago the store told a sibling, or someone that it
-// heard of, how far its log went.
+// heard of, how far its log went. An answer from the future would keep everyone
+// from asking until then.
 func hears(f *feed, age *time.Duration, progress uint64, now time.Time) {
-	if age != nil {
+	if age != nil && *age >= 0 {
 		f.heard(now.Add(-*age), progress <= f.progress())
 	}
 }
