Tests too large for the race detector run without it; its crash is traced

Cause of the line in KNOWN-RED.txt: the detector has 255 places for goroutines that run. On a virtual clock with more it ends itself (tsan_rtl.cpp:346). Of package instance only TestCells (695 goroutines) and TestPairsOfTroubles (348) have so many.

Nothing is skipped over both runs.

--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/mastwheel/mastwheel/racedetector"
 )
 
 // The story. Requests reached servers up to five seconds after the store had
@@ -28,12 +30,18 @@
 
 func eachSize(t *testing.T, test func(t *testing.T, f *fleet)) {
 	t.Helper()
-	ofSizes(t, []int{1, 8, 24}, test)
+	ofSizes(t, []int{1, 8, 16, 24}, test)
 }
 
+// goroutinesOfInstance is about how many an instance has: its loops.
+const goroutinesOfInstance = 12
+
 func ofSizes(t *testing.T, sizes []int, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	for _, size := range sizes {
+		if racedetector.On && size*goroutinesOfInstance > racedetector.MostGoroutines {
+			continue
+		}
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			play(t, size, func(f *fleet) { test(t, f) })
 		})
@@ -53,7 +61,7 @@
 
 // 62 instances are the users' deployment on which the failure was seen.
 func TestALeavingServerIsKnownAfterTheStoreWasSilentInPart(t *testing.T) {
-	ofSizes(t, []int{1, 8, 62}, func(t *testing.T, f *fleet) {
+	ofSizes(t, []int{1, 8, 16, 62}, func(t *testing.T, f *fleet) {
 		f.store.silence(topicServers, 5*time.Second)
 		time.Sleep(soundAgain)
 		f.store.register("s3", true)
@@ -117,15 +125,12 @@
 // Knowing of lost questions costs few calls: all are priced, and there are many
 // instances.
 func TestCallsInACalmMinute(t *testing.T) {
-	for size, most := range map[int]int{1: 170, 8: 240, 24: 320} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			play(t, size, func(f *fleet) {
-				before := f.store.called()
-				time.Sleep(time.Minute)
-				if calls := f.store.called() - before; calls > most {
-					t.Errorf("%d calls, at most %d", calls, most)
-				}
-			})
-		})
-	}
+	most := map[int]int{1: 170, 8: 240, 16: 280, 24: 320}
+	eachSize(t, func(t *testing.T, f *fleet) {
+		before := f.store.called()
+		time.Sleep(time.Minute)
+		if calls := f.store.called() - before; calls > most[len(f.instances)] {
+			t.Errorf("%d calls, at most %d", calls, most[len(f.instances)])
+		}
+	})
 }
--- a/instance/cells_test.go
+++ b/instance/cells_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/mastwheel/mastwheel/instance"
 	"github.com/mastwheel/mastwheel/instancelist"
+	"github.com/mastwheel/mastwheel/racedetector"
 	"github.com/mastwheel/mastwheel/standin"
 	"github.com/mastwheel/mastwheel/table"
 )
@@ -160,10 +161,18 @@
 	return f
 }
 
+// regionSizes are those under test; the larger one has some 700 goroutines.
+func regionSizes() []int {
+	if racedetector.On {
+		return []int{8}
+	}
+	return []int{8, 80}
+}
+
 // In a region of several cells, each worker has one steward, nobody knows
 // more than its cell and a few others, and a change reaches everybody.
 func TestCells(t *testing.T) {
-	for _, instances := range []int{8, 80} {
+	for _, instances := range regionSizes() {
 		workers := instances * 3
 		f := measureOf(t, instances, workers)
 		if len(f.stewards) != workers {
--- a/instance/pairs_test.go
+++ b/instance/pairs_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mastwheel/mastwheel/operation"
+	"github.com/mastwheel/mastwheel/racedetector"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/request"
 	"github.com/mastwheel/mastwheel/service"
@@ -168,12 +169,26 @@
 	return wrong
 }
 
+// goroutinesOfPair is about how many a pair's session has: eight at a time had 348.
+const goroutinesOfPair = 45
+
+// pairsAtATime bounds how many pairs are played at a time.
+func pairsAtATime() int {
+	if racedetector.On {
+		return racedetector.MostGoroutines / goroutinesOfPair
+	}
+	return len(troubles)
+}
+
 // TestPairsOfTroubles strikes with every ordered pair of faults, one twice
 // included, at two distances.
 func TestPairsOfTroubles(t *testing.T) {
+	places := make(chan struct{}, pairsAtATime())
 	for _, first := range troubles {
 		t.Run(first.name, func(t *testing.T) {
 			t.Parallel()
+			places <- struct{}{}
+			defer func() { <-places }()
 			for _, second := range troubles {
 				playApart(t, first, second, 0)
 				playApart(t, first, second, 700*time.Millisecond)
--- /dev/null
+++ b/racedetector/off.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package racedetector
+
+// On is whether the detector watches.
+const On = false
