Servers that had said they leave are no sign of a lapse

Cause: a removal of three in ten entries at once is taken for a lapse, and those that had said they leave were counted too. Where some of these end together, one that leaves unsaid just then was used for two seconds more than it may be. Found while looking for what else keeps a server that left. The test fails before (still used) and passes now.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -55,7 +55,7 @@
 	LapseGrace time.Duration
 	// ManyAtOnce is the share of all entries whose removal in one read is taken
 	// for a lapse even where the store was not seen to be away: planned work
-	// empties fewer servers at a time.
+	// takes fewer servers away at a time that had not said they leave.
 	ManyAtOnce float64
 }
 
@@ -190,7 +190,13 @@
 // remove drops servers, or gives them time when their entries may have lapsed
 // while the store was away.
 func (r *Registry) remove(ids []string, now time.Time) {
-	gone := r.lapsesUntil(len(ids), now)
+	unsaid := 0
+	for _, id := range ids {
+		if server, known := r.servers[id]; known && !server.Draining && !server.Lapsed {
+			unsaid++
+		}
+	}
+	gone := r.lapsesUntil(unsaid, now)
 	for _, id := range ids {
 		server, known := r.servers[id]
 		if !known || server.Lapsed {
@@ -207,8 +213,8 @@
 	}
 }
 
-// lapsesUntil is until when so many servers that are removed at once may come
-// back. Lapsed entries are back within a time of the store's return, whenever the
+// lapsesUntil is until when so many servers that are removed at once, and had not
+// said that they leave, may come back. Lapsed entries are back within a time of the store's return, whenever the
 // removal is read: counted from the removal, a server that left just after the
 // return would get work for longer than it may.
 func (r *Registry) lapsesUntil(removed int, now time.Time) time.Time {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// Servers that had said they leave end together, and one that had not leaves just
+// then: nothing has lapsed, and it may be used for no two seconds more.
+func TestServersThatHadSaidTheyLeaveAreNoLapse(t *testing.T) {
+	r := filled(10)
+	var leaving, gone []Change
+	for _, id := range []string{"s1", "s2", "s3"} {
+		leaving = append(leaving, Change{ID: id, Entry: &Entry{ID: id, Service: "a", Draining: true}})
+		gone = append(gone, Change{ID: id})
+	}
+	r.Apply(leaving, 13, start)
+	r.Apply(append(gone, Change{ID: "s4"}), 17, start.Add(3*time.Second))
+	if found := r.View().Find("s4"); found != nil {
+		t.Fatalf("still used: %+v", found)
+	}
+}
+
 func TestAnOlderListChangesNothing(t *testing.T) {
 	r := filled(10)
 	r.Reset(Snapshot{Entries: entries(2), Position: 9}, start)
