--- a/soak/checks.go
+++ b/soak/checks.go
@@ -54,6 +54,7 @@
 		{"in force", oldTable},
 		{"never back", tableWentBack},
 		{"planned stop", cutByPlannedStop},
+		{"answered", cutWithoutReason},
 		{"budget", overBudget},
 		{"back", func(r *Record) []string { return r.Late }},
 	}
@@ -219,16 +220,10 @@
 	runs := r.runs()
 	for _, stop := range r.Stops {
 		for _, asked := range r.Asked {
-			if asked.Instance != stop.Instance || asked.Answer.Err == nil || asked.Left || !inStop(asked, stop) {
+			if asked.Instance != stop.Instance || !inStop(asked, stop) || !r.cut(asked, runs[asked.ID]) {
 				continue
 			}
-			targets := []string{store, instanceName(asked.Instance)}
-			for _, event := range runs[asked.ID] {
-				targets = append(targets, event.Server)
-			}
-			passedOn := len(runs[asked.ID]) > 0
-			crossed := !passedOn && asked.Ended.Sub(asked.Sent) < crossing
-			if !crossed && r.steady(asked.Sent, asked.Ended, targets...) {
+			if r.steady(asked.Sent, asked.Ended, involved(asked, runs[asked.ID])...) {
 				broken = append(broken, fmt.Sprintf("%s was cut %v after %s was told to stop: %v", asked.ID, asked.Ended.Sub(stop.At), instanceName(stop.Instance), asked.Answer.Err))
 			}
 		}
@@ -236,6 +231,48 @@
 	return broken
 }
 
+// cutWithoutReason finds requests whose connection ended without an answer though
+// nothing was disturbed, stopped or started.
+func cutWithoutReason(r *Record) (broken []string) {
+	runs := r.runs()
+	for _, asked := range r.Asked {
+		targets := append(involved(asked, runs[asked.ID]), stopped(asked.Instance))
+		if r.cut(asked, runs[asked.ID]) && r.steady(asked.Sent, asked.Ended, targets...) {
+			broken = append(broken, fmt.Sprintf("%s %s was cut by %s after %v: %v", asked.ID, asked.Path, instanceName(asked.Instance), asked.Ended.Sub(asked.Sent), asked.Answer.Err))
+		}
+	}
+	return broken
+}
+
+// cut says whether a request's connection ended without an answer, and not because
+// its caller left, its server ended, or it crossed the instance's close.
+func (r *Record) cut(asked Asked, events []standin.Event) bool {
+	if asked.Answer.Err == nil || asked.Left || crossed(asked, events) {
+		return false
+	}
+	for _, event := range events {
+		if ended, known := r.Ended[event.Server]; known && ended.Before(asked.Ended.Add(slack)) {
+			return false
+		}
+	}
+	return true
+}
+
+// crossed says whether a connection ended so soon after a request was sent on it,
+// with no server having seen that, that its close may have crossed the request.
+func crossed(asked Asked, events []standin.Event) bool {
+	return asked.Answer.Err != nil && len(events) == 0 && asked.Ended.Sub(asked.Sent) < crossing
+}
+
+// involved names what a request depended on, but for stops of its instance.
+func involved(asked Asked, events []standin.Event) []string {
+	targets := []string{store, instanceName(asked.Instance)}
+	for _, event := range events {
+		targets = append(targets, event.Server)
+	}
+	return targets
+}
+
 // inStop says whether a request was at an instance while that was stopping; what is
 // still at work in the last sixth of the grace may be cut.
 func inStop(asked Asked, stop Stop) bool {
--- a/soak/record.go
+++ b/soak/record.go
@@ -55,6 +55,9 @@
 	Spans    []Span
 	Versions []Version
 	Stops    []Stop
+	// Down is when an instance's process did not run, or did not listen yet. Its link
+	// then takes connections and resets them, where it would refuse them itself.
+	Down []Span
 	// Leaving is when the store acknowledged that a server leaves.
 	Leaving map[string]time.Time
 	// Ended is when a server's process ended.
@@ -84,6 +87,13 @@
 	r.note(func() { r.Spans = append(r.Spans, Span{From: now, To: now.Add(lasts), Target: target}) })
 }
 
+// down says whether an instance did not listen at a time.
+func (r *Record) down(instance int, when time.Time) bool {
+	return slices.ContainsFunc(r.Down, func(span Span) bool {
+		return span.Target == instanceName(instance) && !when.Before(span.From) && when.Before(span.To)
+	})
+}
+
 // steadyFor is how long something must have been undisturbed for a promise with a
 // time to hold (source: the users' rules, stableWindowMs).
 const steadyFor = 3 * time.Second
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -46,8 +47,11 @@
 	Served   int    `json:"served"`
 	Refused  int    `json:"refused"`
 	Left     int    `json:"left"`
-	Failed   int    `json:"failed"`
-	Steps    int    `json:"steps"`
+	// Failed counts the other answers by status, and those that did not come whole
+	// as "cut", or as "crossed" if the connection ended soon after the request was
+	// sent and no server saw that, or "unreached" if its instance did not run.
+	Failed map[string]int `json:"failed,omitempty"`
+	Steps  int            `json:"steps"`
 	// Violations are broken promises.
 	Violations []string `json:"violations,omitempty"`
 }
@@ -194,7 +198,8 @@
 func (w *world) report() *Report {
 	w.record.mu.Lock()
 	defer w.record.mu.Unlock()
-	report := &Report{Seed: w.options.Seed, Mood: MoodOf(w.options.Seed), Requests: len(w.record.Asked), Steps: w.record.Faults}
+	report := &Report{Seed: w.options.Seed, Mood: MoodOf(w.options.Seed), Requests: len(w.record.Asked), Steps: w.record.Faults, Failed: make(map[string]int)}
+	runs := w.record.runs()
 	for _, asked := range w.record.Asked {
 		switch {
 		case asked.Left:
@@ -203,8 +208,14 @@
 			report.Served++
 		case asked.Answer.Err == nil && asked.Answer.Refused():
 			report.Refused++
+		case crossed(asked, runs[asked.ID]) && w.record.down(asked.Instance, asked.Ended):
+			report.Failed["unreached"]++
+		case crossed(asked, runs[asked.ID]):
+			report.Failed["crossed"]++
+		case asked.Answer.Err != nil:
+			report.Failed["cut"]++
 		default:
-			report.Failed++
+			report.Failed[strconv.Itoa(asked.Answer.Status)]++
 		}
 	}
 	for _, check := range Checks() {
--- a/soak/world.go
+++ b/soak/world.go
@@ -226,6 +226,9 @@
 // restartAfter is how soon a process that ended is started again.
 const restartAfter = 300 * time.Millisecond
 
+// listensAfter is about how long after its start an instance listens.
+const listensAfter = 300 * time.Millisecond
+
 // keepRunning starts an instance, and again whenever it ends.
 func (w *world) keepRunning(i *instance) error {
 	if err := w.startInstance(i); err != nil {
@@ -234,6 +237,10 @@
 	w.tasks.Go(func() {
 		for {
 			<-i.running().Exited
+			ended := time.Now()
+			w.record.note(func() {
+				w.record.Down = append(w.record.Down, Span{From: ended.Add(-slack / 2), To: ended.Add(restartAfter + listensAfter), Target: instanceName(i.number)})
+			})
 			if !wait.For(w.ctx, restartAfter) {
 				return
 			}
