Heartbeats take ages before what they are the ages of

News that came between the two would have made an older list look current to the sibling that got them, for as long as FreshFor. Found on reading the change again; too narrow for a test. An age that is not known yet is NaN, not 292 years.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -87,11 +88,17 @@
 // watch exports what the instance believes, and how old that is.
 func (p *Platform) watch() {
 	age := func(confirmed func() time.Time) func() float64 {
-		return func() float64 { return time.Since(confirmed()).Seconds() }
+		return func() float64 {
+			at := confirmed()
+			if at.IsZero() {
+				return math.NaN()
+			}
+			return time.Since(at).Seconds()
+		}
 	}
 	p.metrics.Watch("table_revision", "Revision of the table in force.", func() float64 { return float64(p.edge.Revision()) })
-	p.metrics.Watch("table_age_seconds", "Time since the table was last known to be the newest.", age(p.edge.TableConfirmed))
-	p.metrics.Watch("server_list_age_seconds", "Time since the list of backend servers was last known to be current.", age(p.edge.Confirmed))
+	p.metrics.Watch("table_age_seconds", "Time since the table was last known to be the newest; NaN before.", age(p.edge.TableConfirmed))
+	p.metrics.Watch("server_list_age_seconds", "Time since the list of backend servers was last known to be current; NaN before.", age(p.edge.Confirmed))
 	p.metrics.Count("store_probes_total", "Questions to the store beside those that wait there.", func() float64 {
 		beside, _ := p.edge.Questions()
 		return float64(beside)
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -143,9 +143,12 @@
 // sendTo sends a heartbeat that tells of loads and of some known addresses.
 func (in *Instance) sendTo(addresses, known []string, loads []heartbeat.Load) {
 	now := time.Now()
+	// Ages come before what they are the ages of: news that come in between would
+	// make what is older look as new.
+	table, servers := in.tableFeed.age(now), in.list.age(now)
 	datagram, err := heartbeat.Encode(heartbeat.Message{
 		From: in.info(), Loads: loads, Peers: in.somePeers(known), Changing: in.peers.underWay(now),
-		TableHeard: in.tableFeed.age(now), ServersHeard: in.list.age(now),
+		TableHeard: table, ServersHeard: servers,
 	})
 	if err != nil {
 		klog.ErrorS(err, "Heartbeat not sent")
