--- a/edge/feed.go
+++ b/edge/feed.go
@@ -125,7 +125,7 @@
 // answered notes an answer to this instance, and when the store had no more.
 func (f *feed) answered(at time.Time) {
 	f.store.ok(time.Now())
-	f.heard(at, true)
+	f.hear(at, true)
 }
 
 // toldAt is when the store had no more than it told: one that waited for news
@@ -138,9 +138,9 @@
 	return asked
 }
 
-// heard notes an answer to any instance, and whether all that it told is
+// hear notes an answer to any instance, and whether all that it told is
 // believed here.
-func (f *feed) heard(at time.Time, all bool) {
+func (f *feed) hear(at time.Time, all bool) {
 	if f.answers.heard(at, all) {
 		klog.InfoS("The store answers again", "dependency", f.store.name, "atMillisAgo", time.Since(at).Milliseconds())
 		f.returned(at)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -110,7 +110,7 @@
 		if err != nil {
 			return time.Time{}, err
 		}
-		in.list.heard(asked, false)
+		in.list.hear(asked, false)
 		in.registry.Reset(snapshot, time.Now())
 		in.rebuild()
 		return in.toldOfServers(asked, snapshot.Position), nil
@@ -121,7 +121,7 @@
 	}
 	at := toldAt(asked, wait)
 	// That the store was away must be known before a removal is judged.
-	in.list.heard(at, false)
+	in.list.hear(at, false)
 	in.registry.Apply(changes, next, time.Now())
 	in.rebuild()
 	return in.toldOfServers(at, next), nil
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -230,7 +230,7 @@
 // from asking until then.
 func hears(f *feed, age *time.Duration, progress uint64, now time.Time) {
 	if age != nil && *age >= 0 {
-		f.heard(now.Add(-*age), progress <= f.progress())
+		f.hear(now.Add(-*age), progress <= f.progress())
 	}
 }
 
