Records that cannot be read spoil only themselves; a server's run ends with its start

Cause: Servers.Newest and Since returned the error of one entry for the whole answer, and readKeyed that of one record without a key, so one entry of another writer stopped all news of servers at every instance, for good. Fields of another type, unknown states and entries without an address were used. A server that starts again under its id kept what was believed of its run before: breaker, rates, commitments, connections, orders under way, results and reservations.

Change: an entry that lacks a field, or holds what no server writes, names no server (at once, not as a lapse); the others hold. Each is logged once and counted (store_records_rejected_total; store_calls_total comes along). Servers are known by their run, id and start ("born"); all that is kept by name ends with it. An order goes over the connection on which the engine's report came, so it cannot reach a later run. An answer of the store without news makes no equal view.

Ruled out: telling runs apart by their address; a server may keep that too.

Before, in a scratch test on the stand-in store: one unreadable entry makes Newest, Since and the last claim fail. The new tests do not compile against that code, whose types know no runs.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -34,6 +34,8 @@
 	gateway  *forward.Gateway
 	backends *platform.Backends
 	metrics  *metrics.Set
+	// rejected counts the store's records that cannot be used.
+	rejected *platform.Rejected
 	// metricsPort is 0 without metrics.
 	metricsPort int
 }
@@ -58,7 +60,8 @@
 		return nil, err
 	}
 	p := &Platform{settings: settings, metricsPort: options.MetricsPort, metrics: metrics.New()}
-	store := platform.NewStore(settings.Store, nil)
+	p.rejected = new(platform.Rejected)
+	store := platform.NewStore(settings.Store, p.metrics.StoreCalled, p.rejected)
 	p.backends = platform.NewBackends(upstream.DefaultConfig(), p.connectionLimit)
 	config := edge.DefaultConfig()
 	config.Name, config.Zone = settings.Name, settings.Zone
@@ -107,7 +110,8 @@
 		_, givenUp := p.edge.Questions()
 		return float64(givenUp)
 	})
-	p.metrics.Watch("servers", "Backend servers believed.", func() float64 { return float64(len(p.edge.Servers().ByID)) })
+	p.metrics.Count("store_records_rejected_total", "Records of the store that cannot be used.", func() float64 { return float64(p.rejected.Count()) })
+	p.metrics.Watch("servers", "Backend servers believed.", func() float64 { return float64(len(p.edge.Servers().ByRun)) })
 	p.metrics.Watch("siblings_serving", "Siblings that serve.", func() float64 { return float64(p.edge.Serving()) })
 	p.metrics.Watch("requests_in_flight", "Requests being forwarded.", func() float64 { return float64(p.gateway.InFlight()) })
 	p.metrics.Watch("decode_memory_free_tokens", "KV memory of decode engines that nobody has committed.", func() float64 { return float64(p.gateway.FreeMemory()) })
@@ -131,7 +135,7 @@
 // keepConnections drops the connections that are no longer of use.
 func (p *Platform) keepConnections() {
 	servers := p.edge.Servers()
-	p.backends.Keep(func(id string) bool { return servers.ByID[id] != nil }, time.Now())
+	p.backends.Keep(func(id string) bool { return servers.ByRun[id] != nil }, time.Now())
 }
 
 // keepEvery is the pause between two looks at idle connections; they are few,
--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -32,6 +32,7 @@
 func build(list *registry.View, view *table.View) *forward.Servers {
 	servers := &forward.Servers{
 		Position: list.Position,
+		ByRun:    make(map[string]*registry.Entry, len(list.Servers)),
 		ByID:     make(map[string]*registry.Entry, len(list.Servers)),
 		Plain:    make(map[string][]*table.BackendView),
 		Prefill:  make(map[string][]*table.BackendView),
@@ -39,6 +40,7 @@
 	}
 	for i := range list.Servers {
 		entry := &list.Servers[i].Entry
+		servers.ByRun[entry.Run()] = entry
 		servers.ByID[entry.ID] = entry
 		backend := backendOf(entry, view)
 		pools := servers.Plain
@@ -56,7 +58,7 @@
 // backendOf makes the table's row of a registered server.
 func backendOf(entry *registry.Entry, view *table.View) *table.BackendView {
 	backend := &table.BackendView{
-		Name: entry.ID, Pool: entry.Service, Role: entry.Role, Address: entry.Address,
+		Name: entry.Run(), Pool: entry.Service, Role: entry.Role, Address: entry.Address,
 		Zone: entry.Zone, Drain: entry.Draining,
 	}
 	if view == nil {
@@ -69,7 +71,7 @@
 }
 
 func backendsOf(servers *forward.Servers) map[string]*table.BackendView {
-	backends := make(map[string]*table.BackendView, len(servers.ByID))
+	backends := make(map[string]*table.BackendView, len(servers.ByRun))
 	for _, pools := range []map[string][]*table.BackendView{servers.Plain, servers.Prefill, servers.Decode} {
 		for _, pool := range pools {
 			for _, backend := range pool {
@@ -90,15 +92,18 @@
 		old := before.Find(server.ID)
 		switch {
 		case old == nil || old.Entry != server.Entry || (old.Lapsed && !server.Lapsed):
-			klog.InfoS("Server believed", "server", server.ID, "service", server.Service, "address", server.Address, "zone", server.Zone,
+			if old != nil && old.Born != server.Born {
+				klog.InfoS("Server started again; nothing of its run before holds", "server", server.Run(), "before", old.Run(), "position", after.Position)
+			}
+			klog.InfoS("Server believed", "server", server.Run(), "service", server.Service, "address", server.Address, "zone", server.Zone,
 				"role", server.Role, "draining", server.Draining, "position", after.Position)
 		case server.Lapsed && !old.Lapsed:
-			klog.InfoS("Server lapsed; it may come back", "server", server.ID, "usedForMillis", server.Gone.Sub(after.Read).Milliseconds(), "position", after.Position)
+			klog.InfoS("Server lapsed; it may come back", "server", server.Run(), "usedForMillis", server.Gone.Sub(after.Read).Milliseconds(), "position", after.Position)
 		}
 	}
 	for i := range before.Servers {
-		if id := before.Servers[i].ID; after.Find(id) == nil {
-			klog.InfoS("Server gone", "server", id, "position", after.Position)
+		if server := &before.Servers[i]; after.Find(server.ID) == nil {
+			klog.InfoS("Server gone", "server", server.Run(), "position", after.Position)
 		}
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -70,7 +70,7 @@
 	Role string
 	// Busy is set while an order is being carried out.
 	Busy bool
-	// Sequence counts the orders accepted.
+	// Sequence counts the orders that this run of the engine has accepted.
 	Sequence uint64
 }
 
@@ -86,10 +86,12 @@
 
 // Engines gives orders to model engines.
 type Engines interface {
-	Status(ctx context.Context, server *registry.Entry) (EngineStatus, error)
-	// SetRole gives an order. engine.ErrStale means that the engine has seen a
-	// higher fencing token, engine.ErrRefused that it did not take the order.
-	SetRole(ctx context.Context, server *registry.Entry, order RoleOrder) error
+	// SetRole has an engine report, and gives it the order that decide makes of
+	// that, if it makes one. The order reaches the run of the engine that reported,
+	// or none: its count of accepted orders says nothing to a run that started
+	// since. engine.ErrStale means that the engine has seen a higher fencing token,
+	// engine.ErrRefused that it did not take the order.
+	SetRole(ctx context.Context, server *registry.Entry, decide func(EngineStatus) (RoleOrder, bool)) error
 }
 
 // Siblings asks one sibling for what it believes.
@@ -237,7 +239,7 @@
 
 // Ready says whether the instance takes requests.
 func (in *Instance) Ready() bool {
-	return !in.stopping.Load() && in.table.Load() != nil && len(in.servers.Load().ByID) > 0
+	return !in.stopping.Load() && in.table.Load() != nil && len(in.servers.Load().ByRun) > 0
 }
 
 // Stop begins a graceful shutdown: siblings no longer name this instance to
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -56,15 +56,15 @@
 	stale  bool
 }
 
-// Status implements Engines.
-func (e *engines) Status(_ context.Context, server *registry.Entry) (EngineStatus, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return EngineStatus{Role: e.roles[server.ID], Sequence: uint64(len(e.orders[server.ID]))}, nil
-}
-
 // SetRole implements Engines.
-func (e *engines) SetRole(_ context.Context, server *registry.Entry, order RoleOrder) error {
+func (e *engines) SetRole(_ context.Context, server *registry.Entry, decide func(EngineStatus) (RoleOrder, bool)) error {
+	e.mu.Lock()
+	status := EngineStatus{Role: e.roles[server.ID], Sequence: uint64(len(e.orders[server.ID]))}
+	e.mu.Unlock()
+	order, due := decide(status)
+	if !due {
+		return nil
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders[server.ID] = append(e.orders[server.ID], given{time.Now(), order})
@@ -273,7 +273,7 @@
 		time.Sleep(5 * in.config.CatchUpEvery)
 		cancel()
 		running.Wait()
-		if in.Servers().ByID["x"] == nil || in.registry.View().Position != 9 {
+		if in.Servers().ByRun["x"] == nil || in.registry.View().Position != 9 {
 			t.Fatalf("%+v", in.registry.View())
 		}
 		if sibling.asked != 1 {
--- a/edge/news_test.go
+++ b/edge/news_test.go
@@ -69,7 +69,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		go in.followLoads(ctx)
 		var engine string
-		for engine = range in.servers.Load().ByID {
+		for engine = range in.servers.Load().ByRun {
 		}
 		in.heard(heartbeat.Message{
 			From:  member.Info{Name: "b", Incarnation: 1, Peer: "127.0.0.1:1"},
@@ -96,7 +96,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		go in.followLoads(ctx)
 		var engine string
-		for engine = range in.servers.Load().ByID {
+		for engine = range in.servers.Load().ByRun {
 		}
 		in.heard(heartbeat.Message{
 			From:  member.Info{Name: "b", Incarnation: 1, Peer: "127.0.0.1:1"},
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -152,31 +152,36 @@
 	if err != nil {
 		return err
 	}
-	entry := o.servers.Load().ByID[change.Engine]
+	entry := o.servers.Load().ByRun[change.Engine]
 	if entry == nil {
 		return errors.New("the engine is gone")
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	status, err := o.deps.Engines.Status(ctx, entry)
-	if err != nil {
-		return err
-	}
-	if status.Busy || status.Role == change.Role {
+	var given *RoleOrder
+	lapsed := false
+	err = o.deps.Engines.SetRole(ctx, entry, func(status EngineStatus) (RoleOrder, bool) {
+		if status.Busy || status.Role == change.Role {
+			o.given[change.Engine] = givenOrder{role: change.Role, at: time.Now()}
+			return RoleOrder{}, false
+		}
+		token, valid := candidate.Valid(time.Now())
+		if lapsed = !valid; lapsed {
+			return RoleOrder{}, false
+		}
 		o.given[change.Engine] = givenOrder{role: change.Role, at: time.Now()}
-		return nil
-	}
-	token, valid := candidate.Valid(time.Now())
-	if !valid {
+		o.announce(change.Engine, service)
+		given = &RoleOrder{Role: change.Role, Holder: o.config.Name, Token: token, After: status.Sequence}
+		return *given, true
+	})
+	switch {
+	case lapsed:
 		return errors.New("the lease has run out")
+	case given == nil:
+		return err
 	}
-	o.given[change.Engine] = givenOrder{role: change.Role, at: time.Now()}
-	o.announce(change.Engine, service)
-	err = o.deps.Engines.SetRole(ctx, entry, RoleOrder{
-		Role: change.Role, Holder: o.config.Name, Token: token, After: status.Sequence,
-	})
-	klog.InfoS("Order given", "service", service, "server", change.Engine, "role", change.Role, "token", token,
-		"after", status.Sequence, "prefill", change.Prefill, "decode", change.Decode, "wantPrefill", change.Want, "accepted", err == nil)
+	klog.InfoS("Order given", "service", service, "server", change.Engine, "role", change.Role, "token", given.Token,
+		"after", given.After, "prefill", change.Prefill, "decode", change.Decode, "wantPrefill", change.Want, "accepted", err == nil)
 	if errors.Is(err, engine.ErrStale) {
 		delete(o.leases, service)
 	}
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -28,7 +28,7 @@
 // sumLoads tells each server's state what the siblings have committed there.
 func (in *Instance) sumLoads() {
 	total := in.peers.sum(in.members.View().Serving())
-	for id := range in.servers.Load().ByID {
+	for id := range in.servers.Load().ByRun {
 		server := in.Fleet.Server(id)
 		if others := total[route.ServerID(id)]; server != nil && server.Others() != others {
 			server.SetOthers(others)
@@ -177,7 +177,7 @@
 // loads lists what this instance has committed, by server.
 func (in *Instance) loads() []heartbeat.Load {
 	var loads []heartbeat.Load
-	for id := range in.servers.Load().ByID {
+	for id := range in.servers.Load().ByRun {
 		server := in.Fleet.Server(id)
 		if server == nil {
 			continue
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -50,13 +50,13 @@
 
 func drains(id string) func(in *Instance) bool {
 	return func(in *Instance) bool {
-		entry := in.Servers().ByID[id]
+		entry := in.Servers().ByRun[id]
 		return entry == nil || entry.Draining
 	}
 }
 
 func gone(id string) func(in *Instance) bool {
-	return func(in *Instance) bool { return in.Servers().ByID[id] == nil }
+	return func(in *Instance) bool { return in.Servers().ByRun[id] == nil }
 }
 
 // newsAfterSilence returns a test that something is known everywhere in time, which
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -83,7 +83,7 @@
 	}
 	f.note(decision{at: query.Now, step: stepChoose, outcome: outcome, rated: made.Rated})
 	if made.Chosen != nil {
-		f.entries[made.Pick] = f.servers.ByID[made.Pick]
+		f.entries[made.Pick] = f.servers.ByRun[made.Pick]
 	}
 	return made.Chosen
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -30,10 +30,19 @@
 type Servers struct {
 	// Position is the log offset up to which changes are in the picture.
 	Position uint64
-	ByID     map[string]*registry.Entry
-	Plain    map[string][]*table.BackendView
-	Prefill  map[string][]*table.BackendView
-	Decode   map[string][]*table.BackendView
+	// ByRun holds each server by the name of its run, ByID by its own.
+	ByRun   map[string]*registry.Entry
+	ByID    map[string]*registry.Entry
+	Plain   map[string][]*table.BackendView
+	Prefill map[string][]*table.BackendView
+	Decode  map[string][]*table.BackendView
+}
+
+// Restarted says whether another run of a server has taken the place of the one
+// that an entry names.
+func (s *Servers) Restarted(entry *registry.Entry) bool {
+	now := s.ByID[entry.ID]
+	return now != nil && now.Run() != entry.Run()
 }
 
 // Config bounds what one request may take.
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -119,6 +119,9 @@
 	if g.leaving(g.decode.Name) {
 		return g.handOffElsewhere(&stepError{why: reason.HandoffRefused, detail: "the decode engine is leaving"})
 	}
+	if g.result != "" && g.Beliefs.Servers().Restarted(g.entry(g.prefill)) {
+		return g.beginWithoutResult()
+	}
 	server := g.decode.Server
 	g.path = append(g.path, g.decode.Name)
 	order := DecodeOrder{Reservation: g.reservation, LastEvent: g.request.LastEvent}
--- a/forward/handoff_test.go
+++ b/forward/handoff_test.go
@@ -111,9 +111,9 @@
 	play(t, func(b *bench) {
 		b.engines.prefill = func(string) error {
 			before := b.Beliefs.Servers()
-			after := &Servers{ByID: maps.Clone(before.ByID), Plain: before.Plain, Decode: before.Decode, Prefill: map[string][]*table.BackendView{}}
-			delete(after.ByID, "p1")
-			delete(after.ByID, "p2")
+			after := &Servers{ByRun: maps.Clone(before.ByRun), Plain: before.Plain, Decode: before.Decode, Prefill: map[string][]*table.BackendView{}}
+			delete(after.ByRun, "p1")
+			delete(after.ByRun, "p2")
 			b.believe(after)
 			for _, call := range b.engines.calls {
 				if server, ok := strings.CutPrefix(call, "reserve "); ok {
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -165,12 +165,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	servers := &Servers{ByID: map[string]*registry.Entry{}, Plain: map[string][]*table.BackendView{}, Prefill: map[string][]*table.BackendView{}, Decode: map[string][]*table.BackendView{}}
+	servers := &Servers{ByRun: map[string]*registry.Entry{}, ByID: map[string]*registry.Entry{}, Plain: map[string][]*table.BackendView{}, Prefill: map[string][]*table.BackendView{}, Decode: map[string][]*table.BackendView{}}
 	backends := make(map[string]*table.BackendView)
 	add := func(pools map[string][]*table.BackendView, service string, ids ...string) {
 		for _, id := range ids {
 			backend := &table.BackendView{Name: id, Pool: service, Zone: "z", MemoryTokens: testMemory}
-			servers.ByID[id] = &registry.Entry{ID: id, Service: service, Zone: "z", Address: id}
+			servers.ByRun[id] = &registry.Entry{ID: id, Service: service, Zone: "z", Address: id}
+			servers.ByID[id] = servers.ByRun[id]
 			pools[service] = append(pools[service], backend)
 			backends[id] = backend
 		}
@@ -238,7 +239,7 @@
 // nothingHeld checks that no note of a request is left over.
 func (b *bench) nothingHeld() {
 	b.t.Helper()
-	for id := range b.Beliefs.Servers().ByID {
+	for id := range b.Beliefs.Servers().ByRun {
 		if own := b.Fleet.Server(id).Own(); own != (route.Commitment{}) {
 			b.t.Errorf("left over at %s: %+v", id, own)
 		}
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -18,10 +18,10 @@
 // leave has a server say that it leaves.
 func (b *bench) leave(id string) {
 	next := *b.Beliefs.Servers()
-	entry := *next.ByID[id]
+	entry := *next.ByRun[id]
 	entry.Draining = true
-	next.ByID = maps.Clone(next.ByID)
-	next.ByID[id] = &entry
+	next.ByRun = maps.Clone(next.ByRun)
+	next.ByRun[id] = &entry
 	next.Plain, next.Prefill, next.Decode = leaving(next.Plain, id), leaving(next.Prefill, id), leaving(next.Decode, id)
 	next.Position++
 	b.believe(&next)
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -135,8 +135,8 @@
 // returnTaken frees what the request has taken and not used.
 func (g *generation) returnTaken() {
 	g.returnReservation()
-	if g.result != "" {
-		server, result := g.entry(g.prefill), g.result
+	if server := g.taken(g.prefill, string(g.result)); server != nil {
+		result := g.result
 		g.cleanup(func(ctx context.Context) { g.report("prefill result", server, g.Backends.Free(ctx, server, result)) })
 	}
 	g.result = ""
@@ -144,8 +144,8 @@
 
 // returnReservation gives up memory that was reserved and is not used.
 func (g *generation) returnReservation() {
-	if g.reservation != "" {
-		server, reservation := g.entry(g.decode), g.reservation
+	if server := g.taken(g.decode, string(g.reservation)); server != nil {
+		reservation := g.reservation
 		g.cleanup(func(ctx context.Context) {
 			g.report("reservation", server, g.Backends.Release(ctx, server, reservation))
 		})
@@ -153,6 +153,20 @@
 	g.reservation = ""
 }
 
+// taken returns the run of a server that still keeps what a request took there; nil
+// if nothing was taken, or if the server has started again: what it names so now may
+// be another request's.
+func (g *generation) taken(at *route.Rated, what string) *registry.Entry {
+	if what == "" {
+		return nil
+	}
+	entry := g.entry(at)
+	if g.Beliefs.Servers().Restarted(entry) {
+		return nil
+	}
+	return entry
+}
+
 // report notes that something could not be given back. It lapses by itself.
 func (g *generation) report(what string, server *registry.Entry, err error) {
 	if err != nil {
--- a/forward/read.go
+++ b/forward/read.go
@@ -166,9 +166,23 @@
 	return g.begin()
 }
 
+// beginWithoutResult goes on when the engine that had read the prompt has started
+// again: the result is lost, and a later one may bear its name. The decode engine
+// reads the prompt itself.
+func (g *generation) beginWithoutResult() (*Stream, *stepError) {
+	g.result = ""
+	if !g.Budget(g.service.Name).Spend(time.Now()) {
+		return nil, &stepError{why: reason.PrefillFailed, detail: "the engine that had read the prompt started again"}
+	}
+	g.Metrics.Retried(reason.PrefillFailed)
+	g.decide(stepRetry, "read_at_decode", "why", reason.PrefillFailed, "restarted", g.prefill.Name)
+	g.readAtDecode = true
+	return g.begin()
+}
+
 // leaving says whether a server has begun to leave, or is gone.
 func (g *generation) leaving(name string) bool {
-	entry := g.Beliefs.Servers().ByID[name]
+	entry := g.Beliefs.Servers().ByRun[name]
 	return entry == nil || entry.Draining
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -14,6 +14,7 @@
 	labelService = "service"
 	labelOutcome = "outcome"
 	labelReason  = "reason"
+	labelCall    = "call"
 )
 
 // Set is the metrics of one instance, on a registry of its own so that
@@ -25,6 +26,7 @@
 	retries  *prometheus.CounterVec
 	dropped  *prometheus.CounterVec
 	kept     *prometheus.CounterVec
+	stored   *prometheus.CounterVec
 	withheld prometheus.Counter
 	took     *prometheus.HistogramVec
 	// FirstToken and BetweenTokens are in seconds.
@@ -56,6 +58,7 @@
 		refusals: counters("refusals_total", "Requests that ended other than done, by reason.", labelReason),
 		retries:  counters("retries_total", "Attempts that were followed by another, by reason.", labelReason),
 		withheld: counter("log_requests_withheld_total", "Requests that were not logged, for the limit of log lines."),
+		stored:   counters("store_calls_total", "Calls to the platform's store, by kind of call and outcome.", labelCall, labelOutcome),
 		kept:     counters("not_returned_total", "Things taken at backend servers that could not be given back, and lapsed.", "what"),
 		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its end.", Buckets: tookBuckets,
@@ -73,7 +76,7 @@
 		CancelTries: counter("cancel_tries_total", "Cancel orders sent."),
 		Orphans:     counter("orphans_cancelled_total", "Streams of dead homes that were cancelled."),
 	}
-	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.dropped, s.kept, s.withheld, s.took, s.FirstToken, s.BetweenTokens,
+	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.dropped, s.kept, s.stored, s.withheld, s.took, s.FirstToken, s.BetweenTokens,
 		s.CancelsPending, s.CancelTries, s.Orphans)
 	for _, info := range reason.All {
 		s.refusals.WithLabelValues(string(info.Reason))
@@ -110,6 +113,9 @@
 // given back.
 func (s *Set) NotReturned(what string) { s.kept.WithLabelValues(what).Inc() }
 
+// StoreCalled counts a call to the platform's store.
+func (s *Set) StoreCalled(call, outcome string) { s.stored.WithLabelValues(call, outcome).Inc() }
+
 // Withheld counts a request that was not logged.
 func (s *Set) Withheld() { s.withheld.Inc() }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -6,6 +6,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +14,7 @@
 
 // Entry is what a backend server says about itself.
 type Entry struct {
-	// ID names one run of the server; a restart has another.
+	// ID names the server. One that starts again may keep it.
 	ID      string `cbor:"1,keyasint"`
 	Service string `cbor:"2,keyasint"`
 	// Address is "ip:port".
@@ -30,6 +31,21 @@
 	Role string `cbor:"8,keyasint,omitempty"`
 	// Weights is the version of the model's weights that it serves.
 	Weights int `cbor:"9,keyasint,omitempty"`
+	// Born is when this run of the server started, in milliseconds since 1970 on
+	// its own clock; 0 for servers that do not say.
+	Born int64 `cbor:"10,keyasint,omitempty"`
+}
+
+// runBase writes the start of a run with few digits.
+const runBase = 36
+
+// Run names one run of the server. Whatever is believed of a run, or was given to
+// it, ends with it: a server that starts again knows nothing of before.
+func (e *Entry) Run() string {
+	if e.Born == 0 {
+		return e.ID
+	}
+	return e.ID + "@" + strconv.FormatInt(e.Born, runBase)
 }
 
 // Change is a new entry of a server, or its removal.
@@ -37,6 +53,9 @@
 	ID string
 	// Entry is nil when the server's entry was removed.
 	Entry *Entry
+	// Unusable is set when the newest entry names no server that could be used.
+	// That is no lapse: the entry before it is not coming back.
+	Unusable bool
 }
 
 // Snapshot is a whole list, as read at one position of the platform's log.
@@ -44,6 +63,8 @@
 	Entries []Entry `cbor:"1,keyasint"`
 	// Position is the log offset that comes next.
 	Position uint64 `cbor:"2,keyasint"`
+	// Unusable lists the ids whose entry names no server that could be used.
+	Unusable []string `cbor:"3,keyasint,omitempty"`
 }
 
 // Config tunes what a removed entry means.
@@ -153,6 +174,9 @@
 	if snapshot.Position < r.view.Load().Position {
 		return
 	}
+	for _, id := range snapshot.Unusable {
+		delete(r.servers, id)
+	}
 	listed := make(map[string]bool, len(snapshot.Entries))
 	for _, entry := range snapshot.Entries {
 		listed[entry.ID] = true
@@ -178,10 +202,18 @@
 	gone := make(map[string]bool)
 	for _, change := range changes {
 		gone[change.ID] = change.Entry == nil
-		if change.Entry != nil {
+		switch {
+		case change.Entry != nil:
 			r.servers[change.ID] = Server{Entry: *change.Entry}
+		case change.Unusable:
+			delete(r.servers, change.ID)
 		}
 	}
+	if len(changes) == 0 && position == r.view.Load().Position {
+		// An equal view would have everything that follows from it made anew, about
+		// once a second somewhere: that is how often the store is asked.
+		return
+	}
 	maps.DeleteFunc(gone, func(_ string, removed bool) bool { return !removed })
 	r.remove(slices.Collect(maps.Keys(gone)), now)
 	r.publish(position, now)
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -159,3 +159,32 @@
 		}
 	})
 }
+
+func TestAServerWhoseEntryCannotBeUsedIsGoneAtOnce(t *testing.T) {
+	r := filled(10)
+	r.StoreReturned(start)
+	r.Apply([]Change{{ID: "s3", Unusable: true}}, 11, start)
+	snapshot := r.View().Snapshot()
+	snapshot.Entries, snapshot.Unusable = snapshot.Entries[1:], []string{snapshot.Entries[0].ID}
+	r.Reset(snapshot, start)
+	if r.View().Find("s3") != nil || r.View().Find("s0") != nil || r.View().Find("s1") == nil {
+		t.Fatalf("%+v", r.View().Servers)
+	}
+}
+
+func TestAServerThatStartsAgainIsAnotherRun(t *testing.T) {
+	first := Entry{ID: "s3", Born: 1764720000123}
+	second := Entry{ID: "s3", Born: 1764720000124}
+	if first.Run() == second.Run() || first.Run() != (&Entry{ID: "s3", Born: first.Born, Draining: true}).Run() {
+		t.Fatalf("%s, %s", first.Run(), second.Run())
+	}
+}
+
+func TestAnAnswerWithoutNewsChangesNothing(t *testing.T) {
+	r := filled(10)
+	before := r.View()
+	r.Apply(nil, before.Position, start.Add(time.Second))
+	if r.View() != before {
+		t.Fatal("an equal view was published")
+	}
+}
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -68,6 +68,16 @@
 // Close ends the request: after a whole answer the connection is kept if both
 // sides allow it, else it is closed.
 func (a *Answer) Close() error {
+	if conn := a.Next(); conn != nil {
+		conn.release()
+	}
+	return nil
+}
+
+// Next ends the request as Close does, but returns the connection for another one
+// of the same caller: what is sent there reaches the run of the server that gave
+// this answer, or nobody. It is nil if the connection was closed.
+func (a *Answer) Next() *Conn {
 	if a.done {
 		return nil
 	}
@@ -75,7 +85,7 @@
 	running := a.stop()
 	if running && a.whole && !a.Response.Close && a.sent() && a.framed() {
 		a.keep()
-		return nil
+		return a.conn
 	}
 	a.conn.Discard()
 	return nil
@@ -101,5 +111,4 @@
 		a.conn.idleFor = max(announced-a.conn.pool.config.IdleMargin, 0)
 	}
 	a.conn.raw.SetDeadline(time.Time{})
-	a.conn.release()
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -33,6 +33,9 @@
 	c.pool.forget()
 }
 
+// Release gives a connection back that carries no request.
+func (c *Conn) Release() { c.release() }
+
 // release keeps the connection for the next request.
 func (c *Conn) release() {
 	if c.reader.Buffered() > 0 {
