Digests tell what has changed of a sum, and the rest in turn

Cause: a digest held the whole sum, 19 bytes a server.

Change: what differs as for heartbeats, at most 320 servers, and 48 others in turn, which also makes lost datagrams good. Test: 3,000 servers, a lost datagram, a sum that falls to nothing.

--- a/edge/beat.go
+++ b/edge/beat.go
@@ -114,10 +114,7 @@
 	}
 	for i, load := range loads {
 		before := told[i]
-		if before.Server != load.Server || before.InFlight != load.InFlight || before.Unread != load.Unread {
-			return true
-		}
-		if off := load.Memory - before.Memory; off >= newsMemory || off <= -newsMemory {
+		if before.Server != load.Server || differ(before.Commitment(), load.Commitment()) {
 			return true
 		}
 	}
--- a/edge/config.go
+++ b/edge/config.go
@@ -113,6 +113,10 @@
 	// and CountHoldsFor the same for the number of instances.
 	ZoneSumFor    time.Duration
 	CountHoldsFor time.Duration
+	// LoadsAtOnce bounds the servers that a digest tells of because their sums have
+	// changed, some 19 bytes each, and LoadsInTurn is how many it tells of in any case.
+	LoadsAtOnce int
+	LoadsInTurn int
 	// ToldAtOnce bounds the siblings in one digest, some 110 bytes each, and
 	// HelloAtOnce the unknown addresses that are tried at a time.
 	ToldAtOnce  int
@@ -181,6 +185,8 @@
 		HubGrace:       2 * time.Second,
 		ZoneSumFor:     3 * time.Second,
 		CountHoldsFor:  10 * time.Second,
+		LoadsAtOnce:    320,
+		LoadsInTurn:    48,
 		ToldAtOnce:     32,
 		HelloAtOnce:    8,
 		NewsAtMost:     32,
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -151,7 +151,7 @@
 	addLoads(zone, commitments(loads))
 	total := in.hubs.others(now)
 	addLoads(total, zone)
-	ofZone, ofAll, err := encodeSums(zone, total)
+	ofZone, ofAll, err := in.encodeSums(zone, total)
 	if err != nil {
 		klog.ErrorS(err, "Digests not sent")
 		return
--- a/edge/hubs_test.go
+++ b/edge/hubs_test.go
@@ -100,6 +100,47 @@
 	})
 }
 
+// A sum over thousands of servers is told in parts: what changed, and all in turn.
+func TestLargeSumsAreToldInParts(t *testing.T) {
+	sum := make(map[uint32]route.Commitment)
+	var servers []uint32
+	for i := range uint32(3000) {
+		servers = append(servers, i)
+		sum[i] = route.Commitment{Memory: 10_000 + int(i)}
+	}
+	var told parts
+	var received map[uint32]route.Commitment
+	tell := func(lost bool) int {
+		part := told.pick(sum, servers, 320, 48)
+		if !lost {
+			received = merged(received, part, nil)
+		}
+		return len(part)
+	}
+	for beat := range 20 {
+		if n := tell(beat == 3); n > 320+48 {
+			t.Fatalf("%d at a time", n)
+		}
+	}
+	sum[7], sum[2999] = route.Commitment{}, route.Commitment{Memory: 99_000}
+	tell(false)
+	if _, holds := received[7]; holds || received[2999] != sum[2999] {
+		t.Error("a change waits for its turn")
+	}
+	for range len(servers)/48 + 1 {
+		tell(false)
+	}
+	delete(sum, 7)
+	if len(received) != len(sum) {
+		t.Fatalf("%d of %d known", len(received), len(sum))
+	}
+	for server, want := range sum {
+		if received[server] != want {
+			t.Fatalf("server %d: %+v, not %+v", server, received[server], want)
+		}
+	}
+}
+
 // Nothing an instance is told depends on one hub: while the best of each zone is
 // silent, the next ones serve.
 func TestSilentHubsAreReplaced(t *testing.T) {
--- a/edge/sums.go
+++ b/edge/sums.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -28,15 +29,63 @@
 		klog.InfoS("Sum of loads not taken in", "zone", zone, "err", err.Error())
 		return
 	}
-	loads := commitments(encoded)
 	if digest.Zone {
-		h.zones[zone] = zoneSum{at: now, loads: loads}
+		h.zones[zone] = zoneSum{at: now, loads: merged(h.zones[zone].loads, encoded, nil)}
 		return
 	}
-	for server, own := range h.saidAt(digest.Echo) {
-		loads[server] = loads[server].Less(own)
+	h.sums = merged(h.sums, encoded, h.saidAt(digest.Echo))
+}
+
+// merged returns sums with a newer part of them in place of what they held, less what
+// the receiver itself has told.
+func merged(sums map[uint32]route.Commitment, part []heartbeat.Load, own map[uint32]route.Commitment) map[uint32]route.Commitment {
+	next := make(map[uint32]route.Commitment, len(sums)+len(part))
+	maps.Copy(next, sums)
+	for _, load := range part {
+		sum := load.Commitment().Less(own[load.Server])
+		if sum == (route.Commitment{}) {
+			delete(next, load.Server)
+		} else {
+			next[load.Server] = sum
+		}
+	}
+	return next
+}
+
+// parts picks what a digest tells of a sum: what has changed, and a few others in turn,
+// for those whose datagram was lost or who have just come. With 3,000 engines a whole
+// sum is 57 KB, thirteen times a second to each.
+type parts struct {
+	told map[uint32]route.Commitment
+	next int
+}
+
+// pick returns the part of a sum over servers that is due.
+func (p *parts) pick(sum map[uint32]route.Commitment, servers []uint32, changedAtMost, inTurn int) []heartbeat.Load {
+	due := make([]heartbeat.Load, 0, min(len(servers), changedAtMost+inTurn))
+	next := make(map[uint32]route.Commitment, len(servers))
+	for i := range servers {
+		// It begins where it ended, so that none waits for ever.
+		server := servers[(p.next+i)%len(servers)]
+		now, before := sum[server], p.told[server]
+		if i < inTurn || (len(due) < changedAtMost && differ(before, now)) {
+			due = append(due, heartbeat.Load{Server: server, InFlight: now.InFlight, Unread: now.Unread, Memory: now.Memory})
+			before = now
+		}
+		next[server] = before
 	}
-	h.sums = loads
+	if len(servers) > 0 {
+		p.next = (p.next + inTurn) % len(servers)
+	}
+	p.told = next
+	return due
+}
+
+// differ says whether others would decide otherwise by a commitment than by the one
+// before.
+func differ(before, now route.Commitment) bool {
+	off := now.Memory - before.Memory
+	return before.InFlight != now.InFlight || before.Unread != now.Unread || off >= newsMemory || off <= -newsMemory
 }
 
 // say remembers what is told of this instance's own loads.
@@ -90,12 +139,20 @@
 	return h.sums
 }
 
-// encodeSums encodes the sum of a zone, and that of all.
-func encodeSums(zone, total map[uint32]route.Commitment) (ofZone, ofAll heartbeat.EncodedLoads, err error) {
-	if ofZone, err = heartbeat.EncodeLoads(loadsOf(zone)); err != nil {
+// encodeSums encodes what is due of the sum of a zone, and of that of all.
+func (in *Instance) encodeSums(zone, total map[uint32]route.Commitment) (ofZone, ofAll heartbeat.EncodedLoads, err error) {
+	servers := make([]uint32, 0, len(in.servers.Load().ByRun))
+	for run := range in.servers.Load().ByRun {
+		servers = append(servers, route.ServerID(run))
+	}
+	slices.Sort(servers)
+	due := func(p *parts, sum map[uint32]route.Commitment) (heartbeat.EncodedLoads, error) {
+		return heartbeat.EncodeLoads(p.pick(sum, servers, in.config.LoadsAtOnce, in.config.LoadsInTurn))
+	}
+	if ofZone, err = due(&in.hubs.zoneParts, zone); err != nil {
 		return nil, nil, err
 	}
-	ofAll, err = heartbeat.EncodeLoads(loadsOf(total))
+	ofAll, err = due(&in.hubs.allParts, total)
 	return ofZone, ofAll, err
 }
 
@@ -107,14 +164,3 @@
 	}
 	return sorted
 }
-
-// loadsOf writes a sum as loads.
-func loadsOf(total map[uint32]route.Commitment) []heartbeat.Load {
-	loads := make([]heartbeat.Load, 0, len(total))
-	for server, sum := range total {
-		if sum != (route.Commitment{}) {
-			loads = append(loads, heartbeat.Load{Server: server, InFlight: sum.InFlight, Unread: sum.Unread, Memory: sum.Memory})
-		}
-	}
-	return loads
-}
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -80,8 +80,8 @@
 
 // Digest is what a hub knows beyond itself.
 type Digest struct {
-	// Summed is set if Loads holds a sum: of the hub's zone if Zone is set, else of
-	// all instances, the receiver included.
+	// Summed is set if Loads holds a part of a sum: of the hub's zone if Zone is set,
+	// else of all instances, the receiver included. Other servers' sums stay.
 	// The same sum goes to many, so it is encoded once; Echo is how long the receiver
 	// had run when it sent the heartbeat that is the last in the sum.
 	Summed bool          `cbor:"1,keyasint,omitempty"`
