mastwheel log finds a server by its id too, whatever its run

Cause: servers are named by their run in the log, so `--server ID` found nothing of servers that say when they started. A test that fails before.

--- a/cmd/mastwheel/log.go
+++ b/cmd/mastwheel/log.go
@@ -23,7 +23,7 @@
 			&cli.StringFlag{Name: "outcome", Usage: "only `OUTCOME`: done, not_run or unknown"},
 			&cli.StringFlag{Name: "service", Usage: "only requests to `SERVICE`"},
 			&cli.StringFlag{Name: "route", Usage: "only requests on `ROUTE`"},
-			&cli.StringFlag{Name: "server", Usage: "only requests that were sent to backend server `ID`"},
+			&cli.StringFlag{Name: "server", Usage: "only requests that were sent to backend server `ID`, or to a run of it"},
 			&cli.StringFlag{Name: "revision", Usage: "only requests decided by revision `N` of the table"},
 			&cli.BoolFlag{Name: "count", Usage: "count them by service, outcome, status and reason"},
 		},
--- a/explain/search.go
+++ b/explain/search.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+
+	"github.com/mastwheel/mastwheel/registry"
 )
 
 // Ended is the log line that says how a request ended.
@@ -41,7 +43,14 @@
 	same := func(wanted, got string) bool { return wanted == "" || wanted == got }
 	return same(f.Reason, e.Reason) && same(f.Outcome, e.Outcome) && same(f.Service, e.Service) &&
 		same(f.Route, e.Route) && same(f.Revision, e.Revision) &&
-		(f.Server == "" || slices.Contains(e.Servers, f.Server))
+		(f.Server == "" || slices.ContainsFunc(e.Servers, f.isServer))
+}
+
+// isServer says whether a name is that of the server looked for, or of one of its
+// runs.
+func (f Filter) isServer(name string) bool {
+	id, _, _ := strings.Cut(name, registry.RunMark)
+	return name == f.Server || id == f.Server
 }
 
 // messageEnded is the message of the lines that say how a request ended.
--- a/explain/search_test.go
+++ b/explain/search_test.go
@@ -42,6 +42,18 @@
 	}
 }
 
+func TestRequestsAreFoundByAServerOrOneOfItsRuns(t *testing.T) {
+	const log = `{"msg":"Request ended","request":"a1","servers":["s1@k3"]}
+{"msg":"Request ended","request":"b2","servers":["s1@k9","s2"]}
+{"msg":"Request ended","request":"c3","servers":["s11@k3"]}
+`
+	for server, want := range map[string]int{"s1": 2, "s1@k3": 1, "s2": 1, "k3": 0} {
+		if found, err := Search(strings.NewReader(log), Filter{Server: server}); err != nil || len(found) != want {
+			t.Errorf("%s: %d requests, not %d, %v", server, len(found), want, err)
+		}
+	}
+}
+
 func TestFoundRequestsAreWrittenAndCounted(t *testing.T) {
 	found, err := Search(strings.NewReader(ended), Filter{Service: "web"})
 	if err != nil {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -36,8 +36,12 @@
 	Born int64 `cbor:"10,keyasint,omitempty"`
 }
 
-// runBase writes the start of a run with few digits.
-const runBase = 36
+const (
+	// RunMark stands between a server's id and the start in the name of a run.
+	RunMark = "@"
+	// runBase writes the start of a run with few digits.
+	runBase = 36
+)
 
 // Run names one run of the server. Whatever is believed of a run, or was given to
 // it, ends with it: a server that starts again knows nothing of before.
@@ -45,7 +49,7 @@
 	if e.Born == 0 {
 		return e.ID
 	}
-	return e.ID + "@" + strconv.FormatInt(e.Born, runBase)
+	return e.ID + RunMark + strconv.FormatInt(e.Born, runBase)
 }
 
 // Change is a new entry of a server, or its removal.
