A look at the members shows all that was heard before

While one goroutine made the picture of the members anew, it had already noted that nothing had changed, so others took the picture before, at worst an empty one; an instance with a hundred siblings then counted none for a moment and summed their loads too early.

Change: that nothing has changed is noted after the new picture is in place.

--- a/member/member.go
+++ b/member/member.go
@@ -262,13 +262,14 @@
 
 // build makes the picture anew. The caller holds the lock.
 func (m *Members) build() {
-	m.changed.Store(false)
 	next := &View{Siblings: make([]Sibling, 0, len(m.siblings)), self: m.self}
 	for _, sibling := range m.siblings {
 		next.Siblings = append(next.Siblings, sibling)
 	}
 	slices.SortFunc(next.Siblings, func(a, b Sibling) int { return cmp.Compare(a.Name, b.Name) })
 	m.view.Store(next)
+	// Only now: who finds nothing changed takes the picture without the lock.
+	m.changed.Store(false)
 }
 
 // Find returns the sibling of that name.
