One choice of hubs, one pick of some addresses, one wait: what the hubs wrote again

Found on reading the change once more. The same choice of hubs stood at three places (hubsOfZones); greet picked a window of addresses as somePeers does, and encoded the same message for each of them (some, one datagram for all); rest waited out its pause with a select of its own (wait.For). Behaviour stays as it is but for the first address of a pick where no more are known than asked for.

--- a/edge/beat.go
+++ b/edge/beat.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/wait"
 )
 
 // beat sends heartbeats until ctx ends, and one more whenever there is news.
@@ -73,13 +74,7 @@
 	case <-timer.C:
 		return true
 	case <-in.hurried:
-	}
-	timer.Reset(least - min(time.Since(began), least))
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+		return wait.For(ctx, least-min(time.Since(began), least))
 	}
 }
 
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -130,10 +130,12 @@
 	}
 	message := in.message(now)
 	message.Hubs, message.Want, message.Loads = true, true, loads
-	first := int(in.deps.Random() * float64(len(strangers)))
-	for i := range min(len(strangers), in.config.HelloAtOnce) {
-		in.send(message, strangers[(first+i)%len(strangers)])
-	}
+	in.send(message, in.some(strangers, in.config.HelloAtOnce)...)
+}
+
+// hubsOfZones returns the hubs of each zone as this instance would choose them now.
+func (in *Instance) hubsOfZones(now time.Time) map[string][]member.Info {
+	return in.hubs.choose(in.info(), in.members.View().Siblings, now)
 }
 
 // introduceHubs tells the hubs of other zones that ask this one which hubs their zone
@@ -225,7 +227,7 @@
 // wanted serves an instance that asks this one to be its hub, or tells it of better
 // ones: of its own zone anyone is served, of another one its hubs are.
 func (in *Instance) wanted(message heartbeat.Message, now time.Time) {
-	chosen := in.hubs.choose(in.info(), in.members.View().Siblings, now)
+	chosen := in.hubsOfZones(now)
 	near := message.From.Zone == in.config.Zone
 	served := near || holds(chosen[message.From.Zone], message.From.Name)
 	if served {
@@ -240,7 +242,7 @@
 func (in *Instance) redirect(to member.Info) {
 	now := time.Now()
 	view := in.members.View()
-	chosen := in.hubs.choose(in.info(), view.Siblings, now)
+	chosen := in.hubsOfZones(now)
 	digest := &heartbeat.Digest{Instances: in.Instances()}
 	for _, zone := range []string{to.Zone, in.config.Zone} {
 		for _, info := range chosen[zone] {
--- a/edge/listnews.go
+++ b/edge/listnews.go
@@ -17,7 +17,7 @@
 	}
 	now := time.Now()
 	var addresses []string
-	for _, info := range in.hubs.choose(in.info(), in.members.View().Siblings, now)[in.config.Zone] {
+	for _, info := range in.hubsOfZones(now)[in.config.Zone] {
 		if info.Name != in.config.Name && info.Name != from {
 			addresses = append(addresses, info.Peer)
 		}
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -51,18 +51,18 @@
 // sendTo sends a heartbeat that tells of loads and of some known addresses.
 func (in *Instance) sendTo(addresses, known []string, loads []heartbeat.Load) {
 	message := in.message(time.Now())
-	message.Loads, message.Peers = loads, in.somePeers(known)
+	message.Loads, message.Peers = loads, in.some(known, in.config.PeersTold)
 	in.send(message, addresses...)
 }
 
-// somePeers picks addresses that the receivers may not know.
-func (in *Instance) somePeers(addresses []string) []string {
-	if len(addresses) <= in.config.PeersTold {
+// some picks so many addresses at most, next to each other from a random one on.
+func (in *Instance) some(addresses []string, most int) []string {
+	if len(addresses) <= most {
 		return addresses
 	}
 	first := int(in.deps.Random() * float64(len(addresses)))
-	picked := make([]string, 0, in.config.PeersTold)
-	for i := range in.config.PeersTold {
+	picked := make([]string, 0, most)
+	for i := range most {
 		picked = append(picked, addresses[(first+i)%len(addresses)])
 	}
 	return picked
