Log what a request asked for, beside the id of its attempt

Cause: each attempt has a new id, so a line about a request that ended without an answer could not say whether the same one had come before, at this instance or another. Such lines carry a fingerprint now: caller, method, host, path, query and body. It is made only for requests whose outcome is unknown.

--- a/forward/decision.go
+++ b/forward/decision.go
@@ -93,6 +93,9 @@
 	if f.route != nil {
 		fields = append(fields, "route", f.route.Name)
 	}
+	if outcome == reason.Unknown {
+		fields = append(fields, "fingerprint", f.fingerprint().String())
+	}
 	if detail != "" {
 		fields = append(fields, "detail", detail)
 	}
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
@@ -37,6 +38,18 @@
 	mayRun bool
 	// decisions are what was decided for the request so far.
 	decisions []decision
+	// print is the request's fingerprint once somebody asked for it.
+	print poison.Fingerprint
+}
+
+// fingerprint tells whether the caller has sent the same request before. It is made
+// only for requests that need it: the body may have megabytes.
+func (f *flow) fingerprint() poison.Fingerprint {
+	if f.print == 0 {
+		r := f.request
+		f.print = poison.Identity{Caller: r.Caller, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}.Fingerprint()
+	}
+	return f.print
 }
 
 // pool picks the servers of a service from a picture of all.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,7 +19,9 @@
 // Request is one request of a caller.
 type Request struct {
 	// ID is the caller's own, new for each try.
-	ID     string
+	ID string
+	// Caller is the address that the request came from, without the port.
+	Caller string
 	Method string
 	// Target is the path and query as they were sent, Path the path alone.
 	Target string
