A request that crashes servers is known by all instances, and sent to none

Cause: what a request did to a server was known to nobody: its next attempt has another id and mostly comes to another instance. Class: state kept by attempt and by instance where what comes again is the request. Ruled out: our own retries (each reported attempt named one engine); servers that end by themselves (at each end one fingerprint is the same).

Change: runs that broke off at a server whose address then refuses connections are remembered as its end (package poison), told to all siblings with their heartbeats, and relayed by hubs; an instance that appears is told all that counts. Each end is attributed to the request that explains most ends, so those that only shared a server are not blamed; whoever runs to a good end is cleared. Two ends: probes, one at a time, where the fewest are lost.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -21,6 +21,7 @@
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/platform"
+	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/sibling"
 	"github.com/mastwheel/mastwheel/upstream"
@@ -82,7 +83,7 @@
 	})
 	p.gateway = forward.New(forward.Deps{
 		Zone: settings.Zone, Beliefs: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
-		Budget: p.edge.Budget, Metrics: p.metrics, Random: rand.Float64,
+		Budget: p.edge.Budget, Metrics: p.metrics, Poison: p.edge.Poison, Random: rand.Float64,
 	}, forward.DefaultConfig())
 	p.watch()
 	return p, nil
@@ -122,6 +123,11 @@
 		return silence.Seconds()
 	})
 	p.metrics.Watch("instances", "Instances that there are, as far as is known.", func() float64 { return float64(p.edge.Instances()) })
+	suspects := func(state poison.State) func() float64 {
+		return func() float64 { return float64(p.edge.Poison.Count(state)) }
+	}
+	p.metrics.Watch("requests_suspect", "Requests under which servers ended, and that are probed one at a time.", suspects(poison.Suspect))
+	p.metrics.Watch("requests_blocked", "Requests that crash servers and are sent to none.", suspects(poison.Blocked))
 	p.metrics.Watch("requests_in_flight", "Requests being forwarded.", func() float64 { return float64(p.gateway.InFlight()) })
 	p.metrics.Watch("decode_memory_free_tokens", "KV memory of decode engines that nobody has committed.", func() float64 { return float64(p.gateway.FreeMemory()) })
 	p.metrics.Watch("retry_budget_left", "Retries left over all services.", p.edge.RetriesLeft)
--- a/edge/beat.go
+++ b/edge/beat.go
@@ -26,7 +26,7 @@
 			if news {
 				told = loads
 			}
-		case news || now.Sub(sent) >= in.config.Members.HeartbeatEvery:
+		case news || urgent || now.Sub(sent) >= in.config.Members.HeartbeatEvery:
 			in.reads.Store(true)
 			in.meshBeat(now, turn, loads)
 			told, sent = loads, now
@@ -123,6 +123,7 @@
 	table, servers := in.tableFeed.age(now), in.list.age(now)
 	return heartbeat.Message{
 		From: in.info(), Changing: in.peers.underWay(now), TableHeard: table, ServersHeard: servers,
+		Poison: in.Poison.Update(now),
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/mastwheel/mastwheel/lease"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
+	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
@@ -151,6 +152,8 @@
 	hurried chan struct{}
 	// inMesh is set while each instance tells all others what it does.
 	inMesh atomic.Bool
+	// Poison remembers which requests ran at servers when these ended.
+	Poison *poison.Tracker
 }
 
 // New returns an instance that knows nothing yet.
@@ -185,6 +188,8 @@
 	in.reads.Store(true)
 	in.inMesh.Store(true)
 	in.hurried = make(chan struct{}, 1)
+	in.Poison = poison.New(poison.DefaultConfig(), in.deps.Random, in.Instances)
+	in.Poison.OnChange(logPoison, in.poisonNews)
 }
 
 // Run follows table, servers and siblings until ctx ends.
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -304,16 +304,22 @@
 
 // start has the instances run; the returned function ends them.
 func (f *fleet) start() (end func()) {
-	ctx, stop := context.WithCancel(context.Background())
-	for _, in := range f.instances {
-		f.running.Go(func() { _ = in.Run(ctx) })
-	}
+	stop := f.startThese(f.instances)
 	return func() {
 		stop()
 		f.running.Wait()
 	}
 }
 
+// startThese has some of the instances run; the returned function has them end.
+func (f *fleet) startThese(instances []*Instance) (stop func()) {
+	ctx, stop := context.WithCancel(context.Background())
+	for _, in := range instances {
+		f.running.Go(func() { _ = in.Run(ctx) })
+	}
+	return stop
+}
+
 // await waits on the real clock until something holds, however long a slow machine
 // takes; a minute is for ever.
 func (f *fleet) await(what string, holds func() bool) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -156,6 +156,7 @@
 		last = now
 		in.members.Tick(now)
 		in.registry.Tick(now)
+		in.Poison.Tick(now)
 		for _, feed := range in.feeds() {
 			feed.review(now)
 		}
--- /dev/null
+++ b/edge/poison.go
@@ -0,0 +1,42 @@
+package edge
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/poison"
+)
+
+// Instances tell each other, with their heartbeats, at which servers requests ran when
+// these ended: callers send a request that crashes servers to any instance.
+
+// poisonNews has all who hear this instance told at once.
+func (in *Instance) poisonNews() {
+	in.urgent.Store(true)
+	in.wake()
+}
+
+// takePoison takes in what a sibling says of servers that ended. Hubs, and through them
+// all others, are told on; where all hear each other, they need not be.
+func (in *Instance) takePoison(message heartbeat.Message, now time.Time) {
+	in.Poison.Merge(message.Poison, in.usesHubs(), now)
+}
+
+// introducePoison tells an instance that has just appeared all that speaks against
+// requests: it may have started anew, and knows nothing.
+func (in *Instance) introducePoison(to member.Info, now time.Time) {
+	for _, update := range in.Poison.Whole(now) {
+		message := in.message(now)
+		message.Poison = update
+		in.send(message, to.Peer)
+	}
+}
+
+// logPoison writes a line for each change of what is known of a request.
+func logPoison(change poison.Transition) {
+	klog.InfoS("Request that may crash servers", "fingerprint", change.Request.String(), "before", change.Before, "state", change.State,
+		"crashes", change.Crashes, "tied", change.Tied, "probes", change.Probes)
+}
--- /dev/null
+++ b/edge/poison_test.go
@@ -0,0 +1,130 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mastwheel/mastwheel/poison"
+)
+
+// endUnder has a server end under a request, as one instance sees it.
+func endUnder(in *Instance, server string, request poison.Fingerprint) {
+	in.Poison.Broke(server, request, time.Now())
+	in.Poison.Crashed(server, time.Now())
+}
+
+// knowsBlocked says whether an instance knows that a request is blocked.
+func knowsBlocked(request poison.Fingerprint) func(in *Instance) bool {
+	return func(in *Instance) bool { return in.Poison.State(request) == poison.Blocked }
+}
+
+// knownWithin is how soon all must know what one has seen: well within the users' three
+// seconds.
+const knownWithin = 700 * time.Millisecond
+
+func TestWhatARequestDidToServersIsKnownToAll(t *testing.T) {
+	for _, size := range []int{3, 8} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) { play(t, size, func(f *fleet) { testAllKnow(t, f) }) })
+	}
+	manyInstances(t, testAllKnow)
+}
+
+func testAllKnow(t *testing.T, f *fleet) {
+	const request = 7
+	for i := range 3 {
+		endUnder(f.instances[(i*17)%len(f.instances)], fmt.Sprint("x", i), request)
+	}
+	if took := f.slowest(knowsBlocked(request)); took > knownWithin {
+		t.Errorf("known everywhere after %v", took)
+	}
+	f.instances[len(f.instances)-1].Poison.Completed(request, time.Now())
+	if took := f.slowest(func(in *Instance) bool { return in.Poison.State(request) == poison.Clear }); took > knownWithin {
+		t.Errorf("cleared everywhere after %v", took)
+	}
+}
+
+// An instance that starts anew has forgotten all.
+func TestAnInstanceThatStartsAnewIsTold(t *testing.T) {
+	for _, size := range []int{3, 8, 58} {
+		if size > 36 && testing.Short() {
+			continue
+		}
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testNewcomerIsTold(t, newFleet(t, size+1, DefaultConfig())) })
+		})
+	}
+}
+
+// testNewcomerIsTold has the last instance start long after the others.
+func testNewcomerIsTold(t *testing.T, f *fleet) {
+	newcomer := f.instances[len(f.instances)-1]
+	defer f.running.Wait()
+	defer f.startThese(f.instances[:len(f.instances)-1])()
+	time.Sleep(5 * time.Second)
+	const requests = 20
+	for request := range poison.Fingerprint(requests) {
+		for i := range 3 {
+			endUnder(f.instances[i%(len(f.instances)-1)], fmt.Sprint("x", request, i), request+1)
+		}
+	}
+	time.Sleep(12 * time.Second)
+	defer f.startThese([]*Instance{newcomer})()
+	began := time.Now()
+	for newcomer.Poison.Count(poison.Blocked) < requests && time.Since(began) < 10*time.Second {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("knows %d of %d after %v", newcomer.Poison.Count(poison.Blocked), requests, took)
+	}
+}
+
+// Datagrams are lost, and links may be cut for longer than anything is told anew.
+func TestWhatWasMissedIsLearntLater(t *testing.T) {
+	play(t, 8, func(f *fleet) {
+		cut := f.instances[7]
+		f.mu.Lock()
+		f.cut[cut.config.SiblingAddress] = true
+		f.mu.Unlock()
+		for i := range 3 {
+			endUnder(f.instances[i], fmt.Sprint("x", i), 7)
+		}
+		time.Sleep(20 * time.Second)
+		f.mu.Lock()
+		f.cut[cut.config.SiblingAddress] = false
+		f.mu.Unlock()
+		if took := f.slowest(knowsBlocked(7)); took > 3*time.Second {
+			t.Errorf("known everywhere %v after the cut", took)
+		}
+	})
+}
+
+// What is told costs nothing while no server has ended, and little else.
+func TestWhatIsToldOfServersThatEndedIsLittle(t *testing.T) {
+	manyInstances(t, func(t *testing.T, f *fleet) {
+		rate := func() float64 {
+			f.mu.Lock()
+			before := f.bytes
+			f.mu.Unlock()
+			const spell = 10 * time.Second
+			time.Sleep(spell)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return float64(f.bytes-before) / spell.Seconds() / float64(len(f.instances))
+		}
+		calm := rate()
+		for request := range poison.Fingerprint(20) {
+			for i := range 3 {
+				endUnder(f.instances[i], fmt.Sprint("x", request, i), request+1)
+			}
+		}
+		learning := rate()
+		time.Sleep(12 * time.Second)
+		later := rate()
+		t.Logf("%.0f bytes a second and instance; %.0f in the 10 s after 60 servers ended, %.0f a little later", calm, learning, later)
+		if learning > calm+6000 || later > calm+1500 {
+			t.Errorf("%.0f bytes a second and instance, %.0f, %.0f", calm, learning, later)
+		}
+	})
+}
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -108,6 +108,9 @@
 		if !known || before.Incarnation != message.From.Incarnation || before.Draining != message.From.Draining {
 			in.hurryHub()
 		}
+		if !known || before.Incarnation != message.From.Incarnation {
+			in.introducePoison(message.From, now)
+		}
 		return
 	}
 	if known && before.Incarnation > message.From.Incarnation {
@@ -126,6 +129,7 @@
 			server.Changing(until)
 		}
 	}
+	in.takePoison(message, now)
 	in.takeNews(message, now)
 	table := hears(in.tableFeed, message.TableHeard, message.From.Revision, now)
 	list := hears(in.list, message.ServersHeard, message.From.Next, now)
--- a/forward/crowd_test.go
+++ b/forward/crowd_test.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
@@ -238,6 +239,9 @@
 type crowdBackends struct{ *crowd }
 
 // Call implements Backends.
+// HasEnded implements Backends: none does.
+func (crowdBackends) HasEnded(context.Context, *registry.Entry) bool { return false }
+
 func (crowdBackends) Call(context.Context, *registry.Entry, *Request, time.Time) (*Answer, error) {
 	return nil, errors.New("no plain calls here")
 }
@@ -340,6 +344,7 @@
 		c.gateways = append(c.gateways, New(Deps{
 			Zone: "z", Beliefs: believed, Fleet: fleet, Backends: crowdBackends{c}, Budget: func(string) *route.SharedBudget { return budget },
 			Metrics: metrics.New(), Random: func() float64 { mu.Lock(); defer mu.Unlock(); return random.Float64() },
+			Poison: poison.New(poison.DefaultConfig(), func() float64 { return 0 }, func() int { return 1 }),
 		}, config))
 	}
 	return c
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -31,6 +31,7 @@
 
 // Steps of a request, as they stand in the log.
 const (
+	stepAdmit    = "admit"
 	stepEstimate = "estimate"
 	stepChoose   = "choose"
 	stepReserve  = "reserve"
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -40,16 +40,8 @@
 	decisions []decision
 	// print is the request's fingerprint once somebody asked for it.
 	print poison.Fingerprint
-}
-
-// fingerprint tells whether the caller has sent the same request before. It is made
-// only for requests that need it: the body may have megabytes.
-func (f *flow) fingerprint() poison.Fingerprint {
-	if f.print == 0 {
-		r := f.request
-		f.print = poison.Identity{Caller: r.Caller, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}.Fingerprint()
-	}
-	return f.print
+	// admission is how it was admitted; zero if nothing spoke against any request.
+	admission poison.Admission
 }
 
 // pool picks the servers of a service from a picture of all.
@@ -94,6 +86,11 @@
 	if made.Chosen == nil {
 		outcome = "none"
 	}
+	if f.probed() && made.Chosen != nil {
+		made.Chosen = fewestLost(made.Rated)
+		made.Pick = made.Chosen.Name
+		outcome = made.Pick
+	}
 	f.note(decision{at: query.Now, step: stepChoose, outcome: outcome, rated: made.Rated})
 	if made.Chosen != nil {
 		f.entries[made.Pick] = f.servers.ByRun[made.Pick]
@@ -122,6 +119,14 @@
 	return f.end(&Reply{Status: statusUnavailable, Reason: why, RetryAfter: f.retryAfter(why)}, detail)
 }
 
+// giveUp ends a request at which a step failed.
+func (f *flow) giveUp(why reason.Reason, detail string) *Reply {
+	if why == reason.CrashesServers {
+		return f.fail(why, detail)
+	}
+	return f.refuse(why, detail)
+}
+
 // fail ends a request that may have run. Its status promises nothing.
 func (f *flow) fail(why reason.Reason, detail string) *Reply {
 	return f.end(&Reply{Status: statusBadGateway, Reason: why}, detail)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -110,6 +110,9 @@
 	Prefill(ctx context.Context, server *registry.Entry, r *Request, deadline time.Time) (Prefilled, error)
 	// Free gives the result of a prefill up.
 	Free(ctx context.Context, server *registry.Entry, result Prefilled) error
+	// HasEnded says whether a server's process has ended: nobody listens at its address.
+	// False says nothing of a server that is silent, or whose address is not reached.
+	HasEnded(ctx context.Context, server *registry.Entry) bool
 	// Decode runs the request and returns its stream.
 	Decode(ctx context.Context, server *registry.Entry, r *Request, order DecodeOrder, deadline time.Time) (*Stream, error)
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/mastwheel/mastwheel/logging"
 	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
@@ -127,6 +128,8 @@
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *route.SharedBudget
 	Metrics *metrics.Set
+	// Poison remembers which requests ran at servers when these ended.
+	Poison *poison.Tracker
 	// Random returns a number in [0,1).
 	Random func() float64
 }
@@ -261,8 +264,14 @@
 		f.deadline = r.Deadline
 	}
 	g.inFlight.Add(1)
-	f.leave = sync.OnceFunc(func() { g.inFlight.Add(-1) })
+	f.leave = sync.OnceFunc(func() {
+		g.inFlight.Add(-1)
+		f.admission.Release()
+	})
 	g.Budget(f.service.Name).Earn(r.Arrived)
+	if refused := f.admit(); refused != nil {
+		return refused
+	}
 	if f.service.Type == table.TypeModel && r.Generation != nil {
 		return f.generate(ctx)
 	}
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -88,7 +88,7 @@
 	if ctx.Err() != nil {
 		return f.lost(ctx, ctx.Err())
 	}
-	return f.refuse(failed.why, failed.detail)
+	return f.giveUp(failed.why, failed.detail)
 }
 
 // run takes the steps up to the begin of the stream.
@@ -122,6 +122,9 @@
 	if g.result != "" && g.Beliefs.Servers().Restarted(g.entry(g.prefill)) {
 		return g.beginWithoutResult()
 	}
+	if g.blocked() {
+		return nil, &stepError{why: reason.CrashesServers, detail: errPoison.Error()}
+	}
 	server := g.decode.Server
 	g.path = append(g.path, g.decode.Name)
 	order := DecodeOrder{Reservation: g.reservation, LastEvent: g.request.LastEvent}
@@ -162,6 +165,7 @@
 		g.runs--
 		return g.readAfterAll(notRun)
 	}
+	g.remember(g.ctx, g.decode, err)
 	g.mayRun = true
 	return nil, &stepError{why: reason.DecodeFailed, detail: err.Error(), lost: err}
 }
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
@@ -42,6 +43,14 @@
 	stream func(ctx context.Context, server, lastEvent string) io.ReadCloser
 	// readFor is how long a prompt is read.
 	readFor time.Duration
+	// ended holds the servers that have ended.
+	ended map[string]bool
+}
+
+func (e *engines) HasEnded(_ context.Context, server *registry.Entry) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ended[server.ID]
 }
 
 func (e *engines) status(server string) int {
@@ -191,6 +200,7 @@
 	believed.servers.Store(servers)
 	b.Gateway = New(Deps{
 		Zone: "z", Beliefs: believed, Fleet: fleet, Backends: b.engines, Budget: func(string) *route.SharedBudget { return budget }, Metrics: metrics.New(), Random: random.Float64,
+		Poison: poison.New(poison.DefaultConfig(), random.Float64, func() int { return 1 }),
 	}, DefaultConfig())
 	return b
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
 )
 
@@ -51,6 +52,9 @@
 	if chosen == nil {
 		return nil, errNoServer
 	}
+	if f.blocked() {
+		return nil, errPoison
+	}
 	f.tried = append(f.tried, chosen.Name)
 	f.path = append(f.path, chosen.Name)
 	defer chosen.Server.Begin(0)()
@@ -61,9 +65,22 @@
 		// A caller that left says nothing of the server.
 		f.learn(chosen.Server, err)
 	}
+	f.remember(ctx, chosen, err)
 	return answer, err
 }
 
+// remember notes what a send to a server says of the request: nothing if the server
+// disclaimed it, or if the caller left or the time was up first.
+func (f *flow) remember(ctx context.Context, at *route.Rated, err error) {
+	var notRun *NotRun
+	switch {
+	case err == nil:
+		f.completed()
+	case ctx.Err() == nil && !errors.As(err, &notRun):
+		f.broke(at)
+	}
+}
+
 // callResult is the outcome of a call: the server's status, or why there is
 // none.
 func callResult(answer *Answer, err error) string {
@@ -80,7 +97,7 @@
 func (f *flow) judge(ctx context.Context, answer *Answer, err error, attempt int) verdict {
 	var notRun *NotRun
 	switch {
-	case ctx.Err() != nil || errors.Is(err, errNoServer):
+	case ctx.Err() != nil || errors.Is(err, errNoServer) || errors.Is(err, errPoison):
 		return final
 	case errors.As(err, &notRun) && !notRun.Sent:
 		return elsewhere
@@ -91,6 +108,10 @@
 		return final
 	case err != nil:
 		f.mayRun = true
+		if !f.mayRepeat() {
+			f.decide(stepRetry, "no", "why", reason.CrashesServers, "attempt", attempt)
+			return final
+		}
 		return f.spend(attempt, reason.AnswerLost)
 	case answer.Status >= serverError:
 		f.mayRun = true
@@ -120,6 +141,8 @@
 	switch {
 	case err == nil:
 		return f.deliver(answer)
+	case errors.Is(err, errPoison):
+		return f.fail(reason.CrashesServers, err.Error())
 	case errors.Is(err, errNoServer):
 		return f.refuse(reason.NoBackend, err.Error())
 	case errors.As(err, &notRun):
--- a/forward/read.go
+++ b/forward/read.go
@@ -86,6 +86,9 @@
 		if g.ctx.Err() != nil {
 			return &stepError{why: reason.CallerGone, detail: err.Error()}
 		}
+		if errors.Is(err, errPoison) {
+			return &stepError{why: reason.CrashesServers, detail: err.Error()}
+		}
 		if !g.mayReadAgain(err, try) {
 			return &stepError{why: reason.PrefillFailed, detail: err.Error()}
 		}
@@ -107,7 +110,7 @@
 	if errors.As(failed, &notRun) && !notRun.Sent {
 		return try < maxUnreached
 	}
-	return try < maxPrefills && g.Budget(g.service.Name).Spend(time.Now())
+	return try < maxPrefills && g.mayRepeat() && g.Budget(g.service.Name).Spend(time.Now())
 }
 
 const (
@@ -119,6 +122,9 @@
 )
 
 func (g *generation) readOnce() error {
+	if g.blocked() {
+		return errPoison
+	}
 	server := g.prefill.Server
 	tokens := g.request.Generation.PromptTokens
 	ctx, cancel := context.WithDeadline(g.ctx, g.target.Add(g.config.LateReading))
@@ -134,6 +140,7 @@
 	}
 	g.decide(stepRead, resultOf(err), "server", g.prefill.Name, "waiting", waiting, "tookMillis", time.Since(began).Milliseconds())
 	if err != nil {
+		g.remember(ctx, g.prefill, err)
 		return err
 	}
 	server.Prefills.Measure(max(waiting, tokens), time.Since(began))
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -87,6 +87,7 @@
 func (r *relay) goOn(broken error) {
 	r.ended = broken
 	r.unwatch()
+	r.remember(r.ctx, r.decode, broken)
 	if r.mayRerun() && time.Now().Before(r.deadline) && (r.events == 0 || r.lastID != "") {
 		r.stream.Close()
 		r.cut()
@@ -180,6 +181,9 @@
 	departed := r.ctx.Err() != nil && time.Now().Before(r.deadline)
 	r.cancel()
 	r.leave()
+	if r.ended == io.EOF {
+		r.completed()
+	}
 	if r.ended == io.EOF && r.events > 0 && !r.partial {
 		r.sizesOf(r.service.Name).Ended(r.expected, r.events*r.service.Engine.EventTokens)
 	}
--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -15,7 +15,7 @@
 
 // mayRerun says whether the request may run at one more engine.
 func (g *generation) mayRerun() bool {
-	return !g.noRerun && g.route.Repeat == table.RepeatResume && g.runs < g.route.Attempts && g.ctx.Err() == nil
+	return !g.noRerun && g.route.Repeat == table.RepeatResume && g.runs < g.route.Attempts && g.ctx.Err() == nil && g.mayRepeat()
 }
 
 // rerun has the request run at another engine than the last, behind the last
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -14,6 +14,7 @@
 
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
+	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
 )
@@ -56,6 +57,8 @@
 	SeenRun operation.Incarnation `cbor:"11,keyasint,omitempty"`
 	Digest  *Digest               `cbor:"12,keyasint,omitempty"`
 	News    *News                 `cbor:"13,keyasint,omitempty"`
+	// Poison is what the sender has seen of servers that ended under requests.
+	Poison *poison.Update `cbor:"14,keyasint,omitempty"`
 	// Known, if not 0, is the incarnation under which the sender knows the
 	// receiver. A receiver that restarted with a lower one, since its clock was
 	// set back, takes a higher one.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -27,6 +27,7 @@
 	dropped  *prometheus.CounterVec
 	kept     *prometheus.CounterVec
 	stored   *prometheus.CounterVec
+	ends     *prometheus.CounterVec
 	withheld prometheus.Counter
 	took     *prometheus.HistogramVec
 	// FirstToken and BetweenTokens are in seconds.
@@ -57,6 +58,7 @@
 		requests: counters("requests_total", "Requests that ended, by outcome.", labelService, labelOutcome),
 		refusals: counters("refusals_total", "Requests that ended other than done, by reason.", labelReason),
 		retries:  counters("retries_total", "Attempts that were followed by another, by reason.", labelReason),
+		ends:     counters("server_ends_total", "Backend servers that were found to have ended with requests of this instance running, by service.", labelService),
 		withheld: counter("log_requests_withheld_total", "Requests that were not logged, for the limit of log lines."),
 		stored:   counters("store_calls_total", "Calls to the platform's store, by kind of call and outcome.", labelCall, labelOutcome),
 		kept:     counters("not_returned_total", "Things taken at backend servers that could not be given back, and lapsed.", "what"),
@@ -76,7 +78,7 @@
 		CancelTries: counter("cancel_tries_total", "Cancel orders sent."),
 		Orphans:     counter("orphans_cancelled_total", "Streams of dead homes that were cancelled."),
 	}
-	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.dropped, s.kept, s.stored, s.withheld, s.took, s.FirstToken, s.BetweenTokens,
+	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.dropped, s.kept, s.stored, s.ends, s.withheld, s.took, s.FirstToken, s.BetweenTokens,
 		s.CancelsPending, s.CancelTries, s.Orphans)
 	for _, info := range reason.All {
 		s.refusals.WithLabelValues(string(info.Reason))
@@ -116,6 +118,9 @@
 // StoreCalled counts a call to the platform's store.
 func (s *Set) StoreCalled(call, outcome string) { s.stored.WithLabelValues(call, outcome).Inc() }
 
+// ServerEnded counts a server that ended with requests running.
+func (s *Set) ServerEnded(service string) { s.ends.WithLabelValues(service).Inc() }
+
 // Withheld counts a request that was not logged.
 func (s *Set) Withheld() { s.withheld.Inc() }
 
--- /dev/null
+++ b/poison/tracker.go
@@ -0,0 +1,431 @@
+package poison
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is what is known of a request.
+type State string
+
+const (
+	// Clear: nothing speaks against it.
+	Clear State = "clear"
+	// Suspect: servers ended under it; its runs are probes.
+	Suspect State = "suspect"
+	// Blocked: it crashes servers, and is not sent to any.
+	Blocked State = "blocked"
+)
+
+// Transition is a change of what is known of a request.
+type Transition struct {
+	Request       Fingerprint
+	Before, State State
+	// Crashes counts the servers that ended under it and that no other explains.
+	Crashes int
+	// Tied is set if it cannot be told apart from another request.
+	Tied bool
+	// Probes counts the probes that were made of it.
+	Probes int
+}
+
+// Tracker remembers which requests ran at servers when these ended, at this instance
+// and at others. Requests read it without a lock while no server has ended.
+type Tracker struct {
+	config Config
+	random func() float64
+	// instances returns how many instances there are.
+	instances func() int
+	// remembers is set while some end of a server is remembered.
+	remembers atomic.Bool
+	// suspects is what requests are judged by; a new one takes its place with each
+	// change. known holds the fingerprints that ran at a server when it ended.
+	suspects atomic.Pointer[map[Fingerprint]*suspect]
+	known    sync.Map
+
+	mu     sync.Mutex
+	ends   map[serverRun]*end
+	broken map[serverRun]*brokenRuns
+	// ran holds the servers that ended under each request since it was cleared, and
+	// several those of the requests under which more than one did.
+	ran     map[Fingerprint]map[serverRun]bool
+	several map[Fingerprint]map[serverRun]bool
+	cleared map[Fingerprint]mark
+	probes  map[Fingerprint]mark
+	// changed and news, if set, are told of transitions, and that others should be told
+	// something now.
+	changed func(Transition)
+	news    func()
+	// repaired is when an update last told what is no longer fresh, and turn whose
+	// turn it is.
+	repaired time.Time
+	turn     int
+}
+
+// end is the end of a server's run.
+type end struct {
+	at time.Time
+	// ran holds the requests that ran there; those in it were cleared since if it is
+	// false.
+	ran        map[Fingerprint]bool
+	freshUntil time.Time
+}
+
+// brokenRuns are the requests that broke off at a server of which it is not known
+// whether it has ended.
+type brokenRuns struct {
+	since time.Time
+	ran   map[Fingerprint]bool
+}
+
+// mark is something that happened to a request.
+type mark struct {
+	at         time.Time
+	count      int
+	freshUntil time.Time
+}
+
+// suspect is a request that is not clear. Only probing changes.
+type suspect struct {
+	Transition
+	// probeAt is when it may be probed.
+	probeAt time.Time
+	// probing is set while this instance probes it.
+	probing *atomic.Bool
+}
+
+// New returns a tracker that knows nothing. random returns a number in [0,1), and
+// instances how many instances there are.
+func New(config Config, random func() float64, instances func() int) *Tracker {
+	t := &Tracker{
+		config: config, random: random, instances: instances,
+		ends: make(map[serverRun]*end), broken: make(map[serverRun]*brokenRuns),
+		ran: make(map[Fingerprint]map[serverRun]bool), several: make(map[Fingerprint]map[serverRun]bool), cleared: make(map[Fingerprint]mark), probes: make(map[Fingerprint]mark),
+	}
+	t.suspects.Store(&map[Fingerprint]*suspect{})
+	return t
+}
+
+// OnChange has functions called for each transition, and whenever something was learnt
+// that other instances should hear soon. It must be called before anything else.
+func (t *Tracker) OnChange(changed func(Transition), news func()) {
+	t.changed, t.news = changed, news
+}
+
+func runOf(name string) serverRun { return serverRun(xxhash.Sum64String(name)) }
+
+// Broke notes that a request broke off at a run of a server, and returns whether it
+// should be found out if that has ended: it is the first to break off there.
+func (t *Tracker) Broke(server string, request Fingerprint, now time.Time) (first bool) {
+	run := runOf(server)
+	t.mu.Lock()
+	if t.ends[run] != nil {
+		news := t.ended(run, now, []Fingerprint{request}, now.Add(t.config.FreshFor), now)
+		changes := t.judge(news, now)
+		t.mu.Unlock()
+		t.tell(changes, news)
+		return false
+	}
+	defer t.mu.Unlock()
+	runs := t.broken[run]
+	if runs == nil || now.Sub(runs.since) > t.config.BrokenFor {
+		runs = &brokenRuns{since: now, ran: make(map[Fingerprint]bool)}
+		t.broken[run] = runs
+		first = true
+	}
+	if len(runs.ran) < t.config.MostRan {
+		runs.ran[request] = true
+		t.known.Store(request, struct{}{})
+	}
+	t.remembers.Store(true)
+	return first
+}
+
+// Crashed notes that a run of a server has ended, under the requests that broke off
+// there lately.
+func (t *Tracker) Crashed(server string, now time.Time) {
+	run := runOf(server)
+	t.mu.Lock()
+	news := t.ended(run, now, nil, now.Add(t.config.FreshFor), now)
+	changes := t.judge(news, now)
+	t.mu.Unlock()
+	t.tell(changes, news)
+}
+
+// Completed notes that a server took a request to an end, and did not crash.
+func (t *Tracker) Completed(request Fingerprint, now time.Time) {
+	if _, known := t.known.Load(request); !known {
+		return
+	}
+	t.mu.Lock()
+	for _, runs := range t.broken {
+		delete(runs.ran, request)
+	}
+	news := t.clear(request, now, now.Add(t.config.FreshFor))
+	t.forgetUnlessKnown(request)
+	changes := t.judge(news, now)
+	t.mu.Unlock()
+	t.tell(changes, news)
+}
+
+// Remembers says whether any server ended of late: else no request needs a
+// fingerprint.
+func (t *Tracker) Remembers() bool { return t.remembers.Load() }
+
+// State returns what is known of a request.
+func (t *Tracker) State(request Fingerprint) State {
+	if found := (*t.suspects.Load())[request]; found != nil {
+		return found.State
+	}
+	return Clear
+}
+
+// MayRepeat says whether a request that broke off may be sent once more within the same
+// attempt. Runs count that broke off at servers of which it is not yet known whether
+// they have ended.
+func (t *Tracker) MayRepeat(request Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	crashes := len(t.ran[request])
+	for _, runs := range t.broken {
+		if runs.ran[request] {
+			crashes++
+		}
+	}
+	return crashes < t.config.SuspectCrashes
+}
+
+// Count counts the requests in a state other than clear.
+func (t *Tracker) Count(state State) int {
+	count := 0
+	for _, found := range *t.suspects.Load() {
+		if found.State == state {
+			count++
+		}
+	}
+	return count
+}
+
+// Tick forgets what is too old.
+func (t *Tracker) Tick(now time.Time) {
+	if !t.remembers.Load() {
+		return
+	}
+	t.mu.Lock()
+	t.dropBroken(now)
+	forgot := false
+	for server, one := range t.ends {
+		if now.Sub(one.at) >= t.config.Memory {
+			t.forget(server)
+			forgot = true
+		}
+	}
+	for _, marks := range []map[Fingerprint]mark{t.cleared, t.probes} {
+		maps.DeleteFunc(marks, func(_ Fingerprint, one mark) bool { return now.Sub(one.at) >= t.config.Memory })
+	}
+	changes := t.judge(forgot, now)
+	t.remembers.Store(len(t.ends)+len(t.broken) > 0)
+	t.mu.Unlock()
+	t.tell(changes, false)
+}
+
+// dropBroken forgets the runs that broke off at servers which have not ended. The caller
+// holds the lock.
+func (t *Tracker) dropBroken(now time.Time) {
+	for server, runs := range t.broken {
+		if now.Sub(runs.since) <= t.config.BrokenFor {
+			continue
+		}
+		delete(t.broken, server)
+		for request := range runs.ran {
+			t.forgetUnlessKnown(request)
+		}
+	}
+}
+
+// forgetUnlessKnown drops the fingerprint of a request that no longer ran at any server
+// when that ended, or broke off there. The caller holds the lock.
+func (t *Tracker) forgetUnlessKnown(request Fingerprint) {
+	if t.ran[request] != nil {
+		return
+	}
+	for _, runs := range t.broken {
+		if runs.ran[request] {
+			return
+		}
+	}
+	t.known.Delete(request)
+}
+
+// ended takes in that a server ended under requests. It returns whether any of that was
+// new. The caller holds the lock.
+func (t *Tracker) ended(server serverRun, at time.Time, ran []Fingerprint, freshUntil, now time.Time) (news bool) {
+	if len(ran) > t.config.MostRan {
+		ran = ran[:t.config.MostRan]
+	}
+	one := t.ends[server]
+	if runs := t.broken[server]; runs != nil {
+		for request := range runs.ran {
+			ran = append(ran, request)
+		}
+		delete(t.broken, server)
+		if runs.since.Before(at) {
+			at = runs.since
+		}
+		// What was seen here is told to all, whoever noticed the end.
+		freshUntil = now.Add(t.config.FreshFor)
+	}
+	if one == nil {
+		if len(ran) == 0 || !t.makeRoom(at) {
+			return false
+		}
+		one = &end{at: at, ran: make(map[Fingerprint]bool)}
+		t.ends[server] = one
+	}
+	if at.Before(one.at) {
+		one.at = at
+		news = t.recount(server)
+	}
+	for _, request := range ran {
+		if _, known := one.ran[request]; known || len(one.ran) >= t.config.MostRan {
+			continue
+		}
+		news = true
+		counts := one.at.After(t.cleared[request].at)
+		one.ran[request] = counts
+		if counts {
+			t.addRun(request, server)
+		}
+	}
+	if news && freshUntil.After(one.freshUntil) {
+		one.freshUntil = freshUntil
+	}
+	t.remembers.Store(true)
+	return news
+}
+
+// recount takes the requests off an end that ran to a good end after it, now that it is
+// known to be earlier. It returns whether there were any. The caller holds the lock.
+func (t *Tracker) recount(server serverRun) (changed bool) {
+	one := t.ends[server]
+	for request, counts := range one.ran {
+		if counts && !one.at.After(t.cleared[request].at) {
+			one.ran[request] = false
+			t.dropRun(request, server)
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (t *Tracker) addRun(request Fingerprint, server serverRun) {
+	if t.ran[request] == nil {
+		t.ran[request] = make(map[serverRun]bool)
+		t.known.Store(request, struct{}{})
+	}
+	t.ran[request][server] = true
+	if len(t.ran[request]) >= t.config.SuspectCrashes {
+		t.several[request] = t.ran[request]
+	}
+}
+
+// makeRoom forgets the oldest end if there are too many. It returns false if that is the
+// one to be added. The caller holds the lock.
+func (t *Tracker) makeRoom(at time.Time) bool {
+	if len(t.ends) < t.config.MostEnds {
+		return true
+	}
+	oldest := t.byAge()[0]
+	if at.Before(t.ends[oldest].at) {
+		return false
+	}
+	t.forget(oldest)
+	return true
+}
+
+// forget drops an end. The caller holds the lock.
+func (t *Tracker) forget(server serverRun) {
+	for request := range t.ends[server].ran {
+		t.dropRun(request, server)
+	}
+	delete(t.ends, server)
+}
+
+func (t *Tracker) dropRun(request Fingerprint, server serverRun) {
+	delete(t.ran[request], server)
+	if len(t.ran[request]) < t.config.SuspectCrashes {
+		delete(t.several, request)
+	}
+	if len(t.ran[request]) == 0 {
+		delete(t.ran, request)
+		t.forgetUnlessKnown(request)
+	}
+}
+
+// clear takes in that a request ran to a good end: what ended under it before did so for
+// another reason. It returns whether that was new. The caller holds the lock.
+func (t *Tracker) clear(request Fingerprint, at, freshUntil time.Time) (news bool) {
+	before, known := t.cleared[request]
+	if known && !at.After(before.at) {
+		return false
+	}
+	for server := range t.ran[request] {
+		if one := t.ends[server]; !one.at.After(at) {
+			one.ran[request] = false
+			t.dropRun(request, server)
+			news = true
+		}
+	}
+	if !known && len(t.cleared) >= t.config.MostEnds {
+		dropOldest(t.cleared)
+	}
+	next := mark{at: at, count: before.count + 1}
+	if news {
+		next.freshUntil = freshUntil
+	}
+	t.cleared[request] = next
+	delete(t.probes, request)
+	return news
+}
+
+// probed takes in that a probe of a request began. It returns whether that was new. The
+// caller holds the lock.
+func (t *Tracker) probed(request Fingerprint, at time.Time, count int, freshUntil time.Time) bool {
+	before, known := t.probes[request]
+	if (known && count <= before.count) || !at.After(t.cleared[request].at) {
+		return false
+	}
+	if !known && len(t.probes) >= t.config.MostEnds {
+		dropOldest(t.probes)
+	}
+	t.probes[request] = mark{at: at, count: count, freshUntil: freshUntil}
+	return true
+}
+
+// dropOldest drops the mark that lies back furthest.
+func dropOldest(marks map[Fingerprint]mark) {
+	var oldest Fingerprint
+	first := true
+	for request, one := range marks {
+		if first || one.at.Before(marks[oldest].at) {
+			oldest, first = request, false
+		}
+	}
+	delete(marks, oldest)
+}
+
+// tell passes transitions on, and that there is something to tell.
+func (t *Tracker) tell(changes []Transition, news bool) {
+	if t.changed != nil {
+		for _, change := range changes {
+			t.changed(change)
+		}
+	}
+	if news && t.news != nil {
+		t.news()
+	}
+}
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -22,6 +22,10 @@
 	OperationForeign Reason = "operation_foreign"
 	NoWitness        Reason = "no_witness"
 	Stopping         Reason = "stopping"
+	// CrashesServers and ProbeUnderWay refuse this attempt; earlier ones of the same
+	// request have run.
+	CrashesServers Reason = "crashes_servers"
+	ProbeUnderWay  Reason = "probe_under_way"
 )
 
 // Retries: an attempt was abandoned and the next one took its place.
@@ -77,6 +81,8 @@
 	{OperationForeign, "the operation id names another home or an earlier incarnation", "none"},
 	{NoWitness, "the witness did not acknowledge the intent, so the call was not sent", "none"},
 	{Stopping, "the instance is shutting down and could not have seen the stream to its end", "none"},
+	{CrashesServers, "three servers or more have ended under earlier attempts of the same request; it is sent to none", "none"},
+	{ProbeUnderWay, "servers have ended under earlier attempts of the same request, and another one is being probed, or is to be soon", "none"},
 	{ReserveRefused, "the steward had no room at the decode engine", "backend.pieces"},
 	{StewardUnreached, "the steward of the decode engine did not answer", "none"},
 	{PrefillFailed, "the prefill engine failed in the middle of a prefill", "none"},
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -81,6 +82,9 @@
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		p.forget()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, errors.WithMessage(ErrRefused, err.Error())
+		}
 		return nil, errors.WithMessage(ErrNotSent, err.Error())
 	}
 	return &Conn{pool: p, raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), idleFor: p.config.IdleTimeout}, nil
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -13,6 +13,8 @@
 var (
 	// ErrNotSent means that no byte of the request left this instance.
 	ErrNotSent = errors.New("no connection to the backend server")
+	// ErrRefused is ErrNotSent where nobody listens at the server's address.
+	ErrRefused = errors.WithMessage(ErrNotSent, "connection refused")
 	// ErrBroken means that the request was sent, at least in part, and that no
 	// whole answer came back: the backend server may have run it.
 	ErrBroken = errors.New("no whole answer from the backend server")
