A request is known by its content too, whichever address it comes from

Change: two fingerprints, with and without the caller. Ends under the same content of all callers count as one within 250 ms, so that a rack that goes does not speak against a call that many send; whatever is served clears it. A request is blocked by whichever explains more.

--- a/forward/decision.go
+++ b/forward/decision.go
@@ -95,7 +95,7 @@
 		fields = append(fields, "route", f.route.Name)
 	}
 	if outcome == reason.Unknown {
-		fields = append(fields, "fingerprint", f.fingerprint().String())
+		fields = append(fields, "fingerprints", f.fingerprints().String())
 	}
 	if detail != "" {
 		fields = append(fields, "detail", detail)
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -38,8 +38,8 @@
 	mayRun bool
 	// decisions are what was decided for the request so far.
 	decisions []decision
-	// print is the request's fingerprint once somebody asked for it.
-	print poison.Fingerprint
+	// prints are the request's fingerprints once somebody asked for them.
+	prints poison.Fingerprints
 	// admission is how it was admitted; zero if nothing spoke against any request.
 	admission poison.Admission
 }
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -21,14 +21,14 @@
 // one such request ended 13 to 32 servers, and each took up to 24 other requests with
 // it; with it, three (platform.TestOneRequestEndsFewServers).
 
-// fingerprint tells whether the caller has sent the same request before. It is made
-// only for requests that need it: the body may have megabytes.
-func (f *flow) fingerprint() poison.Fingerprint {
-	if f.print == 0 {
+// fingerprints tell whether the same request was sent before. They are made only for
+// requests that need them: the body may have megabytes.
+func (f *flow) fingerprints() poison.Fingerprints {
+	if f.prints == (poison.Fingerprints{}) {
 		r := f.request
-		f.print = poison.Identity{Caller: r.Caller, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}.Fingerprint()
+		f.prints = poison.Identity{Caller: r.Caller, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}.Fingerprints()
 	}
-	return f.print
+	return f.prints
 }
 
 // errPoison is the error of a step that was not taken since the request crashes
@@ -41,12 +41,12 @@
 	if !f.Poison.Suspicious() {
 		return nil
 	}
-	admission := f.Poison.Admit(f.fingerprint(), time.Now())
+	admission := f.Poison.Admit(f.fingerprints(), time.Now())
 	f.admission = admission
 	if admission.Decision == poison.Run {
 		return nil
 	}
-	f.decide(stepAdmit, string(admission.Decision), "fingerprint", f.fingerprint().String(), "state", admission.State,
+	f.decide(stepAdmit, string(admission.Decision), "fingerprint", admission.Request.String(), "state", admission.State,
 		"crashes", admission.Crashes, "tied", admission.Tied, "probes", admission.Probes)
 	switch admission.Decision {
 	case poison.Refuse:
@@ -63,18 +63,18 @@
 // blocked says whether the request has turned out to crash servers since it was
 // admitted.
 func (f *flow) blocked() bool {
-	return f.Poison.Suspicious() && f.admission.State != poison.Blocked && f.Poison.State(f.fingerprint()) == poison.Blocked
+	return f.Poison.Suspicious() && f.admission.State != poison.Blocked && f.Poison.State(f.fingerprints()) == poison.Blocked
 }
 
 // mayRepeat says whether a request that broke off may be sent to one more server.
 func (f *flow) mayRepeat() bool {
-	return !f.Poison.Remembers() || f.Poison.MayRepeat(f.fingerprint())
+	return !f.Poison.Remembers() || f.Poison.MayRepeat(f.fingerprints())
 }
 
 // completed notes that a server took the request to an end.
 func (f *flow) completed() {
 	if f.Poison.Remembers() {
-		f.Poison.Completed(f.fingerprint(), time.Now())
+		f.Poison.Completed(f.fingerprints(), time.Now())
 	}
 }
 
@@ -82,7 +82,7 @@
 // ended.
 func (f *flow) broke(at *route.Rated) {
 	entry := f.entry(at)
-	if f.Poison.Broke(entry.Run(), f.fingerprint(), time.Now()) {
+	if f.Poison.Broke(entry.Run(), f.fingerprints(), time.Now()) {
 		f.cleanup(func(ctx context.Context) { f.findEnd(ctx, entry) })
 	}
 }
--- a/poison/config.go
+++ b/poison/config.go
@@ -4,6 +4,11 @@
 
 // Config tunes when a request is blocked, and for how long.
 type Config struct {
+	// WaveGap is the time within which servers that end under a call that many callers
+	// send count as one: a rack, or a switch, takes many at the same moment. Longer
+	// than it takes to notice them all; shorter finds a request sooner that comes from
+	// many addresses.
+	WaveGap time.Duration
 	// SuspectCrashes is how many servers must have ended under a request for its next
 	// run to be a probe: one at a time, at the server where the fewest others are
 	// lost with it. With one, each request that shared a server with the cause would
@@ -57,11 +62,12 @@
 // DefaultConfig follows the users' rules.
 func DefaultConfig() Config {
 	return Config{
+		WaveGap:        250 * time.Millisecond,
 		SuspectCrashes: 2,
 		BlockCrashes:   3,
 		TiedCrashes:    5,
 		TiedProbeAfter: 2 * time.Second,
-		ProbeAfter:     20 * time.Second,
+		ProbeAfter:     10 * time.Second,
 		ProbeFactor:    6,
 		ProbeAtMost:    12 * time.Minute,
 		ProbeSpread:    time.Second,
@@ -73,7 +79,7 @@
 		RepairEvery:    time.Second,
 		RepairEnds:     4,
 		RecentFor:      10 * time.Second,
-		UpdateRan:      48,
+		UpdateRan:      96,
 		UpdateMarks:    16,
 	}
 }
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -52,8 +52,8 @@
 	broken map[serverRun]*brokenRuns
 	// ran holds the servers that ended under each request since it was cleared, and
 	// several those of the requests under which more than one did.
-	ran     map[Fingerprint]map[serverRun]bool
-	several map[Fingerprint]map[serverRun]bool
+	ran     map[Fingerprint]ends
+	several map[Fingerprint]ends
 	cleared map[Fingerprint]mark
 	probes  map[Fingerprint]mark
 	// changed and news, if set, are told of transitions, and that others should be told
@@ -104,7 +104,7 @@
 	t := &Tracker{
 		config: config, random: random, instances: instances,
 		ends: make(map[serverRun]*end), broken: make(map[serverRun]*brokenRuns),
-		ran: make(map[Fingerprint]map[serverRun]bool), several: make(map[Fingerprint]map[serverRun]bool), cleared: make(map[Fingerprint]mark), probes: make(map[Fingerprint]mark),
+		ran: make(map[Fingerprint]ends), several: make(map[Fingerprint]ends), cleared: make(map[Fingerprint]mark), probes: make(map[Fingerprint]mark),
 	}
 	t.suspects.Store(&map[Fingerprint]*suspect{})
 	return t
@@ -120,11 +120,11 @@
 
 // Broke notes that a request broke off at a run of a server, and returns whether it
 // should be found out if that has ended: it is the first to break off there.
-func (t *Tracker) Broke(server string, request Fingerprint, now time.Time) (first bool) {
+func (t *Tracker) Broke(server string, request Fingerprints, now time.Time) (first bool) {
 	run := runOf(server)
 	t.mu.Lock()
 	if t.ends[run] != nil {
-		news := t.ended(run, now, []Fingerprint{request}, now.Add(t.config.FreshFor), now)
+		news := t.ended(run, now, request.each(), now.Add(t.config.FreshFor), now)
 		changes := t.judge(news, now)
 		t.mu.Unlock()
 		t.tell(changes, news)
@@ -137,9 +137,11 @@
 		t.broken[run] = runs
 		first = true
 	}
-	if len(runs.ran) < t.config.MostRan {
-		runs.ran[request] = true
-		t.known.Store(request, struct{}{})
+	for _, print := range request.each() {
+		if len(runs.ran) < t.config.MostRan {
+			runs.ran[print] = true
+			t.known.Store(print, struct{}{})
+		}
 	}
 	t.remembers.Store(true)
 	return first
@@ -157,16 +159,21 @@
 }
 
 // Completed notes that a server took a request to an end, and did not crash.
-func (t *Tracker) Completed(request Fingerprint, now time.Time) {
-	if _, known := t.known.Load(request); !known {
-		return
+func (t *Tracker) Completed(request Fingerprints, now time.Time) {
+	for _, print := range request.each() {
+		if _, known := t.known.Load(print); known {
+			t.completed(print, now)
+		}
 	}
+}
+
+func (t *Tracker) completed(print Fingerprint, now time.Time) {
 	t.mu.Lock()
 	for _, runs := range t.broken {
-		delete(runs.ran, request)
+		delete(runs.ran, print)
 	}
-	news := t.clear(request, now, now.Add(t.config.FreshFor))
-	t.forgetUnlessKnown(request)
+	news := t.clear(print, now, now.Add(t.config.FreshFor))
+	t.forgetUnlessKnown(print)
 	changes := t.judge(news, now)
 	t.mu.Unlock()
 	t.tell(changes, news)
@@ -177,26 +184,41 @@
 func (t *Tracker) Remembers() bool { return t.remembers.Load() }
 
 // State returns what is known of a request.
-func (t *Tracker) State(request Fingerprint) State {
-	if found := (*t.suspects.Load())[request]; found != nil {
+func (t *Tracker) State(request Fingerprints) State {
+	if found := t.find(request); found != nil {
 		return found.State
 	}
 	return Clear
 }
 
+// find returns what speaks most against a request; nil if nothing does.
+func (t *Tracker) find(request Fingerprints) *suspect {
+	suspects := *t.suspects.Load()
+	one, all := suspects[request.OfCaller], suspects[request.Content]
+	if one == nil || (all != nil && all.State == Blocked && one.State != Blocked) {
+		return all
+	}
+	return one
+}
+
 // MayRepeat says whether a request that broke off may be sent once more within the same
 // attempt. Runs count that broke off at servers of which it is not yet known whether
 // they have ended.
-func (t *Tracker) MayRepeat(request Fingerprint) bool {
+func (t *Tracker) MayRepeat(request Fingerprints) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	crashes := len(t.ran[request])
-	for _, runs := range t.broken {
-		if runs.ran[request] {
-			crashes++
+	for _, print := range request.each() {
+		crashes := len(t.ran[print])
+		for _, runs := range t.broken {
+			if runs.ran[print] {
+				crashes++
+			}
+		}
+		if crashes >= t.config.SuspectCrashes {
+			return false
 		}
 	}
-	return crashes < t.config.SuspectCrashes
+	return true
 }
 
 // Count counts the requests in a state other than clear.
@@ -313,7 +335,11 @@
 func (t *Tracker) recount(server serverRun) (changed bool) {
 	one := t.ends[server]
 	for request, counts := range one.ran {
-		if counts && !one.at.After(t.cleared[request].at) {
+		switch {
+		case !counts:
+		case one.at.After(t.cleared[request].at):
+			t.ran[request][server] = one.at
+		default:
 			one.ran[request] = false
 			t.dropRun(request, server)
 			changed = true
@@ -324,10 +350,10 @@
 
 func (t *Tracker) addRun(request Fingerprint, server serverRun) {
 	if t.ran[request] == nil {
-		t.ran[request] = make(map[serverRun]bool)
+		t.ran[request] = make(ends)
 		t.known.Store(request, struct{}{})
 	}
-	t.ran[request][server] = true
+	t.ran[request][server] = t.ends[server].at
 	if len(t.ran[request]) >= t.config.SuspectCrashes {
 		t.several[request] = t.ran[request]
 	}
