--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/edge"
 	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/heartbeat"
@@ -97,7 +98,7 @@
 			if at.IsZero() {
 				return math.NaN()
 			}
-			return time.Since(at).Seconds()
+			return clock.Since(at).Seconds()
 		}
 	}
 	p.metrics.Watch("table_revision", "Revision of the table in force.", func() float64 { return float64(p.edge.Revision()) })
@@ -150,7 +151,7 @@
 // keepConnections drops the connections that are no longer of use.
 func (p *Platform) keepConnections() {
 	servers := p.edge.Servers()
-	p.backends.Keep(func(id string) bool { return servers.ByRun[id] != nil }, time.Now())
+	p.backends.Keep(func(id string) bool { return servers.ByRun[id] != nil }, clock.Now())
 }
 
 // keepEvery is the pause between two looks at idle connections; they are few,
@@ -240,11 +241,11 @@
 // drain serves on for as long as the platform allows: callers keep this
 // instance's address for a while after siblings have stopped naming it.
 func (p *Platform) drain() {
-	began := time.Now()
+	began := clock.Now()
 	ends := began.Add(p.settings.Bounds.Grace - lastMoment)
 	p.gateway.Stop(began, ends)
 	klog.InfoS("Graceful shutdown begins", "instance", p.settings.Name, "inFlight", p.gateway.InFlight())
-	ctx, cancel := context.WithDeadline(context.Background(), ends)
+	ctx, cancel := clock.WithDeadline(context.Background(), ends)
 	defer cancel()
 	p.edge.Stop(ctx)
 	wait.Until(ctx, ends.Add(-quietEnd))
--- a/edge/beat.go
+++ b/edge/beat.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/wait"
 )
@@ -15,7 +16,7 @@
 	var told []heartbeat.Load
 	sent, turn := time.Time{}, 0
 	for more := true; more; more = in.rest(ctx) {
-		now := time.Now()
+		now := clock.Now()
 		loads := in.loads()
 		news, urgent := newsIn(told, loads), in.urgent.Swap(false)
 		many := in.usesHubs()
@@ -67,21 +68,21 @@
 	least := min(urgentGap, quick)
 	timer := time.NewTimer(quick)
 	defer timer.Stop()
-	began := time.Now()
+	began := clock.Now()
 	select {
 	case <-ctx.Done():
 		return false
 	case <-timer.C:
 		return true
 	case <-in.hurried:
-		return wait.For(ctx, least-min(time.Since(began), least))
+		return wait.For(ctx, least-min(clock.Since(began), least))
 	}
 }
 
 // sendHeartbeats has all who hear this instance told at once how it is.
 func (in *Instance) sendHeartbeats() {
 	if !in.usesHubs() {
-		addresses := in.peers.addresses(time.Now())
+		addresses := in.peers.addresses(clock.Now())
 		in.sendTo(addresses, addresses, in.loads())
 		return
 	}
--- a/edge/budgets.go
+++ b/edge/budgets.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/route"
 )
 
@@ -35,7 +36,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if found = b.byService[service]; found == nil {
-		found = route.NewSharedBudget(b.ratio, b.window, b.part(), time.Now())
+		found = route.NewSharedBudget(b.ratio, b.window, b.part(), clock.Now())
 		b.byService[service] = found
 	}
 	return found
@@ -52,14 +53,14 @@
 	}
 	b.instances = instances
 	for _, budget := range b.byService {
-		budget.SetPart(b.part(), time.Now())
+		budget.SetPart(b.part(), clock.Now())
 	}
 }
 
 // Instances returns how many instances share what is shared, at the most: this
 // one and every sibling that was heard lately, by itself or by its hub.
 func (in *Instance) Instances() int {
-	return max(len(in.members.View().Siblings)+1, in.hubs.count(time.Now()))
+	return max(len(in.members.View().Siblings)+1, in.hubs.count(clock.Now()))
 }
 
 // sharing returns how many instances this one divides budgets by. One that has just
@@ -78,7 +79,7 @@
 	defer in.budgets.mu.RUnlock()
 	left := 0.0
 	for _, budget := range in.budgets.byService {
-		left += budget.Left(time.Now())
+		left += budget.Left(clock.Now())
 	}
 	return left
 }
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/registry"
 )
@@ -65,7 +65,7 @@
 func (in *Instance) askStore(ctx context.Context, sibling member.Sibling, mine Have) {
 	behind := map[*feed]bool{in.tableFeed: sibling.Revision > mine.Revision, in.list: sibling.Next > mine.Position}
 	for _, feed := range in.feeds() {
-		if behind[feed] && feed.idles() && !feed.failing(time.Now()) && feed.beginProbe() {
+		if behind[feed] && feed.idles() && !feed.failing(clock.Now()) && feed.beginProbe() {
 			feed.probe(ctx)
 		}
 	}
@@ -79,7 +79,7 @@
 // should have been told by now. One that has just failed to answer is asked only
 // if there is no other: it may stand still, and heartbeats do not show that yet.
 func (in *Instance) ahead(mine Have, failed string) (best member.Sibling, found bool) {
-	now := time.Now()
+	now := clock.Now()
 	table := in.tableFeed.waiting(now, in.config.CatchUpEvery)
 	list := in.list.waiting(now, in.config.CatchUpEvery)
 	for _, sibling := range in.members.View().Serving() {
@@ -106,7 +106,7 @@
 		in.tableFeed.grew(mine.Revision)
 	}
 	if beliefs.Servers != nil {
-		in.registry.Reset(*beliefs.Servers, time.Now())
+		in.registry.Reset(*beliefs.Servers, clock.Now())
 		in.rebuild()
 		in.list.grew(mine.Position)
 		klog.InfoS("List of servers taken from a sibling", "sibling", sibling.Name, "position", beliefs.Servers.Position, "had", mine.Position)
--- a/edge/dependency.go
+++ b/edge/dependency.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/mastwheel/mastwheel/clock"
 )
 
 // dependency tracks whether something that the instance depends on answers,
@@ -19,7 +21,7 @@
 }
 
 func newDependency(name string) *dependency {
-	return &dependency{name: name, answered: time.Now()}
+	return &dependency{name: name, answered: clock.Now()}
 }
 
 // ok notes an answer.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/lease"
@@ -176,7 +177,7 @@
 
 // init sets up what depends on nothing outside.
 func (in *Instance) init() {
-	in.started = time.Now()
+	in.started = clock.Now()
 	in.Fleet = route.NewFleet()
 	in.Fleet.OnCommitted(in.committed)
 	in.budgets = newBudgets(in.config.RetryRatio, in.config.RetrySlack, in.config.RetryWindow)
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/member"
 )
 
@@ -26,12 +27,12 @@
 // Settled says whether this instance knows most of those that serve: one that has just
 // started would send all callers who ask it to the few that it knows.
 func (in *Instance) Settled() bool {
-	return time.Since(in.started) >= in.config.HubGrace && 2*(in.Serving()+1) >= in.Instances()
+	return clock.Since(in.started) >= in.config.HubGrace && 2*(in.Serving()+1) >= in.Instances()
 }
 
 // HubState returns how many instances this one serves as a hub, and how long ago its
 // own hubs answered.
-func (in *Instance) HubState() (serves int, silence time.Duration) { return in.hubs.state(time.Now()) }
+func (in *Instance) HubState() (serves int, silence time.Duration) { return in.hubs.state(clock.Now()) }
 
 // followRoster puts this instance on the list of instances, and finds siblings there
 // that neither a seed nor another sibling names: at once if it hears nobody, else
@@ -83,7 +84,7 @@
 	}
 	for name, address := range addresses {
 		if name != in.config.Name {
-			in.peers.learn(address, time.Now())
+			in.peers.learn(address, clock.Now())
 		}
 	}
 	return 0
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/oplog"
 )
 
@@ -77,7 +78,7 @@
 	if f.idles() {
 		return f.config.IdleLook
 	}
-	if began := time.Since(f.started); f.progress() > 0 && began < f.config.StartPatience {
+	if began := clock.Since(f.started); f.progress() > 0 && began < f.config.StartPatience {
 		return f.config.StartPatience - began
 	}
 	return f.ask(ctx)
@@ -93,7 +94,7 @@
 	inner, q := f.begin(ctx)
 	defer q.giveUp()
 	at, err := f.read(inner, q.known, q.wait)
-	now := time.Now()
+	now := clock.Now()
 	givenUp := f.end(q)
 	switch {
 	case err == nil:
@@ -112,7 +113,7 @@
 func (f *feed) begin(ctx context.Context) (context.Context, *question) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q := &question{asked: time.Now(), known: f.known, wait: f.config.StoreWait}
+	q := &question{asked: clock.Now(), known: f.known, wait: f.config.StoreWait}
 	if f.failures > 0 {
 		q.wait = 0
 	}
@@ -143,7 +144,7 @@
 
 // answered notes an answer to this instance, and when the store had no more.
 func (f *feed) answered(at time.Time) {
-	f.store.ok(time.Now())
+	f.store.ok(clock.Now())
 	f.hear(at, true)
 }
 
@@ -152,7 +153,7 @@
 // is later than the question.
 func toldAt(asked time.Time, wait time.Duration) time.Time {
 	if wait > 0 {
-		return time.Now()
+		return clock.Now()
 	}
 	return asked
 }
@@ -161,7 +162,7 @@
 // believed here.
 func (f *feed) hear(at time.Time, all bool) {
 	if f.answers.heard(at, all) {
-		klog.InfoS("The store answers again", "dependency", f.store.name, "atMillisAgo", time.Since(at).Milliseconds())
+		klog.InfoS("The store answers again", "dependency", f.store.name, "atMillisAgo", clock.Since(at).Milliseconds())
 		f.returned(at)
 	}
 }
@@ -207,7 +208,7 @@
 		return
 	}
 	klog.InfoS("Question to the store given up", "dependency", f.store.name, "why", why,
-		"askedMillisAgo", time.Since(f.question.asked).Milliseconds(), "waitMillis", f.question.wait.Milliseconds())
+		"askedMillisAgo", clock.Since(f.question.asked).Milliseconds(), "waitMillis", f.question.wait.Milliseconds())
 	f.givenUp.Add(1)
 	f.question.givenUp = true
 	f.question.giveUp()
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/wait"
 )
 
@@ -48,7 +49,7 @@
 // readTable takes in the newest configuration: after the position known, or the
 // one in force.
 func (in *Instance) readTable(ctx context.Context, known bool, wait time.Duration) (time.Time, error) {
-	asked := time.Now()
+	asked := clock.Now()
 	raw, next, err := in.askTable(ctx, known, wait)
 	if err != nil {
 		return time.Time{}, err
@@ -107,14 +108,14 @@
 // readServers takes in the changes of the list since the position known, or the
 // whole list.
 func (in *Instance) readServers(ctx context.Context, known bool, wait time.Duration) (time.Time, error) {
-	asked := time.Now()
+	asked := clock.Now()
 	if !known {
 		snapshot, err := in.deps.Servers.Newest(ctx)
 		if err != nil {
 			return time.Time{}, err
 		}
 		in.list.hear(asked, false)
-		in.registry.Reset(snapshot, time.Now())
+		in.registry.Reset(snapshot, clock.Now())
 		in.rebuild()
 		return in.toldOfServers(asked, snapshot.Position), nil
 	}
@@ -127,7 +128,7 @@
 	before := in.registry.View().Position
 	// That the store was away must be known before a removal is judged.
 	in.list.hear(at, false)
-	in.registry.Apply(changes, next, time.Now())
+	in.registry.Apply(changes, next, clock.Now())
 	in.rebuild()
 	if next > before {
 		in.tellNews(newsOf(from, next, changes, at), "")
@@ -146,14 +147,15 @@
 
 // tick lets time pass for what is believed.
 func (in *Instance) tick(ctx context.Context) {
-	last := time.Now()
+	last, suspended := clock.Now(), clock.Suspended()
 	for wait.For(ctx, in.config.Members.HeartbeatEvery) {
-		now := time.Now()
+		now := clock.Now()
 		if stood := now.Sub(last) - in.config.Members.HeartbeatEvery; stood > in.config.LongPause {
-			klog.InfoS("This instance stood still; what it held against servers is forgotten", "pauseMillis", stood.Milliseconds())
+			klog.InfoS("This instance stood still; what it held against servers is forgotten", "pauseMillis", stood.Milliseconds(), "suspendedMillis", (clock.Suspended() - suspended).Milliseconds())
 			in.Fleet.Forgive(now)
 		}
-		last = now
+		last, suspended = now, clock.Suspended()
+		clock.Check()
 		in.members.Tick(now)
 		in.registry.Tick(now)
 		in.Poison.Tick(now)
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
@@ -240,7 +241,7 @@
 
 // redirect tells an instance which hubs its zone and this one's have.
 func (in *Instance) redirect(to member.Info) {
-	now := time.Now()
+	now := clock.Now()
 	view := in.members.View()
 	chosen := in.hubsOfZones(now)
 	digest := &heartbeat.Digest{Instances: in.Instances()}
--- a/edge/listnews.go
+++ b/edge/listnews.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/registry"
 )
@@ -15,7 +16,7 @@
 	if !in.usesHubs() || len(news.Changes) == 0 || len(news.Changes) > in.config.NewsAtMost {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	var addresses []string
 	for _, info := range in.hubsOfZones(now)[in.config.Zone] {
 		if info.Name != in.config.Name && info.Name != from {
@@ -55,5 +56,5 @@
 
 // newsOf is the news that a question to the store has told.
 func newsOf(from, to uint64, changes []registry.Change, at time.Time) heartbeat.News {
-	return heartbeat.News{From: from, To: to, Changes: changes, Age: max(time.Since(at), 0)}
+	return heartbeat.News{From: from, To: to, Changes: changes, Age: max(clock.Since(at), 0)}
 }
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/heartbeat"
 )
 
@@ -50,7 +51,7 @@
 
 // sendTo sends a heartbeat that tells of loads and of some known addresses.
 func (in *Instance) sendTo(addresses, known []string, loads []heartbeat.Load) {
-	message := in.message(time.Now())
+	message := in.message(clock.Now())
 	message.Loads, message.Peers = loads, in.some(known, in.config.PeersTold)
 	in.send(message, addresses...)
 }
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/lease"
@@ -88,7 +89,7 @@
 // consider compares a service's roles with the plan, and changes them once the
 // difference has lasted for this instance's turn.
 func (o *orders) consider(ctx context.Context, name string, service *table.ServiceView) {
-	now := time.Now()
+	now := clock.Now()
 	change, needed := o.plan(name, service, now)
 	if !needed {
 		delete(o.wanted, name)
@@ -162,14 +163,14 @@
 	lapsed := false
 	err = o.deps.Engines.SetRole(ctx, entry, func(status EngineStatus) (RoleOrder, bool) {
 		if status.Busy || status.Role == change.Role {
-			o.given[change.Engine] = givenOrder{role: change.Role, at: time.Now()}
+			o.given[change.Engine] = givenOrder{role: change.Role, at: clock.Now()}
 			return RoleOrder{}, false
 		}
-		token, valid := candidate.Valid(time.Now())
+		token, valid := candidate.Valid(clock.Now())
 		if lapsed = !valid; lapsed {
 			return RoleOrder{}, false
 		}
-		o.given[change.Engine] = givenOrder{role: change.Role, at: time.Now()}
+		o.given[change.Engine] = givenOrder{role: change.Role, at: clock.Now()}
 		o.announce(change.Engine, service)
 		given = &RoleOrder{Role: change.Role, Holder: o.config.Name, Token: token, After: status.Sequence}
 		return *given, true
@@ -195,7 +196,7 @@
 	if view == nil || view.Services[service] == nil {
 		return
 	}
-	until := time.Now().Add(view.Services[service].Engine.Switch)
+	until := clock.Now().Add(view.Services[service].Engine.Switch)
 	if server := o.Fleet.Server(engine); server != nil {
 		server.Changing(until)
 	}
@@ -205,7 +206,7 @@
 
 // hold makes this instance the holder of a service's lease, if it may be.
 func (o *orders) hold(ctx context.Context, service string) (*lease.Candidate, error) {
-	now := time.Now()
+	now := clock.Now()
 	candidate := o.leases[service]
 	if candidate == nil {
 		holder := o.config.Name + "." + strconv.FormatUint(o.self.Load(), 36)
@@ -219,8 +220,8 @@
 	if err != nil {
 		return nil, err
 	}
-	candidate.Observe(state, time.Now())
-	claim, due := candidate.Next(time.Now(), true)
+	candidate.Observe(state, clock.Now())
+	claim, due := candidate.Next(clock.Now(), true)
 	if !due {
 		return nil, errors.New("another instance may still hold the lease: " + state.Holder)
 	}
@@ -231,9 +232,9 @@
 	if !won {
 		return nil, errors.New("another instance claimed the lease first")
 	}
-	candidate.Observe(state, time.Now())
+	candidate.Observe(state, clock.Now())
 	klog.InfoS("Lease claimed", "lease", service, "token", state.Token)
-	if _, valid := candidate.Valid(time.Now()); !valid {
+	if _, valid := candidate.Valid(clock.Now()); !valid {
 		return nil, errors.New("the claim came too late")
 	}
 	return candidate, nil
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/route"
@@ -38,7 +39,7 @@
 		changing: make(map[uint32]time.Time), heardChanging: make(map[uint32]time.Time),
 	}
 	for _, seed := range seeds {
-		p.learn(seed, time.Now())
+		p.learn(seed, clock.Now())
 	}
 	return p
 }
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/mastwheel/mastwheel/clock"
 )
 
 // keepFresh has the store asked beside the questions that wait there, when nobody has
@@ -12,7 +14,7 @@
 	var asking sync.WaitGroup
 	defer asking.Wait()
 	for in.pause(ctx, in.config.ProbeEvery) {
-		now := time.Now()
+		now := clock.Now()
 		for _, feed := range in.feeds() {
 			if feed.probeDue(now) && feed.beginProbe() {
 				asking.Go(func() { feed.probe(ctx) })
@@ -81,7 +83,7 @@
 func (f *feed) probe(ctx context.Context) {
 	defer f.endProbe()
 	f.probes.Add(1)
-	asked, before := time.Now(), f.progress()
+	asked, before := clock.Now(), f.progress()
 	f.mu.Lock()
 	known := f.known
 	f.mu.Unlock()
@@ -90,7 +92,7 @@
 		return
 	}
 	if err != nil {
-		f.failed(time.Now(), asked, err)
+		f.failed(clock.Now(), asked, err)
 		f.giveUp("another question failed")
 		return
 	}
@@ -108,5 +110,5 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.surpassed = time.Now()
+	f.surpassed = clock.Now()
 }
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
@@ -27,7 +28,7 @@
 
 // sumLoads tells each server's state what the siblings have committed there.
 func (in *Instance) sumLoads() {
-	total := in.others(time.Now())
+	total := in.others(clock.Now())
 	for id := range in.servers.Load().ByRun {
 		server := in.Fleet.Server(id)
 		if others := total[route.ServerID(id)]; server != nil && server.Others() != others {
@@ -61,7 +62,7 @@
 		Caller:      in.config.CallerAddress,
 		Peer:        in.config.SiblingAddress,
 		Draining:    !in.Ready(),
-		Uptime:      time.Since(in.started),
+		Uptime:      clock.Since(in.started),
 		Capacity:    in.config.Capacity,
 		Next:        in.registry.View().Position,
 	}
@@ -94,7 +95,7 @@
 		in.self.Store(uint64(message.Known) + 1)
 		klog.InfoS("A sibling knows a later run of this instance; counting on from it", "incarnation", in.self.Load(), "sibling", message.From.Name)
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, peer := range message.Peers {
 		in.peers.learn(peer, now)
 	}
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
 )
@@ -44,7 +45,7 @@
 
 // decide notes a step for the request's log lines.
 func (f *flow) decide(step, outcome string, inputs ...any) {
-	f.note(decision{at: time.Now(), step: step, outcome: outcome, inputs: inputs})
+	f.note(decision{at: clock.Now(), step: step, outcome: outcome, inputs: inputs})
 }
 
 // note keeps a decision with the picture of the servers that it was made by.
@@ -72,7 +73,7 @@
 	if outcome == reason.Done && !bool(klog.V(logServed).Enabled()) && xxhash.Sum64String(f.request.ID)%logOneIn != 0 {
 		return false
 	}
-	if f.lines.Allow(time.Now()) {
+	if f.lines.Allow(clock.Now()) {
 		return true
 	}
 	f.Metrics.Withheld()
@@ -89,7 +90,7 @@
 	}
 	fields := []any{
 		"request", f.request.ID, "service", service, "outcome", outcome, "status", status, "reason", why,
-		"servers", f.path, "tookMillis", time.Since(f.request.Arrived).Milliseconds(),
+		"servers", f.path, "tookMillis", clock.Since(f.request.Arrived).Milliseconds(),
 	}
 	if f.route != nil {
 		fields = append(fields, "route", f.route.Name)
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
@@ -64,6 +67,30 @@
 	return servers.Decode[service]
 }
 
+// errExpired is the error of a step that was not taken since the caller's time is up: the
+// instance may have been suspended since the step before.
+var errExpired = errors.New("the time is up")
+
+// maySend says whether the request may be sent to a server now.
+func (f *flow) maySend() error {
+	switch {
+	case !clock.Now().Before(f.deadline):
+		return errExpired
+	case f.blocked():
+		return errPoison
+	}
+	return nil
+}
+
+// failedStep is why a step of a generation failed that was not taken for an error of
+// maySend.
+func failedStep(err error) *stepError {
+	if errors.Is(err, errPoison) {
+		return &stepError{why: reason.CrashesServers, detail: err.Error()}
+	}
+	return &stepError{why: reason.DeadlineTooClose, detail: err.Error()}
+}
+
 // choose decides by a profile among servers; nil when every one was dropped.
 func (f *flow) choose(profile *route.Profile, from pool) *route.Rated {
 	return f.chooseBy(f.query(), profile, from)
@@ -71,7 +98,7 @@
 
 // query is what a decision needs to know of the request.
 func (f *flow) query() *route.Query {
-	query := &route.Query{RequestID: f.request.ID, Zone: f.Zone, Exclude: append(f.broken[:len(f.broken):len(f.broken)], f.tried...), Now: time.Now()}
+	query := &route.Query{RequestID: f.request.ID, Zone: f.Zone, Exclude: append(f.broken[:len(f.broken):len(f.broken)], f.tried...), Now: clock.Now()}
 	if f.request.Generation != nil {
 		query.PromptTokens = f.request.Generation.PromptTokens
 	}
@@ -108,7 +135,7 @@
 		return f.config.RetryElsewhere
 	}
 	part := f.config.RetryEarliest + f.Random()*(f.config.RetryLatest-f.config.RetryEarliest)
-	return time.Duration(part * float64(time.Until(f.request.Deadline)))
+	return time.Duration(part * float64(clock.Until(f.request.Deadline)))
 }
 
 // refuse ends a request that has not run. Its status promises just that.
@@ -143,7 +170,7 @@
 // lost ends a request whose answer did not come: its caller went, its time is
 // up, or the server failed.
 func (f *flow) lost(ctx context.Context, err error) *Reply {
-	if ctx.Err() != nil && !time.Now().Before(f.deadline) {
+	if ctx.Err() != nil && !clock.Now().Before(f.deadline) {
 		return f.timeout(err.Error())
 	}
 	if ctx.Err() != nil {
@@ -183,7 +210,7 @@
 	}
 	outcome := f.outcome(why)
 	f.Metrics.Ended(service, outcome, why)
-	f.Metrics.Took(service, time.Since(f.request.Arrived))
+	f.Metrics.Took(service, clock.Since(f.request.Arrived))
 	f.log(service, outcome, status, why, detail)
 }
 
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/logging"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/poison"
@@ -175,7 +176,7 @@
 		decode:        route.ForwardDecode(),
 		readingDecode: route.ForwardReadingDecode(),
 		plain:         route.ForwardPlain(),
-		lines:         logging.NewLimit(logPerSecond, logBurst, time.Now()),
+		lines:         logging.NewLimit(logPerSecond, logBurst, clock.Now()),
 	}
 }
 
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
 )
@@ -64,7 +65,7 @@
 }
 
 func (f *flow) generate(caller context.Context) *Reply {
-	ctx, cancel := context.WithDeadline(caller, f.deadline)
+	ctx, cancel := clock.WithDeadline(caller, f.deadline)
 	g := &generation{
 		flow: f, ctx: ctx, cancel: cancel, done: func() {},
 		since: f.request.Arrived, target: f.request.Arrived.Add(f.route.TTFT),
@@ -106,7 +107,7 @@
 // outlast refuses a stream that a stopping instance could not see to its end.
 func (g *generation) outlast() *stepError {
 	stopping := g.stopping.Load()
-	if stopping == nil || time.Since(stopping.began) < g.config.StreamGrace {
+	if stopping == nil || clock.Since(stopping.began) < g.config.StreamGrace {
 		return nil
 	}
 	return &stepError{why: reason.Stopping, detail: "the instance is stopping"}
@@ -122,8 +123,8 @@
 	if g.result != "" && g.Beliefs.Servers().Restarted(g.entry(g.prefill)) {
 		return g.beginWithoutResult()
 	}
-	if g.blocked() {
-		return nil, &stepError{why: reason.CrashesServers, detail: errPoison.Error()}
+	if err := g.maySend(); err != nil {
+		return nil, failedStep(err)
 	}
 	server := g.decode.Server
 	g.path = append(g.path, g.decode.Name)
@@ -136,7 +137,7 @@
 	}
 	done := server.Begin(0)
 	g.readDone = sync.OnceFunc(server.Unread(unread))
-	heard := server.Await(time.Now())
+	heard := server.Await(clock.Now())
 	g.runs++
 	var ctx context.Context
 	ctx, g.cut = g.watch()
--- a/forward/learn.go
+++ b/forward/learn.go
@@ -1,10 +1,9 @@
 package forward
 
 import (
-	"time"
-
 	"github.com/pkg/errors"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/route"
 )
 
@@ -12,7 +11,7 @@
 // server that refuses because it is full is sound; one that cannot be reached
 // or breaks off is not.
 func (f *flow) learn(server *route.Server, err error) {
-	now := time.Now()
+	now := clock.Now()
 	var notRun *NotRun
 	if !errors.As(err, &notRun) || notRun.Sent {
 		server.Reached()
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
@@ -20,7 +21,7 @@
 		if failed == nil || failed.why != reason.NoDecodeMemory {
 			return failed
 		}
-		if time.Now().Add(g.config.ReservePause).After(until) {
+		if clock.Now().Add(g.config.ReservePause).After(until) {
 			g.decide(stepReserve, "none", "need", g.need, "spare", g.spare(), "mostFree", g.mostFree())
 			return failed
 		}
@@ -95,7 +96,7 @@
 func (g *generation) ask(chosen *route.Rated) (Reservation, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, g.config.ReserveTimeout)
 	defer cancel()
-	defer chosen.Server.Await(time.Now())()
+	defer chosen.Server.Await(clock.Now())()
 	reservation, err := g.Backends.Reserve(ctx, g.entry(chosen), g.need, g.service.Engine.Hold)
 	if g.ctx.Err() == nil {
 		g.learn(chosen.Server, err)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"strconv"
-	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
@@ -15,10 +15,10 @@
 // call forwards a plain request to one server, and to another only where that
 // is allowed.
 func (f *flow) call(caller context.Context) *Reply {
-	if stopping := f.stopping.Load(); stopping != nil && time.Until(stopping.ends) < f.config.LastCalls {
+	if stopping := f.stopping.Load(); stopping != nil && clock.Until(stopping.ends) < f.config.LastCalls {
 		return f.refuse(reason.Stopping, "the instance is stopping")
 	}
-	ctx, cancel := context.WithDeadline(caller, f.deadline)
+	ctx, cancel := clock.WithDeadline(caller, f.deadline)
 	defer cancel()
 	for attempt := 1; ; {
 		answer, err := f.callOnce(ctx)
@@ -52,13 +52,13 @@
 	if chosen == nil {
 		return nil, errNoServer
 	}
-	if f.blocked() {
-		return nil, errPoison
+	if err := f.maySend(); err != nil {
+		return nil, err
 	}
 	f.tried = append(f.tried, chosen.Name)
 	f.path = append(f.path, chosen.Name)
 	defer chosen.Server.Begin(0)()
-	defer chosen.Server.Await(time.Now())()
+	defer chosen.Server.Await(clock.Now())()
 	answer, err := f.Backends.Call(ctx, f.entry(chosen), f.request, f.deadline)
 	f.decide(stepCall, callResult(answer, err), "server", chosen.Name, "inFlight", chosen.Server.InFlight())
 	if !errors.Is(ctx.Err(), context.Canceled) {
@@ -97,7 +97,7 @@
 func (f *flow) judge(ctx context.Context, answer *Answer, err error, attempt int) verdict {
 	var notRun *NotRun
 	switch {
-	case ctx.Err() != nil || errors.Is(err, errNoServer) || errors.Is(err, errPoison):
+	case ctx.Err() != nil || errors.Is(err, errNoServer) || errors.Is(err, errPoison) || errors.Is(err, errExpired):
 		return final
 	case errors.As(err, &notRun) && !notRun.Sent:
 		return elsewhere
@@ -126,12 +126,12 @@
 	if attempt >= f.route.Attempts {
 		return final
 	}
-	if !f.Budget(f.service.Name).Spend(time.Now()) {
+	if !f.Budget(f.service.Name).Spend(clock.Now()) {
 		f.decide(stepRetry, "no", "why", why, "attempt", attempt, "budgetLeft", 0)
 		return final
 	}
 	f.Metrics.Retried(why)
-	f.decide(stepRetry, "yes", "why", why, "attempt", attempt, "budgetLeft", f.Budget(f.service.Name).Left(time.Now()))
+	f.decide(stepRetry, "yes", "why", why, "attempt", attempt, "budgetLeft", f.Budget(f.service.Name).Left(clock.Now()))
 	return again
 }
 
@@ -141,6 +141,8 @@
 	switch {
 	case err == nil:
 		return f.deliver(answer)
+	case errors.Is(err, errExpired):
+		return f.timeout(err.Error())
 	case errors.Is(err, errPoison):
 		return f.fail(reason.CrashesServers, err.Error())
 	case errors.Is(err, errNoServer):
--- a/forward/read.go
+++ b/forward/read.go
@@ -1,11 +1,11 @@
 package forward
 
 import (
-	"context"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/reason"
 )
 
@@ -20,7 +20,7 @@
 	}
 	ahead := g.prefill.Server.PrefillTime(g.request.Generation.PromptTokens)
 	_, measured := g.prefill.Server.Prefills.Time(1)
-	landing := time.Now().Add(ahead + g.config.LandingMargin)
+	landing := clock.Now().Add(ahead + g.config.LandingMargin)
 	// Of an engine that was never measured nothing is known; the first prompts
 	// tell.
 	g.readAtDecode = measured && landing.After(g.target)
@@ -86,8 +86,8 @@
 		if g.ctx.Err() != nil {
 			return &stepError{why: reason.CallerGone, detail: err.Error()}
 		}
-		if errors.Is(err, errPoison) {
-			return &stepError{why: reason.CrashesServers, detail: err.Error()}
+		if errors.Is(err, errPoison) || errors.Is(err, errExpired) {
+			return failedStep(err)
 		}
 		if !g.mayReadAgain(err, try) {
 			return &stepError{why: reason.PrefillFailed, detail: err.Error()}
@@ -110,7 +110,7 @@
 	if errors.As(failed, &notRun) && !notRun.Sent {
 		return try < maxUnreached
 	}
-	return try < maxPrefills && g.mayRepeat() && g.Budget(g.service.Name).Spend(time.Now())
+	return try < maxPrefills && g.mayRepeat() && g.Budget(g.service.Name).Spend(clock.Now())
 }
 
 const (
@@ -122,29 +122,29 @@
 )
 
 func (g *generation) readOnce() error {
-	if g.blocked() {
-		return errPoison
+	if err := g.maySend(); err != nil {
+		return err
 	}
 	server := g.prefill.Server
 	tokens := g.request.Generation.PromptTokens
-	ctx, cancel := context.WithDeadline(g.ctx, g.target.Add(g.config.LateReading))
+	ctx, cancel := clock.WithDeadline(g.ctx, g.target.Add(g.config.LateReading))
 	defer cancel()
 	defer server.Begin(tokens)()
-	defer server.Await(time.Now())()
+	defer server.Await(clock.Now())()
 	g.path = append(g.path, g.prefill.Name)
-	began := time.Now()
+	began := clock.Now()
 	waiting := server.WaitingTokens()
 	result, err := g.Backends.Prefill(ctx, g.entry(g.prefill), g.request, g.deadline)
 	if g.ctx.Err() == nil {
 		g.learn(server, err)
 	}
-	g.decide(stepRead, resultOf(err), "server", g.prefill.Name, "waiting", waiting, "tookMillis", time.Since(began).Milliseconds())
+	g.decide(stepRead, resultOf(err), "server", g.prefill.Name, "waiting", waiting, "tookMillis", clock.Since(began).Milliseconds())
 	if err != nil {
 		g.remember(ctx, g.prefill, err)
 		return err
 	}
-	server.Prefills.Measure(max(waiting, tokens), time.Since(began))
-	g.result, g.readAt = result, time.Now()
+	server.Prefills.Measure(max(waiting, tokens), clock.Since(began))
+	g.result, g.readAt = result, clock.Now()
 	return nil
 }
 
@@ -159,9 +159,9 @@
 	if refused.Misdirected {
 		return g.handOffElsewhere(failed)
 	}
-	g.prefill.Server.HandoffLost(time.Now())
-	late := time.Now().After(g.target.Add(-g.config.LandingMargin))
-	if late || !g.Budget(g.service.Name).Spend(time.Now()) {
+	g.prefill.Server.HandoffLost(clock.Now())
+	late := clock.Now().After(g.target.Add(-g.config.LandingMargin))
+	if late || !g.Budget(g.service.Name).Spend(clock.Now()) {
 		return nil, failed
 	}
 	g.Metrics.Retried(refused.Why)
@@ -178,7 +178,7 @@
 // reads the prompt itself.
 func (g *generation) beginWithoutResult() (*Stream, *stepError) {
 	g.result = ""
-	if !g.Budget(g.service.Name).Spend(time.Now()) {
+	if !g.Budget(g.service.Name).Spend(clock.Now()) {
 		return nil, &stepError{why: reason.PrefillFailed, detail: "the engine that had read the prompt started again"}
 	}
 	g.Metrics.Retried(reason.PrefillFailed)
@@ -198,11 +198,11 @@
 // short while.
 func (g *generation) handOffElsewhere(failed *stepError) (*Stream, *stepError) {
 	lapses := g.readAt.Add(g.service.Engine.Handle - g.config.HandleMargin)
-	if g.result != "" && time.Now().After(lapses) {
+	if g.result != "" && clock.Now().After(lapses) {
 		return nil, failed
 	}
 	// An engine that got nothing yet costs no retry.
-	if !g.leaving(g.decode.Name) && !g.Budget(g.service.Name).Spend(time.Now()) {
+	if !g.leaving(g.decode.Name) && !g.Budget(g.service.Name).Spend(clock.Now()) {
 		return nil, failed
 	}
 	g.Metrics.Retried(failed.why)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/reason"
 )
 
@@ -37,7 +38,7 @@
 const relayRead = 4 << 10
 
 func newRelay(g *generation, stream *Stream) *relay {
-	return &relay{generation: g, stream: stream, scratch: make([]byte, relayRead), last: time.Now()}
+	return &relay{generation: g, stream: stream, scratch: make([]byte, relayRead), last: clock.Now()}
 }
 
 // eventEnd is the empty line that ends an event (WHATWG, server-sent events).
@@ -62,7 +63,7 @@
 func (r *relay) fill() {
 	n, err := r.stream.Read(r.scratch)
 	if n > 0 {
-		r.decode.Server.Heard(time.Now())
+		r.decode.Server.Heard(clock.Now())
 	}
 	r.buffer = append(r.buffer, r.scratch[:n]...)
 	if end := bytes.LastIndex(r.buffer, eventEnd); end >= 0 {
@@ -88,12 +89,12 @@
 	r.ended = broken
 	r.unwatch()
 	r.remember(r.ctx, r.decode, broken)
-	if r.mayRerun() && time.Now().Before(r.deadline) && (r.events == 0 || r.lastID != "") {
+	if r.mayRerun() && clock.Now().Before(r.deadline) && (r.events == 0 || r.lastID != "") {
 		r.stream.Close()
 		r.cut()
 		r.buffer = r.buffer[:r.ready]
 		r.behindLast()
-		r.decode.Server.Breaker.Failure(time.Now())
+		r.decode.Server.Breaker.Failure(clock.Now())
 		if stream, failed := r.rerun(broken); failed == nil {
 			r.takeUp(stream)
 		}
@@ -142,7 +143,7 @@
 
 // arrived notes whole events.
 func (r *relay) arrived(events int) {
-	now := time.Now()
+	now := clock.Now()
 	if r.events == 0 {
 		r.readDone()
 		r.first = now.Sub(r.request.Arrived)
@@ -178,7 +179,7 @@
 	r.stream.Close()
 	r.cut()
 	r.free()
-	departed := r.ctx.Err() != nil && time.Now().Before(r.deadline)
+	departed := r.ctx.Err() != nil && clock.Now().Before(r.deadline)
 	r.cancel()
 	r.leave()
 	if r.ended == io.EOF {
--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/table"
 )
@@ -23,7 +24,7 @@
 func (g *generation) rerun(why error) (*Stream, *stepError) {
 	failed := &stepError{why: reason.StreamBroken, detail: why.Error(), lost: why}
 	g.noRerun = true
-	if !g.Budget(g.service.Name).Spend(time.Now()) {
+	if !g.Budget(g.service.Name).Spend(clock.Now()) {
 		g.decide(stepRetry, "no", "why", reason.StreamBroken, "runs", g.runs, "budgetLeft", 0)
 		return nil, failed
 	}
@@ -33,7 +34,7 @@
 	g.returnTaken()
 	g.broken = append(g.broken, g.decode.Name)
 	g.tried = g.tried[:0]
-	now := time.Now()
+	now := clock.Now()
 	g.since, g.target = now, now.Add(g.route.TTFT)
 	for _, step := range []func() *stepError{g.choosePrefill, g.reserve, g.readAgain} {
 		if step() != nil {
@@ -47,7 +48,7 @@
 // readAgain has the prompt read once more. Other than the first, such a prefill
 // counts against the budget.
 func (g *generation) readAgain() *stepError {
-	if !g.readAtDecode && !g.Budget(g.service.Name).Spend(time.Now()) {
+	if !g.readAtDecode && !g.Budget(g.service.Name).Spend(clock.Now()) {
 		g.readAtDecode = true
 	}
 	return g.read()
@@ -102,7 +103,7 @@
 // hasRoomBeside says whether another engine than one would take a run of so much
 // memory, and whether the budget allows it.
 func (g *Gateway) hasRoomBeside(one, service string, need int) bool {
-	if g.Budget(service).Left(time.Now()) < rerunRetries {
+	if g.Budget(service).Left(clock.Now()) < rerunRetries {
 		return false
 	}
 	for _, backend := range g.Beliefs.Servers().Decode[service] {
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
@@ -41,7 +42,7 @@
 	if !f.Poison.Suspicious() {
 		return nil
 	}
-	admission := f.Poison.Admit(f.fingerprints(), time.Now())
+	admission := f.Poison.Admit(f.fingerprints(), clock.Now())
 	f.admission = admission
 	if admission.Decision == poison.Run {
 		return nil
@@ -74,7 +75,7 @@
 // completed notes that a server took the request to an end.
 func (f *flow) completed() {
 	if f.Poison.Remembers() {
-		f.Poison.Completed(f.fingerprints(), time.Now())
+		f.Poison.Completed(f.fingerprints(), clock.Now())
 	}
 }
 
@@ -82,7 +83,7 @@
 // ended.
 func (f *flow) broke(at *route.Rated) {
 	entry := f.entry(at)
-	if f.Poison.Broke(entry.Run(), f.fingerprints(), time.Now()) {
+	if f.Poison.Broke(entry.Run(), f.fingerprints(), clock.Now()) {
 		f.cleanup(func(ctx context.Context) { f.findEnd(ctx, entry) })
 	}
 }
@@ -110,7 +111,7 @@
 		}
 		klog.InfoS("Server ended with requests running", "server", entry.Run(), "service", entry.Service, "address", entry.Address, "why", why)
 		g.Metrics.ServerEnded(entry.Service)
-		g.Poison.Crashed(entry.Run(), time.Now())
+		g.Poison.Crashed(entry.Run(), clock.Now())
 		return
 	}
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/instancelist"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/metrics"
@@ -61,7 +62,7 @@
 
 // New returns an instance that Run brings to life.
 func New(config Config, deps Deps) *Instance {
-	now := time.Now()
+	now := clock.Now()
 	fleet := route.NewFleet()
 	self := operation.Member{Name: config.Name, Incarnation: operation.Incarnation(now.UnixMilli())}
 	i := &Instance{
@@ -109,7 +110,7 @@
 func (i *Instance) Zone() string { return i.config.Zone }
 
 // Uptime is the instance's monotonic clock.
-func (i *Instance) Uptime() time.Duration { return time.Since(i.started) }
+func (i *Instance) Uptime() time.Duration { return clock.Since(i.started) }
 
 // Table returns the table in force.
 func (i *Instance) Table() *table.Table { return i.keeper.Table() }
--- a/instance/loads.go
+++ b/instance/loads.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/peer"
 	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
@@ -68,7 +69,7 @@
 			continue
 		}
 		load := peer.ServerLoad{
-			ID: route.ServerID(name), WaitingTokens: i.steward.Ahead(name, time.Now()), Running: report.Running,
+			ID: route.ServerID(name), WaitingTokens: i.steward.Ahead(name, clock.Now()), Running: report.Running,
 			FreePieces: report.FreePieces, Leaving: report.Leaving,
 		}
 		if fresh := i.caches.fresh[name]; fresh != nil {
--- a/instance/orders.go
+++ b/instance/orders.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/lease"
 	"github.com/mastwheel/mastwheel/table"
@@ -37,7 +38,7 @@
 // runOrders keeps up the lease, and while this instance holds it brings
 // engines to the weights that the table names.
 func (i *Instance) runOrders(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	if key := ordersKey + i.Cell(); key != i.orders.key {
 		i.orders.key = key
 		i.orders.candidate = lease.NewCandidate(i.config.Lease, key, i.self.String(), now)
@@ -45,12 +46,12 @@
 	candidate := i.orders.candidate
 	candidate.Observe(i.keeper.Lease(i.orders.key), now)
 	i.keepLease(ctx, now)
-	token, ok := candidate.Valid(time.Now())
+	token, ok := candidate.Valid(clock.Now())
 	i.ordersToken.Store(token)
 	i.ordersUntil.Store(candidate.Until().UnixNano())
 	if ok {
 		// Nothing is sent after the lease's end, however long this takes.
-		ctx, cancel := context.WithDeadline(ctx, candidate.Until())
+		ctx, cancel := clock.WithDeadline(ctx, candidate.Until())
 		defer cancel()
 		i.reconcile(ctx, token)
 	}
@@ -127,7 +128,7 @@
 		klog.V(1).InfoS("No ticket for weights", "server", backend.Name, "weights", backend.Weights, "err", err)
 		return
 	}
-	if _, ok := i.orders.candidate.Valid(time.Now()); !ok {
+	if _, ok := i.orders.candidate.Valid(clock.Now()); !ok {
 		return
 	}
 	err = i.deps.Engines.Order(ctx, backend.Address, engine.WeightsOrder{
@@ -143,5 +144,5 @@
 // HoldsOrders says whether this instance may give orders to engines now, and
 // with which fencing token.
 func (i *Instance) HoldsOrders() (token uint64, ok bool) {
-	return i.ordersToken.Load(), i.ordersUntil.Load() > time.Now().UnixNano()
+	return i.ordersToken.Load(), i.ordersUntil.Load() > clock.Now().UnixNano()
 }
--- a/instance/orphans.go
+++ b/instance/orphans.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/peer"
@@ -25,7 +26,7 @@
 	}
 	members := i.members.View()
 	lingering := make(map[operation.Member][]engine.Held)
-	now := time.Now()
+	now := clock.Now()
 	i.held.retain(backend.Name, held)
 	for _, h := range held {
 		home, ok := operation.ParseMember(h.Home)
--- a/instance/siblings.go
+++ b/instance/siblings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mastwheel/mastwheel/cell"
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/instancelist"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/peer"
@@ -58,7 +59,7 @@
 			}
 		}
 	}
-	i.members.Listed(listed, time.Now())
+	i.members.Listed(listed, clock.Now())
 }
 
 // settleAlone takes the region for one cell when the list has not answered
@@ -88,7 +89,7 @@
 // heartbeat tells every sibling that this instance lives, and what its
 // workers report.
 func (i *Instance) heartbeat(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	i.members.Tick(now)
 	i.admission.SetInstances(i.sharers())
 	i.operations.Expire(i.Uptime())
@@ -131,7 +132,7 @@
 		}
 		answer, err := i.deps.Peers.Call(ctx, sibling.Peer, question)
 		if err == nil && answer.Heard != nil && answer.Heard.Known {
-			now := time.Now()
+			now := clock.Now()
 			i.members.Vouch(suspect, now.Add(-answer.Heard.Silence), now)
 		}
 	}
@@ -147,7 +148,7 @@
 		return &peer.Message{Reserved: i.reserveHere(message.Reserve)}
 	case message.Release != nil:
 		key := route.HoldKey{RequestID: message.Release.RequestID, Attempt: message.Release.Attempt}
-		i.steward.Release(message.Release.Worker, key, time.Now())
+		i.steward.Release(message.Release.Worker, key, clock.Now())
 		return nil
 	case message.Intent != nil:
 		return &peer.Message{IntentAnswer: i.intentHere(message.Intent)}
@@ -161,7 +162,7 @@
 	case message.AskTrace != nil:
 		return &peer.Message{TraceAnswer: i.traceHere(message.AskTrace.RequestID)}
 	case message.AskHeard != nil:
-		silence, known := i.members.View().Silence(message.AskHeard.Member, time.Now())
+		silence, known := i.members.View().Silence(message.AskHeard.Member, clock.Now())
 		return &peer.Message{Heard: &peer.Heard{Known: known, Silence: silence}}
 	case message.AskClaims != nil:
 		return &peer.Message{Claims: i.claimsHere(message.AskClaims)}
@@ -173,7 +174,7 @@
 }
 
 func (i *Instance) heard(ctx context.Context, beat *peer.Heartbeat) {
-	now := time.Now()
+	now := clock.Now()
 	before, _ := i.members.View().Find(beat.Info.Name)
 	if !i.members.Heard(beat.Info, now) {
 		return
--- a/instance/stewards.go
+++ b/instance/stewards.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"sync"
-	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/peer"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
@@ -18,7 +18,7 @@
 func (s stewards) Reserve(ctx context.Context, worker string, ask route.Ask) route.Grant {
 	owner := s.ownerOf(worker)
 	if owner == s.self.Name {
-		return s.steward.Reserve(worker, ask, time.Now())
+		return s.steward.Reserve(worker, ask, clock.Now())
 	}
 	sibling, known := s.members.View().Find(owner)
 	if !known {
@@ -38,7 +38,7 @@
 func (s stewards) Release(worker string, key route.HoldKey) {
 	owner := s.ownerOf(worker)
 	if owner == s.self.Name {
-		s.steward.Release(worker, key, time.Now())
+		s.steward.Release(worker, key, clock.Now())
 		return
 	}
 	if sibling, known := s.members.View().Find(owner); known {
@@ -52,7 +52,7 @@
 	grant := i.steward.Reserve(ask.Worker, route.Ask{
 		HoldKey: route.HoldKey{RequestID: ask.RequestID, Attempt: ask.Attempt}, Pieces: ask.Pieces, TTL: ask.TTL,
 		LandIn: ask.LandIn, HoldFor: ask.HoldFor, Headroom: ask.Headroom, Tokens: ask.Tokens, MostAhead: ask.MostAhead,
-	}, time.Now())
+	}, clock.Now())
 	return &peer.Reserved{Refused: grant.Refused, Free: grant.Free, Ahead: grant.Ahead}
 }
 
@@ -82,7 +82,7 @@
 }
 
 func (i *Instance) inspect(ctx context.Context, backend *table.BackendView) {
-	asked := time.Now()
+	asked := clock.Now()
 	load, err := i.deps.Engines.Load(ctx, backend.Address)
 	if err != nil {
 		return
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/instance"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/table"
@@ -238,7 +239,7 @@
 	}
 	status := BackendStatus{
 		Name: name, Pool: row.Pool, Zone: row.Zone, Leaving: row.Drain,
-		Breaker: string(server.Breaker.State(time.Now())), InFlight: server.InFlight(),
+		Breaker: string(server.Breaker.State(clock.Now())), InFlight: server.InFlight(),
 		Steward: s.instance.Steward(name),
 	}
 	if report := server.Report(); report != nil {
--- a/request/plain.go
+++ b/request/plain.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
@@ -107,7 +107,7 @@
 
 // once sends the call to one backend server.
 func (p *plainRun) once(ctx context.Context) (service.Answer, attemptEnd) {
-	query := route.Query{RequestID: p.ask.ID, Zone: p.Zone, Exclude: p.tried, Now: time.Now()}
+	query := route.Query{RequestID: p.ask.ID, Zone: p.Zone, Exclude: p.tried, Now: clock.Now()}
 	decision := p.Runner.plain.Decide(&query, p.Fleet, p.service.Plain)
 	p.note(&decision)
 	chosen := decision.Chosen
@@ -138,18 +138,18 @@
 func (p *plainRun) failed(chosen *route.Rated, err error) attemptEnd {
 	switch {
 	case errors.Is(err, service.ErrUnreachable):
-		chosen.Server.Breaker.Failure(time.Now())
+		chosen.Server.Breaker.Failure(clock.Now())
 		p.step(Disclaim, reason.ConnectFailed, chosen.Name)
 		return attemptEnd{why: reason.ConnectFailed}
 	case errors.Is(err, service.ErrNotRun):
 		p.step(Disclaim, reason.BackendRefused, chosen.Name)
 		return attemptEnd{why: reason.BackendRefused}
 	case p.ask.Idempotent || !p.config.Protect.Once:
-		chosen.Server.Breaker.Failure(time.Now())
+		chosen.Server.Breaker.Failure(clock.Now())
 		p.step(Retry, reason.AnswerLost, chosen.Name)
 		return attemptEnd{why: reason.AnswerLost}
 	default:
-		chosen.Server.Breaker.Failure(time.Now())
+		chosen.Server.Breaker.Failure(clock.Now())
 		return attemptEnd{final: true, why: reason.AnswerLost}
 	}
 }
--- a/request/reserve.go
+++ b/request/reserve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/trace"
@@ -34,7 +35,7 @@
 			m.step(Promise, reason.None, m.decode.Name)
 			return attemptEnd{}, true
 		}
-		if m.giveUpWaiting(why, time.Now()) {
+		if m.giveUpWaiting(why, clock.Now()) {
 			m.noteRefused(why)
 			return attemptEnd{final: true, why: lateReason(why, waited)}, false
 		}
@@ -48,7 +49,7 @@
 	if m.refused == nil {
 		return
 	}
-	m.record.Add(time.Now(), trace.Step{
+	m.record.Add(clock.Now(), trace.Step{
 		Attempt: m.attempt, State: m.life.State().String(), Reason: why, Server: m.refused.Pick, Choice: m.refused,
 	})
 }
@@ -106,7 +107,7 @@
 // order of preference.
 func (m *modelRun) reservePrefill(ctx context.Context) reason.Reason {
 	query := m.query
-	query.Now = time.Now()
+	query.Now = clock.Now()
 	query.Exclude = append([]string(nil), m.triedPrefill...)
 	query.Partner = nil
 	why := reason.NoBackend
@@ -179,7 +180,7 @@
 // of preference.
 func (m *modelRun) reserveDecode(ctx context.Context) reason.Reason {
 	query := m.query
-	query.Now = time.Now()
+	query.Now = clock.Now()
 	query.Exclude = append([]string(nil), m.triedDecode...)
 	query.Partner = m.prefill.Backend
 	why := reason.NoBackend
--- a/request/runner.go
+++ b/request/runner.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/operation"
@@ -163,7 +164,7 @@
 // begin opens the books on a request; service is nil when no row has its name.
 func (r *Runner) begin(id string, service *table.ServiceView, team string, view *table.View) *run {
 	record := &trace.Request{
-		ID: id, Team: team, Home: r.Home, Revision: view.Revision, Arrived: time.Now(),
+		ID: id, Team: team, Home: r.Home, Revision: view.Revision, Arrived: clock.Now(),
 	}
 	if service != nil {
 		record.Service = service.Name
@@ -185,13 +186,13 @@
 // step moves the life on and notes why.
 func (r *run) step(event Event, why reason.Reason, server string) {
 	r.life.Step(event)
-	r.record.Add(time.Now(), trace.Step{
+	r.record.Add(clock.Now(), trace.Step{
 		Attempt: r.attempt, State: r.life.State().String(), Reason: why, Server: server,
 	})
 }
 
 func (r *run) note(decision *route.Decision) {
-	r.record.Add(time.Now(), trace.Step{
+	r.record.Add(clock.Now(), trace.Step{
 		Attempt: r.attempt, State: r.life.State().String(), Server: decision.Pick, Choice: decision,
 	})
 }
@@ -238,7 +239,7 @@
 	}
 	klog.V(level).InfoS("Request ended", "request", r.record.ID, "service", r.record.Service, "team", r.record.Team,
 		"attempt", r.attempt, "outcome", outcome, "reason", why, "tokens", r.record.Tokens,
-		"took", time.Since(r.record.Arrived))
+		"took", clock.Since(r.record.Arrived))
 }
 
 func (r *run) giveUp(why reason.Reason, retryAfter time.Duration) Result {
--- a/request/stream.go
+++ b/request/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
@@ -28,7 +29,7 @@
 			break
 		}
 		m.Metrics.Retried(reason.StreamResumed)
-		m.record.Add(time.Now(), trace.Step{
+		m.record.Add(clock.Now(), trace.Step{
 			Attempt: m.attempt, State: m.life.State().String(), Reason: reason.StreamResumed, Server: target.Name,
 		})
 	}
@@ -82,7 +83,7 @@
 		m.Metrics.Dropped(dropped)
 		return true
 	}
-	m.last = time.Now()
+	m.last = clock.Now()
 	if m.record.Tokens == 0 {
 		m.first = m.last
 	}
@@ -93,7 +94,7 @@
 // decodeFailed cancels what the engine may still hold.
 func (m *modelRun) decodeFailed(ctx context.Context, target *route.Rated) {
 	if ctx.Err() == nil {
-		target.Server.Breaker.Failure(time.Now())
+		target.Server.Breaker.Failure(clock.Now())
 		m.triedDecode = append(m.triedDecode, target.Name)
 	}
 	m.cancelLater(target.Backend.Address, m.engineAttempt())
--- a/request/transfer.go
+++ b/request/transfer.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
@@ -14,7 +15,7 @@
 // runPrefill reads the prompt on the prefill engine that promised a turn.
 func (m *modelRun) runPrefill(ctx context.Context) (engine.PrefillResult, attemptEnd, bool) {
 	chosen := m.prefill
-	if !chosen.Server.Breaker.Allow(time.Now()) {
+	if !chosen.Server.Breaker.Allow(clock.Now()) {
 		return engine.PrefillResult{}, attemptEnd{why: reason.PrefillRefused}, false
 	}
 	m.step(Send, reason.None, chosen.Name)
@@ -31,13 +32,13 @@
 func (m *modelRun) orderPrefill(ctx context.Context, chosen *route.Rated) (engine.PrefillResult, error) {
 	end := chosen.Server.Begin(m.query.PromptTokens)
 	defer end()
-	started := time.Now()
+	started := clock.Now()
 	alone := chosen.Server.InFlight() == 1 && chosen.Server.WaitingTokens() <= m.query.PromptTokens
 	result, err := m.Engines.Prefill(ctx, chosen.Backend.Address, engine.PrefillOrder{
 		Attempt: m.engineAttempt(), Model: m.service.Model, Prompt: m.ask.Prompt, Priority: m.service.Priority,
 	})
 	if err == nil && alone {
-		chosen.Server.Prefills.Measure(result.PromptTokens-result.CachedTokens, time.Since(started))
+		chosen.Server.Prefills.Measure(result.PromptTokens-result.CachedTokens, clock.Since(started))
 	}
 	return result, err
 }
@@ -53,7 +54,7 @@
 		return attemptEnd{why: reason.CallerGone}
 	}
 	if !errors.Is(err, engine.ErrRefused) {
-		chosen.Server.Breaker.Failure(time.Now())
+		chosen.Server.Breaker.Failure(clock.Now())
 	}
 	if notRun {
 		return attemptEnd{why: reason.PrefillRefused}
@@ -64,14 +65,14 @@
 // transfer hands the KV cache to the decode engine, or to another one within
 // the window when the first one fails.
 func (m *modelRun) transfer(ctx context.Context, result engine.PrefillResult) (attemptEnd, bool) {
-	expires := time.Now().Add(time.Duration(result.WindowMillis) * time.Millisecond)
+	expires := clock.Now().Add(time.Duration(result.WindowMillis) * time.Millisecond)
 	for {
 		why := m.orderImport(ctx, result)
 		if why == reason.None {
 			m.step(Imported, reason.None, m.decode.Name)
 			return attemptEnd{}, true
 		}
-		if ctx.Err() != nil || why == reason.HandoffExpired || time.Now().After(expires) {
+		if ctx.Err() != nil || why == reason.HandoffExpired || clock.Now().After(expires) {
 			return attemptEnd{why: why}, false
 		}
 		if why == reason.HandoffNoMemory && m.waitForMemory(ctx, expires) {
@@ -92,7 +93,7 @@
 // yet: whoever holds it is expected to end. It returns false when half of the
 // window is over and another engine had better be tried.
 func (m *modelRun) waitForMemory(ctx context.Context, expires time.Time) bool {
-	if !m.config.Policy.Reserve || time.Until(expires) < memoryPatience {
+	if !m.config.Policy.Reserve || clock.Until(expires) < memoryPatience {
 		return false
 	}
 	return m.pause(ctx, m.config.PollEvery)
@@ -116,14 +117,14 @@
 	target := m.decode
 	ctx, cancel := context.WithTimeout(ctx, m.importTimeout(target))
 	defer cancel()
-	started := time.Now()
+	started := clock.Now()
 	err := m.Engines.Import(ctx, target.Backend.Address, engine.ImportOrder{
 		Attempt: m.engineAttempt(), Source: m.prefill.Backend.Address, Handle: result.Handle, Pieces: m.query.Pieces,
 	})
 	switch {
 	case err == nil:
 		target.Server.Breaker.Success()
-		target.Server.Transfers.Measure(result.PromptTokens, time.Since(started))
+		target.Server.Transfers.Measure(result.PromptTokens, clock.Since(started))
 		return reason.None
 	case errors.Is(err, engine.ErrExpired):
 		return reason.HandoffExpired
@@ -132,10 +133,10 @@
 	case errors.Is(err, engine.ErrRefused):
 		return reason.HandoffRefused
 	case errors.Is(err, engine.ErrUnreachable):
-		target.Server.Breaker.Failure(time.Now())
+		target.Server.Breaker.Failure(clock.Now())
 		return reason.HandoffFailed
 	default:
-		target.Server.Breaker.Failure(time.Now())
+		target.Server.Breaker.Failure(clock.Now())
 		m.cancelLater(target.Backend.Address, m.engineAttempt())
 		return reason.HandoffFailed
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/clock"
 )
 
 // Conn is one connection to a backend server, used by one request at a time.
@@ -42,7 +44,7 @@
 		c.Discard()
 		return
 	}
-	c.idleUntil = time.Now().Add(c.idleFor)
+	c.idleUntil = clock.Now().Add(c.idleFor)
 	c.pool.putIdle(c)
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/clock"
 )
 
 // Pool keeps the connections to one backend server.
@@ -54,7 +56,7 @@
 		if conn == nil {
 			return p.dial(ctx)
 		}
-		if conn.usable(time.Now()) {
+		if conn.usable(clock.Now()) {
 			return conn, nil
 		}
 		conn.Discard()
--- a/wait/wait.go
+++ b/wait/wait.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/mastwheel/mastwheel/clock"
 )
 
 // For sleeps for d. It returns false when ctx ended first.
@@ -19,4 +21,4 @@
 }
 
 // Until sleeps until a moment. It returns false when ctx ended first.
-func Until(ctx context.Context, at time.Time) bool { return For(ctx, time.Until(at)) }
+func Until(ctx context.Context, at time.Time) bool { return For(ctx, clock.Until(at)) }
