--- a/forward/flow.go
+++ b/forward/flow.go
@@ -37,6 +37,8 @@
 	tried []string
 	// path names the servers that the request was sent to, in order.
 	path []string
+	// sent is when it was sent to the last of them.
+	sent time.Time
 	// mayRun is set once a backend server may have run the request.
 	mayRun bool
 	// decisions are what was decided for the request so far.
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -141,6 +141,7 @@
 	g.runs++
 	var ctx context.Context
 	ctx, g.cut = g.watch()
+	g.sent = clock.Now()
 	stream, err := g.Backends.Decode(ctx, g.entry(g.decode), g.request, order, g.deadline)
 	if g.ctx.Err() == nil {
 		g.learn(server, err)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -59,6 +59,7 @@
 	f.path = append(f.path, chosen.Name)
 	defer chosen.Server.Begin(0)()
 	defer chosen.Server.Await(clock.Now())()
+	f.sent = clock.Now()
 	answer, err := f.Backends.Call(ctx, f.entry(chosen), f.request, f.deadline)
 	f.decide(stepCall, callResult(answer, err), "server", chosen.Name, "inFlight", chosen.Server.InFlight())
 	if !errors.Is(ctx.Err(), context.Canceled) {
--- a/forward/read.go
+++ b/forward/read.go
@@ -134,6 +134,7 @@
 	g.path = append(g.path, g.prefill.Name)
 	began := clock.Now()
 	waiting := server.WaitingTokens()
+	g.sent = began
 	result, err := g.Backends.Prefill(ctx, g.entry(g.prefill), g.request, g.deadline)
 	if g.ctx.Err() == nil {
 		g.learn(server, err)
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -83,7 +83,7 @@
 // ended.
 func (f *flow) broke(at *route.Rated) {
 	entry := f.entry(at)
-	if f.Poison.Broke(entry.Run(), f.fingerprints(), clock.Now()) {
+	if f.Poison.Broke(entry.Run(), f.fingerprints(), f.sent, clock.Now()) {
 		f.cleanup(func(ctx context.Context) { f.findEnd(ctx, entry) })
 	}
 }
--- a/poison/blame.go
+++ b/poison/blame.go
@@ -10,23 +10,26 @@
 // serverRun names one run of a server: it ends once.
 type serverRun uint64
 
-// ends holds when servers ended.
-type ends map[serverRun]time.Time
+// run is a request's run at a server, from when it was sent to the server's end.
+type run struct{ began, ended time.Time }
 
-// crashes counts the ends under a request. Of a call that many callers send, those that
-// come within a gap are one: a rack, a herd or a release may take several servers at the
-// same moment, and it runs at all of them. A caller's own runs at one after the other.
-func (e ends) crashes(of Fingerprint, gap time.Duration) int {
+// ends holds the runs of a request at servers that ended.
+type ends map[serverRun]run
+
+// crashes counts the ends under a request. Of a call that many callers send, several
+// run at a time, and a rack, a herd or a release may take all their servers: so of the
+// runs of all callers only those count that began after the end that was counted before.
+func (e ends) crashes(of Fingerprint) int {
 	if !of.ofAll() {
 		return len(e)
 	}
-	times := slices.SortedFunc(maps.Values(e), time.Time.Compare)
+	runs := slices.SortedFunc(maps.Values(e), func(a, b run) int { return a.ended.Compare(b.ended) })
 	count := 0
-	var until time.Time
-	for _, at := range times {
-		if count == 0 || at.After(until) {
+	var last time.Time
+	for _, one := range runs {
+		if count == 0 || one.began.After(last) {
 			count++
-			until = at.Add(gap)
+			last = one.ended
 		}
 	}
 	return count
@@ -56,12 +59,12 @@
 	for len(left) > 0 {
 		cause := most(left)
 		servers := left[cause]
-		crashes := servers.crashes(cause, c.WaveGap)
+		crashes := servers.crashes(cause)
 		if crashes < c.SuspectCrashes {
 			delete(left, cause)
 			continue
 		}
-		if ran[cause].crashes(cause, c.WaveGap) >= c.OftenCrashes {
+		if ran[cause].crashes(cause) >= c.OftenCrashes {
 			crashes = max(crashes, c.BlockCrashes)
 		}
 		alike := sameServers(left, cause)
@@ -80,7 +83,7 @@
 func (c Config) candidates(ran map[Fingerprint]ends) map[Fingerprint]ends {
 	var several []Fingerprint
 	for request, servers := range ran {
-		if servers.crashes(request, c.WaveGap) >= c.SuspectCrashes {
+		if servers.crashes(request) >= c.SuspectCrashes {
 			several = append(several, request)
 		}
 	}
@@ -142,7 +145,7 @@
 // explain takes ends that have a cause off what the others are blamed for.
 func explain(left map[Fingerprint]ends, explained ends) {
 	for request, servers := range left {
-		maps.DeleteFunc(servers, func(server serverRun, _ time.Time) bool {
+		maps.DeleteFunc(servers, func(server serverRun, _ run) bool {
 			_, known := explained[server]
 			return known
 		})
--- a/poison/config.go
+++ b/poison/config.go
@@ -4,11 +4,6 @@
 
 // Config tunes when a request is blocked, and for how long.
 type Config struct {
-	// WaveGap is the time within which servers that end under a call that many callers
-	// send count as one: a rack, or a switch, takes many at the same moment. Longer
-	// than it takes to notice them all; shorter finds a request sooner that comes from
-	// many addresses.
-	WaveGap time.Duration
 	// SuspectCrashes is how many servers must have ended under a request for its next
 	// run to be a probe: one at a time, at the server where the fewest others are
 	// lost with it. With one, each request that shared a server with the cause would
@@ -59,7 +54,7 @@
 	// RecentFor is how long an end is told so whatever ran there; later only those
 	// are that count against a request.
 	RecentFor time.Duration
-	// UpdateRan bounds the requests in one update, some 9 bytes each, and UpdateMarks
+	// UpdateRan bounds the requests in one update, some 12 bytes each, and UpdateMarks
 	// its marks, some 16 bytes each.
 	UpdateRan   int
 	UpdateMarks int
@@ -68,7 +63,6 @@
 // DefaultConfig follows the users' rules.
 func DefaultConfig() Config {
 	return Config{
-		WaveGap:        250 * time.Millisecond,
 		SuspectCrashes: 2,
 		BlockCrashes:   3,
 		OftenCrashes:   5,
@@ -86,7 +80,7 @@
 		RepairEvery:    time.Second,
 		RepairEnds:     4,
 		RecentFor:      10 * time.Second,
-		UpdateRan:      96,
+		UpdateRan:      80,
 		UpdateMarks:    16,
 	}
 }
--- a/poison/fingerprint.go
+++ b/poison/fingerprint.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash"
 	"io"
+	"time"
 )
 
 // Fingerprint tells whether two requests are the same one, sent again: every attempt
@@ -40,6 +41,11 @@
 // each returns both.
 func (f Fingerprints) each() []Fingerprint { return []Fingerprint{f.OfCaller, f.Content} }
 
+// began returns both with when the request began.
+func (f Fingerprints) began(at time.Time) map[Fingerprint]time.Time {
+	return map[Fingerprint]time.Time{f.OfCaller: at, f.Content: at}
+}
+
 // Identity is what two attempts of the same request have in common.
 type Identity struct {
 	// Caller is the address that the request came from, without the port.
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -71,17 +71,24 @@
 // end is the end of a server's run.
 type end struct {
 	at time.Time
-	// ran holds the requests that ran there; those in it were cleared since if it is
-	// false.
-	ran        map[Fingerprint]bool
+	// ran holds the requests that ran there.
+	ran        map[Fingerprint]participant
 	freshUntil time.Time
 }
 
+// participant is a request that ran at a server when it ended.
+type participant struct {
+	began time.Time
+	// counts is set unless it ran to a good end since.
+	counts bool
+}
+
 // brokenRuns are the requests that broke off at a server of which it is not known
 // whether it has ended.
 type brokenRuns struct {
 	since time.Time
-	ran   map[Fingerprint]bool
+	// ran holds when each began.
+	ran map[Fingerprint]time.Time
 }
 
 // mark is something that happened to a request.
@@ -120,13 +127,14 @@
 
 func runOf(name string) serverRun { return serverRun(xxhash.Sum64String(name)) }
 
-// Broke notes that a request broke off at a run of a server, and returns whether it
-// should be found out if that has ended: it is the first to break off there.
-func (t *Tracker) Broke(server string, request Fingerprints, now time.Time) (first bool) {
+// Broke notes that a request that was sent at began broke off at a run of a server, and
+// returns whether it should be found out if that has ended: it is the first to break off
+// there.
+func (t *Tracker) Broke(server string, request Fingerprints, began, now time.Time) (first bool) {
 	run := runOf(server)
 	t.mu.Lock()
 	if t.ends[run] != nil {
-		news := t.ended(run, now, request.each(), now.Add(t.config.FreshFor), now)
+		news := t.ended(run, now, request.began(began), now.Add(t.config.FreshFor), now)
 		changes := t.judge()
 		t.mu.Unlock()
 		t.tell(changes, news)
@@ -135,13 +143,13 @@
 	defer t.mu.Unlock()
 	runs := t.broken[run]
 	if runs == nil || now.Sub(runs.since) > t.config.BrokenFor {
-		runs = &brokenRuns{since: now, ran: make(map[Fingerprint]bool)}
+		runs = &brokenRuns{since: now, ran: make(map[Fingerprint]time.Time)}
 		t.broken[run] = runs
 		first = true
 	}
 	for _, print := range request.each() {
 		if len(runs.ran) < t.config.MostRan {
-			runs.ran[print] = true
+			runs.ran[print] = began
 			t.known.Store(print, struct{}{})
 		}
 	}
@@ -212,7 +220,7 @@
 	for _, print := range request.each() {
 		crashes := len(t.ran[print])
 		for _, runs := range t.broken {
-			if runs.ran[print] {
+			if _, broke := runs.ran[print]; broke {
 				crashes++
 			}
 		}
@@ -276,24 +284,23 @@
 		return
 	}
 	for _, runs := range t.broken {
-		if runs.ran[request] {
+		if _, broke := runs.ran[request]; broke {
 			return
 		}
 	}
 	t.known.Delete(request)
 }
 
-// ended takes in that a server ended under requests. It returns whether any of that was
-// new. The caller holds the lock.
-func (t *Tracker) ended(server serverRun, at time.Time, ran []Fingerprint, freshUntil, now time.Time) (news bool) {
-	if len(ran) > t.config.MostRan {
-		ran = ran[:t.config.MostRan]
-	}
+// ended takes in that a server ended under requests, which began then. It returns whether
+// any of that was new. The caller holds the lock.
+func (t *Tracker) ended(server serverRun, at time.Time, ran map[Fingerprint]time.Time, freshUntil, now time.Time) (news bool) {
 	one := t.ends[server]
 	if runs := t.broken[server]; runs != nil {
-		for request := range runs.ran {
-			ran = append(ran, request)
+		ran = maps.Clone(ran)
+		if ran == nil {
+			ran = make(map[Fingerprint]time.Time)
 		}
+		maps.Copy(ran, runs.ran)
 		delete(t.broken, server)
 		if runs.since.Before(at) {
 			at = runs.since
@@ -305,20 +312,20 @@
 		if len(ran) == 0 || !t.makeRoom(at) {
 			return false
 		}
-		one = &end{at: at, ran: make(map[Fingerprint]bool)}
+		one = &end{at: at, ran: make(map[Fingerprint]participant)}
 		t.ends[server] = one
 	}
 	if at.Before(one.at) {
 		one.at = at
 		news = t.recount(server)
 	}
-	for _, request := range ran {
+	for request, began := range ran {
 		if _, known := one.ran[request]; known || len(one.ran) >= t.config.MostRan {
 			continue
 		}
 		news = true
 		counts := one.at.After(t.cleared[request].at)
-		one.ran[request] = counts
+		one.ran[request] = participant{began: began, counts: counts}
 		if counts {
 			t.addRun(request, server)
 		}
@@ -334,27 +341,35 @@
 // known to be earlier. It returns whether there were any. The caller holds the lock.
 func (t *Tracker) recount(server serverRun) (changed bool) {
 	one := t.ends[server]
-	for request, counts := range one.ran {
+	for request, its := range one.ran {
 		switch {
-		case !counts:
+		case !its.counts:
 		case one.at.After(t.cleared[request].at):
-			t.ran[request][server] = one.at
+			t.ran[request][server] = run{began: its.began, ended: one.at}
 			t.unjudged = true
 		default:
-			one.ran[request] = false
-			t.dropRun(request, server)
+			t.uncount(server, request)
 			changed = true
 		}
 	}
 	return changed
 }
 
+// uncount takes a request off an end. The caller holds the lock.
+func (t *Tracker) uncount(server serverRun, request Fingerprint) {
+	its := t.ends[server].ran[request]
+	its.counts = false
+	t.ends[server].ran[request] = its
+	t.dropRun(request, server)
+}
+
 func (t *Tracker) addRun(request Fingerprint, server serverRun) {
 	if t.ran[request] == nil {
 		t.ran[request] = make(ends)
 		t.known.Store(request, struct{}{})
 	}
-	t.ran[request][server] = t.ends[server].at
+	one := t.ends[server]
+	t.ran[request][server] = run{began: one.ran[request].began, ended: one.at}
 	if len(t.ran[request]) >= t.config.SuspectCrashes {
 		t.several[request] = t.ran[request]
 		t.unjudged = true
@@ -406,8 +421,7 @@
 	}
 	for server := range t.ran[request] {
 		if one := t.ends[server]; !one.at.After(at) {
-			one.ran[request] = false
-			t.dropRun(request, server)
+			t.uncount(server, request)
 			news = true
 		}
 	}
--- a/poison/update.go
+++ b/poison/update.go
@@ -19,7 +19,15 @@
 	_         struct{} `cbor:",toarray"`
 	Server    uint64
 	AgeMillis int64
-	Ran       []Fingerprint
+	Ran       []Ran
+}
+
+// Ran is a request that was running at a server when it ended.
+type Ran struct {
+	_       struct{} `cbor:",toarray"`
+	Request Fingerprint
+	// ForMillis is for how long it had.
+	ForMillis int64
 }
 
 // Mark is something that happened to a request: it ran to a good end, or a probe of it
@@ -94,9 +102,9 @@
 	one := t.ends[server]
 	end := End{Server: uint64(server), AgeMillis: now.Sub(one.at).Milliseconds()}
 	recent := now.Sub(one.at) < t.config.RecentFor
-	for request := range one.ran {
+	for request, its := range one.ran {
 		if len(end.Ran) < room && (recent || t.several[request] != nil) {
-			end.Ran = append(end.Ran, request)
+			end.Ran = append(end.Ran, Ran{Request: request, ForMillis: one.at.Sub(its.began).Milliseconds()})
 		}
 	}
 	if len(end.Ran) > 0 {
@@ -203,7 +211,7 @@
 	}
 	for _, end := range update.Ends {
 		if at, ok := t.happened(end.AgeMillis, now); ok {
-			news = t.ended(serverRun(end.Server), at, end.Ran, freshUntil, now) || news
+			news = t.ended(serverRun(end.Server), at, end.ran(at, t.config.MostRan), freshUntil, now) || news
 		}
 	}
 	changes := t.judge()
@@ -212,6 +220,20 @@
 	return news
 }
 
+// ran returns when the requests began that ran at a server which ended then, so many at
+// most.
+func (e End) ran(ended time.Time, most int) map[Fingerprint]time.Time {
+	began := make(map[Fingerprint]time.Time, min(len(e.Ran), most))
+	for _, one := range e.Ran[:min(len(e.Ran), most)] {
+		ranFor := min(max(one.ForMillis, 0), longestRun.Milliseconds())
+		began[one.Request] = ended.Add(-time.Duration(ranFor) * time.Millisecond)
+	}
+	return began
+}
+
+// longestRun bounds what is believed of how long a request had run.
+const longestRun = time.Hour
+
 // happened returns when something happened that is so old. What lies in the future, or
 // is forgotten by now, never did.
 func (t *Tracker) happened(ageMillis int64, now time.Time) (at time.Time, ok bool) {
