A word about a sibling counts by when it was observed, not by who says it last

Cause (traced from TestSilentHubsAreReplaced, which is listed): a hub that had watched a silent one said so; another hub of the same zone, whose account still had it alive, told that later, as part of an account, and it stood: nobody tells again what has not changed. Who believed it asked the silent hub again after three seconds, and lost the account of the others meanwhile.

Change: what is told of a third instance carries the age of the observation behind it; an older one changes nothing, whoever repeats it.

--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -176,7 +176,7 @@
 			digest.Loads = ofZone
 		}
 		keep := func(sibling member.Sibling) bool { return !digest.Zone || sibling.Zone == in.config.Zone }
-		digest.Told, digest.Upto = in.hubs.lacks(to.seen, view, keep)
+		digest.Told, digest.Upto = in.hubs.lacks(to.seen, view, keep, now)
 		message.Digest = digest
 		bytes += in.send(message, to.peer)
 	}
@@ -209,10 +209,13 @@
 
 // takeDigest takes in what a hub knows.
 func (in *Instance) takeDigest(message heartbeat.Message, now time.Time) {
-	account := in.hubs.isSource(message.From.Name)
 	for _, told := range message.Digest.Told {
+		if told.Age < 0 {
+			// From the future: it would count for ever.
+			continue
+		}
 		before, known := in.members.Find(told.Info.Name)
-		in.members.Told(told.Info, told.State, account, now)
+		in.members.Told(told.Info, told.State, now.Add(-told.Age), now)
 		if known && before.Told != "" && before.Told != told.State {
 			klog.InfoS("Sibling told of", "sibling", told.Info.Name, "incarnation", told.Info.Incarnation, "zone", told.Info.Zone,
 				"before", before.Told, "state", told.State, "by", message.From.Name)
@@ -248,7 +251,7 @@
 	for _, zone := range []string{to.Zone, in.config.Zone} {
 		for _, info := range chosen[zone] {
 			if sibling, known := view.Find(info.Name); known && info.Name != to.Name {
-				digest.Told = append(digest.Told, heartbeat.Told{Info: info, State: sibling.State})
+				digest.Told = append(digest.Told, toldOf(info, sibling, now))
 			}
 		}
 	}
--- a/edge/hubs.go
+++ b/edge/hubs.go
@@ -329,15 +329,8 @@
 }
 
 // lacks returns what a subscriber lacks of the account.
-func (h *hubs) lacks(seen uint64, view *member.View, keep func(member.Sibling) bool) ([]heartbeat.Told, uint64) {
+func (h *hubs) lacks(seen uint64, view *member.View, keep func(member.Sibling) bool, now time.Time) ([]heartbeat.Told, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.ledger.since(seen, view, keep, h.config.ToldAtOnce)
-}
-
-// isSource says whether this instance asks that hub.
-func (h *hubs) isSource(name string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.sources[name] != nil
+	return h.ledger.since(seen, view, keep, h.config.ToldAtOnce, now)
 }
--- a/edge/ledger.go
+++ b/edge/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
@@ -58,7 +59,7 @@
 
 // since returns some states that changed behind a version, and the version that they
 // lead to. Siblings for which keep is false are passed over.
-func (l *ledger) since(version uint64, view *member.View, keep func(member.Sibling) bool, most int) (told []heartbeat.Told, upto uint64) {
+func (l *ledger) since(version uint64, view *member.View, keep func(member.Sibling) bool, most int, now time.Time) (told []heartbeat.Told, upto uint64) {
 	first, _ := slices.BinarySearchFunc(l.changes, version+1, func(c stateChange, v uint64) int { return int(c.version) - int(v) })
 	upto = version
 	for _, change := range l.changes[first:] {
@@ -68,8 +69,13 @@
 		upto = change.version
 		sibling, known := view.Find(change.name)
 		if known && keep(sibling) {
-			told = append(told, heartbeat.Told{Info: sibling.Info, State: sibling.State})
+			told = append(told, toldOf(sibling.Info, sibling, now))
 		}
 	}
 	return told, upto
 }
+
+// toldOf is what others are told of a sibling.
+func toldOf(info member.Info, sibling member.Sibling, now time.Time) heartbeat.Told {
+	return heartbeat.Told{Info: info, State: sibling.State, Age: max(now.Sub(sibling.Observed), 0)}
+}
--- a/edge/ledger_test.go
+++ b/edge/ledger_test.go
@@ -25,7 +25,7 @@
 		tell := func(lost bool) (more bool) {
 			view := hub.View()
 			account.update(view.Siblings, true)
-			told, upto := account.since(seen, view, everyone, most)
+			told, upto := account.since(seen, view, everyone, most, now)
 			if !lost {
 				take(other, told, now)
 				seen = upto
@@ -59,6 +59,6 @@
 
 func take(members *member.Members, told []heartbeat.Told, now time.Time) {
 	for _, one := range told {
-		members.Told(one.Info, one.State, true, now)
+		members.Told(one.Info, one.State, now.Add(-one.Age), now)
 	}
 }
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -104,6 +104,8 @@
 type Told struct {
 	Info  member.Info  `cbor:"1,keyasint"`
 	State member.State `cbor:"2,keyasint"`
+	// Age is how long ago the state was observed first-hand.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // News are changes of the list of backend servers that lead from one position of the
--- a/member/member.go
+++ b/member/member.go
@@ -120,8 +120,12 @@
 	// Told is the state that one who hears it directly has told; empty if nobody
 	// has.
 	Told State `json:"told,omitempty"`
-	// Vouched is when somebody told that it lives who had heard it later than was
-	// known here.
+	// Observed is when the state was observed first-hand: by this instance, or by the one
+	// whose word reached it through others.
+	Observed time.Time `json:"observed,omitzero"`
+	// toldObserved is the same for Told.
+	toldObserved time.Time
+	// Vouched is when somebody had heard it, later than was known here.
 	Vouched time.Time `json:"vouched,omitzero"`
 }
 
@@ -213,9 +217,9 @@
 		}
 		info.Zone, info.Caller, info.Peer = known.Zone, known.Caller, known.Peer
 	}
-	sibling := Sibling{Info: info, Heard: now, HeardAnywhere: now}
+	sibling := Sibling{Info: info, Heard: now, HeardAnywhere: now, Observed: now}
 	if sameRun {
-		sibling.Told = known.Told
+		sibling.Told, sibling.toldObserved = known.Told, known.toldObserved
 	}
 	sibling.State = m.stateAt(sibling, now)
 	m.siblings[info.Name] = sibling
@@ -236,20 +240,28 @@
 			continue
 		}
 		sibling.State = m.stateAt(sibling, now)
+		if m.judges(sibling) && sibling.State != Alive && sibling.State != Leaving {
+			sibling.Observed = now
+		}
 		m.siblings[name] = sibling
 	}
 	m.publish()
 }
 
+// judges says whether a sibling's silence is judged by what this instance hears itself.
+func (m *Members) judges(s Sibling) bool {
+	return s.Told == "" || (m.watched != "" && s.Zone == m.watched)
+}
+
 func (m *Members) stateAt(s Sibling, now time.Time) State {
 	switch {
 	case m.isDead(s, now):
 		return Dead
 	case now.Sub(s.Heard) > m.config.SuspectAfter && now.Sub(s.Vouched) > m.config.SuspectAfter:
-		if s.Told != "" && (m.watched == "" || s.Zone != m.watched) {
-			return s.Told
+		if m.judges(s) {
+			return Suspect
 		}
-		return Suspect
+		return s.Told
 	case s.Draining || m.listed.leaving[s.Name]:
 		return Leaving
 	default:
--- a/member/told.go
+++ b/member/told.go
@@ -5,10 +5,10 @@
 // Where there are too many members for each to hear all others, some hear those of
 // a zone and tell the rest how they are.
 
-// Told takes in what another says of a member that it hears itself. Of a run that was
-// told of already, one who gives no account of all is believed only what is newer on
-// the member's own clock: what is said in passing may be old.
-func (m *Members) Told(info Info, state State, account bool, now time.Time) {
+// Told takes in what another says of a member, which was observed first-hand then, by
+// itself or by one who told it. An older observation changes nothing: else two that repeat
+// each other's word would keep a member alive for as long as they do.
+func (m *Members) Told(info Info, state State, observed, now time.Time) {
 	if info.Name == m.self.Name || info.Peer == "" {
 		return
 	}
@@ -18,17 +18,20 @@
 	switch {
 	case !ok || known.Incarnation < info.Incarnation:
 		known = Sibling{Info: info}
-	case known.Incarnation > info.Incarnation || (!account && known.Told != "" && known.Uptime >= info.Uptime):
+	case known.Incarnation > info.Incarnation || (known.Told != "" && !observed.After(known.toldObserved)):
 		return
 	case known.Uptime < info.Uptime:
 		known.Info = info
 		if state == Alive {
-			known.Vouched = now
+			known.Vouched = observed
 		}
 	}
-	known.Told = state
-	if state != Dead && now.After(known.HeardAnywhere) {
-		known.HeardAnywhere = now
+	known.Told, known.toldObserved = state, observed
+	if observed.After(known.Observed) {
+		known.Observed = observed
+	}
+	if state != Dead && observed.After(known.HeardAnywhere) {
+		known.HeardAnywhere = observed
 	}
 	known.State = m.stateAt(known, now)
 	m.siblings[info.Name] = known
