--- a/cmd/mastwheel/try.go
+++ b/cmd/mastwheel/try.go
@@ -84,7 +84,7 @@
 		return err
 	}
 	summary, err := standin.RunTrial(ctx, standin.TrialOptions{
-		Instances: options.Instances, Duration: options.Duration, Seed: options.Seed, Faults: len(options.Faults) > 0,
+		Instances: options.Instances, Duration: options.Duration, Seed: options.Seed, Faults: len(options.Faults) > 0, Crashes: len(options.Faults) > 0,
 	})
 	if err != nil {
 		return err
