--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -104,12 +104,12 @@
 	p.metrics.Watch("table_revision", "Revision of the table in force.", func() float64 { return float64(p.edge.Revision()) })
 	p.metrics.Watch("table_age_seconds", "Time since the table was last known to be the newest; NaN before.", age(p.edge.TableConfirmed))
 	p.metrics.Watch("server_list_age_seconds", "Time since the list of backend servers was last known to be current; NaN before.", age(p.edge.Confirmed))
-	p.metrics.Count("store_probes_total", "Questions to the store beside those that wait there.", func() float64 {
-		beside, _ := p.edge.Questions()
+	p.metrics.Count("store_probes_total", "Polls of the store beside those that wait there.", func() float64 {
+		beside, _ := p.edge.Polls()
 		return float64(beside)
 	})
-	p.metrics.Count("store_questions_given_up_total", "Questions to the store that told less than others did, or that were given up for another reason.", func() float64 {
-		_, givenUp := p.edge.Questions()
+	p.metrics.Count("store_polls_given_up_total", "Polls of the store that told less than others did, or that were given up for another reason.", func() float64 {
+		_, givenUp := p.edge.Polls()
 		return float64(givenUp)
 	})
 	p.metrics.Count("store_records_rejected_total", "Records of the store that cannot be used.", func() float64 { return float64(p.rejected.Count()) })
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -47,7 +47,7 @@
 		mine := in.have()
 		sibling, ahead := in.ahead(mine, failed)
 		failed = ""
-		// Where a question waits at the store, it may be about to tell the same.
+		// Where a long poll waits at the store, it may be about to tell the same.
 		if !ahead || (mine != before && !in.usesHubs()) {
 			before = mine
 			continue
@@ -60,7 +60,7 @@
 	}
 }
 
-// askStore asks the store for what a sibling did not tell, where no question waits
+// askStore asks the store for what a sibling did not tell, where no long poll waits
 // there.
 func (in *Instance) askStore(ctx context.Context, sibling member.Sibling, mine Have) {
 	behind := map[*feed]bool{in.tableFeed: sibling.Revision > mine.Revision, in.list: sibling.Next > mine.Position}
--- a/edge/config.go
+++ b/edge/config.go
@@ -21,12 +21,12 @@
 	// a core; the strongest become hubs.
 	Capacity int
 
-	// StoreWait is how long one question for news waits at the store. Longer
-	// costs fewer calls; that a question is lost is noticed by FreshFor.
+	// StoreWait is how long one long poll waits at the store. Longer
+	// costs fewer calls; that a poll is lost is noticed by FreshFor.
 	StoreWait time.Duration
 	// FreshFor is how long the instances together may have no answer from the
-	// store before one of them asks beside the questions that wait there, and
-	// ProbeEvery the pause between two looks at that. News that no question tells
+	// store before one of them asks beside the long polls that wait there, and
+	// ProbeEvery the pause between two looks at that. News that no poll tells
 	// are known to all after FreshFor, one to three looks and two looks at what
 	// siblings know: 0.4 to 0.7 s in the median and 1.2 s at most (1, 8 and 62
 	// instances on a virtual clock, 40, 40 and 12 draws), where a leaving server
@@ -39,7 +39,7 @@
 	// that changes in quick succession share a call; ReadPerSibling stretches it
 	// where many instances would each pay for one, up to ReadAtMost. While engines
 	// are replaced one after another, 58 instances made 4,800 calls a day at
-	// 150 ms and questions of 10 s, and 2,700 at 600 ms and 25 s (means of six
+	// 150 ms and polls of 10 s, and 2,700 at 600 ms and 25 s (means of six
 	// days). A server that leaves is known so much later, and must
 	// get no work after two seconds, the time under way of a request included.
 	ReadEvery      time.Duration
@@ -133,10 +133,10 @@
 	// whoever lacks more asks for the list.
 	NewsAtMost int
 	// StartPatience is how long an instance that starts hears its siblings before it
-	// leaves a question waiting at the store: with many, only hubs do.
+	// leaves a long poll waiting at the store: with many, only hubs do.
 	StartPatience time.Duration
 	// IdleLook is the pause between two looks at whether this instance is to leave a
-	// question waiting at the store.
+	// long poll waiting at the store.
 	IdleLook time.Duration
 
 	// RetryRatio and RetrySlack bound the retries to one service in a window,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -146,7 +146,7 @@
 	stopping   atomic.Bool
 	orders     *orders
 	hubs       *hubs
-	// reads is set while this instance leaves questions waiting at the store.
+	// reads is set while this instance leaves long polls waiting at the store.
 	reads atomic.Bool
 	// urgent is set, and hurried wakes the beat, when siblings are to hear at once.
 	urgent  atomic.Bool
@@ -243,9 +243,9 @@
 // TableConfirmed returns when the table was last known to be the newest.
 func (in *Instance) TableConfirmed() time.Time { return in.tableFeed.confirmed() }
 
-// Questions counts what this instance asked the store beside the questions that
-// wait there, and the questions that it gave up.
-func (in *Instance) Questions() (beside, givenUp uint64) {
+// Polls counts how often this instance polled the store beside the long polls that
+// wait there, and the polls that it gave up.
+func (in *Instance) Polls() (beside, givenUp uint64) {
 	for _, feed := range in.feeds() {
 		beside += feed.probes.Load()
 		givenUp += feed.givenUp.Load()
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -14,12 +14,12 @@
 )
 
 // feed keeps one belief up to date from the store: the table, or the list of
-// servers. One long question for news is under way nearly always. It alone would
+// servers. One long poll is under way nearly always. It alone would
 // not do: where the store falls silent in part, or a connection does without a
-// reset, the question is never answered, and news were known up to 26.5 s late, to
+// reset, the poll is never answered, and news were known up to 26.5 s late, to
 // all instances at once. So the instances together see to it that one of them has
 // asked anew within Config.FreshFor, and one that knows of news which its own
-// question has not told gives that question up.
+// poll has not told gives that poll up.
 type feed struct {
 	*Instance
 	name  string
@@ -29,35 +29,35 @@
 	// known, and takes it in. It returns when the store had no more than that; zero
 	// if it has told less than is believed by now.
 	read func(ctx context.Context, known bool, wait time.Duration) (at time.Time, err error)
-	// rest is the pause between an answer and the next question.
+	// rest is the pause between an answer and the next poll.
 	rest func() time.Duration
 	// progress grows with what is believed.
 	progress func() uint64
 	// returned is told when the store answers again after it was away.
 	returned func(at time.Time)
 
-	// probes and givenUp count questions.
+	// probes and givenUp count polls.
 	probes, givenUp atomic.Uint64
 
 	mu sync.Mutex
-	// question is the one that is under way; nil between two.
-	question *question
-	known    bool
-	// failures counts the questions in a row that failed, and retryAt is when the
+	// poll is the one that is under way; nil between two.
+	poll  *poll
+	known bool
+	// failures counts the polls in a row that failed, and retryAt is when the
 	// next may be asked.
 	failures int
 	retryAt  time.Time
-	// probing is set while a question is asked beside the one that waits.
+	// probing is set while the store is polled beside the poll that waits.
 	probing bool
-	// surpassed is when the belief last grew by other ways than the question.
+	// surpassed is when the belief last grew by other ways than the poll.
 	surpassed time.Time
 	// old is set while the belief is not known to be current, once that was
 	// logged.
 	old bool
 }
 
-// question is one that is under way at the store.
-type question struct {
+// poll is one that is under way at the store.
+type poll struct {
 	asked  time.Time
 	known  bool
 	wait   time.Duration
@@ -66,14 +66,14 @@
 	givenUp bool
 }
 
-// follow asks one question after the other until ctx ends.
+// follow polls again and again until ctx ends.
 func (f *feed) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.pause(ctx, f.next(ctx))
 	}
 }
 
-// next asks a question, if this instance is to, and returns the pause until the next.
+// next polls, if this instance is to, and returns the pause until the next.
 func (f *feed) next(ctx context.Context) time.Duration {
 	if f.idles() {
 		return f.config.IdleLook
@@ -81,16 +81,16 @@
 	if began := clock.Since(f.started); f.progress() > 0 && began < f.config.StartPatience {
 		return f.config.StartPatience - began
 	}
-	return f.ask(ctx)
+	return f.pollOnce(ctx)
 }
 
-// idles says whether others leave questions waiting at the store: there are many
+// idles says whether others leave long polls waiting at the store: there are many
 // instances, and this one believes something already. It still sees to it that
 // somebody has asked lately.
 func (f *feed) idles() bool { return !f.reads.Load() && f.progress() > 0 }
 
-// ask asks one question and returns the pause until the next.
-func (f *feed) ask(ctx context.Context) time.Duration {
+// pollOnce polls once and returns the pause until the next.
+func (f *feed) pollOnce(ctx context.Context) time.Duration {
 	inner, q := f.begin(ctx)
 	defer q.giveUp()
 	at, err := f.read(inner, q.known, q.wait)
@@ -108,30 +108,30 @@
 	}
 }
 
-// begin notes a question. The first after a failure is answered at once, so that
+// begin notes a poll. The first after a failure is answered at once, so that
 // it is known when the store was back, not when the next change came.
-func (f *feed) begin(ctx context.Context) (context.Context, *question) {
+func (f *feed) begin(ctx context.Context) (context.Context, *poll) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q := &question{asked: clock.Now(), known: f.known, wait: f.config.StoreWait}
+	q := &poll{asked: clock.Now(), known: f.known, wait: f.config.StoreWait}
 	if f.failures > 0 {
 		q.wait = 0
 	}
 	ctx, q.giveUp = context.WithCancel(ctx)
-	f.question = q
+	f.poll = q
 	return ctx, q
 }
 
-// end notes that a question is no longer under way, and returns whether it was
+// end notes that a poll is no longer under way, and returns whether it was
 // given up.
-func (f *feed) end(q *question) bool {
+func (f *feed) end(q *poll) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.question = nil
+	f.poll = nil
 	return q.givenUp
 }
 
-// succeeded notes an answer. That to a question for everything ends no row of
+// succeeded notes an answer. That to a read of everything ends no row of
 // failures: what was dropped may be dropped again while it is read anew.
 func (f *feed) succeeded(known bool) {
 	f.mu.Lock()
@@ -150,7 +150,7 @@
 
 // toldAt is when the store had no more than it told: one that waited for news
 // told them as it got them; of an immediate answer nothing is known but that it
-// is later than the question.
+// is later than the poll.
 func toldAt(asked time.Time, wait time.Duration) time.Time {
 	if wait > 0 {
 		return clock.Now()
@@ -167,7 +167,7 @@
 	}
 }
 
-// failed notes a question without an answer of use, and returns the pause until
+// failed notes a poll without an answer of use, and returns the pause until
 // the next.
 func (f *feed) failed(now, asked time.Time, err error) time.Duration {
 	f.mu.Lock()
@@ -183,16 +183,16 @@
 	return pause
 }
 
-// questionSlack is how long a question may tell news later than others do: a
+// pollSlack is how long a poll may tell news later than others do: a
 // slow store takes some 240 ms (source: the users' kinds of trouble, 60 times its
 // usual 4 ms).
-const questionSlack = 300 * time.Millisecond
+const pollSlack = 300 * time.Millisecond
 
-// review gives up a question that should have told what is known otherwise, and
+// review gives up a poll that should have told what is known otherwise, and
 // writes a line when the belief begins or ceases to be old.
 func (f *feed) review(now time.Time) {
 	f.mu.Lock()
-	lost := f.question != nil && f.question.asked.Before(f.surpassed) && now.Sub(f.surpassed) >= questionSlack
+	lost := f.poll != nil && f.poll.asked.Before(f.surpassed) && now.Sub(f.surpassed) >= pollSlack
 	f.mu.Unlock()
 	if lost {
 		f.giveUp("others told news that it did not")
@@ -200,18 +200,18 @@
 	f.logAge(now)
 }
 
-// giveUp ends the question under way, if there is one.
+// giveUp ends the poll under way, if there is one.
 func (f *feed) giveUp(why string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.question == nil || f.question.givenUp {
+	if f.poll == nil || f.poll.givenUp {
 		return
 	}
-	klog.InfoS("Question to the store given up", "dependency", f.store.name, "why", why,
-		"askedMillisAgo", clock.Since(f.question.asked).Milliseconds(), "waitMillis", f.question.wait.Milliseconds())
+	klog.InfoS("Poll of the store given up", "dependency", f.store.name, "why", why,
+		"askedMillisAgo", clock.Since(f.poll.asked).Milliseconds(), "waitMillis", f.poll.wait.Milliseconds())
 	f.givenUp.Add(1)
-	f.question.givenUp = true
-	f.question.giveUp()
+	f.poll.givenUp = true
+	f.poll.giveUp()
 }
 
 // logAge writes a line when the belief is no longer known to be current, and
@@ -230,13 +230,13 @@
 		line = "Not known to be current"
 	}
 	fields := []any{"belief", f.name, "progress", f.progress(), "ageMillis", now.Sub(confirmed).Milliseconds(), "failures", f.failures}
-	if f.question != nil {
-		fields = append(fields, "askedMillisAgo", now.Sub(f.question.asked).Milliseconds())
+	if f.poll != nil {
+		fields = append(fields, "askedMillisAgo", now.Sub(f.poll.asked).Milliseconds())
 	}
 	klog.InfoS(line, fields...)
 }
 
-// waiting says whether a question has been under way for so long, or whether the
+// waiting says whether a poll has been under way for so long, or whether the
 // store does not answer this instance.
 func (f *feed) waiting(now time.Time, lasts time.Duration) bool {
 	f.mu.Lock()
@@ -244,5 +244,5 @@
 	if f.failures > 0 || !f.known || f.idles() {
 		return true
 	}
-	return f.question != nil && now.Sub(f.question.asked) >= lasts
+	return f.poll != nil && now.Sub(f.poll.asked) >= lasts
 }
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -54,7 +54,7 @@
 	mu      sync.Mutex
 	servers []registry.Change
 	tables  []int
-	// silent is set while a topic's questions are not answered. One that is
+	// silent is set while a topic's polls are not answered. One that is
 	// under way when that begins is never answered, though its connection lives.
 	silent map[string]bool
 	spells map[string]int
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -57,7 +57,7 @@
 	if raw != nil {
 		in.adoptRaw(raw, "store")
 	}
-	// Of two questions at a time the earlier one may be answered later.
+	// Of two polls at a time the earlier one may be answered later.
 	for before := in.tablePosition.Load(); ; before = in.tablePosition.Load() {
 		if next < before {
 			return time.Time{}, nil
--- a/edge/hubs_test.go
+++ b/edge/hubs_test.go
@@ -207,7 +207,7 @@
 	})
 }
 
-// Of many instances only the hubs leave questions at the store: a change cost a call
+// Of many instances only the hubs leave polls at the store: a change cost a call
 // of each, 295 for each server that comes or goes.
 func TestCallsToTheStoreDoNotGrowWithTheInstances(t *testing.T) {
 	manyInstances(t, func(t *testing.T, f *fleet) {
@@ -235,7 +235,7 @@
 	manyInstances(t, newsAfterSilence(topicServers, longSilence, leaves, drains("s3")))
 }
 
-func TestATableIsInForceAtManyAfterQuestionsWereLost(t *testing.T) {
+func TestATableIsInForceAtManyAfterPollsWereLost(t *testing.T) {
 	inForce := func(in *Instance) bool { return in.Revision() == 2 }
 	manyInstances(t, newsAfterSilence(topicTable, shortSilence, func(f *fleet) { f.store.configure() }, inForce))
 }
--- a/edge/listnews.go
+++ b/edge/listnews.go
@@ -54,7 +54,7 @@
 	in.tellNews(*news, message.From.Name)
 }
 
-// newsOf is the news that a question to the store has told.
+// newsOf is the news that a poll of the store has told.
 func newsOf(from, to uint64, changes []registry.Change, at time.Time) heartbeat.News {
 	return heartbeat.News{From: from, To: to, Changes: changes, Age: max(clock.Since(at), 0)}
 }
--- a/edge/news_test.go
+++ b/edge/news_test.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// lists answers questions for changes of the list; some of the first fail.
+// lists answers polls for changes of the list; some of the first fail.
 type lists struct {
 	fail  int
 	waits []time.Duration
@@ -157,7 +157,7 @@
 	}
 }
 
-func TestTheFirstQuestionAfterAFailureDoesNotWait(t *testing.T) {
+func TestTheFirstPollAfterAFailureDoesNotWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		in := candidate("a", &claims{}, workersOf(1, 1))
 		list := &lists{fail: 2}
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -8,7 +8,7 @@
 	"github.com/mastwheel/mastwheel/clock"
 )
 
-// keepFresh has the store asked beside the questions that wait there, when nobody has
+// keepFresh has the store asked beside the long polls that wait there, when nobody has
 // had an answer for a while.
 func (in *Instance) keepFresh(ctx context.Context) {
 	var asking sync.WaitGroup
@@ -23,7 +23,7 @@
 	}
 }
 
-// beginProbe notes that a question is asked; false if one is under way.
+// beginProbe notes that the store is polled beside; false if it is already.
 func (f *feed) beginProbe() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -68,7 +68,7 @@
 	probesAtMost = 4
 )
 
-// failing says whether the last question failed, so that the next is due anyhow, or
+// failing says whether the last poll failed, so that the next is due anyhow, or
 // too early.
 func (f *feed) failing(now time.Time) bool {
 	f.mu.Lock()
@@ -93,7 +93,7 @@
 	}
 	if err != nil {
 		f.failed(clock.Now(), asked, err)
-		f.giveUp("another question failed")
+		f.giveUp("another poll failed")
 		return
 	}
 	f.succeeded(known)
@@ -102,7 +102,7 @@
 	f.sendHeartbeats()
 }
 
-// grew notes that the belief may have grown since, by other ways than the question
+// grew notes that the belief may have grown since, by other ways than the poll
 // under way.
 func (f *feed) grew(before uint64) {
 	if f.progress() <= before {
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -10,15 +10,15 @@
 
 // The story. Requests reached servers up to five seconds after the store had
 // acknowledged that these leave. Before, a part of the store had been silent for
-// some seconds, and was sound again for seconds more. Every instance's question
+// some seconds, and was sound again for seconds more. Every instance's poll
 // for news of the list of servers had been under way when the silence began. Such
-// a question is never answered, though its connection lives, and it stood until
+// a poll is never answered, though its connection lives, and it stood until
 // its own end, 26.5 s after it was asked: all instances' lists were old at the same
 // time, so that no sibling knew better.
 //
 // The evidence: `Dependency lost` with askedMillisAgo 26,500 at each of 62
 // instances, no line about the list for 26 s before it, and the news with the very
-// next question, 0.3 s later.
+// next poll, 0.3 s later.
 
 // mustKnow is the time within which all instances must have news that the store
 // acknowledged while it was sound: the users allow 2 s until the last request
@@ -73,7 +73,7 @@
 }
 
 // Lengths of a silence: one that fails whoever asks, and one too short to be
-// noticed by anything but the questions that it swallows.
+// noticed by anything but the polls that it swallows.
 const (
 	longSilence  = 5 * time.Second
 	shortSilence = 10 * time.Millisecond
@@ -86,7 +86,7 @@
 	ofSizes(t, []int{1, 8, 16, 62}, newsAfterSilence(topicServers, longSilence, leaves, drains("s3")))
 }
 
-func TestALeavingServerIsKnownAfterQuestionsWereLost(t *testing.T) {
+func TestALeavingServerIsKnownAfterPollsWereLost(t *testing.T) {
 	eachSize(t, newsAfterSilence(topicServers, shortSilence, leaves, drains("s3")))
 }
 
@@ -115,7 +115,7 @@
 	})
 }
 
-// Knowing of lost questions costs few calls: all are priced, and there are many
+// Knowing of lost polls costs few calls: all are priced, and there are many
 // instances.
 func TestCallsInACalmMinute(t *testing.T) {
 	most := map[int]int{1: 170, 8: 240, 16: 280, 24: 320}
