--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -70,6 +70,7 @@
 	config.CallerAddress, config.SiblingAddress, config.Seeds = settings.Callers, advertised, settings.Seeds
 	config.RetryRatio, config.RetrySlack = settings.Bounds.RetryRatio, settings.Bounds.RetrySlack
 	config.RetryWindow = settings.Bounds.RetryWindow
+	config.AllotmentSlack = settings.Bounds.AllotmentSlack
 	config.Lease = edge.LeaseConfig(settings.Bounds.Lease)
 	p.edge = edge.New(config, edge.Deps{
 		Tables:         platform.Tables{Store: store},
@@ -84,7 +85,7 @@
 	})
 	p.gateway = forward.New(forward.Deps{
 		Zone: settings.Zone, Beliefs: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
-		Budget: p.edge.Budget, Metrics: p.metrics, Poison: p.edge.Poison, Random: rand.Float64,
+		Budget: p.edge.Budget, Allotments: p.edge.Allotments, Metrics: p.metrics, Poison: p.edge.Poison, Random: rand.Float64,
 	}, forward.DefaultConfig())
 	p.watch()
 	return p, nil
--- a/edge/beat.go
+++ b/edge/beat.go
@@ -17,6 +17,7 @@
 	sent, turn := time.Time{}, 0
 	for more := true; more; more = in.rest(ctx) {
 		now := clock.Now()
+		in.shareAllotments(now)
 		loads := in.loads()
 		news, urgent := newsIn(told, loads), in.urgent.Swap(false)
 		many := in.usesHubs()
--- a/edge/beliefs.go
+++ b/edge/beliefs.go
@@ -3,6 +3,7 @@
 import (
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/table"
@@ -21,6 +22,9 @@
 	next := build(list, view)
 	in.Fleet.Adopt(&table.View{Backends: backendsOf(next)})
 	in.servers.Store(next)
+	if view != nil && view != in.orders.builtWith {
+		in.takeLimits(view, clock.Now())
+	}
 	in.orders.builtFrom, in.orders.builtWith = list, view
 	logServers(before, list)
 	if in.deps.ServersChanged != nil {
--- a/edge/config.go
+++ b/edge/config.go
@@ -145,6 +145,16 @@
 	RetrySlack  float64
 	RetryWindow time.Duration
 
+	// AllotmentSlack is what a team may use beyond its limits, in units, before the
+	// users hold it against the system.
+	AllotmentSlack float64
+	// AllotmentFresh is how old a hub's word on what teams may use can be for an
+	// instance to go by it: four digests. Longer, and a hub that is gone has all members
+	// hand out the same; shorter, and each lost datagram has one refuse what it need not.
+	AllotmentFresh time.Duration
+	// TeamsAtOnce bounds the teams in one digest, some 17 bytes each.
+	TeamsAtOnce int
+
 	// Lease bounds who may give orders.
 	Lease lease.Config
 	// PrefillShare is the share of a service's engines that read prompts.
@@ -202,6 +212,8 @@
 		NewsAtMost:     32,
 		StartPatience:  400 * time.Millisecond,
 		IdleLook:       300 * time.Millisecond,
+		AllotmentFresh: 300 * time.Millisecond,
+		TeamsAtOnce:    64,
 		PrefillShare:   defaultPrefillShare,
 		OrdersEvery:    500 * time.Millisecond,
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/mastwheel/mastwheel/allotment"
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/heartbeat"
@@ -153,6 +154,10 @@
 	hurried chan struct{}
 	// inMesh is set while each instance tells all others what it does.
 	inMesh atomic.Bool
+	// Allotments is what teams may still use.
+	Allotments *allotment.Ledger
+	// adopted is when this instance took the word of its hub on that last; nil before.
+	adopted atomic.Pointer[time.Time]
 	// Poison remembers which requests ran at servers when these ended.
 	Poison *poison.Tracker
 }
@@ -189,6 +194,8 @@
 	in.reads.Store(true)
 	in.inMesh.Store(true)
 	in.hurried = make(chan struct{}, 1)
+	in.Allotments = allotment.New(allotment.DefaultConfig(), in.deps.Random)
+	in.Allotments.SetSlack(in.config.AllotmentSlack * slackUsed)
 	in.Poison = poison.New(poison.DefaultConfig(), in.deps.Random, in.Instances)
 	in.Poison.OnChange(logPoison, in.poisonNews)
 }
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -31,7 +31,10 @@
 	mu    sync.Mutex
 	inbox map[string]chan []byte
 	// cut holds addresses that nothing reaches, and sent counts what was sent.
-	cut   map[string]bool
+	cut map[string]bool
+	// apart is a zone that neither reaches the others nor is reached by them.
+	apart string
+	zones map[string]string // by address
 	sent  int
 	bytes int
 }
@@ -235,7 +238,7 @@
 	inbox := s.inbox[address]
 	s.sent++
 	s.bytes += len(datagram)
-	cut := s.cut[address] || s.cut[s.address]
+	cut := s.cut[address] || s.cut[s.address] || (s.zones[address] == s.apart) != (s.zones[s.address] == s.apart)
 	s.mu.Unlock()
 	if cut {
 		return nil
@@ -291,7 +294,7 @@
 
 // newFleet makes instances that are to know a table and ten servers.
 func newFleet(t *testing.T, instances int, config Config) *fleet {
-	f := &fleet{t: t, config: config, store: newMemoryStore(), inbox: make(map[string]chan []byte), cut: make(map[string]bool)}
+	f := &fleet{t: t, config: config, store: newMemoryStore(), inbox: make(map[string]chan []byte), cut: make(map[string]bool), zones: make(map[string]string)}
 	f.store.configure()
 	for i := range 10 {
 		f.store.register(fmt.Sprintf("s%d", i), false)
@@ -345,6 +348,7 @@
 	config.Seeds = []string{"10.0.0.1:9999", "10.0.0.1:1", "10.0.0.1:5"}
 	inbox := make(chan []byte, 10_000)
 	f.inbox[config.SiblingAddress] = inbox
+	f.zones[config.SiblingAddress] = config.Zone
 	random := rand.New(rand.NewPCG(uint64(number), 7))
 	var mu sync.Mutex
 	f.instances = append(f.instances, New(config, Deps{
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -166,5 +166,6 @@
 		// A sibling that died, or a server that came, changes the sums too.
 		in.loadsHeard.Store(true)
 		in.budgets.share(in.sharing(now))
+		in.forgetSiblings()
 	}
 }
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -84,6 +84,7 @@
 	asked := make(map[string]bool)
 	message := in.message(now)
 	message.Hubs, message.Loads = true, loads
+	message.Spent = in.Allotments.Spent(now)
 	in.hubs.say(message.From.Uptime, loads)
 	wanted := !settled || chosen[self.Zone][0].Name != self.Name
 	for _, info := range chosen[self.Zone] {
@@ -94,7 +95,8 @@
 		wanted = false
 	}
 	if hub {
-		message.Loads = nil
+		// Other zones hear what this one has committed and spent in its hub's digests.
+		message.Loads, message.Spent = nil, nil
 		for zone, infos := range chosen {
 			if zone != self.Zone {
 				in.tellHub(now, message, infos[0], true, asked)
@@ -178,8 +180,9 @@
 		again[true] = repeated(view, near, in.hubs.turn, in.config.RepeatedAtOnce, now)
 		in.hubs.turn += in.config.RepeatedAtOnce
 	}
+	teams := in.Allotments.Levels(in.config.TeamsAtOnce, now)
 	for _, to := range subscribers {
-		digest := &heartbeat.Digest{Summed: true, Loads: ofAll, Instances: instances, After: to.seen, Echo: to.uptime}
+		digest := &heartbeat.Digest{Summed: true, Loads: ofAll, Teams: teams, Instances: instances, After: to.seen, Echo: to.uptime}
 		if digest.Zone = to.zone != in.config.Zone; digest.Zone {
 			digest.Loads = ofZone
 		}
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -51,7 +51,9 @@
 
 // sendTo sends a heartbeat that tells of loads and of some known addresses.
 func (in *Instance) sendTo(addresses, known []string, loads []heartbeat.Load) {
-	message := in.message(clock.Now())
+	now := clock.Now()
+	message := in.message(now)
+	message.Spent = in.Allotments.Spent(now)
 	message.Loads, message.Peers = loads, in.some(known, in.config.PeersTold)
 	in.send(message, addresses...)
 }
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -131,6 +131,7 @@
 		}
 	}
 	in.takePoison(message, now)
+	in.takeSpent(message, now)
 	in.takeNews(message, now)
 	table := hears(in.tableFeed, message.TableHeard, message.From.Revision, now)
 	list := hears(in.list, message.ServersHeard, message.From.Next, now)
--- a/edge/sums.go
+++ b/edge/sums.go
@@ -124,6 +124,17 @@
 	return total
 }
 
+// heardZones returns the other zones whose hub was heard lately.
+func (h *hubs) heardZones(now time.Time) map[string]bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	heard := make(map[string]bool, len(h.zones))
+	for zone, sum := range h.zones {
+		heard[zone] = now.Sub(sum.at) <= h.config.DirectSilence
+	}
+	return heard
+}
+
 // addLoads adds up commitments by server.
 func addLoads(total, more map[uint32]route.Commitment) {
 	for server, load := range more {
--- /dev/null
+++ b/edge/teams.go
@@ -0,0 +1,86 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/mastwheel/mastwheel/allotment"
+	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// What teams may use is bounded over all instances (package allotment). Here it is
+// decided whom an instance hears for that, and how much it may hand out by it.
+
+// slackUsed is the part of what the users tolerate beyond a team's burst that teams may
+// use at once. The other part is for what instances admit before they hear of each other:
+// some 130,000 tokens where a team of 213,000 a second asks for four times that, beside
+// which a tenth of the bound is tolerated too.
+const slackUsed = 0.5
+
+// takeLimits has the ledger go by the limits of a table.
+func (in *Instance) takeLimits(view *table.View, now time.Time) {
+	limits := make(map[string]allotment.Limit)
+	for name, team := range view.Teams {
+		if team.Allotment.Rate > 0 {
+			limits[name] = allotment.Limit{Rate: team.Allotment.Rate, Burst: team.Allotment.Burst}
+		}
+	}
+	in.Allotments.SetLimits(limits, now)
+}
+
+// forgetSiblings drops what was followed of siblings that are not known any more.
+func (in *Instance) forgetSiblings() {
+	view := in.members.View()
+	in.Allotments.Forget(func(sibling string) bool {
+		_, known := view.Find(sibling)
+		return known
+	})
+}
+
+// takeSpent takes in what a sibling says that teams have used. The members of a zone tell
+// their hubs, and where there are no hubs all tell each other.
+func (in *Instance) takeSpent(message heartbeat.Message, now time.Time) {
+	from := message.From
+	if len(message.Spent) > 0 {
+		in.Allotments.Heard(from.Name, uint64(from.Incarnation), message.Spent, from.Zone == in.config.Zone, now)
+	}
+	digest := message.Digest
+	switch {
+	case digest == nil || !digest.Summed:
+	case digest.Zone:
+		in.Allotments.HeardZone(from.Name, uint64(from.Incarnation), digest.Teams, now)
+	default:
+		in.Allotments.Adopt(digest.Teams, in.started.Add(digest.Echo), now)
+		in.adopted.Store(&now)
+	}
+}
+
+// shareAllotments sets how much of what teams may use this instance hands out by what it
+// hears. Those that it does not hear, and that live as far as it knows, may hand out
+// their own part meanwhile.
+func (in *Instance) shareAllotments(now time.Time) {
+	in.Allotments.SetShare(in.allotmentShare(now), now)
+}
+
+func (in *Instance) allotmentShare(now time.Time) float64 {
+	instances := in.sharing(now)
+	if in.usesHubs() && !in.hubs.isHub() {
+		if adopted := in.adopted.Load(); adopted != nil && now.Sub(*adopted) <= in.config.AllotmentFresh {
+			return 1
+		}
+		return 1 / float64(instances)
+	}
+	heard := 1
+	fresh := in.hubs.heardZones(now)
+	for _, sibling := range in.members.View().Siblings {
+		switch {
+		case in.usesHubs() && sibling.Zone != in.config.Zone:
+			if fresh[sibling.Zone] {
+				heard++
+			}
+		case now.Sub(sibling.Heard) <= in.config.DirectSilence:
+			heard++
+		}
+	}
+	return min(float64(heard)/float64(instances), 1)
+}
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -33,6 +33,7 @@
 // Steps of a request, as they stand in the log.
 const (
 	stepAdmit    = "admit"
+	stepAllot    = "allot"
 	stepEstimate = "estimate"
 	stepChoose   = "choose"
 	stepReserve  = "reserve"
@@ -95,6 +96,9 @@
 	if f.route != nil {
 		fields = append(fields, "route", f.route.Name)
 	}
+	if f.team != nil {
+		fields = append(fields, "team", f.team.Name)
+	}
 	if outcome == reason.Unknown {
 		fields = append(fields, "fingerprints", f.fingerprints().String())
 	}
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -25,6 +25,10 @@
 	revision uint64
 	route    *table.RouteView
 	service  *table.ServiceView
+	// team is whose request it is; nil if the route needs no key. charged is what was
+	// counted against its allotment.
+	team    *table.TeamView
+	charged float64
 	// deadline is when the caller must have its answer.
 	deadline time.Time
 	// leave takes the request off the count of those in flight.
@@ -211,6 +215,7 @@
 		service = f.service.Name
 	}
 	outcome := f.outcome(why)
+	f.discharge(outcome)
 	f.Metrics.Ended(service, outcome, why)
 	f.Metrics.Took(service, clock.Since(f.request.Arrived))
 	f.log(service, outcome, status, why, detail)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/table"
 )
 
 // Field is one header field.
@@ -34,6 +35,11 @@
 	// waiting.
 	Arrived  time.Time
 	Deadline time.Time
+	// Key is the digest of the key that the caller shows, if it has shown one, and Team
+	// the name of the team that holds it, once that was looked up.
+	Key    table.KeyDigest
+	HasKey bool
+	Team   string
 	// Generation is set for requests to model services.
 	Generation *Generation
 	// LastEvent is the id of the last event that the caller has; empty at the
@@ -131,7 +137,9 @@
 
 // Statuses of replies that are the instance's own.
 const (
+	statusUnknownKey  = 401
 	statusNotFound    = 404
+	statusOverLimit   = 429
 	statusBadGateway  = 502
 	statusUnavailable = 503
 	statusTimeout     = 504
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -97,6 +97,9 @@
 	// EventPause stands in for the usual pause between two events of a stream
 	// until some were seen (source: the users' sheets, 64 tokens of 0.8 ms).
 	EventPause time.Duration
+	// AllotmentSpread is over how long callers return whose team has used what it may,
+	// beyond when it will have something left. The table's allotments are a second's.
+	AllotmentSpread time.Duration
 }
 
 // DefaultConfig suits the sizes of the users' sheets.
@@ -117,6 +120,8 @@
 		LateReading:    600 * time.Millisecond,
 		EventPause:     60 * time.Millisecond,
 		HandleMargin:   100 * time.Millisecond,
+
+		AllotmentSpread: time.Second,
 	}
 }
 
@@ -129,6 +134,8 @@
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *route.SharedBudget
 	Metrics *metrics.Set
+	// Allotments bounds what teams use.
+	Allotments Allotments
 	// Poison remembers which requests ran at servers when these ended.
 	Poison *poison.Tracker
 	// Random returns a number in [0,1).
@@ -256,6 +263,9 @@
 	if f.route == nil {
 		return f.end(&Reply{Status: statusNotFound, Reason: reason.UnknownService}, "no route")
 	}
+	if refused := f.authenticate(view); refused != nil {
+		return refused
+	}
 	f.service = view.Services[f.route.Service(r.ID)]
 	if f.service == nil {
 		return f.refuse(reason.UnknownService, "the route names no service")
@@ -270,6 +280,9 @@
 		f.admission.Release()
 	})
 	g.Budget(f.service.Name).Earn(r.Arrived)
+	if refused := f.charge(); refused != nil {
+		return refused
+	}
 	if refused := f.admit(); refused != nil {
 		return refused
 	}
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/mastwheel/mastwheel/allotment"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/poison"
@@ -59,6 +60,8 @@
 	News    *News                 `cbor:"13,keyasint,omitempty"`
 	// Poison is what the sender has seen of servers that ended under requests.
 	Poison *poison.Update `cbor:"14,keyasint,omitempty"`
+	// Spent is what the sender has admitted of late for teams that are limited.
+	Spent []allotment.Spent `cbor:"15,keyasint,omitempty"`
 	// Known, if not 0, is the incarnation under which the sender knows the
 	// receiver. A receiver that restarted with a lower one, since its clock was
 	// set back, takes a higher one.
@@ -96,6 +99,8 @@
 	Told  []Told `cbor:"4,keyasint,omitempty"`
 	After uint64 `cbor:"5,keyasint,omitempty"`
 	Upto  uint64 `cbor:"6,keyasint,omitempty"`
+	// Teams is what the hub knows of teams that have spent something of late.
+	Teams []allotment.Level `cbor:"9,keyasint,omitempty"`
 	// Instances is how many instances there are, as far as the hub knows.
 	Instances int `cbor:"7,keyasint,omitempty"`
 }
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -22,6 +22,8 @@
 	OperationForeign Reason = "operation_foreign"
 	NoWitness        Reason = "no_witness"
 	Stopping         Reason = "stopping"
+	UnknownKey       Reason = "unknown_key"
+	OverAllotment    Reason = "over_allotment"
 	// CrashesServers and ProbeUnderWay refuse this attempt; earlier ones of the same
 	// request have run.
 	CrashesServers Reason = "crashes_servers"
@@ -81,6 +83,8 @@
 	{OperationForeign, "the operation id names another home or an earlier incarnation", "none"},
 	{NoWitness, "the witness did not acknowledge the intent, so the call was not sent", "none"},
 	{Stopping, "the instance is shutting down and could not have seen the stream to its end", "none"},
+	{UnknownKey, "the caller shows no key, or one that no team of the table holds", "team.keys"},
+	{OverAllotment, "the team has used what it may, over all instances", "team.rate, team.burst"},
 	{CrashesServers, "three servers or more have ended under earlier attempts of the same request; it is sent to none", "none"},
 	{ProbeUnderWay, "servers have ended under earlier attempts of the same request, and another one is being probed, or is to be soon", "none"},
 	{ReserveRefused, "the steward had no room at the decode engine", "backend.pieces"},
--- a/table/column.go
+++ b/table/column.go
@@ -64,6 +64,22 @@
 	ColHeaderBytes Column = "header_bytes"
 	ColBodyBytes   Column = "body_bytes"
 	ColIdle        Column = "idle_ms"
+	// ColKeys lists the digests of a team's keys, or is KeysNone.
+	ColKeys   Column = "keys"
+	ColPublic Column = "public"
+	// ColUnit is what a team's allotment counts.
+	ColUnit Column = "unit"
+	// ColRate is the allotment a second, ColBurst what may come at once beside it.
+	ColRate  Column = "rate"
+	ColBurst Column = "burst"
+	// ColPlainTokens is what a request counts that names no tokens.
+	ColPlainTokens Column = "plain_tokens"
+)
+
+// Units of a team's allotment.
+const (
+	UnitRequests = "requests"
+	UnitTokens   = "tokens"
 )
 
 // What may be repeated on a route.
@@ -142,6 +158,11 @@
 		{column: ColShare, check: intIn(1, 1_000_000)},
 		{column: ColPriority, check: intIn(0, 9)},
 		{column: ColInFlight, check: intIn(0, 10_000_000)},
+		{column: ColKeys, check: keysText, later: true},
+		{column: ColUnit, check: oneOf(UnitRequests, UnitTokens), later: true},
+		{column: ColRate, check: decimalTo(1_000_000_000), later: true},
+		{column: ColBurst, check: decimalTo(1_000_000_000), later: true},
+		{column: ColPlainTokens, check: intIn(0, 1_000_000_000), later: true},
 	},
 	Route: {
 		{column: ColHost, required: true, check: anyText},
@@ -153,6 +174,7 @@
 		{column: ColTBT, check: intIn(1, 60_000)},
 		{column: ColPriority, check: intIn(0, 9)},
 		{column: ColAttempts, check: intIn(1, 100)},
+		{column: ColPublic, check: oneOf("true", "false"), later: true},
 	},
 	Limit: {
 		{column: ColHeaderBytes, check: intIn(1, 1<<30)},
@@ -204,6 +226,20 @@
 	}
 }
 
+// decimalTo accepts a number from 0 to a bound.
+func decimalTo(high float64) check {
+	return func(value string) error {
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return errors.Errorf("%q is not a number", value)
+		}
+		if !(n >= 0 && n <= high) {
+			return errors.Errorf("%v is outside 0 to %v", n, high)
+		}
+		return nil
+	}
+}
+
 func splitText(value string) error {
 	_, err := ParseSplit(value)
 	return err
--- a/table/routes.go
+++ b/table/routes.go
@@ -34,6 +34,8 @@
 	Priority int
 	// Attempts bounds the servers that one request is sent to.
 	Attempts int
+	// Public is set if callers need no key.
+	Public bool
 }
 
 // LimitsView bounds what callers may send.
@@ -157,6 +159,7 @@
 		TBT:      millis(cells[ColTBT], defaultTBT),
 		Priority: number(cells[ColPriority], 0),
 		Attempts: number(cells[ColAttempts], 1),
+		Public:   cells[ColPublic] == "true",
 	}
 }
 
--- a/table/view.go
+++ b/table/view.go
@@ -69,6 +69,13 @@
 	Priority int
 	// InFlight is a cap; 0 means none.
 	InFlight int
+	// Keyed is set for teams whose callers show a key, and HasPriority for those whose
+	// priority goes before that of the route.
+	Keyed       bool
+	HasPriority bool
+	// Digests are those of the team's keys.
+	Digests   []KeyDigest
+	Allotment Allotment
 }
 
 // View is a table compiled for the path of a request.
@@ -79,6 +86,10 @@
 	Models   map[string]*ServiceView
 	Backends map[string]*BackendView
 	Teams    map[string]*TeamView
+	// Keyed is set if callers show a key on routes that are not public, and Keys finds
+	// the team of one.
+	Keyed bool
+	Keys  map[KeyDigest]*TeamView
 	// Routes finds the routes of a host, the longest path first.
 	Routes map[string][]*RouteView
 	Limits LimitsView
@@ -105,6 +116,7 @@
 		Models:   make(map[string]*ServiceView),
 		Backends: make(map[string]*BackendView),
 		Teams:    make(map[string]*TeamView),
+		Keys:     make(map[KeyDigest]*TeamView),
 	}
 	pools := make(map[string][]*BackendView)
 	for _, key := range t.Keys(Backend) {
@@ -120,7 +132,7 @@
 		}
 	}
 	for _, key := range t.Keys(Team) {
-		view.Teams[key.Name] = t.teamView(key)
+		view.addTeam(t.teamView(key))
 	}
 	view.Routes = t.routeViews()
 	view.Limits = t.limitsView()
@@ -189,6 +201,25 @@
 		Share:    number(cells[ColShare], defaultShare),
 		Priority: number(cells[ColPriority], 0),
 		InFlight: number(cells[ColInFlight], 0),
+
+		Keyed:       cells[ColKeys] != "",
+		HasPriority: cells[ColPriority] != "",
+		Digests:     digestsOf(cells[ColKeys]),
+		Allotment: Allotment{
+			Unit:        cells[ColUnit],
+			Rate:        decimal(cells[ColRate]),
+			Burst:       decimal(cells[ColBurst]),
+			PlainTokens: number(cells[ColPlainTokens], 0),
+		},
+	}
+}
+
+// addTeam adds a team with its keys.
+func (v *View) addTeam(team *TeamView) {
+	v.Teams[team.Name] = team
+	v.Keyed = v.Keyed || team.Keyed
+	for _, digest := range team.Digests {
+		v.Keys[digest] = team
 	}
 }
 
@@ -204,6 +235,18 @@
 	return n
 }
 
+// decimal parses a cell that Check has accepted; an empty one is 0.
+func decimal(value string) float64 {
+	if value == "" {
+		return 0
+	}
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		panic("table: compiled before it was checked: " + err.Error())
+	}
+	return n
+}
+
 func millis(value string, empty time.Duration) time.Duration {
 	if value == "" {
 		return empty
