--- a/forward/crowd_test.go
+++ b/forward/crowd_test.go
@@ -280,6 +280,10 @@
 }
 
 // Free implements Backends.
+func (crowdBackends) Move(context.Context, *registry.Entry, *registry.Entry, *Request, bool) (Prefilled, error) {
+	return "", &NotRun{Why: reason.BackendRefused, Sent: true}
+}
+
 func (crowdBackends) Free(context.Context, *registry.Entry, Prefilled) error { return nil }
 
 // Decode implements Backends.
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -42,6 +42,7 @@
 	stepCall     = "call"
 	stepRetry    = "retry"
 	stepStream   = "stream"
+	stepMove     = "move"
 )
 
 // decide notes a step for the request's log lines.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -119,6 +119,11 @@
 	// HasEnded says whether a server's process has ended: nobody listens at its address.
 	// False says nothing of a server that is silent, or whose address is not reached.
 	HasEnded(ctx context.Context, server *registry.Entry) bool
+	// Move copies the memory of a run to another engine. With last set the run stops
+	// first, and its stream ends without its end. Where the error is *NotRun the result
+	// may be set all the same: then the run has stopped, and its memory waits at the
+	// engine where it ran.
+	Move(ctx context.Context, from, to *registry.Entry, r *Request, last bool) (Prefilled, error)
 	// Decode runs the request and returns its stream.
 	Decode(ctx context.Context, server *registry.Entry, r *Request, order DecodeOrder, deadline time.Time) (*Stream, error)
 }
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -126,8 +126,6 @@
 	if err := g.maySend(); err != nil {
 		return nil, failedStep(err)
 	}
-	server := g.decode.Server
-	g.path = append(g.path, g.decode.Name)
 	order := DecodeOrder{Reservation: g.reservation, LastEvent: g.request.LastEvent}
 	unread := 0
 	if g.result != "" {
@@ -135,33 +133,16 @@
 	} else {
 		unread = g.request.Generation.PromptTokens
 	}
-	done := server.Begin(0)
-	g.readDone = sync.OnceFunc(server.Unread(unread))
-	heard := server.Await(clock.Now())
 	g.runs++
-	var ctx context.Context
-	ctx, g.cut = g.watch()
-	g.sent = clock.Now()
-	stream, err := g.Backends.Decode(ctx, g.entry(g.decode), g.request, order, g.deadline)
-	if g.ctx.Err() == nil {
-		g.learn(server, err)
-	}
-	g.decide(stepDecode, resultOf(err), "server", g.decode.Name, "unread", unread)
+	stream, err := g.decodeBy(order, unread)
 	if err == nil {
-		g.mayRun = true
 		if g.result != "" {
 			g.prefill.Server.HandoffDone()
 		}
 		// The engine has used both up.
 		g.reservation, g.result = "", ""
-		g.done = sync.OnceFunc(func() { done(); heard(); g.readDone() })
 		return stream, nil
 	}
-	g.unwatch()
-	g.cut()
-	done()
-	heard()
-	g.readDone()
 	var notRun *NotRun
 	if errors.As(err, &notRun) {
 		g.runs--
@@ -171,3 +152,31 @@
 	g.mayRun = true
 	return nil, &stepError{why: reason.DecodeFailed, detail: err.Error(), lost: err}
 }
+
+// decodeBy has the decode engine run the request, which has so many tokens of its prompt
+// still to read.
+func (g *generation) decodeBy(order DecodeOrder, unread int) (*Stream, error) {
+	server := g.decode.Server
+	g.path = append(g.path, g.decode.Name)
+	done := server.Begin(0)
+	g.readDone = sync.OnceFunc(server.Unread(unread))
+	heard := server.Await(clock.Now())
+	var ctx context.Context
+	ctx, g.cut = g.watch()
+	g.sent = clock.Now()
+	stream, err := g.Backends.Decode(ctx, g.entry(g.decode), g.request, order, g.deadline)
+	if g.ctx.Err() == nil {
+		g.learn(server, err)
+	}
+	g.decide(stepDecode, resultOf(err), "server", g.decode.Name, "unread", unread)
+	end := func() { done(); heard(); g.readDone() }
+	if err != nil {
+		g.unwatch()
+		g.cut()
+		end()
+		return nil, err
+	}
+	g.mayRun = true
+	g.done = sync.OnceFunc(end)
+	return stream, nil
+}
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -37,6 +37,7 @@
 	prefill func(server string) error
 	decode  func(server string, order DecodeOrder) error
 	call    func(server string) (*Answer, error)
+	move    func(from, to string, last bool) (Prefilled, error)
 	// statusOf returns the status of a run; nil for 200.
 	statusOf func(server string) int
 	// stream makes the stream of a run; it ends with an error, or io.EOF.
@@ -104,6 +105,18 @@
 	return Prefilled("p-" + server.ID), nil
 }
 
+func (e *engines) Move(_ context.Context, from, to *registry.Entry, r *Request, last bool) (Prefilled, error) {
+	step := "copy"
+	if last {
+		step = "stop"
+	}
+	e.note(step, from.ID+" to "+to.ID)
+	if e.move != nil {
+		return e.move(from.ID, to.ID, last)
+	}
+	return Prefilled("m-" + from.ID), nil
+}
+
 func (e *engines) Free(_ context.Context, server *registry.Entry, _ Prefilled) error {
 	e.note("free", server.ID)
 	return nil
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -32,13 +32,20 @@
 	// reading is set if the engine had a prompt to read at the last event.
 	reading bool
 	closed  bool
+	// move is the stream's move to another engine while it is under way, moves counts
+	// them, and nextLook is when to look next whether it should move.
+	move     *move
+	moves    int
+	nextLook time.Time
+	// outgrown is the memory beyond which the stream takes more than was expected.
+	outgrown int
 }
 
 // relayRead is how much is read at once; an event has some hundred bytes.
 const relayRead = 4 << 10
 
 func newRelay(g *generation, stream *Stream) *relay {
-	return &relay{generation: g, stream: stream, scratch: make([]byte, relayRead), last: clock.Now()}
+	return &relay{generation: g, stream: stream, scratch: make([]byte, relayRead), last: clock.Now(), outgrown: g.committed}
 }
 
 // eventEnd is the empty line that ends an event (WHATWG, server-sent events).
@@ -71,6 +78,7 @@
 		r.arrived(bytes.Count(whole, eventEnd))
 		r.lastID = lastID(whole, r.lastID)
 		r.ready = len(whole)
+		r.considerMove(r.last)
 	}
 	switch {
 	case err == nil:
@@ -87,6 +95,9 @@
 // of an event that is not whole is dropped: it comes again.
 func (r *relay) goOn(broken error) {
 	r.ended = broken
+	if r.moved() {
+		return
+	}
 	r.unwatch()
 	r.remember(r.ctx, r.decode, broken)
 	if r.mayRerun() && clock.Now().Before(r.deadline) && (r.events == 0 || r.lastID != "") {
@@ -175,6 +186,7 @@
 		return nil
 	}
 	r.closed = true
+	r.cancelMove()
 	r.unwatch()
 	r.stream.Close()
 	r.cut()
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -46,6 +46,8 @@
 	ConnectFailed    Reason = "connect_failed"
 	BackendRefused   Reason = "backend_refused"
 	BackendFailed    Reason = "backend_failed"
+	EngineFull       Reason = "engine_full"
+	EngineLeaving    Reason = "engine_leaving"
 )
 
 // Other endings of a request or of an attempt.
@@ -101,6 +103,8 @@
 	{ConnectFailed, "no connection to the backend server; no byte was sent", "none"},
 	{BackendRefused, "the backend server said that it did not run the request", "none"},
 	{BackendFailed, "the backend server answered with an error of its own", "route.attempts"},
+	{EngineFull, "a stream went on at another engine since its own had no memory left", "none"},
+	{EngineLeaving, "a stream went on at another engine since its own is leaving", "none"},
 	{CallerGone, "the caller closed its connection", "none"},
 	{AnswerLost, "a byte reached the backend server and no whole answer came back", "none"},
 	{WrongAnswer, "an answer carried another request id or attempt and was dropped", "none"},
--- a/table/column.go
+++ b/table/column.go
@@ -64,6 +64,8 @@
 	ColHeaderBytes Column = "header_bytes"
 	ColBodyBytes   Column = "body_bytes"
 	ColIdle        Column = "idle_ms"
+	// ColMoves says whether engines hand running streams to each other.
+	ColMoves Column = "moves"
 	// ColKeys lists the digests of a team's keys, or is KeysNone.
 	ColKeys   Column = "keys"
 	ColPublic Column = "public"
@@ -141,6 +143,7 @@
 		{column: ColHandle, check: intIn(0, 600_000), later: true},
 		{column: ColSwitch, check: intIn(0, 600_000), later: true},
 		{column: ColStride, check: intIn(0, 100_000), later: true},
+		{column: ColMoves, check: oneOf("true", "false"), later: true},
 	},
 	Pool: {
 		{column: ColRole, required: true, check: oneOf(RolePrefill, RoleDecode, RolePlain)},
--- a/table/view.go
+++ b/table/view.go
@@ -41,6 +41,8 @@
 	Switch time.Duration
 	// EventTokens is how many tokens one event of a stream usually holds.
 	EventTokens int
+	// Moves is set if an engine can hand a running stream to another.
+	Moves bool
 }
 
 // BackendView is a backend server row with its values parsed.
@@ -190,6 +192,7 @@
 			Handle:       millis(cells[ColHandle], 0),
 			Switch:       millis(cells[ColSwitch], 0),
 			EventTokens:  number(cells[ColStride], 1),
+			Moves:        cells[ColMoves] == "true",
 		},
 	}
 }
