--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -7,13 +7,14 @@
 
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/registry"
 )
 
 // Have is what an instance that asks already holds.
 type Have struct {
 	Revision uint64
-	Position uint64
+	Position oplog.Position
 }
 
 // Beliefs is what one instance tells another that cannot reach the store.
@@ -63,7 +64,7 @@
 // askStore asks the store for what a sibling did not tell, where no long poll waits
 // there.
 func (in *Instance) askStore(ctx context.Context, sibling member.Sibling, mine Have) {
-	behind := map[*feed]bool{in.tableFeed: sibling.Revision > mine.Revision, in.list: sibling.Next > mine.Position}
+	behind := map[*feed]bool{in.tableFeed: sibling.Revision > mine.Revision, in.list: oplog.Position(sibling.Next) > mine.Position}
 	for _, feed := range in.feeds() {
 		if behind[feed] && feed.idles() && !feed.failing(clock.Now()) && feed.beginProbe() {
 			feed.probe(ctx)
@@ -72,7 +73,7 @@
 }
 
 func (in *Instance) have() Have {
-	return Have{Revision: in.tableFeed.progress(), Position: in.list.progress()}
+	return Have{Revision: in.tableFeed.progress(), Position: in.registry.View().Position}
 }
 
 // ahead finds the sibling that knows most beyond what this instance has, and
@@ -83,7 +84,7 @@
 	table := in.tableFeed.waiting(now, in.config.CatchUpEvery)
 	list := in.list.waiting(now, in.config.CatchUpEvery)
 	for _, sibling := range in.members.View().Serving() {
-		newer := (table && sibling.Revision > mine.Revision) || (list && sibling.Next > mine.Position)
+		newer := (table && sibling.Revision > mine.Revision) || (list && oplog.Position(sibling.Next) > mine.Position)
 		if !newer {
 			continue
 		}
@@ -108,7 +109,7 @@
 	if beliefs.Servers != nil {
 		in.registry.Reset(*beliefs.Servers, clock.Now())
 		in.rebuild()
-		in.list.grew(mine.Position)
+		in.list.grew(uint64(mine.Position))
 		klog.InfoS("List of servers taken from a sibling", "sibling", sibling.Name, "position", beliefs.Servers.Position, "had", mine.Position)
 	}
 	return nil
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/mastwheel/mastwheel/lease"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
+	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
@@ -36,11 +37,11 @@
 type Tables interface {
 	// Newest returns the configuration in force, nil before the first, and the
 	// position to follow it from.
-	Newest(ctx context.Context) (raw []byte, position uint64, err error)
+	Newest(ctx context.Context) (raw []byte, position oplog.Position, err error)
 	// Since waits for changes after a position. It returns the newest
 	// configuration among them, nil without one. oplog.ErrTruncated means that
 	// the position is no longer kept.
-	Since(ctx context.Context, position uint64, wait time.Duration) (raw []byte, next uint64, err error)
+	Since(ctx context.Context, position oplog.Position, wait time.Duration) (raw []byte, next oplog.Position, err error)
 	Decode(raw []byte) (*Revision, error)
 }
 
@@ -48,7 +49,7 @@
 type ServerList interface {
 	Newest(ctx context.Context) (registry.Snapshot, error)
 	// Since returns the changes after a position, waiting for one for a while.
-	Since(ctx context.Context, position uint64, wait time.Duration) (changes []registry.Change, next uint64, err error)
+	Since(ctx context.Context, position oplog.Position, wait time.Duration) (changes []registry.Change, next oplog.Position, err error)
 }
 
 // Roster lists the instances, for those that know no sibling yet.
@@ -62,10 +63,10 @@
 // Claims is where the lease on orders is claimed.
 type Claims interface {
 	// Last returns the claim that counts, and a condition for the next.
-	Last(ctx context.Context, key string) (state lease.State, condition uint64, err error)
+	Last(ctx context.Context, key string) (state lease.State, condition oplog.Position, err error)
 	// Claim makes a claim that counts only if no other came in between. won is
 	// false when one did.
-	Claim(ctx context.Context, claim lease.Claim, condition uint64) (state lease.State, won bool, err error)
+	Claim(ctx context.Context, claim lease.Claim, condition oplog.Position) (state lease.State, won bool, err error)
 }
 
 // EngineStatus is what a model engine reports of its orders.
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -21,25 +21,25 @@
 type claims struct {
 	mu    sync.Mutex
 	state lease.State
-	end   uint64
+	end   oplog.Position
 }
 
 // Last implements Claims.
-func (c *claims) Last(context.Context, string) (lease.State, uint64, error) {
+func (c *claims) Last(context.Context, string) (lease.State, oplog.Position, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.state, c.end, nil
 }
 
 // Claim implements Claims.
-func (c *claims) Claim(_ context.Context, claim lease.Claim, condition uint64) (lease.State, bool, error) {
+func (c *claims) Claim(_ context.Context, claim lease.Claim, condition oplog.Position) (lease.State, bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if condition != c.end {
 		return lease.State{}, false, nil
 	}
 	c.end++
-	c.state = lease.State{Holder: claim.Holder, Token: c.end, Serial: claim.Serial}
+	c.state = lease.State{Holder: claim.Holder, Token: uint64(c.end), Serial: claim.Serial}
 	return c.state, true, nil
 }
 
@@ -331,13 +331,13 @@
 type truncated struct{ calls int }
 
 // Newest implements Tables.
-func (l *truncated) Newest(context.Context) ([]byte, uint64, error) {
+func (l *truncated) Newest(context.Context) ([]byte, oplog.Position, error) {
 	l.calls++
 	return nil, 1, nil
 }
 
 // Since implements Tables.
-func (l *truncated) Since(context.Context, uint64, time.Duration) ([]byte, uint64, error) {
+func (l *truncated) Since(context.Context, oplog.Position, time.Duration) ([]byte, oplog.Position, error) {
 	l.calls++
 	return nil, 0, oplog.ErrTruncated
 }
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -176,27 +176,27 @@
 			newest[change.ID] = *change.Entry
 		}
 	}
-	snapshot := registry.Snapshot{Position: uint64(len(l.servers))}
+	snapshot := registry.Snapshot{Position: oplog.Position(len(l.servers))}
 	for _, entry := range newest {
 		snapshot.Entries = append(snapshot.Entries, entry)
 	}
 	return snapshot, nil
 }
 
-func (l listOf) Since(ctx context.Context, position uint64, wait time.Duration) ([]registry.Change, uint64, error) {
+func (l listOf) Since(ctx context.Context, position oplog.Position, wait time.Duration) ([]registry.Change, oplog.Position, error) {
 	if err := l.ask(ctx, l.name, topicServers, int(position), wait); err != nil {
 		return nil, position, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]registry.Change(nil), l.servers[position:]...), uint64(len(l.servers)), nil
+	return append([]registry.Change(nil), l.servers[position:]...), oplog.Position(len(l.servers)), nil
 }
 
-func (s tablesOf) Newest(ctx context.Context) ([]byte, uint64, error) {
+func (s tablesOf) Newest(ctx context.Context) ([]byte, oplog.Position, error) {
 	return s.Since(ctx, 0, 0)
 }
 
-func (s tablesOf) Since(ctx context.Context, position uint64, wait time.Duration) ([]byte, uint64, error) {
+func (s tablesOf) Since(ctx context.Context, position oplog.Position, wait time.Duration) ([]byte, oplog.Position, error) {
 	if err := s.ask(ctx, s.name, topicTable, int(position), wait); err != nil {
 		return nil, position, err
 	}
@@ -205,7 +205,7 @@
 	if len(s.tables) <= int(position) {
 		return nil, position, nil
 	}
-	return strconv.AppendInt(nil, int64(len(s.tables)), 10), uint64(len(s.tables)), nil
+	return strconv.AppendInt(nil, int64(len(s.tables)), 10), oplog.Position(len(s.tables)), nil
 }
 
 func (s tablesOf) Decode(raw []byte) (*Revision, error) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/wait"
 )
 
@@ -41,7 +42,7 @@
 	return &feed{
 		Instance: in, name: "list of servers", store: newDependency("store: list of servers"), read: in.readServers,
 		rest:     in.readPause,
-		progress: func() uint64 { return in.registry.View().Position },
+		progress: func() uint64 { return uint64(in.registry.View().Position) },
 		returned: in.registry.StoreReturned,
 	}
 }
@@ -59,18 +60,18 @@
 	}
 	// Of two polls at a time the earlier one may be answered later.
 	for before := in.tablePosition.Load(); ; before = in.tablePosition.Load() {
-		if next < before {
+		if uint64(next) < before {
 			return time.Time{}, nil
 		}
-		if in.tablePosition.CompareAndSwap(before, next) {
+		if in.tablePosition.CompareAndSwap(before, uint64(next)) {
 			return toldAt(asked, wait), nil
 		}
 	}
 }
 
-func (in *Instance) askTable(ctx context.Context, known bool, wait time.Duration) (raw []byte, next uint64, err error) {
+func (in *Instance) askTable(ctx context.Context, known bool, wait time.Duration) (raw []byte, next oplog.Position, err error) {
 	if known {
-		return in.deps.Tables.Since(ctx, in.tablePosition.Load(), wait)
+		return in.deps.Tables.Since(ctx, oplog.Position(in.tablePosition.Load()), wait)
 	}
 	return in.deps.Tables.Newest(ctx)
 }
@@ -138,7 +139,7 @@
 
 // toldOfServers is when the list was known to end at a position; zero if more is
 // known.
-func (in *Instance) toldOfServers(at time.Time, position uint64) time.Time {
+func (in *Instance) toldOfServers(at time.Time, position oplog.Position) time.Time {
 	if position < in.registry.View().Position {
 		return time.Time{}
 	}
--- a/edge/listnews.go
+++ b/edge/listnews.go
@@ -5,6 +5,7 @@
 
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/registry"
 )
 
@@ -50,11 +51,11 @@
 	in.registry.Apply(news.Changes, news.To, now)
 	in.rebuild()
 	in.list.hear(at, news.To == in.registry.View().Position)
-	in.list.grew(have)
+	in.list.grew(uint64(have))
 	in.tellNews(*news, message.From.Name)
 }
 
 // newsOf is the news that a poll of the store has told.
-func newsOf(from, to uint64, changes []registry.Change, at time.Time) heartbeat.News {
+func newsOf(from, to oplog.Position, changes []registry.Change, at time.Time) heartbeat.News {
 	return heartbeat.News{From: from, To: to, Changes: changes, Age: max(clock.Since(at), 0)}
 }
--- a/edge/news_test.go
+++ b/edge/news_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
 )
@@ -144,7 +145,7 @@
 	return registry.Snapshot{Position: 1}, nil
 }
 
-func (l *lists) Since(ctx context.Context, position uint64, wait time.Duration) ([]registry.Change, uint64, error) {
+func (l *lists) Since(ctx context.Context, position oplog.Position, wait time.Duration) ([]registry.Change, oplog.Position, error) {
 	l.waits = append(l.waits, wait)
 	if len(l.waits) <= l.fail {
 		return nil, position, errors.New("away")
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -64,7 +64,7 @@
 		Draining:    !in.Ready(),
 		Uptime:      clock.Since(in.started),
 		Capacity:    in.config.Capacity,
-		Next:        in.registry.View().Position,
+		Next:        uint64(in.registry.View().Position),
 	}
 	info.Revision = in.Revision()
 	return info
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
 )
@@ -27,7 +28,7 @@
 	// age is how long before it the newest picture was last known to be current.
 	age time.Duration
 	// newest is the position of the newest picture that the instance had then.
-	newest uint64
+	newest oplog.Position
 }
 
 // Steps of a request, as they stand in the log.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/logging"
 	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
@@ -30,8 +31,8 @@
 
 // Servers is an immutable picture of the backend servers, by service.
 type Servers struct {
-	// Position is the log offset up to which changes are in the picture.
-	Position uint64
+	// Position is the place in the log up to which changes are in the picture.
+	Position oplog.Position
 	// ByRun holds each server by the name of its run, ByID by its own.
 	ByRun   map[string]*registry.Entry
 	ByID    map[string]*registry.Entry
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -15,6 +15,7 @@
 	"github.com/mastwheel/mastwheel/allotment"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
+	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
@@ -116,8 +117,8 @@
 // News are changes of the list of backend servers that lead from one position of the
 // platform's log to another.
 type News struct {
-	From    uint64            `cbor:"1,keyasint"`
-	To      uint64            `cbor:"2,keyasint"`
+	From    oplog.Position    `cbor:"1,keyasint"`
+	To      oplog.Position    `cbor:"2,keyasint"`
 	Changes []registry.Change `cbor:"3,keyasint"`
 	// Age is how long ago the store told them.
 	Age time.Duration `cbor:"4,keyasint"`
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -25,6 +25,13 @@
 	// Token is the offset of the claim.
 	Token  uint64 `json:"token"`
 	Serial uint64 `json:"serial"`
+	// Era is the era of the store in which the state was read; 0 where there is one only.
+	// A store that has come back from an older copy may have lost the claim that counts:
+	// its holder still goes by it for a while.
+	Era uint64 `json:"era,omitempty"`
+	// MayBeLost is set if claims may have been lost that way while the lease was
+	// followed.
+	MayBeLost bool `json:"-"`
 }
 
 // Follow returns the state after a claim at a log offset, and whether the
@@ -69,19 +76,30 @@
 	seen  time.Time
 	// sent is when each claim that has not been seen yet was sent, by serial,
 	// and last when the last was; zero with none.
-	sent   map[uint64]time.Time
+	sent   map[uint64]sentClaim
 	last   time.Time
 	serial uint64
 	// until is when this instance, as the holder, must have stopped.
 	until time.Time
+	// observed is set once a state was seen, and lost once the store's era has changed
+	// since: that there is no claim then does not mean that there was none.
+	observed, lost bool
 	// renewed is when the claim that made it holder was sent.
 	renewed time.Time
 }
 
+// sentClaim is a claim that has not been seen yet.
+type sentClaim struct {
+	at time.Time
+	// era is that of the state which it follows. In a later one it may have been carried
+	// out beside the claim of another holder that was lost.
+	era uint64
+}
+
 // NewCandidate returns the part of an instance in a lease, begun at now: a
 // claim that it has not seen may be that young.
 func NewCandidate(config Config, key, self string, now time.Time) *Candidate {
-	return &Candidate{config: config, key: key, self: self, seen: now, sent: make(map[uint64]time.Time)}
+	return &Candidate{config: config, key: key, self: self, seen: now, sent: make(map[uint64]sentClaim)}
 }
 
 // Observe takes in the lease's state as folded from the log.
@@ -89,11 +107,13 @@
 	if state == c.state {
 		return
 	}
+	c.lost = c.lost || state.MayBeLost || (c.observed && state.Era != c.state.Era)
+	c.observed = true
 	c.state, c.seen = state, now
 	c.until = time.Time{}
-	if sent, mine := c.sent[state.Serial]; mine && state.Holder == c.self {
-		c.renewed = sent
-		c.until = sent.Add(c.config.TTL - c.config.Margin)
+	if sent, mine := c.sent[state.Serial]; mine && state.Holder == c.self && sent.era == state.Era {
+		c.renewed = sent.at
+		c.until = sent.at.Add(c.config.TTL - c.config.Margin)
 	}
 	// Whatever else is under way follows a claim that is no longer the last.
 	clear(c.sent)
@@ -120,7 +140,7 @@
 	}
 	c.last = now
 	c.serial++
-	c.sent[c.serial] = now
+	c.sent[c.serial] = sentClaim{at: now, era: c.state.Era}
 	return Claim{Key: c.key, Holder: c.self, After: c.state.Token, Serial: c.serial}, true
 }
 
@@ -128,7 +148,7 @@
 	if c.state.Holder == c.self {
 		return now.Sub(c.renewed) >= c.config.RenewEvery
 	}
-	if c.state.Token == 0 && first {
+	if c.state.Token == 0 && first && !c.lost {
 		return true
 	}
 	patience := c.config.TTL + c.config.Margin
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -124,3 +124,44 @@
 		t.Fatal("did not challenge")
 	}
 }
+
+// A claim is lost when the store comes back from an older copy. Its holder still gives
+// orders until it runs out, so nobody else begins before, whatever the copy shows; and a
+// claim that was under way beside it counts for nothing.
+func TestAClaimThatTheStoreHasLost(t *testing.T) {
+	config := Config{TTL: 3 * time.Second, RenewEvery: time.Second, Margin: time.Second}
+	for name, shows := range map[string]State{
+		"no claim":     {Era: 2},
+		"an older one": {Holder: "c", Token: 1<<41 + 3, Serial: 7, Era: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			holder, other := NewCandidate(config, "k", "a", now), NewCandidate(config, "k", "b", now)
+			none := State{Era: 1}
+			holder.Observe(none, now)
+			other.Observe(none, now)
+			claim, due := holder.Next(now, true)
+			under, _ := other.Next(now, true)
+			if !due {
+				t.Fatal("the first claim is not due")
+			}
+			holder.Observe(State{Holder: "a", Token: 1<<40 + 6, Serial: claim.Serial, Era: 1}, now)
+			ends := holder.Until()
+			now = now.Add(100 * time.Millisecond)
+			other.Observe(shows, now)
+			for at := now; at.Before(ends); at = at.Add(10 * time.Millisecond) {
+				if _, due := other.Next(at, true); due {
+					t.Fatalf("claimed %v before the holder ends", ends.Sub(at))
+				}
+			}
+			// Its own claim of before the loss was carried out after it.
+			other.Observe(State{Holder: "b", Token: 1<<41 + 6, Serial: under.Serial, Era: 2}, now)
+			if _, valid := other.Valid(now); valid {
+				t.Error("two hold the lease")
+			}
+			if _, valid := holder.Valid(now); !valid {
+				t.Error("the holder lost what nobody else has")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/registry/older_test.go
@@ -0,0 +1,76 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mastwheel/mastwheel/oplog"
+)
+
+func TestAnOlderListChangesNothingThatIsOver(t *testing.T) {
+	r := New(DefaultConfig())
+	entry := func(id string, born int64, draining bool) Entry { return Entry{ID: id, Born: born, Draining: draining} }
+	old := Snapshot{Position: oplog.At(1, 10), Entries: []Entry{
+		entry("stays", 1, false), entry("leaves", 1, false), entry("left", 1, false), entry("again", 1, false), entry("lapses", 1, false),
+	}}
+	r.Reset(old, start)
+	changes := []Change{
+		{ID: "leaves", Entry: &Entry{ID: "leaves", Born: 1, Draining: true}},
+		{ID: "left", Entry: &Entry{ID: "left", Born: 1, Draining: true}},
+		{ID: "left"},
+		{ID: "again", Entry: &Entry{ID: "again", Born: 2}},
+		{ID: "came", Entry: &Entry{ID: "came", Born: 1}},
+	}
+	r.Apply(changes, oplog.At(1, 15), start.Add(time.Second))
+	// The store comes back from a copy of before, without "lapses", which writes again.
+	now := start.Add(2 * time.Second)
+	older := old
+	older.Position = oplog.At(2, 10)
+	r.Reset(older, now)
+	check := func(id string, want bool, draining bool) {
+		t.Helper()
+		server := r.View().Find(id)
+		if (server != nil) != want || (server != nil && server.Draining != draining) {
+			t.Errorf("%s: %+v", id, server)
+		}
+	}
+	check("stays", true, false)
+	check("leaves", true, true)
+	check("left", false, false)
+	check("again", true, false)
+	check("came", true, false)
+	if again, came := r.View().Find("again"), r.View().Find("came"); again.Born != 2 || !again.Lapsed || !came.Lapsed {
+		t.Errorf("%+v %+v", again, came)
+	}
+	// A list that a sibling read a moment later says the same.
+	older.Position = oplog.At(2, 11)
+	r.Reset(older, now.Add(100*time.Millisecond))
+	check("left", false, false)
+	check("leaves", true, true)
+	// What is written again counts; what is not is gone after its time.
+	r.Apply([]Change{
+		{ID: "came", Entry: &Entry{ID: "came", Born: 1}},
+		{ID: "again", Entry: &Entry{ID: "again", Born: 1}},
+		{ID: "leaves", Entry: &Entry{ID: "leaves", Born: 1}},
+		{ID: "left", Entry: &Entry{ID: "left", Born: 1}},
+	}, oplog.At(2, 15), now.Add(time.Second))
+	r.Tick(now.Add(DefaultConfig().LapseGrace + time.Second))
+	check("came", true, false)
+	check("again", false, false)
+	check("leaves", true, true)
+	check("left", true, true)
+	// A run that starts since is another one.
+	r.Apply([]Change{{ID: "leaves", Entry: &Entry{ID: "leaves", Born: 3}}}, oplog.At(2, 16), now.Add(4*time.Second))
+	check("leaves", true, false)
+}
+
+// Nothing changes for a store that tells no era.
+func TestWithoutErasAnEntryThatComesAgainCounts(t *testing.T) {
+	r := New(DefaultConfig())
+	r.Reset(Snapshot{Position: 10, Entries: []Entry{{ID: "a"}}}, start)
+	r.Apply([]Change{{ID: "a"}}, 11, start)
+	r.Apply([]Change{{ID: "a", Entry: &Entry{ID: "a"}}}, 12, start)
+	if server := r.View().Find("a"); server == nil || server.Lapsed {
+		t.Errorf("%+v", server)
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/mastwheel/mastwheel/oplog"
 )
 
 // Entry is what a backend server says about itself.
@@ -65,8 +67,8 @@
 // Snapshot is a whole list, as read at one position of the platform's log.
 type Snapshot struct {
 	Entries []Entry `cbor:"1,keyasint"`
-	// Position is the log offset that comes next.
-	Position uint64 `cbor:"2,keyasint"`
+	// Position is the place in the log that comes next.
+	Position oplog.Position `cbor:"2,keyasint"`
 	// Unusable lists the ids whose entry names no server that could be used.
 	Unusable []string `cbor:"3,keyasint,omitempty"`
 }
@@ -82,11 +84,15 @@
 	// for a lapse even where the store was not seen to be away: planned work
 	// takes fewer servers away at a time that had not said they leave.
 	ManyAtOnce float64
+	// DepartedFor is how long it is remembered that a run of a server is gone: longer
+	// than an older copy, from which the store may come back, is old (source: the users'
+	// letter, some seconds).
+	DepartedFor time.Duration
 }
 
 // DefaultConfig follows the users' letter.
 func DefaultConfig() Config {
-	return Config{LapseGrace: 2 * time.Second, ManyAtOnce: 0.3}
+	return Config{LapseGrace: 2 * time.Second, ManyAtOnce: 0.3, DepartedFor: 5 * time.Minute}
 }
 
 // Server is one backend server as this instance sees it.
@@ -101,8 +107,8 @@
 // View is an immutable picture of all servers, sorted by id.
 type View struct {
 	Servers []Server
-	// Position is the log offset up to which changes are in it.
-	Position uint64
+	// Position is the place in the log up to which changes are in it.
+	Position oplog.Position
 	// Read is when changes were last taken in.
 	Read time.Time
 }
@@ -148,12 +154,14 @@
 	returned time.Time
 	// lapsing is set while there may be lapsed servers.
 	lapsing bool
-	view    atomic.Pointer[View]
+	// departed holds the runs that are gone for good, with when they went.
+	departed map[string]departure
+	view     atomic.Pointer[View]
 }
 
 // New returns an empty registry.
 func New(config Config) *Registry {
-	r := &Registry{config: config, servers: make(map[string]Server)}
+	r := &Registry{config: config, servers: make(map[string]Server), departed: make(map[string]departure)}
 	r.view.Store(&View{})
 	return r
 }
@@ -175,15 +183,24 @@
 func (r *Registry) Reset(snapshot Snapshot, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if snapshot.Position < r.view.Load().Position {
+	before := r.view.Load().Position
+	if snapshot.Position < before {
 		return
 	}
+	if before > 0 && snapshot.Position.Era() > before.Era() {
+		// Entries that the older copy lacks come back as those that lapsed do.
+		r.returned = now
+	}
+	if snapshot.Position.Era() > 0 {
+		snapshot = r.corrected(snapshot)
+	}
 	for _, id := range snapshot.Unusable {
 		delete(r.servers, id)
 	}
 	listed := make(map[string]bool, len(snapshot.Entries))
 	for _, entry := range snapshot.Entries {
 		listed[entry.ID] = true
+		delete(r.departed, entry.Run())
 		r.servers[entry.ID] = Server{Entry: entry}
 	}
 	var removed []string
@@ -197,7 +214,7 @@
 }
 
 // Apply takes changes in that lead to a position of the log.
-func (r *Registry) Apply(changes []Change, position uint64, now time.Time) {
+func (r *Registry) Apply(changes []Change, position oplog.Position, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if position < r.view.Load().Position {
@@ -208,7 +225,7 @@
 		gone[change.ID] = change.Entry == nil
 		switch {
 		case change.Entry != nil:
-			r.servers[change.ID] = Server{Entry: *change.Entry}
+			r.take(*change.Entry, position)
 		case change.Unusable:
 			delete(r.servers, change.ID)
 		}
@@ -240,6 +257,7 @@
 		}
 		if server.Draining || !now.Before(gone) {
 			delete(r.servers, id)
+			r.depart(server, now)
 			continue
 		}
 		server.Lapsed = true
@@ -270,8 +288,13 @@
 	}
 	before := len(r.servers)
 	maps.DeleteFunc(r.servers, func(_ string, server Server) bool {
-		return server.Lapsed && !now.Before(server.Gone)
+		gone := server.Lapsed && !now.Before(server.Gone)
+		if gone {
+			r.depart(server, now)
+		}
+		return gone
 	})
+	maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now.Sub(d.at) > r.config.DepartedFor })
 	r.lapsing = false
 	for _, server := range r.servers {
 		r.lapsing = r.lapsing || server.Lapsed
@@ -282,7 +305,7 @@
 	}
 }
 
-func (r *Registry) publish(position uint64, read time.Time) {
+func (r *Registry) publish(position oplog.Position, read time.Time) {
 	next := &View{Servers: make([]Server, 0, len(r.servers)), Position: position, Read: read}
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
 		next.Servers = append(next.Servers, r.servers[id])
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/mastwheel/mastwheel/oplog"
 )
 
 var start = time.Unix(1_000, 0)
@@ -130,7 +132,7 @@
 func TestFollowingEqualsReading(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		follower, truth := New(DefaultConfig()), make(map[string]Entry)
-		now, position := start, uint64(1)
+		now, position := start, oplog.Position(1)
 		for range rapid.IntRange(0, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "away") {
--- a/sibling/sibling.go
+++ b/sibling/sibling.go
@@ -14,6 +14,7 @@
 
 	"github.com/mastwheel/mastwheel/edge"
 	"github.com/mastwheel/mastwheel/logging"
+	"github.com/mastwheel/mastwheel/oplog"
 )
 
 const (
@@ -56,7 +57,7 @@
 	arguments := ctx.QueryArgs()
 	have := edge.Have{
 		Revision: uint64(arguments.GetUintOrZero(argumentRevision)),
-		Position: uint64(arguments.GetUintOrZero(argumentPosition)),
+		Position: oplog.Position(arguments.GetUintOrZero(argumentPosition)),
 	}
 	body, err := cbor.Marshal(s.tell(have))
 	if err != nil {
@@ -87,7 +88,7 @@
 	request.SetRequestURI("http://" + address + path)
 	arguments := request.URI().QueryArgs()
 	arguments.Set(argumentRevision, strconv.FormatUint(have.Revision, 10))
-	arguments.Set(argumentPosition, strconv.FormatUint(have.Position, 10))
+	arguments.Set(argumentPosition, strconv.FormatUint(uint64(have.Position), 10))
 	if err := c.http.DoTimeout(request, response, askTimeout); err != nil {
 		return edge.Beliefs{}, errors.Wrap(err, "ask a sibling")
 	}
