--- a/forward/move.go
+++ b/forward/move.go
@@ -55,11 +55,6 @@
 	// lastEvents is how many events of the longest answer may be left for it to stay: it
 	// would end before it has moved.
 	lastEvents = 4
-	// movedSpare is the part of what newcomers leave free that a stream leaves free which
-	// moves since its engine has no memory: where it moves to there is more than where it
-	// is. With all of it 21 to 63 streams of a day were preempted, with 0.3 5 to 42, with
-	// none 34 to 66 (two days of two seeds each of the users' sheet with long answers).
-	movedSpare = 0.3
 	// tailPart is what an answer that has outgrown its caller's guess is expected to
 	// generate yet, as a part of what it has: guesses are off by half in the mean
 	// (source: the users' sheets).
@@ -146,7 +141,7 @@
 	query := r.query()
 	query.MemoryTokens, query.Zone = need, r.decode.Backend.Zone
 	if why != reason.EngineLeaving {
-		query.Spare = movedSpare * r.spare()
+		query.Spare = r.pooled() * r.spare()
 	}
 	return r.chooseBy(query, r.Gateway.decode, decodePool)
 }
