--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -165,3 +165,21 @@
 		})
 	}
 }
+
+// A claim that was under way when the store came back older was carried out after that,
+// where the claim of another holder is lost: the next that its sender sees is its own.
+func TestAClaimThatWasCarriedOutInALaterEra(t *testing.T) {
+	config := Config{TTL: 3 * time.Second, RenewEvery: time.Second, Margin: time.Second}
+	now := time.Unix(1000, 0)
+	c := NewCandidate(config, "k", "b", now)
+	c.Observe(State{Era: 1}, now)
+	claim, due := c.Next(now, true)
+	if !due {
+		t.Fatal("the first claim is not due")
+	}
+	now = now.Add(100 * time.Millisecond)
+	c.Observe(State{Holder: "b", Token: 1<<41 + 6, Serial: claim.Serial, Era: 2}, now)
+	if _, valid := c.Valid(now); valid {
+		t.Error("it gives orders beside a holder whose claim is lost")
+	}
+}
