--- a/cmd/mastwheeld/platform.go
+++ b/cmd/mastwheeld/platform.go
@@ -24,7 +24,7 @@
 		Usage: "run one instance on the users' platform, with its settings from $" + platform.SettingsVariable,
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "check", Usage: "only check the settings"},
-			&cli.IntFlag{Name: "verbosity", Usage: "log `LEVEL`: 0 for refusals, failures and beliefs, 2 for every request"},
+			&cli.IntFlag{Name: "verbosity", Usage: "log `LEVEL`: 0 for refusals, failures and what is known, 2 for every request"},
 			&cli.StringFlag{Name: "advertise-siblings", Usage: "`IP:PORT` at which siblings reach this instance, if other than where it listens for them"},
 			&cli.IntFlag{Name: "metrics-port", Usage: "serve metrics at this `PORT`; 0 for none"},
 		},
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -86,7 +86,7 @@
 		ServersChanged: func(*registry.View) { p.keepConnections() },
 	})
 	p.gateway = forward.New(forward.Deps{
-		Zone: settings.Zone, Beliefs: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
+		Zone: settings.Zone, View: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
 		Budget: p.edge.Budget, Allotments: p.edge.Allotments, Metrics: p.metrics, Poison: p.edge.Poison, Random: rand.Float64,
 	}, forward.DefaultConfig())
 	p.watch()
--- a/edge/answers.go
+++ b/edge/answers.go
@@ -55,7 +55,7 @@
 
 // age is how long ago the belief was last known to be current, for siblings; nil
 // if it never was. Others can rely on no later answer: one that this instance heard
-// of, but whose news it does not have yet, would make an older list look current.
+// of, but whose updates it does not have yet, would make an older list look current.
 func (a *answers) age(now time.Time) *time.Duration {
 	confirmed := a.confirmed()
 	if confirmed.IsZero() {
--- a/edge/answers_test.go
+++ b/edge/answers_test.go
@@ -27,7 +27,7 @@
 	}
 }
 
-func TestAnAnswerWhoseNewsAreNotKnownMakesNoListCurrent(t *testing.T) {
+func TestAnAnswerWhoseUpdatesAreNotKnownMakesNoListCurrent(t *testing.T) {
 	start := time.Unix(1_000, 0)
 	var known answers
 	known.heard(start, true)
--- a/edge/beat.go
+++ b/edge/beat.go
@@ -11,7 +11,7 @@
 	"github.com/mastwheel/mastwheel/wait"
 )
 
-// beat sends heartbeats until ctx ends, and one more whenever there is news.
+// beat sends heartbeats until ctx ends, and one more whenever something has changed.
 func (in *Instance) beat(ctx context.Context) {
 	var told []heartbeat.Load
 	sent, turn := time.Time{}, 0
@@ -19,16 +19,16 @@
 		now := clock.Now()
 		in.shareAllotments(now)
 		loads := in.loads()
-		news, urgent := newsIn(told, loads), in.urgent.Swap(false)
+		changed, urgent := loadsChanged(told, loads), in.urgent.Swap(false)
 		many := in.usesHubs()
 		in.inMesh.Store(!many)
 		switch {
 		case many:
-			in.hubBeat(now, loads, news, urgent)
-			if news {
+			in.hubBeat(now, loads, changed, urgent)
+			if changed {
 				told = loads
 			}
-		case news || urgent || now.Sub(sent) >= in.config.Members.HeartbeatEvery:
+		case changed || urgent || now.Sub(sent) >= in.config.Members.HeartbeatEvery:
 			in.reads.Store(true)
 			in.meshBeat(now, turn, loads)
 			told, sent = loads, now
@@ -39,8 +39,8 @@
 
 // committed has hubs told of a change of this instance's commitments. Without, they
 // would hear of it with the next beat, and what is known of engines' memory be half a
-// beat older: of 3,691 streams 3,276 were in time by news of two beats, 3,393 by news
-// of one and 3,530 by news of half a beat (TestNewsOfMemoryMustBeFresh).
+// beat older: of 3,691 streams 3,276 were in time by updates of two beats, 3,393 by updates
+// of one and 3,530 by updates of half a beat (TestLoadsMustBeFresh).
 func (in *Instance) committed() {
 	if !in.inMesh.Load() {
 		in.wake()
@@ -92,20 +92,20 @@
 }
 
 // quickBeat is the least pause between two heartbeats. Siblings that do not
-// know of each other's requests send theirs to the same engine, so news are told
+// know of each other's requests send theirs to the same engine, so updates are told
 // at once where there are few siblings; each datagram costs every one of them.
 func (in *Instance) quickBeat() time.Duration {
-	pause := time.Duration(len(in.members.View().Siblings)) * in.config.NewsPerSibling
-	return min(max(pause, in.config.NewsEvery), in.config.Members.HeartbeatEvery)
+	pause := time.Duration(len(in.members.View().Siblings)) * in.config.QuickBeatPerSibling
+	return min(max(pause, in.config.QuickBeat), in.config.Members.HeartbeatEvery)
 }
 
-// newsMemory is the change of the memory committed at an engine that siblings
+// changedMemory is the change of the memory committed at an engine that siblings
 // should hear of at once: a percent of an engine (source: the users' sheets).
-const newsMemory = 1000
+const changedMemory = 1000
 
-// newsIn says whether loads have changed so that siblings would decide
+// loadsChanged says whether loads have changed so that siblings would decide
 // otherwise.
-func newsIn(told, loads []heartbeat.Load) bool {
+func loadsChanged(told, loads []heartbeat.Load) bool {
 	if len(told) != len(loads) {
 		return true
 	}
@@ -120,7 +120,7 @@
 
 // message is what each heartbeat says.
 func (in *Instance) message(now time.Time) heartbeat.Message {
-	// Ages come before what they are the ages of: news that come in between would
+	// Ages come before what they are the ages of: updates that come in between would
 	// make what is older look as new.
 	table, servers := in.tableFeed.age(now), in.list.age(now)
 	return heartbeat.Message{
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -17,8 +17,8 @@
 	Position oplog.Position
 }
 
-// Beliefs is what one instance tells another that cannot reach the store.
-type Beliefs struct {
+// Snapshot is what one instance tells another that cannot reach the store.
+type Snapshot struct {
 	// Table is the configuration in force, if it is newer than what the other
 	// has.
 	Table []byte `cbor:"1,keyasint,omitempty"`
@@ -27,16 +27,16 @@
 }
 
 // Tell returns what this instance knows beyond what another has.
-func (in *Instance) Tell(have Have) Beliefs {
-	var beliefs Beliefs
+func (in *Instance) Tell(have Have) Snapshot {
+	var snapshot Snapshot
 	if revision := in.table.Load(); revision != nil && revision.Number > have.Revision {
-		beliefs.Table = revision.Raw
+		snapshot.Table = revision.Raw
 	}
 	if list := in.registry.View(); list.Position > have.Position {
-		snapshot := list.Snapshot()
-		beliefs.Servers = &snapshot
+		servers := list.Snapshot()
+		snapshot.Servers = &servers
 	}
-	return beliefs
+	return snapshot
 }
 
 // catchUp asks a sibling that knows more than the store has told: the store
@@ -98,19 +98,19 @@
 
 // askSibling takes in what a sibling knows beyond what this instance has.
 func (in *Instance) askSibling(ctx context.Context, sibling member.Sibling, mine Have) error {
-	beliefs, err := in.deps.Siblings.Beliefs(ctx, sibling.Peer, mine)
+	snapshot, err := in.deps.Siblings.Snapshot(ctx, sibling.Peer, mine)
 	if err != nil {
 		return err
 	}
-	if beliefs.Table != nil {
-		in.adoptRaw(beliefs.Table, sibling.Name)
+	if snapshot.Table != nil {
+		in.adoptRaw(snapshot.Table, sibling.Name)
 		in.tableFeed.grew(mine.Revision)
 	}
-	if beliefs.Servers != nil {
-		in.registry.Reset(*beliefs.Servers, clock.Now())
+	if snapshot.Servers != nil {
+		in.registry.Reset(*snapshot.Servers, clock.Now())
 		in.rebuild()
 		in.list.grew(uint64(mine.Position))
-		klog.InfoS("List of servers taken from a sibling", "sibling", sibling.Name, "position", beliefs.Servers.Position, "had", mine.Position)
+		klog.InfoS("List of servers taken from a sibling", "sibling", sibling.Name, "position", snapshot.Servers.Position, "had", mine.Position)
 	}
 	return nil
 }
--- a/edge/config.go
+++ b/edge/config.go
@@ -28,13 +28,13 @@
 	StoreWait time.Duration
 	// FreshFor is how long the instances together may have no answer from the
 	// store before one of them asks beside the long polls that wait there, and
-	// ProbeEvery the pause between two looks at that. News that no poll tells
+	// ProbeEvery the pause between two looks at that. Updates that no poll tells
 	// are known to all after FreshFor, one to three looks and two looks at what
 	// siblings know: 0.4 to 0.7 s in the median and 1.2 s at most (1, 8 and 62
 	// instances on a virtual clock, 40, 40 and 12 draws), where a leaving server
 	// may be used for 2 s and a request may be under way. Shorter costs calls,
 	// which are priced: 160 a minute of a lone instance, and 416 where 62 make 248 without
-	// (0.6 s: 200 and 439; 0.9 s: 134 and 380, and news after 1.4 s).
+	// (0.6 s: 200 and 439; 0.9 s: 134 and 380, and updates after 1.4 s).
 	FreshFor   time.Duration
 	ProbeEvery time.Duration
 	// ReadEvery is the least pause between two reads of the list of servers, so
@@ -78,23 +78,23 @@
 	// an instance sends and receives grows with them, not with the siblings.
 	NearPerBeat int
 	FarPerBeat  int
-	// NewsEvery is the least pause between two heartbeats, and between two sums
+	// QuickBeat is the least pause between two heartbeats, and between two sums
 	// of what siblings have told. Shorter lets siblings know sooner of requests
-	// that an engine got; NewsPerSibling stretches it where there are many, up
+	// that an engine got; QuickBeatPerSibling stretches it where there are many, up
 	// to the period of heartbeats.
-	NewsEvery      time.Duration
-	NewsPerSibling time.Duration
+	QuickBeat           time.Duration
+	QuickBeatPerSibling time.Duration
 	// PeersTold is how many other siblings a heartbeat names.
 	PeersTold int
 
 	// MeshAtMost is up to how many instances each tells all others what it does.
-	// Beyond it hubs do: fewer datagrams, and news at most two beats old in place of
+	// Beyond it hubs do: fewer datagrams, and updates at most two beats old in place of
 	// several, at the price of a beat's delay where all could be told directly.
 	MeshAtMost int
 	// HubsPerZone is how many hubs hear the members of a zone. The second is ready
 	// when the first falls silent; a third would cost each member a datagram a beat.
 	HubsPerZone int
-	// KeepEvery is how often an instance without news tells its hubs that it lives,
+	// KeepEvery is how often an instance without updates tells its hubs that it lives,
 	// and SubscribedFor how long a hub serves one that says no more: three of these,
 	// since datagrams are lost now and then. DirectSilence is the silence after which
 	// a member is taken for silent.
@@ -135,9 +135,9 @@
 	// RepeatedAtOnce is how many siblings' states a digest repeats in turn, some 60 bytes
 	// each: those of 295 each 5.5 s. What a subscriber was told wrongly stands until then.
 	RepeatedAtOnce int
-	// NewsAtMost bounds the changes of the list in one datagram, some 120 bytes each;
+	// UpdatesAtMost bounds the changes of the list in one datagram, some 120 bytes each;
 	// whoever lacks more asks for the list.
-	NewsAtMost int
+	UpdatesAtMost int
 	// StartPatience is how long an instance that starts hears its siblings before it
 	// leaves a long poll waiting at the store: with many, only hubs do.
 	StartPatience time.Duration
@@ -192,37 +192,37 @@
 			AbandonAfter:   30 * time.Second,
 			ForgetAfter:    2 * time.Minute,
 		},
-		LongPause:      600 * time.Millisecond,
-		NearPerBeat:    24,
-		FarPerBeat:     12,
-		PeersTold:      4,
-		NewsEvery:      30 * time.Millisecond,
-		NewsPerSibling: 5 * time.Millisecond,
-		MeshAtMost:     36,
-		HubsPerZone:    2,
-		KeepEvery:      300 * time.Millisecond,
-		SubscribedFor:  time.Second,
-		DirectSilence:  time.Second,
-		HubBeatEvery:   75 * time.Millisecond,
-		HubBytes:       1 << 20,
-		HelloEvery:     600 * time.Millisecond,
-		HubSilence:     600 * time.Millisecond,
-		HubAvoidedFor:  3 * time.Second,
-		HubGrace:       2 * time.Second,
-		ZoneSumFor:     3 * time.Second,
-		CountHoldsFor:  10 * time.Second,
-		LoadsAtOnce:    320,
-		LoadsInTurn:    48,
-		ToldAtOnce:     32,
-		HelloAtOnce:    8,
-		RepeatedAtOnce: 4,
-		NewsAtMost:     32,
-		StartPatience:  400 * time.Millisecond,
-		IdleLook:       300 * time.Millisecond,
-		AllotmentFresh: 300 * time.Millisecond,
-		TeamsAtOnce:    64,
-		PrefillShare:   defaultPrefillShare,
-		OrdersEvery:    500 * time.Millisecond,
+		LongPause:           600 * time.Millisecond,
+		NearPerBeat:         24,
+		FarPerBeat:          12,
+		PeersTold:           4,
+		QuickBeat:           30 * time.Millisecond,
+		QuickBeatPerSibling: 5 * time.Millisecond,
+		MeshAtMost:          36,
+		HubsPerZone:         2,
+		KeepEvery:           300 * time.Millisecond,
+		SubscribedFor:       time.Second,
+		DirectSilence:       time.Second,
+		HubBeatEvery:        75 * time.Millisecond,
+		HubBytes:            1 << 20,
+		HelloEvery:          600 * time.Millisecond,
+		HubSilence:          600 * time.Millisecond,
+		HubAvoidedFor:       3 * time.Second,
+		HubGrace:            2 * time.Second,
+		ZoneSumFor:          3 * time.Second,
+		CountHoldsFor:       10 * time.Second,
+		LoadsAtOnce:         320,
+		LoadsInTurn:         48,
+		ToldAtOnce:          32,
+		HelloAtOnce:         8,
+		RepeatedAtOnce:      4,
+		UpdatesAtMost:       32,
+		StartPatience:       400 * time.Millisecond,
+		IdleLook:            300 * time.Millisecond,
+		AllotmentFresh:      300 * time.Millisecond,
+		TeamsAtOnce:         64,
+		PrefillShare:        defaultPrefillShare,
+		OrdersEvery:         500 * time.Millisecond,
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -100,7 +100,7 @@
 
 // Siblings asks one sibling for what it believes.
 type Siblings interface {
-	Beliefs(ctx context.Context, address string, have Have) (Beliefs, error)
+	Snapshot(ctx context.Context, address string, have Have) (Snapshot, error)
 }
 
 // Socket carries heartbeats between siblings.
@@ -198,7 +198,7 @@
 	in.Allotments = allotment.New(allotment.DefaultConfig(), in.deps.Random)
 	in.Allotments.SetSlack(in.config.AllotmentSlack * slackUsed)
 	in.Poison = poison.New(poison.DefaultConfig(), in.deps.Random, in.Instances)
-	in.Poison.OnChange(logPoison, in.poisonNews)
+	in.Poison.OnChange(logPoison, in.poisonChanged)
 }
 
 // Run follows table, servers and siblings until ctx ends.
@@ -223,7 +223,7 @@
 // feeds are all that follow the store.
 func (in *Instance) feeds() []*feed { return []*feed{in.tableFeed, in.list} }
 
-// Table implements forward.Beliefs.
+// Table implements forward.View.
 func (in *Instance) Table() *table.View {
 	if revision := in.table.Load(); revision != nil {
 		return revision.View
@@ -242,10 +242,10 @@
 // Serving counts the siblings that serve.
 func (in *Instance) Serving() int { return len(in.members.View().Serving()) }
 
-// Servers implements forward.Beliefs.
+// Servers implements forward.View.
 func (in *Instance) Servers() *forward.Servers { return in.servers.Load() }
 
-// Confirmed implements forward.Beliefs.
+// Confirmed implements forward.View.
 func (in *Instance) Confirmed() time.Time { return in.list.confirmed() }
 
 // TableConfirmed returns when the table was last known to be the newest.
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -260,16 +260,16 @@
 	})
 }
 
-// told is a sibling that answers with fixed beliefs.
+// told is a sibling that answers with a fixed snapshot.
 type told struct {
-	beliefs Beliefs
-	asked   int
+	snapshot Snapshot
+	asked    int
 }
 
-// Beliefs implements Siblings.
-func (s *told) Beliefs(context.Context, string, Have) (Beliefs, error) {
+// Snapshot implements Siblings.
+func (s *told) Snapshot(context.Context, string, Have) (Snapshot, error) {
 	s.asked++
-	return s.beliefs, nil
+	return s.snapshot, nil
 }
 
 // TestASiblingThatIsAheadIsAsked: an instance whose store does not answer takes
@@ -277,7 +277,7 @@
 func TestASiblingThatIsAheadIsAsked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		in := candidate("a", new(claims), workersOf(0, 0))
-		sibling := &told{beliefs: Beliefs{Servers: &registry.Snapshot{Entries: []registry.Entry{{ID: "x", Service: "s"}}, Position: 9}}}
+		sibling := &told{snapshot: Snapshot{Servers: &registry.Snapshot{Entries: []registry.Entry{{ID: "x", Service: "s"}}, Position: 9}}}
 		in.deps.Siblings = sibling
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -16,9 +16,9 @@
 // feed keeps one belief up to date from the store: the table, or the list of
 // servers. One long poll is under way nearly always. It alone would
 // not do: where the store falls silent in part, or a connection does without a
-// reset, the poll is never answered, and news were known up to 26.5 s late, to
+// reset, the poll is never answered, and updates were known up to 26.5 s late, to
 // all instances at once. So the instances together see to it that one of them has
-// asked anew within Config.FreshFor, and one that knows of news which its own
+// asked anew within Config.FreshFor, and one that knows of updates which its own
 // poll has not told gives that poll up.
 type feed struct {
 	*Instance
@@ -148,7 +148,7 @@
 	f.hear(at, true)
 }
 
-// toldAt is when the store had no more than it told: one that waited for news
+// toldAt is when the store had no more than it told: one that waited for updates
 // told them as it got them; of an immediate answer nothing is known but that it
 // is later than the poll.
 func toldAt(asked time.Time, wait time.Duration) time.Time {
@@ -183,7 +183,7 @@
 	return pause
 }
 
-// pollSlack is how long a poll may tell news later than others do: a
+// pollSlack is how long a poll may tell updates later than others do: a
 // slow store takes some 240 ms (source: the users' kinds of trouble, 60 times its
 // usual 4 ms).
 const pollSlack = 300 * time.Millisecond
@@ -195,7 +195,7 @@
 	lost := f.poll != nil && f.poll.asked.Before(f.surpassed) && now.Sub(f.surpassed) >= pollSlack
 	f.mu.Unlock()
 	if lost {
-		f.giveUp("others told news that it did not")
+		f.giveUp("others told updates that it did not")
 	}
 	f.logAge(now)
 }
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -268,15 +268,15 @@
 	}
 }
 
-// Beliefs implements Siblings.
-func (f *fleet) Beliefs(_ context.Context, address string, have Have) (Beliefs, error) {
+// Snapshot implements Siblings.
+func (f *fleet) Snapshot(_ context.Context, address string, have Have) (Snapshot, error) {
 	time.Sleep(networkTakes)
 	for _, in := range f.instances {
 		if in.config.SiblingAddress == address {
 			return in.Tell(have), nil
 		}
 	}
-	return Beliefs{}, errors.New("nobody is there")
+	return Snapshot{}, errors.New("nobody is there")
 }
 
 // play starts instances that know a table and ten servers, and runs a test on
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -132,7 +132,7 @@
 	in.registry.Apply(changes, next, clock.Now())
 	in.rebuild()
 	if next > before {
-		in.tellNews(newsOf(from, next, changes, at), "")
+		in.sendUpdates(updatesOf(from, next, changes, at), "")
 	}
 	return in.toldOfServers(at, next), nil
 }
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -18,7 +18,7 @@
 
 // hubBeat tells the hubs what this instance does, if that is due, and those that ask
 // this instance what all others do.
-func (in *Instance) hubBeat(now time.Time, loads []heartbeat.Load, news, urgent bool) {
+func (in *Instance) hubBeat(now time.Time, loads []heartbeat.Load, changed, urgent bool) {
 	in.members.SetSuspectAfter(in.config.DirectSilence)
 	view := in.members.View()
 	self := in.info()
@@ -33,7 +33,7 @@
 	settled := in.hubs.serve(hub, now) >= in.config.HubGrace
 	in.watch(settled)
 	every := in.config.KeepEvery
-	if news || urgent || in.hubs.takeAcknowledge() {
+	if changed || urgent || in.hubs.takeAcknowledge() {
 		every = 0
 	}
 	if in.hubs.due(&in.hubs.told, every, now) {
--- a/edge/hubs_test.go
+++ b/edge/hubs_test.go
@@ -232,16 +232,16 @@
 }
 
 func TestALeavingServerIsKnownToManyAfterTheStoreWasSilentInPart(t *testing.T) {
-	manyInstances(t, newsAfterSilence(topicServers, longSilence, leaves, drains("s3")))
+	manyInstances(t, updatesAfterSilence(topicServers, longSilence, leaves, drains("s3")))
 }
 
 func TestATableIsInForceAtManyAfterPollsWereLost(t *testing.T) {
 	inForce := func(in *Instance) bool { return in.Revision() == 2 }
-	manyInstances(t, newsAfterSilence(topicTable, shortSilence, func(f *fleet) { f.store.configure() }, inForce))
+	manyInstances(t, updatesAfterSilence(topicTable, shortSilence, func(f *fleet) { f.store.configure() }, inForce))
 }
 
 // Only one instance in twenty is served by the store.
-func TestNewsComeFromTheFewThatTheStoreServes(t *testing.T) {
+func TestUpdatesComeFromTheFewThatTheStoreServes(t *testing.T) {
 	manyInstances(t, func(t *testing.T, f *fleet) {
 		f.store.change(func() {
 			for i, in := range f.instances {
@@ -281,7 +281,7 @@
 	}
 	f.store.register("s4", true)
 	f.store.configure()
-	f.await("all know the news", func() bool {
+	f.await("all know the updates", func() bool {
 		for _, in := range f.instances {
 			if in.Revision() != 2 || !drains("s4")(in) || othersAt("s3")(in) == 0 {
 				return false
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -61,7 +61,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.heard[message.From.Peer] = now
-	if message.Digest == nil && message.News == nil {
+	if message.Digest == nil && message.Updates == nil {
 		p.loads[message.From.Name] = message.Loads
 	}
 }
--- a/edge/poison.go
+++ b/edge/poison.go
@@ -13,8 +13,8 @@
 // Instances tell each other, with their heartbeats, at which servers requests ran when
 // these ended: callers send a request that crashes servers to any instance.
 
-// poisonNews has all who hear this instance told at once.
-func (in *Instance) poisonNews() {
+// poisonChanged has all who hear this instance told at once.
+func (in *Instance) poisonChanged() {
 	in.urgent.Store(true)
 	in.wake()
 }
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -132,7 +132,7 @@
 	}
 	in.takePoison(message, now)
 	in.takeSpent(message, now)
-	in.takeNews(message, now)
+	in.takeUpdates(message, now)
 	table := hears(in.tableFeed, message.TableHeard, message.From.Revision, now)
 	list := hears(in.list, message.ServersHeard, message.From.Next, now)
 	if table || list || message.From.Revision > in.Revision() {
@@ -153,7 +153,7 @@
 }
 
 // hears takes in how long ago the store told a sibling, or someone that it
-// heard of, how far its log went, and returns whether that is news that others wait
+// heard of, how far its log went, and returns whether that is an update that others wait
 // for. An answer from the future would keep everyone from asking until then.
 func hears(f *feed, age *time.Duration, progress uint64, now time.Time) bool {
 	if age == nil || *age < 0 {
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -11,16 +11,16 @@
 // The story. Requests reached servers up to five seconds after the store had
 // acknowledged that these leave. Before, a part of the store had been silent for
 // some seconds, and was sound again for seconds more. Every instance's poll
-// for news of the list of servers had been under way when the silence began. Such
+// for updates of the list of servers had been under way when the silence began. Such
 // a poll is never answered, though its connection lives, and it stood until
 // its own end, 26.5 s after it was asked: all instances' lists were old at the same
 // time, so that no sibling knew better.
 //
 // The evidence: `Dependency lost` with askedMillisAgo 26,500 at each of 62
-// instances, no line about the list for 26 s before it, and the news with the very
+// instances, no line about the list for 26 s before it, and the updates with the very
 // next poll, 0.3 s later.
 
-// mustKnow is the time within which all instances must have news that the store
+// mustKnow is the time within which all instances must have updates that the store
 // acknowledged while it was sound: the users allow 2 s until the last request
 // reaches a server that leaves, and a request may be under way for a moment.
 const mustKnow = 1700 * time.Millisecond
@@ -59,9 +59,9 @@
 	return func(in *Instance) bool { return in.Servers().ByRun[id] == nil }
 }
 
-// newsAfterSilence returns a test that something is known everywhere in time, which
+// updatesAfterSilence returns a test that something is known everywhere in time, which
 // happens when the store is relied on again after it was silent about a topic.
-func newsAfterSilence(topic string, lasts time.Duration, happens func(f *fleet), holds func(in *Instance) bool) func(*testing.T, *fleet) {
+func updatesAfterSilence(topic string, lasts time.Duration, happens func(f *fleet), holds func(in *Instance) bool) func(*testing.T, *fleet) {
 	return func(t *testing.T, f *fleet) {
 		f.store.silence(topic, lasts)
 		time.Sleep(soundAgain)
@@ -83,25 +83,25 @@
 
 // 62 instances are the users' deployment on which the failure was seen.
 func TestALeavingServerIsKnownAfterTheStoreWasSilentInPart(t *testing.T) {
-	ofSizes(t, []int{1, 8, 16, 62}, newsAfterSilence(topicServers, longSilence, leaves, drains("s3")))
+	ofSizes(t, []int{1, 8, 16, 62}, updatesAfterSilence(topicServers, longSilence, leaves, drains("s3")))
 }
 
 func TestALeavingServerIsKnownAfterPollsWereLost(t *testing.T) {
-	eachSize(t, newsAfterSilence(topicServers, shortSilence, leaves, drains("s3")))
+	eachSize(t, updatesAfterSilence(topicServers, shortSilence, leaves, drains("s3")))
 }
 
 // A server that never says that it leaves, but is taken off the list long after the
 // silence, has not lapsed: it is gone.
 func TestAServerTakenOffTheListAfterASilenceIsGone(t *testing.T) {
-	eachSize(t, newsAfterSilence(topicServers, longSilence, func(f *fleet) { f.store.remove("s3") }, gone("s3")))
+	eachSize(t, updatesAfterSilence(topicServers, longSilence, func(f *fleet) { f.store.remove("s3") }, gone("s3")))
 }
 
 func TestATableIsInForceAfterTheStoreWasSilentInPart(t *testing.T) {
 	inForce := func(in *Instance) bool { return in.Revision() == 2 }
-	eachSize(t, newsAfterSilence(topicTable, longSilence, func(f *fleet) { f.store.configure() }, inForce))
+	eachSize(t, updatesAfterSilence(topicTable, longSilence, func(f *fleet) { f.store.configure() }, inForce))
 }
 
-// An instance that alone is turned away by the store has its news from siblings,
+// An instance that alone is turned away by the store has its updates from siblings,
 // and what they tell of a removal is no lapse: the servers reach the store.
 func TestARemovalToldToAnInstanceThatIsTurnedAwayIsNoLapse(t *testing.T) {
 	play(t, 8, func(f *fleet) {
--- a/edge/sums.go
+++ b/edge/sums.go
@@ -85,7 +85,7 @@
 // before.
 func differ(before, now route.Commitment) bool {
 	off := now.Memory - before.Memory
-	return before.InFlight != now.InFlight || before.Unread != now.Unread || off >= newsMemory || off <= -newsMemory
+	return before.InFlight != now.InFlight || before.Unread != now.Unread || off >= changedMemory || off <= -changedMemory
 }
 
 // say remembers what is told of this instance's own loads.
--- a/edge/news_test.go
+++ b/edge/updates_test.go
@@ -15,7 +15,7 @@
 	"github.com/mastwheel/mastwheel/route"
 )
 
-func TestNewsAreChangesThatSiblingsWouldDecideBy(t *testing.T) {
+func TestLoadsHaveChangedIfSiblingsWouldDecideOtherwise(t *testing.T) {
 	told := []heartbeat.Load{{Server: 1, InFlight: 2, Unread: 500, Memory: 9000}, {Server: 4, InFlight: 1}}
 	with := func(change func(loads []heartbeat.Load)) []heartbeat.Load {
 		loads := append([]heartbeat.Load(nil), told...)
@@ -23,34 +23,34 @@
 		return loads
 	}
 	for _, one := range []struct {
-		name  string
-		loads []heartbeat.Load
-		news  bool
+		name    string
+		loads   []heartbeat.Load
+		updates bool
 	}{
 		{"nothing", told, false},
-		{"a little memory", with(func(l []heartbeat.Load) { l[0].Memory += newsMemory - 1 }), false},
-		{"more memory", with(func(l []heartbeat.Load) { l[0].Memory += newsMemory }), true},
-		{"less memory", with(func(l []heartbeat.Load) { l[0].Memory -= newsMemory }), true},
+		{"a little memory", with(func(l []heartbeat.Load) { l[0].Memory += changedMemory - 1 }), false},
+		{"more memory", with(func(l []heartbeat.Load) { l[0].Memory += changedMemory }), true},
+		{"less memory", with(func(l []heartbeat.Load) { l[0].Memory -= changedMemory }), true},
 		{"a request", with(func(l []heartbeat.Load) { l[1].InFlight++ }), true},
 		{"a prompt that was read", with(func(l []heartbeat.Load) { l[0].Unread = 0 }), true},
 		{"another server", with(func(l []heartbeat.Load) { l[1].Server = 5 }), true},
 		{"a server less", told[:1], true},
 	} {
-		if got := newsIn(told, one.loads); got != one.news {
-			t.Errorf("%s: news %t", one.name, got)
+		if got := loadsChanged(told, one.loads); got != one.updates {
+			t.Errorf("%s: updates %t", one.name, got)
 		}
 	}
 }
 
-func TestNewsAreRarerAmongManySiblings(t *testing.T) {
+func TestHeartbeatsAreRarerAmongManySiblings(t *testing.T) {
 	in := candidate("a", &claims{}, workersOf(1, 1))
-	if got := in.quickBeat(); got != in.config.NewsEvery {
+	if got := in.quickBeat(); got != in.config.QuickBeat {
 		t.Errorf("alone: %v", got)
 	}
 	for _, name := range []string{"b", "c", "d", "e", "f", "g", "h", "i"} {
 		in.members.Heard(member.Info{Name: name, Incarnation: 1, Peer: name}, time.Now())
 	}
-	if got := in.quickBeat(); got != 8*in.config.NewsPerSibling {
+	if got := in.quickBeat(); got != 8*in.config.QuickBeatPerSibling {
 		t.Errorf("eight siblings: %v", got)
 	}
 	for i := range 400 {
@@ -76,7 +76,7 @@
 			From:  member.Info{Name: "b", Incarnation: 1, Peer: "127.0.0.1:1"},
 			Loads: []heartbeat.Load{{Server: route.ServerID(engine), InFlight: 1, Memory: 7000}},
 		})
-		time.Sleep(in.config.NewsEvery)
+		time.Sleep(in.config.QuickBeat)
 		synctest.Wait()
 		if got := in.Fleet.Server(engine).Others().Memory; got != 7000 {
 			t.Errorf("siblings hold %d tokens", got)
--- a/forward/crowd_test.go
+++ b/forward/crowd_test.go
@@ -341,12 +341,12 @@
 			fleet.Server(fmt.Sprintf("p%d", p)).Prefills.Measure(int(readPerMilli*1000), time.Second)
 		}
 		budget := route.NewSharedBudget(0.2, 10*time.Second, 20, time.Now())
-		believed := &beliefs{view: made.Compile()}
+		believed := &testView{view: made.Compile()}
 		believed.servers.Store(servers)
 		random := rand.New(rand.NewPCG(uint64(i), 2))
 		var mu sync.Mutex
 		c.gateways = append(c.gateways, New(Deps{
-			Zone: "z", Beliefs: believed, Fleet: fleet, Backends: crowdBackends{c}, Budget: func(string) *route.SharedBudget { return budget },
+			Zone: "z", View: believed, Fleet: fleet, Backends: crowdBackends{c}, Budget: func(string) *route.SharedBudget { return budget },
 			Metrics: metrics.New(), Random: func() float64 { mu.Lock(); defer mu.Unlock(); return random.Float64() },
 			Poison: poison.New(poison.DefaultConfig(), func() float64 { return 0 }, func() int { return 1 }),
 		}, config))
@@ -462,7 +462,7 @@
 	}
 }
 
-// playCrowd plays the load, with news that are so many beats old.
+// playCrowd plays the load, with updates that are so many beats old.
 func playCrowd(t *testing.T, config Config, beats int, seed uint64) *crowd {
 	t.Helper()
 	var c *crowd
@@ -515,12 +515,12 @@
 }
 
 // Instances choose engines by what all have committed there. What they know of that is
-// as old as the news between them: where each told all others, 295 instances knew of
+// as old as the updates between them: where each told all others, 295 instances knew of
 // most others' requests after 24 beats. Over eight seeds, of 3,691 streams 2,530 are in
-// time with news of that age and 346 are preempted; with news of two beats 3,276 and 101,
+// time with updates of that age and 346 are preempted; with updates of two beats 3,276 and 101,
 // of one beat 3,393 and 61, and with those of half a beat that hubs give 3,530 and 34.
 // Each preemption has a prompt read again, which holds up all streams of its engine.
-func TestNewsOfMemoryMustBeFresh(t *testing.T) {
+func TestLoadsMustBeFresh(t *testing.T) {
 	quiet(t)
 	fresh, stale := crowdOutcome(t, DefaultConfig(), 0), crowdOutcome(t, DefaultConfig(), 24)
 	t.Logf("half a beat old: %+v", fresh)
@@ -529,7 +529,7 @@
 		t.Errorf("%.3f of the streams in time", share)
 	}
 	if fresh.preempted*4 > stale.preempted || fresh.inTime <= stale.inTime || fresh.gaveUp > 0 {
-		t.Error("fresh news are worth little")
+		t.Error("fresh updates are worth little")
 	}
 }
 
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -54,8 +54,8 @@
 // note keeps a decision with the picture of the servers that it was made by.
 func (f *flow) note(made decision) {
 	made.by = f.servers
-	made.age = made.at.Sub(f.Beliefs.Confirmed())
-	made.newest = f.Beliefs.Servers().Position
+	made.age = made.at.Sub(f.View.Confirmed())
+	made.newest = f.View.Servers().Position
 	f.decisions = append(f.decisions, made)
 }
 
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -113,7 +113,7 @@
 
 // chooseBy decides as choose does, for a query that says more.
 func (f *flow) chooseBy(query *route.Query, profile *route.Profile, from pool) *route.Rated {
-	f.servers = f.Beliefs.Servers()
+	f.servers = f.View.Servers()
 	made := profile.Decide(query, f.Fleet, from(f.servers, f.service.Name))
 	outcome := made.Pick
 	if made.Chosen == nil {
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -17,9 +17,9 @@
 	"github.com/mastwheel/mastwheel/table"
 )
 
-// Beliefs is what requests are decided by: immutable values behind atomic
+// View is what requests are decided by: immutable values behind atomic
 // pointers.
-type Beliefs interface {
+type View interface {
 	// Table returns the table in force; nil before there is one.
 	Table() *table.View
 	// Servers returns the registered backend servers with the table rows made
@@ -129,7 +129,7 @@
 // Deps is what a Gateway works with.
 type Deps struct {
 	Zone     string
-	Beliefs  Beliefs
+	View     View
 	Fleet    *route.Fleet
 	Backends Backends
 	// Budget returns the retry budget of a service.
@@ -223,7 +223,7 @@
 // in tokens.
 func (g *Gateway) FreeMemory() int {
 	free := 0
-	for _, pool := range g.Beliefs.Servers().Decode {
+	for _, pool := range g.View.Servers().Decode {
 		for _, backend := range pool {
 			free += g.freeAt(backend)
 		}
@@ -254,8 +254,8 @@
 
 // Serve forwards one request. ctx ends when its caller departs.
 func (g *Gateway) Serve(ctx context.Context, r *Request) *Reply {
-	view := g.Beliefs.Table()
-	f := &flow{Gateway: g, request: r, servers: g.Beliefs.Servers(), entries: make(map[string]*registry.Entry)}
+	view := g.View.Table()
+	f := &flow{Gateway: g, request: r, servers: g.View.Servers(), entries: make(map[string]*registry.Entry)}
 	if view == nil {
 		return f.refuse(reason.StaleTable, "no table is known yet")
 	}
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -120,7 +120,7 @@
 	if g.leaving(g.decode.Name) {
 		return g.handOffElsewhere(&stepError{why: reason.HandoffRefused, detail: "the decode engine is leaving"})
 	}
-	if g.result != "" && g.Beliefs.Servers().Restarted(g.entry(g.prefill)) {
+	if g.result != "" && g.View.Servers().Restarted(g.entry(g.prefill)) {
 		return g.beginWithoutResult()
 	}
 	if err := g.maySend(); err != nil {
--- a/forward/handoff_test.go
+++ b/forward/handoff_test.go
@@ -110,7 +110,7 @@
 func TestAPrefillEngineThatIsGoneMeanwhileStillHasItsResult(t *testing.T) {
 	play(t, func(b *bench) {
 		b.engines.prefill = func(string) error {
-			before := b.Beliefs.Servers()
+			before := b.View.Servers()
 			after := &Servers{ByRun: maps.Clone(before.ByRun), Plain: before.Plain, Decode: before.Decode, Prefill: map[string][]*table.BackendView{}}
 			delete(after.ByRun, "p1")
 			delete(after.ByRun, "p2")
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -135,20 +135,20 @@
 	return &Stream{Status: 200, ReadCloser: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))}, nil
 }
 
-// beliefs are what the test says.
-type beliefs struct {
+// testView is what the test says.
+type testView struct {
 	view    *table.View
 	servers atomic.Pointer[Servers]
 }
 
-func (b *beliefs) Table() *table.View { return b.view }
-func (b *beliefs) Servers() *Servers  { return b.servers.Load() }
+func (b *testView) Table() *table.View { return b.view }
+func (b *testView) Servers() *Servers  { return b.servers.Load() }
 
-// Confirmed implements Beliefs.
-func (b *beliefs) Confirmed() time.Time { return time.Now() }
+// Confirmed implements View.
+func (b *testView) Confirmed() time.Time { return time.Now() }
 
 // believe replaces what is believed of the servers.
-func (b *bench) believe(servers *Servers) { b.Beliefs.(*beliefs).servers.Store(servers) }
+func (b *bench) believe(servers *Servers) { b.View.(*testView).servers.Store(servers) }
 
 // bench is a gateway before engines that the test plays.
 type bench struct {
@@ -209,10 +209,10 @@
 	budget := route.NewSharedBudget(0.2, 10*time.Second, 20, time.Now())
 	random := rand.New(rand.NewPCG(1, 2))
 	b := &bench{engines: &engines{readFor: 50 * time.Millisecond}, t: t}
-	believed := &beliefs{view: made.Compile()}
+	believed := &testView{view: made.Compile()}
 	believed.servers.Store(servers)
 	b.Gateway = New(Deps{
-		Zone: "z", Beliefs: believed, Fleet: fleet, Backends: b.engines, Budget: func(string) *route.SharedBudget { return budget }, Metrics: metrics.New(), Random: random.Float64,
+		Zone: "z", View: believed, Fleet: fleet, Backends: b.engines, Budget: func(string) *route.SharedBudget { return budget }, Metrics: metrics.New(), Random: random.Float64,
 		Poison: poison.New(poison.DefaultConfig(), random.Float64, func() int { return 1 }),
 	}, DefaultConfig())
 	return b
@@ -262,7 +262,7 @@
 // nothingHeld checks that no note of a request is left over.
 func (b *bench) nothingHeld() {
 	b.t.Helper()
-	for id := range b.Beliefs.Servers().ByRun {
+	for id := range b.View.Servers().ByRun {
 		if own := b.Fleet.Server(id).Own(); own != (route.Commitment{}) {
 			b.t.Errorf("left over at %s: %+v", id, own)
 		}
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -13,11 +13,11 @@
 // A request that waits, or is tried again, may last longer than a server that
 // leaves may be used for: whatever is sent next goes by the list as it is then, not
 // as it was when the request came. Found by reading the code for what else
-// decides by old news, after requests had reached servers that had left.
+// decides by old updates, after requests had reached servers that had left.
 
 // leave has a server say that it leaves.
 func (b *bench) leave(id string) {
-	next := *b.Beliefs.Servers()
+	next := *b.View.Servers()
 	entry := *next.ByRun[id]
 	entry.Draining = true
 	next.ByRun = maps.Clone(next.ByRun)
@@ -81,7 +81,7 @@
 // The prefill engine is chosen before memory is reserved, which may take a while.
 func TestAPromptIsReadAtNoEngineThatBeganToLeaveMeanwhile(t *testing.T) {
 	play(t, func(b *bench) {
-		before := b.Beliefs.Servers()
+		before := b.View.Servers()
 		b.engines.reserve = func(string) error {
 			b.leave("p1")
 			return nil
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -163,7 +163,7 @@
 		return nil
 	}
 	entry := g.entry(at)
-	if g.Beliefs.Servers().Restarted(entry) {
+	if g.View.Servers().Restarted(entry) {
 		return nil
 	}
 	return entry
--- a/forward/memory_test.go
+++ b/forward/memory_test.go
@@ -91,7 +91,7 @@
 
 func TestAResultStaysInItsZoneWhereRoomIsEqual(t *testing.T) {
 	play(t, func(b *bench) {
-		servers := b.Beliefs.Servers()
+		servers := b.View.Servers()
 		for _, backend := range []*table.BackendView{servers.Prefill["llm"][0], servers.Prefill["llm"][1], servers.Decode["llm"][0]} {
 			backend.Zone = "far"
 		}
--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -41,7 +41,7 @@
 
 func newMovers(b *bench) *movers {
 	m := &movers{bench: b}
-	view := b.Beliefs.(*beliefs).view
+	view := b.View.(*testView).view
 	view.Services["llm"].Engine.Moves = true
 	b.engines.decode = func(server string, order DecodeOrder) error {
 		m.mu.Lock()
@@ -84,7 +84,7 @@
 		m.mu.Lock()
 		at := m.runs[0].server
 		m.mu.Unlock()
-		before := m.Beliefs.Servers()
+		before := m.View.Servers()
 		next := *before
 		next.ByRun = make(map[string]*registry.Entry)
 		for id, entry := range before.ByRun {
@@ -163,7 +163,7 @@
 func TestEnginesThatDoNotMoveStreamsAreNotAsked(t *testing.T) {
 	play(t, func(b *bench) {
 		m := newMovers(b)
-		b.Beliefs.(*beliefs).view.Services["llm"].Engine.Moves = false
+		b.View.(*testView).view.Services["llm"].Engine.Moves = false
 		m.leaves(300 * time.Millisecond)
 		if _, body, err := b.read(m.long("a")); err != nil || body != wholeMovable() || b.did("copy") != 0 {
 			t.Errorf("%v, %v", err, b.engines.calls)
@@ -284,7 +284,7 @@
 		reply.Stream.Close()
 		b.Wait()
 		b.nothingHeld()
-		for _, backend := range b.Beliefs.Servers().Decode["llm"] {
+		for _, backend := range b.View.Servers().Decode["llm"] {
 			if held := b.Fleet.Server(backend.Name).Own(); held != (route.Commitment{}) {
 				t.Errorf("%s: %+v", backend.Name, held)
 			}
--- a/forward/read.go
+++ b/forward/read.go
@@ -190,7 +190,7 @@
 
 // leaving says whether a server has begun to leave, or is gone.
 func (g *generation) leaving(name string) bool {
-	entry := g.Beliefs.Servers().ByRun[name]
+	entry := g.View.Servers().ByRun[name]
 	return entry == nil || entry.Draining
 }
 
--- a/forward/reading_test.go
+++ b/forward/reading_test.go
@@ -29,7 +29,7 @@
 
 func TestWithoutPrefillEnginesAnyPromptIsRead(t *testing.T) {
 	play(t, func(b *bench) {
-		b.Beliefs.Servers().Prefill["llm"] = nil
+		b.View.Servers().Prefill["llm"] = nil
 		if reply := b.serve(b.generation("long", 9000)); reply.Status != 200 || b.did("decode") != 1 {
 			t.Errorf("status %d after %v", reply.Status, b.engines.calls)
 		}
--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -106,7 +106,7 @@
 	if g.Budget(service).Left(clock.Now()) < rerunRetries {
 		return false
 	}
-	for _, backend := range g.Beliefs.Servers().Decode[service] {
+	for _, backend := range g.View.Servers().Decode[service] {
 		if backend.Name == one || backend.Drain || g.Fleet.Server(backend.Name) == nil {
 			continue
 		}
--- a/forward/rerun_test.go
+++ b/forward/rerun_test.go
@@ -173,7 +173,7 @@
 
 func TestSilenceEndsNoStreamThatHasNoRoomElsewhere(t *testing.T) {
 	for name, busy := range map[string]func(b *bench){
-		"memory": func(b *bench) { b.Beliefs.Servers().Decode["llm"] = b.Beliefs.Servers().Decode["llm"][:1] },
+		"memory": func(b *bench) { b.View.Servers().Decode["llm"] = b.View.Servers().Decode["llm"][:1] },
 		"budget": func(b *bench) {
 			none := route.NewSharedBudget(0, time.Second, 0, time.Now())
 			b.Gateway.Budget = func(string) *route.SharedBudget { return none }
@@ -221,7 +221,7 @@
 
 func TestWithNoRoomElsewhereABrokenStreamEnds(t *testing.T) {
 	play(t, func(b *bench) {
-		b.Beliefs.Servers().Decode["llm"] = b.Beliefs.Servers().Decode["llm"][:1]
+		b.View.Servers().Decode["llm"] = b.View.Servers().Decode["llm"][:1]
 		ran := b.breaksOnce(2, errCrashed)
 		if _, _, err := b.read(b.resumable("a")); err == nil || len(ran()) != 1 {
 			t.Errorf("%v at %v", err, ran())
--- a/forward/restarted_test.go
+++ b/forward/restarted_test.go
@@ -8,7 +8,7 @@
 
 // restart has another run of a server take the place of the one known.
 func (b *bench) restart(id string) {
-	before := b.Beliefs.Servers()
+	before := b.View.Servers()
 	entry := *before.ByRun[id]
 	entry.Born = 1764720000123
 	after := *before
@@ -89,7 +89,7 @@
 // are still of the same run.
 func (b *bench) nothingHeldAtLivingRuns() {
 	b.t.Helper()
-	for run := range b.Beliefs.Servers().ByRun {
+	for run := range b.View.Servers().ByRun {
 		if server := b.Fleet.Server(run); server != nil && server.Own().InFlight != 0 {
 			b.t.Errorf("left over at %s: %+v", run, server.Own())
 		}
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -102,7 +102,7 @@
 		}
 		why := ""
 		switch {
-		case g.Beliefs.Servers().Restarted(entry):
+		case g.View.Servers().Restarted(entry):
 			why = "it has started again"
 		case g.Backends.HasEnded(ctx, entry):
 			why = "its address refuses connections"
--- a/forward/suspect_test.go
+++ b/forward/suspect_test.go
@@ -33,7 +33,7 @@
 func (b *bench) startAgain(born int64) {
 	b.engines.ended = nil
 	b.engines.calls = nil
-	before := b.Beliefs.Servers()
+	before := b.View.Servers()
 	next := &Servers{ByRun: map[string]*registry.Entry{}, ByID: map[string]*registry.Entry{}}
 	backends := make(map[string]*table.BackendView)
 	again := func(pools map[string][]*table.BackendView) map[string][]*table.BackendView {
--- a/forward/team_test.go
+++ b/forward/team_test.go
@@ -12,7 +12,7 @@
 // withTeams gives a bench the teams "a", with a limit, and "b", each with a key of its
 // name, and makes its route "safe" public if wanted.
 func (b *bench) withTeams(limit allotment.Limit, public bool) *allotment.Ledger {
-	view := *b.Beliefs.Table()
+	view := *b.View.Table()
 	view.Keyed = true
 	a := &table.TeamView{Name: "a", Keyed: true, Allotment: table.Allotment{
 		Unit: table.UnitTokens, Rate: limit.Rate, Burst: limit.Burst, PlainTokens: 100,
@@ -23,7 +23,7 @@
 	if public {
 		view.Route("h", "/safe/").Public = true
 	}
-	b.Beliefs.(*beliefs).view = &view
+	b.View.(*testView).view = &view
 	ledger := allotment.New(allotment.DefaultConfig(), func() float64 { return 0 })
 	ledger.SetLimits(map[string]allotment.Limit{"other": limit}, time.Now())
 	ledger.SetLimits(map[string]allotment.Limit{"a": limit}, time.Now())
@@ -72,7 +72,7 @@
 // Before there is a table nobody can say that a key is unknown.
 func TestWithoutATableNoKeyIsRefused(t *testing.T) {
 	b := newBench(t)
-	b.Beliefs.(*beliefs).view = nil
+	b.View.(*testView).view = nil
 	if reply := b.show(b.plain("1"), "key-a"); reply.Status != 503 || reply.Reason != reason.StaleTable {
 		t.Errorf("%d %s", reply.Status, reply.Reason)
 	}
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -58,7 +58,7 @@
 	Seen    uint64                `cbor:"10,keyasint,omitempty"`
 	SeenRun operation.Incarnation `cbor:"11,keyasint,omitempty"`
 	Digest  *Digest               `cbor:"12,keyasint,omitempty"`
-	News    *News                 `cbor:"13,keyasint,omitempty"`
+	Updates *Updates              `cbor:"13,keyasint,omitempty"`
 	// Poison is what the sender has seen of servers that ended under requests.
 	Poison *poison.Update `cbor:"14,keyasint,omitempty"`
 	// Spent is what the sender has admitted of late for teams that are limited.
@@ -114,9 +114,9 @@
 	Age time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
-// News are changes of the list of backend servers that lead from one position of the
+// Updates are changes of the list of backend servers that lead from one position of the
 // platform's log to another.
-type News struct {
+type Updates struct {
 	From    oplog.Position    `cbor:"1,keyasint"`
 	To      oplog.Position    `cbor:"2,keyasint"`
 	Changes []registry.Change `cbor:"3,keyasint"`
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -182,7 +182,7 @@
 	}
 }
 
-func TestAnAnswerWithoutNewsChangesNothing(t *testing.T) {
+func TestAnAnswerWithoutUpdatesChangesNothing(t *testing.T) {
 	r := filled(10)
 	before := r.View()
 	r.Apply(nil, before.Position, start.Add(time.Second))
--- a/sibling/sibling.go
+++ b/sibling/sibling.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// path asks for beliefs; the arguments say what the asker has.
-	path             = "/beliefs"
+	// path asks for a snapshot; the arguments say what the asker has.
+	path             = "/snapshot"
 	argumentRevision = "revision"
 	argumentPosition = "position"
 	// askTimeout bounds one question; a table with hundreds of routes has some
@@ -33,12 +33,12 @@
 
 // Server answers siblings.
 type Server struct {
-	tell func(edge.Have) edge.Beliefs
+	tell func(edge.Have) edge.Snapshot
 	http *fasthttp.Server
 }
 
 // NewServer returns a server that answers with tell.
-func NewServer(tell func(edge.Have) edge.Beliefs) *Server {
+func NewServer(tell func(edge.Have) edge.Snapshot) *Server {
 	s := &Server{tell: tell}
 	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: logging.Silent{}}
 	return s
@@ -80,8 +80,8 @@
 	}}
 }
 
-// Beliefs implements edge.Siblings.
-func (c *Client) Beliefs(_ context.Context, address string, have edge.Have) (edge.Beliefs, error) {
+// Snapshot implements edge.Siblings.
+func (c *Client) Snapshot(_ context.Context, address string, have edge.Have) (edge.Snapshot, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -90,11 +90,11 @@
 	arguments.Set(argumentRevision, strconv.FormatUint(have.Revision, 10))
 	arguments.Set(argumentPosition, strconv.FormatUint(uint64(have.Position), 10))
 	if err := c.http.DoTimeout(request, response, askTimeout); err != nil {
-		return edge.Beliefs{}, errors.Wrap(err, "ask a sibling")
+		return edge.Snapshot{}, errors.Wrap(err, "ask a sibling")
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
-		return edge.Beliefs{}, errors.Errorf("sibling answered with status %d", response.StatusCode())
+		return edge.Snapshot{}, errors.Errorf("sibling answered with status %d", response.StatusCode())
 	}
-	var beliefs edge.Beliefs
-	return beliefs, errors.Wrap(cbor.Unmarshal(response.Body(), &beliefs), "decode a sibling's beliefs")
+	var snapshot edge.Snapshot
+	return snapshot, errors.Wrap(cbor.Unmarshal(response.Body(), &snapshot), "decode a sibling's snapshot")
 }
