--- a/forward/move.go
+++ b/forward/move.go
@@ -84,7 +84,7 @@
 	if to == nil {
 		return
 	}
-	r.begunMove(&move{from: r.decode, to: to, why: why, began: now, need: need, done: make(chan struct{})})
+	r.beginMove(&move{from: r.decode, to: to, why: why, began: now, need: need, done: make(chan struct{})})
 }
 
 // reasonToMove says why the stream should leave its engine; none if it may stay.
@@ -146,7 +146,7 @@
 	return r.chooseBy(query, r.Gateway.decode, decodePool)
 }
 
-func (r *relay) begunMove(m *move) {
+func (r *relay) beginMove(m *move) {
 	r.move = m
 	r.moves++
 	m.to.Server.Hold(m.need)
--- a/table/view.go
+++ b/table/view.go
@@ -71,10 +71,8 @@
 	Priority int
 	// InFlight is a cap; 0 means none.
 	InFlight int
-	// Keyed is set for teams whose callers show a key, and HasPriority for those whose
-	// priority goes before that of the route.
-	Keyed       bool
-	HasPriority bool
+	// Keyed is set for teams whose callers show a key.
+	Keyed bool
 	// Digests are those of the team's keys.
 	Digests   []KeyDigest
 	Allotment Allotment
@@ -205,9 +203,8 @@
 		Priority: number(cells[ColPriority], 0),
 		InFlight: number(cells[ColInFlight], 0),
 
-		Keyed:       cells[ColKeys] != "",
-		HasPriority: cells[ColPriority] != "",
-		Digests:     digestsOf(cells[ColKeys]),
+		Keyed:   cells[ColKeys] != "",
+		Digests: digestsOf(cells[ColKeys]),
 		Allotment: Allotment{
 			Unit:        cells[ColUnit],
 			Rate:        decimal(cells[ColRate]),
