--- a/edge/edge.go
+++ b/edge/edge.go
@@ -158,7 +158,7 @@
 	// Allotments is what teams may still use.
 	Allotments *allotment.Ledger
 	// adopted is when this instance took the word of its hub on that last; nil before.
-	adopted atomic.Pointer[time.Time]
+	adopted atomic.Pointer[adoption]
 	// Poison remembers which requests ran at servers when these ended.
 	Poison *poison.Tracker
 }
--- a/edge/teams.go
+++ b/edge/teams.go
@@ -51,10 +51,43 @@
 		in.Allotments.HeardZone(from.Name, uint64(from.Incarnation), digest.Teams, now)
 	default:
 		in.Allotments.Adopt(digest.Teams, in.started.Add(digest.Echo), now)
-		in.adopted.Store(&now)
+		next := in.adopted.Load().next(now)
+		in.adopted.Store(&next)
 	}
 }
 
+// adoption is when an instance took the word of its hub last, and how long apart it did so
+// in the mean. A hub of many members and servers sends digests less often: with 100 members
+// and 3,000 servers each 0.4 s, and a member that took that for silence would go back and
+// forth between the whole rate and its own part.
+type adoption struct {
+	at    time.Time
+	every time.Duration
+}
+
+const (
+	// adoptionMemory is over how many digests the mean is taken, and missedDigests how many
+	// of them may be missing: datagrams are lost now and then.
+	adoptionMemory = 4
+	missedDigests  = 2
+	// longestAdoption bounds the mean: after an outage it says nothing of the pauses.
+	longestAdoption = 400 * time.Millisecond
+)
+
+// next is the adoption after one at a moment.
+func (a *adoption) next(now time.Time) adoption {
+	if a == nil {
+		return adoption{at: now}
+	}
+	gap := min(now.Sub(a.at), longestAdoption)
+	return adoption{at: now, every: a.every + (gap-a.every)/adoptionMemory}
+}
+
+// fresh says whether the hub's word still counts.
+func (a *adoption) fresh(now time.Time, least time.Duration) bool {
+	return a != nil && now.Sub(a.at) <= max(least, missedDigests*a.every)
+}
+
 // shareAllotments sets how much of what teams may use this instance hands out by what it
 // hears. Those that it does not hear, and that live as far as it knows, may hand out
 // their own part meanwhile.
@@ -65,7 +98,7 @@
 func (in *Instance) allotmentShare(now time.Time) float64 {
 	instances := in.sharing(now)
 	if in.usesHubs() && !in.hubs.isHub() {
-		if adopted := in.adopted.Load(); adopted != nil && now.Sub(*adopted) <= in.config.AllotmentFresh {
+		if in.adopted.Load().fresh(now, in.config.AllotmentFresh) {
 			return 1
 		}
 		return 1 / float64(instances)
--- a/edge/teams_test.go
+++ b/edge/teams_test.go
@@ -155,3 +155,36 @@
 		l.check(t)
 	})
 }
+
+// Digests that come less often, since there are many members and servers, are no silence;
+// a hub that is silent is one soon, and again after it was back.
+func TestAHubsWordCountsForAsLongAsItsDigestsTake(t *testing.T) {
+	least := DefaultConfig().AllotmentFresh
+	for _, every := range []time.Duration{75 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond} {
+		var a *adoption
+		now := time.Unix(1000, 0)
+		play := func(digests int) {
+			for range digests {
+				next := a.next(now)
+				a = &next
+				now = now.Add(every)
+			}
+		}
+		play(12)
+		for i := range 20 {
+			if !a.fresh(now, least) {
+				t.Fatalf("each %v: not fresh before digest %d", every, i)
+			}
+			play(1)
+		}
+		last := a.at
+		if a.fresh(last.Add(max(least, 2*every)+time.Millisecond), least) {
+			t.Errorf("each %v: a silent hub's word counts", every)
+		}
+		now = last.Add(time.Minute)
+		play(1)
+		if a.fresh(a.at.Add(2*longestAdoption+time.Millisecond), least) {
+			t.Errorf("each %v: after an outage the hub's word counts for too long", every)
+		}
+	}
+}
