--- a/edge/config.go
+++ b/edge/config.go
@@ -155,8 +155,9 @@
 	// users hold it against the system.
 	AllotmentSlack float64
 	// AllotmentFresh is how old a hub's word on what teams may use can be for an
-	// instance to go by it: four digests, or two where they come less often. Longer, and a hub that is gone has all members
-	// hand out the same; shorter, and each lost datagram has one refuse what it need not.
+	// instance to go by it: four digests, or two where they come less often. Longer, and
+	// the members of a hub that is gone all hand out the same; shorter, and each lost
+	// datagram has one refuse what it need not.
 	AllotmentFresh time.Duration
 	// TeamsAtOnce bounds the teams in one digest, some 17 bytes each.
 	TeamsAtOnce int
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -182,18 +182,18 @@
 // at any other: the errors of guesses at all streams of a service add up as a root, so the
 // more engines there are, the less of them each has to keep.
 func (f *flow) margin() float64 {
-	if !f.service.Engine.Moves {
-		return f.config.HintMargin
-	}
 	return f.config.HintMargin * math.Sqrt(f.pooled())
 }
 
 // pooled is the part of an engine's own share in what errors of guesses take that is left
-// where others help out: 1 with few engines. A stream that moves since its engine has no
+// where others help out: 1 with few engines, or where streams do not move. A stream that moves since its engine has no
 // memory leaves this part of what newcomers leave free. With all of it 21 to 63 streams of
 // a day were preempted before 30 engines, with 0.3 5 to 42, with none 34 to 66 (two days of
 // two seeds each of the users' sheet with long answers).
 func (f *flow) pooled() float64 {
+	if !f.service.Engine.Moves {
+		return 1
+	}
 	return min(marginEngines/float64(max(len(f.servers.Decode[f.service.Name]), 1)), 1)
 }
 
--- a/forward/move.go
+++ b/forward/move.go
@@ -207,9 +207,14 @@
 		return
 	}
 	m.to.Server.Hold(-m.need)
+	from := r.entry(m.from)
+	r.cleanup(func(ctx context.Context) { r.freeMoved(ctx, from, m) })
+}
+
+// freeMoved gives up the memory of a move that came to nothing.
+func (r *relay) freeMoved(ctx context.Context, from *registry.Entry, m *move) {
 	if m.result != "" {
-		from, result := r.entry(m.from), m.result
-		r.cleanup(func(ctx context.Context) { r.report("moved memory", from, r.Backends.Free(ctx, from, result)) })
+		r.report("moved memory", from, r.Backends.Free(ctx, from, m.result))
 	}
 }
 
@@ -274,8 +279,6 @@
 	r.cleanup(func(ctx context.Context) {
 		<-m.done
 		m.to.Server.Hold(-m.need)
-		if m.result != "" {
-			r.report("moved memory", from, r.Backends.Free(ctx, from, m.result))
-		}
+		r.freeMoved(ctx, from, m)
 	})
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -133,8 +133,7 @@
 	next := *r.request
 	next.LastEvent = r.lastID
 	r.request = &next
-	generated := r.events * r.service.Engine.EventTokens
-	r.need = max(r.need, r.request.Generation.PromptTokens+generated+int(float64(r.expected-generated)*r.margin()))
+	r.need = max(r.need, r.request.Generation.PromptTokens+r.generated()+int(float64(r.expected-r.generated())*r.margin()))
 }
 
 // idField begins the line of an event that holds its id (WHATWG, server-sent
@@ -166,7 +165,7 @@
 	r.last = now
 	r.events += events
 	r.alive(r.events)
-	r.grow(r.request.Generation.PromptTokens + r.events*r.service.Engine.EventTokens)
+	r.grow(r.request.Generation.PromptTokens + r.generated())
 }
 
 // paused notes a pause between two events.
@@ -198,7 +197,7 @@
 		r.completed()
 	}
 	if r.ended == io.EOF && r.events > 0 && !r.partial {
-		r.sizesOf(r.service.Name).Ended(r.expected, r.events*r.service.Engine.EventTokens)
+		r.sizesOf(r.service.Name).Ended(r.expected, r.generated())
 	}
 	why, detail := r.reason(departed)
 	r.decide(stepStream, resultOf(r.ended), "events", r.events, "firstMillis", r.first.Milliseconds(), "longestGapMillis", r.gap.Milliseconds())
