--- a/edge/hubs.go
+++ b/edge/hubs.go
@@ -220,7 +220,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	digest := message.Digest
-	if message.From.Zone == zone && digest.Instances > 0 {
+	// The own zone's word goes first. Without one any zone's counts: an instance that
+	// only other zones answered took itself for one of few for up to 30 s, kept from its
+	// hubs, and 18 of 59 instances were all it knew (TestANewcomerThatOnlyOtherZonesAnswerIsKnownToAll).
+	if digest.Instances > 0 && (message.From.Zone == zone || now.Sub(h.instancesAt) > h.config.CountHoldsFor) {
 		h.instances, h.instancesAt = digest.Instances, now
 	}
 	if digest.Summed {
