--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -71,7 +71,6 @@
 	config.CallerAddress, config.SiblingAddress, config.Seeds = settings.Callers, advertised, settings.Seeds
 	config.RetryRatio, config.RetrySlack = settings.Bounds.RetryRatio, settings.Bounds.RetrySlack
 	config.RetryWindow = settings.Bounds.RetryWindow
-	config.FirstStart = settings.FirstStart
 	config.AllotmentSlack = settings.Bounds.AllotmentSlack
 	config.Lease = edge.LeaseConfig(settings.Bounds.Lease)
 	p.edge = edge.New(config, edge.Deps{
--- a/edge/config.go
+++ b/edge/config.go
@@ -17,8 +17,6 @@
 	SiblingAddress string
 	// Seeds are addresses of siblings that may be out of date.
 	Seeds []string
-	// FirstStart is set if the system has never run before.
-	FirstStart bool
 	// Capacity is the processor time that this instance may use, in thousandths of
 	// a core; the strongest become hubs.
 	Capacity int
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -221,9 +221,7 @@
 		return nil, err
 	}
 	candidate.Observe(state, clock.Now())
-	// Where the store may have lost a claim, that there is none says nothing, unless
-	// nobody has run before.
-	claim, due := candidate.Next(clock.Now(), o.config.FirstStart || state.Era == 0)
+	claim, due := candidate.Next(clock.Now(), true)
 	if !due {
 		return nil, errors.New("another instance may still hold the lease: " + state.Holder)
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -29,9 +29,6 @@
 	// A store that has come back from an older copy may have lost the claim that counts:
 	// its holder still goes by it for a while.
 	Era uint64 `json:"era,omitempty"`
-	// MayBeLost is set if claims may have been lost that way while the lease was
-	// followed.
-	MayBeLost bool `json:"-"`
 }
 
 // Follow returns the state after a claim at a log offset, and whether the
@@ -81,10 +78,7 @@
 	serial uint64
 	// until is when this instance, as the holder, must have stopped.
 	until time.Time
-	// observed is set once a state was seen, and lost once the store's era has changed
-	// since: that there is no claim then does not mean that there was none.
-	observed, lost bool
-	// renewed is when the claim that made it holder was sent.
+	// renewed is when the claim that made it holder was sent; zero if it is none.
 	renewed time.Time
 }
 
@@ -107,10 +101,8 @@
 	if state == c.state {
 		return
 	}
-	c.lost = c.lost || state.MayBeLost || (c.observed && state.Era != c.state.Era)
-	c.observed = true
 	c.state, c.seen = state, now
-	c.until = time.Time{}
+	c.until, c.renewed = time.Time{}, time.Time{}
 	if sent, mine := c.sent[state.Serial]; mine && state.Holder == c.self && sent.era == state.Era {
 		c.renewed = sent.at
 		c.until = sent.at.Add(c.config.TTL - c.config.Margin)
@@ -145,10 +137,15 @@
 }
 
 func (c *Candidate) due(now time.Time, first bool) bool {
-	if c.state.Holder == c.self {
+	// A holder renews at once. One that finds a claim of its own again in a later era does
+	// not: another's that came after it may be lost, and its holder goes by it.
+	if c.state.Holder == c.self && !c.renewed.IsZero() {
 		return now.Sub(c.renewed) >= c.config.RenewEvery
 	}
-	if c.state.Token == 0 && first && !c.lost {
+	// Where the store has eras it may have lost a claim, also before this instance
+	// started: that there is none says nothing then, and it is waited out as one that
+	// was just made. That costs TTL and Margin once, before the first claim of all.
+	if c.state.Token == 0 && c.state.Era == 0 && first {
 		return true
 	}
 	patience := c.config.TTL + c.config.Margin
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -140,6 +140,10 @@
 			none := State{Era: 1}
 			holder.Observe(none, now)
 			other.Observe(none, now)
+			if _, due := holder.Next(now, true); due {
+				t.Fatal("claimed at once, where a claim may have been lost before")
+			}
+			now = now.Add(config.TTL + config.Margin)
 			claim, due := holder.Next(now, true)
 			under, _ := other.Next(now, true)
 			if !due {
@@ -173,6 +177,7 @@
 	now := time.Unix(1000, 0)
 	c := NewCandidate(config, "k", "b", now)
 	c.Observe(State{Era: 1}, now)
+	now = now.Add(config.TTL + config.Margin)
 	claim, due := c.Next(now, true)
 	if !due {
 		t.Fatal("the first claim is not due")
@@ -183,3 +188,31 @@
 		t.Error("it gives orders beside a holder whose claim is lost")
 	}
 }
+
+// The store comes back from a copy in which an earlier holder's claim is the last: the
+// later one that is lost still holds, so the earlier holder waits as any other does.
+func TestAClaimOfItsOwnThatIsFoundAgainIsNoLease(t *testing.T) {
+	config := Config{TTL: 3 * time.Second, RenewEvery: time.Second, Margin: time.Second}
+	now := time.Unix(1000, 0)
+	earlier := NewCandidate(config, "k", "a", now)
+	earlier.Observe(State{Era: 1}, now)
+	now = now.Add(config.TTL + config.Margin)
+	claim, due := earlier.Next(now, true)
+	if !due {
+		t.Fatal("the first claim is not due")
+	}
+	mine := State{Holder: "a", Token: 1<<40 + 4, Serial: claim.Serial, Era: 1}
+	earlier.Observe(mine, now)
+	now = now.Add(2 * config.TTL)
+	earlier.Observe(State{Holder: "b", Token: 1<<40 + 5, Serial: 1, Era: 1}, now)
+	mine.Token, mine.Era = 2<<40+4, 2
+	earlier.Observe(mine, now)
+	for wait := time.Duration(0); wait < config.TTL+config.Margin; wait += 10 * time.Millisecond {
+		if _, due := earlier.Next(now.Add(wait), true); due {
+			t.Fatalf("claimed %v after the later holder was seen", wait)
+		}
+	}
+	if _, due := earlier.Next(now.Add(config.TTL+config.Margin), true); !due {
+		t.Error("never claimed again")
+	}
+}
