--- a/allotment/gossip.go
+++ b/allotment/gossip.go
@@ -95,20 +95,43 @@
 	}
 }
 
-// Adopt takes the levels of the hub that this instance follows in place of its own. The
-// hub knew what this instance had spent by the moment known.
-func (l *Ledger) Adopt(levels []Level, known, now time.Time) {
+// Word is what the hub that an instance follows says of teams.
+type Word struct {
+	Levels []Level
+	// Known is the moment up to which the hub knew what this instance had spent.
+	Known time.Time
+	// Due is when the next word is; zero for an instance that hears others itself.
+	Due time.Time
+}
+
+// Adopt takes the word of the hub that this instance follows in place of its own account.
+func (l *Ledger) Adopt(word Word, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard = now
-	for _, told := range levels {
+	l.due = word.Due
+	for _, told := range word.Levels {
 		for _, a := range l.byID[told.Team] {
-			a.level = float64(told.Left) - (a.own - a.ownAt(known))
+			a.level = float64(told.Left) - (a.own - a.ownAt(word.Known))
 			a.at, a.moved, a.ahead = now, now, false
 		}
 	}
 }
 
+// DropWord ends what a hub's word said of the time after it: this instance hears others
+// itself by now.
+func (l *Ledger) DropWord(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.due.IsZero() {
+		return
+	}
+	for _, a := range l.teams {
+		l.settle(a, now)
+	}
+	l.due = time.Time{}
+}
+
 // follow returns the source of a sibling's run.
 func (l *Ledger) follow(name sourceName, incarnation uint64) *source {
 	from := l.source[name]
--- a/allotment/ledger.go
+++ b/allotment/ledger.go
@@ -77,6 +77,8 @@
 
 	mu    sync.Mutex
 	share float64
+	// due is when the next word of a hub is; zero for an instance that follows none.
+	due time.Time
 	// heard is when others have told last.
 	heard  time.Time
 	teams  map[string]*account
@@ -154,7 +156,7 @@
 			a.ahead = true
 		}
 	}
-	l.share = share
+	l.share, l.due = share, time.Time{}
 }
 
 // Admit decides on a request of a team, and counts it if it is admitted. A team that is
@@ -201,13 +203,31 @@
 
 // settle adds to an account what has come since it was looked at last.
 func (l *Ledger) settle(a *account, now time.Time) {
-	if passed := now.Sub(a.at); passed > 0 {
+	if now.After(a.at) {
 		most := max(l.capacity(a.limit)*l.share, a.level)
-		a.level = min(a.level+a.limit.Rate*l.share*passed.Seconds(), most)
+		a.level = min(a.level+a.limit.Rate*l.refilled(a.at, now).Seconds(), most)
 		a.at = now
 	}
 }
 
+// refilled is for how long the whole rate would have to flow for what comes to an account
+// between two moments; less than nothing if more is taken from it.
+func (l *Ledger) refilled(from, to time.Time) time.Duration {
+	passed := to.Sub(from)
+	overdue := time.Duration(0)
+	if !l.due.IsZero() {
+		overdue = min(max(to.Sub(l.due), 0), passed)
+	}
+	return time.Duration(float64(passed-overdue)*l.share - float64(overdue)*unheard)
+}
+
+// unheard is what others are taken to spend of a team, as a multiple of its rate, while
+// the next word of the hub is overdue. All members have the same word: where it left a hot
+// team a little, each of 119 handed that out once its hubs had fallen silent, in all 1.10
+// of what is tolerated (TestATeamIsKeptToItsRateWithoutHubs); a team that has asked for
+// less than its rate has enough left to be served meanwhile.
+const unheard = 4.0
+
 // account is what one instance knows of one team.
 type account struct {
 	team  string
--- a/allotment/play_test.go
+++ b/allotment/play_test.go
@@ -326,8 +326,34 @@
 	heard := now.Add(10 * time.Millisecond)
 	l.Admit(playedTeam, 30, now.Add(20*time.Millisecond))
 	now = now.Add(50 * time.Millisecond)
-	l.Adopt([]Level{{Team: IDOf(playedTeam), Left: 40}}, heard, now)
+	l.Adopt(Word{Levels: []Level{{Team: IDOf(playedTeam), Left: 40}}, Known: heard, Due: now.Add(time.Minute)}, now)
 	if d := l.Admit(playedTeam, 1, now); !d.Admitted || d.Left != 10 {
 		t.Fatalf("%+v", d)
 	}
 }
+
+// A member whose hub's next word is late hands out nothing of a team that had little left:
+// all members go by the same word. A team that had much left is served meanwhile.
+func TestAMemberWaitsForALateWord(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := New(DefaultConfig(), func() float64 { return 0 })
+	l.SetLimits(map[string]Limit{playedTeam: {Rate: 1000, Burst: 5000}, "b": {Rate: 1000, Burst: 5000}}, now)
+	word := Word{Known: now, Due: now.Add(100 * time.Millisecond), Levels: []Level{
+		{Team: IDOf(playedTeam), Left: 100}, {Team: IDOf("b"), Left: 4000},
+	}}
+	l.Adopt(word, now)
+	if d := l.Admit(playedTeam, 0, now.Add(100*time.Millisecond)); d.Left != 200 {
+		t.Fatalf("until it is due: %+v", d)
+	}
+	now = now.Add(200 * time.Millisecond)
+	if d := l.Admit(playedTeam, 50, now); d.Admitted {
+		t.Fatalf("little was left: %+v", d)
+	}
+	if d := l.Admit("b", 50, now); !d.Admitted || d.Left != 4100-unheard*100 {
+		t.Fatalf("much was left: %+v", d)
+	}
+	l.DropWord(now)
+	if d := l.Admit("b", 0, now.Add(100*time.Millisecond)); d.Left != 4100-unheard*100-50+100 {
+		t.Fatalf("once it hears others itself: %+v", d)
+	}
+}
--- a/edge/teams.go
+++ b/edge/teams.go
@@ -50,9 +50,13 @@
 	case digest.Zone:
 		in.Allotments.HeardZone(from.Name, uint64(from.Incarnation), digest.Teams, now)
 	default:
-		in.Allotments.Adopt(digest.Teams, in.started.Add(digest.Echo), now)
 		next := in.adopted.Load().next(now)
 		in.adopted.Store(&next)
+		word := allotment.Word{Levels: digest.Teams, Known: in.started.Add(digest.Echo)}
+		if in.followsHub() {
+			word.Due = now.Add(next.pause(in.config.HubBeatEvery))
+		}
+		in.Allotments.Adopt(word, now)
 	}
 }
 
@@ -83,6 +87,15 @@
 	return adoption{at: now, every: a.every + (gap-a.every)/adoptionMemory}
 }
 
+// lateDigest is how much later than in the mean the next digest may come.
+const lateDigest = 1.5
+
+// pause is until when the next digest should have come. Its least is that of hubs with
+// little to tell.
+func (a *adoption) pause(least time.Duration) time.Duration {
+	return time.Duration(lateDigest * float64(max(least, a.every)))
+}
+
 // fresh says whether the hub's word still counts.
 func (a *adoption) fresh(now time.Time, least time.Duration) bool {
 	return a != nil && now.Sub(a.at) <= max(least, missedDigests*a.every)
@@ -92,12 +105,18 @@
 // hears. Those that it does not hear, and that live as far as it knows, may hand out
 // their own part meanwhile.
 func (in *Instance) shareAllotments(now time.Time) {
+	if !in.followsHub() {
+		in.Allotments.DropWord(now)
+	}
 	in.Allotments.SetShare(in.allotmentShare(now), now)
 }
 
+// followsHub says whether a hub tells this instance what all teams have left.
+func (in *Instance) followsHub() bool { return in.usesHubs() && !in.hubs.isHub() }
+
 func (in *Instance) allotmentShare(now time.Time) float64 {
 	instances := in.sharing(now)
-	if in.usesHubs() && !in.hubs.isHub() {
+	if in.followsHub() {
 		if in.adopted.Load().fresh(now, in.config.AllotmentFresh) {
 			return 1
 		}
