--- a/forward/flow.go
+++ b/forward/flow.go
@@ -217,6 +217,9 @@
 	outcome := f.outcome(why)
 	f.discharge(outcome)
 	f.Metrics.Ended(service, outcome, why)
+	if f.team != nil {
+		f.Metrics.TeamEnded(f.team.Name, outcome, why)
+	}
 	f.Metrics.Took(service, clock.Since(f.request.Arrived))
 	f.log(service, outcome, status, why, detail)
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -15,6 +15,7 @@
 	labelOutcome = "outcome"
 	labelReason  = "reason"
 	labelCall    = "call"
+	labelTeam    = "team"
 )
 
 // Set is the metrics of one instance, on a registry of its own so that
@@ -22,6 +23,7 @@
 type Set struct {
 	Registry *prometheus.Registry
 	requests *prometheus.CounterVec
+	teams    *teamCounters
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	dropped  *prometheus.CounterVec
@@ -56,6 +58,7 @@
 	s := &Set{
 		Registry: prometheus.NewRegistry(),
 		requests: counters("requests_total", "Requests that ended, by outcome.", labelService, labelOutcome),
+		teams:    newTeamCounters(),
 		refusals: counters("refusals_total", "Requests that ended other than done, by reason.", labelReason),
 		retries:  counters("retries_total", "Attempts that were followed by another, by reason.", labelReason),
 		ends:     counters("server_ends_total", "Backend servers that were found to have ended with requests of this instance running, by service.", labelService),
@@ -78,7 +81,7 @@
 		CancelTries: counter("cancel_tries_total", "Cancel orders sent."),
 		Orphans:     counter("orphans_cancelled_total", "Streams of dead homes that were cancelled."),
 	}
-	s.Registry.MustRegister(s.requests, s.refusals, s.retries, s.dropped, s.kept, s.stored, s.ends, s.withheld, s.took, s.FirstToken, s.BetweenTokens,
+	s.Registry.MustRegister(s.requests, s.teams.requests, s.teams.refusals, s.refusals, s.retries, s.dropped, s.kept, s.stored, s.ends, s.withheld, s.took, s.FirstToken, s.BetweenTokens,
 		s.CancelsPending, s.CancelTries, s.Orphans)
 	for _, info := range reason.All {
 		s.refusals.WithLabelValues(string(info.Reason))
