--- a/allotment/ledger.go
+++ b/allotment/ledger.go
@@ -62,6 +62,8 @@
 	Team string
 	Cost float64
 	Left float64
+	// Used is the part that is used up of what the team may use at once, from 0 to 1.
+	Used float64
 	// Share is the part of the team's rate that the instance decided by; Known how long
 	// before the decision others had told it last, 0 if nobody has.
 	Share float64
@@ -176,6 +178,9 @@
 		a.ahead = false
 	}
 	decision := Decision{Admitted: a.level > 0, Team: team, Cost: cost, Left: a.level, Share: l.share}
+	if most := l.capacity(a.limit) * l.share; most > 0 {
+		decision.Used = min(max(1-a.level/most, 0), 1)
+	}
 	if !l.heard.IsZero() {
 		decision.Known = now.Sub(l.heard)
 	}
--- a/forward/crowd_test.go
+++ b/forward/crowd_test.go
@@ -233,6 +233,9 @@
 	gateways []*Gateway
 	noted    struct{ preempted, inTime, late, gaveUp, refused, asked tally }
 	seed     uint64
+	load     crowdLoad
+	// quiet is what becomes of the requests of the team that is not hot.
+	quiet struct{ asked, inTime tally }
 }
 
 // crowdBackends is the engines as an instance calls them.
@@ -409,6 +412,10 @@
 	hint := max(int(float64(events*eventTokens)*math.Exp(0.5*random.NormFloat64())), 1)
 	began := time.Now()
 	c.noted.asked.Add(prompt)
+	isQuiet := c.load.hot > 0 && random.Float64() > c.load.hot
+	if isQuiet {
+		c.quiet.asked.Add(prompt)
+	}
 	for try := range 2 {
 		gateway := c.gateways[random.IntN(len(c.gateways))]
 		now := time.Now()
@@ -416,10 +423,13 @@
 			ID: fmt.Sprint(id, ".", try), Method: "POST", Target: fmt.Sprint(events), Path: "/stream/x", Host: "h", Arrived: now, Deadline: began.Add(14 * time.Second),
 			Generation: &Generation{Model: "m", PromptTokens: prompt, MaxTokens: 170 * eventTokens, LengthHint: hint},
 		}
+		c.sign(r, isQuiet)
 		ctx, leave := context.WithCancel(context.Background())
 		reply := gateway.Serve(ctx, r)
 		if reply.Stream != nil {
-			c.read(reply, began, leave)
+			if c.read(reply, began, leave) && isQuiet {
+				c.quiet.inTime.Add(prompt)
+			}
 			leave()
 			return
 		}
@@ -432,8 +442,8 @@
 	c.noted.refused.Add(prompt)
 }
 
-// read reads a stream as a caller does.
-func (c *crowd) read(reply *Reply, began time.Time, leave context.CancelFunc) {
+// read reads a stream as a caller does, and says whether it was in time.
+func (c *crowd) read(reply *Reply, began time.Time, leave context.CancelFunc) bool {
 	defer reply.Stream.Close()
 	buffer := make([]byte, 256)
 	last, first, longest := time.Now(), time.Duration(0), time.Duration(0)
@@ -455,28 +465,42 @@
 			c.noted.gaveUp.Add(1)
 		case first <= 900*time.Millisecond && longest <= 300*time.Millisecond:
 			c.noted.inTime.Add(1)
+			return true
 		default:
 			c.noted.late.Add(1)
 		}
-		return
+		return false
 	}
 }
 
-// playCrowd plays the load, with updates that are so many beats old.
-func playCrowd(t *testing.T, config Config, beats int, seed uint64) *crowd {
+// crowdLoad is how many requests a second arrive outside of bursts, and how many beats old
+// updates are.
+type crowdLoad struct {
+	rate  float64
+	beats int
+	// hot is the part of the requests that a hot team sends; without teams it is 0.
+	hot float64
+}
+
+// playCrowd plays a load.
+func playCrowd(t *testing.T, config Config, load crowdLoad, seed uint64) *crowd {
 	t.Helper()
 	var c *crowd
 	synctest.Test(t, func(t *testing.T) {
 		time.Sleep(sinceVirtualStart)
 		c = newCrowd(t, config, seed)
+		c.load = load
+		if load.hot > 0 {
+			c.haveTeams()
+		}
 		ctx, stop := context.WithCancel(context.Background())
 		var running, telling sync.WaitGroup
-		telling.Go(func() { c.tell(ctx, beats) })
+		telling.Go(func() { c.tell(ctx, load.beats) })
 		began := time.Now()
 		arrivals := rand.New(rand.NewPCG(seed, math.MaxUint64))
 		for i := 0; time.Since(began) < crowdLasts; i++ {
 			running.Go(func() { c.request(i) })
-			gap := arrivals.ExpFloat64() / (crowdRate * crowdBurst(time.Since(began)))
+			gap := arrivals.ExpFloat64() / (load.rate * crowdBurst(time.Since(began)))
 			time.Sleep(time.Duration(gap * float64(time.Second)))
 		}
 		running.Wait()
@@ -506,10 +530,10 @@
 // crowdSeeds are how many seeds a figure is of.
 const crowdSeeds = 8
 
-func crowdOutcome(t *testing.T, config Config, beats int) (sum outcome) {
+func crowdOutcome(t *testing.T, config Config, load crowdLoad) (sum outcome) {
 	t.Helper()
 	for seed := range uint64(crowdSeeds) {
-		sum.add(playCrowd(t, config, beats, seed))
+		sum.add(playCrowd(t, config, load, seed))
 	}
 	return sum
 }
@@ -522,7 +546,7 @@
 // Each preemption has a prompt read again, which holds up all streams of its engine.
 func TestLoadsMustBeFresh(t *testing.T) {
 	quiet(t)
-	fresh, stale := crowdOutcome(t, DefaultConfig(), 0), crowdOutcome(t, DefaultConfig(), 24)
+	fresh, stale := crowdOutcome(t, DefaultConfig(), crowdLoad{rate: crowdRate}), crowdOutcome(t, DefaultConfig(), crowdLoad{rate: crowdRate, beats: 24})
 	t.Logf("half a beat old: %+v", fresh)
 	t.Logf("24 beats old: %+v", stale)
 	if share := float64(fresh.inTime) / float64(fresh.asked); share < 0.93 {
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -29,6 +29,8 @@
 	// counted against its allotment.
 	team    *table.TeamView
 	charged float64
+	// used is the part of the team's allotment that was used up then, from 0 to 1.
+	used float64
 	// deadline is when the caller must have its answer.
 	deadline time.Time
 	// leave takes the request off the count of those in flight.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -89,6 +89,10 @@
 	// memory is reserved. With less, requests outgrow their reservation and are
 	// preempted; with more, less is left for others.
 	HintMargin float64
+	// TeamYield is how much more of an engine's memory the requests of a team leave free
+	// that has used up its allotment, as a part of what all leave free. More keeps room for
+	// teams that ask for little beside a hot one; it turns away more of the hot one's.
+	TeamYield float64
 	// LateReading is how long after the first token's target a prefill may
 	// still end; a late stream is worth something to its caller.
 	LateReading time.Duration
@@ -118,6 +122,7 @@
 		RetryElsewhere: 50 * time.Millisecond,
 		StreamGrace:    2500 * time.Millisecond,
 		HintMargin:     0.6,
+		TeamYield:      1,
 		LateReading:    600 * time.Millisecond,
 		EventPause:     60 * time.Millisecond,
 		HandleMargin:   100 * time.Millisecond,
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -23,7 +23,7 @@
 			return failed
 		}
 		if clock.Now().Add(g.config.ReservePause).After(until) {
-			g.decide(stepReserve, "none", "need", g.need, "spare", g.spare(), "mostFree", g.mostFree())
+			g.decide(stepReserve, "none", "need", g.need, "spare", g.spare(), "yield", g.yield(), "mostFree", g.mostFree())
 			return failed
 		}
 		if !wait.For(g.ctx, g.config.ReservePause) {
@@ -37,7 +37,7 @@
 func (g *generation) reserveOnce() *stepError {
 	for range g.config.ReserveTries {
 		query := g.query()
-		query.MemoryTokens, query.Spare = g.need, g.spare()
+		query.MemoryTokens, query.Spare = g.need, g.spare()*g.yield()
 		if g.prefill != nil && !g.readAtDecode {
 			query.Zone = g.prefill.Backend.Zone
 		}
@@ -83,6 +83,9 @@
 	return most
 }
 
+// yield is what the request leaves free for others, as a multiple of the spare.
+func (g *generation) yield() float64 { return route.Yield(g.used, g.config.TeamYield) }
+
 // spare is the part of an engine's memory that must stay free beside the
 // request, for those that outgrow what was expected of them.
 func (g *generation) spare() float64 {
--- a/forward/team.go
+++ b/forward/team.go
@@ -48,7 +48,7 @@
 	now := clock.Now()
 	made := f.Allotments.Admit(f.team.Name, cost, now)
 	if made.Admitted {
-		f.charged = cost
+		f.charged, f.used = cost, made.Used
 		return nil
 	}
 	f.decide(stepAllot, "over", "team", made.Team, "cost", made.Cost, "left", int(made.Left), "share", made.Share, "knownMillis", made.Known.Milliseconds())
