--- a/registry/older.go
+++ b/registry/older.go
@@ -12,15 +12,17 @@
 
 // departure is the end of a server's run, as it was read in an era of the store.
 type departure struct {
-	at  time.Time
-	era uint64
+	id   string
+	born int64
+	at   time.Time
+	era  uint64
 	// leaving is set if it had said that it leaves.
 	leaving bool
 }
 
 // depart notes that a run is gone. The caller holds the lock.
 func (r *Registry) depart(server Server, now time.Time) {
-	r.departed[server.Run()] = departure{at: now, era: r.view.Load().Position.Era(), leaving: server.Draining}
+	r.departed[server.Run()] = departure{id: server.ID, born: server.Born, at: now, era: r.view.Load().Position.Era(), leaving: server.Draining}
 }
 
 // corrected returns a list without what is known to be over. The caller holds the lock.
@@ -40,8 +42,15 @@
 
 // earlierRun says whether a server has started again since the run of an entry.
 func (r *Registry) earlierRun(entry Entry) bool {
-	known, ok := r.servers[entry.ID]
-	return ok && entry.Born < known.Born
+	if known, ok := r.servers[entry.ID]; ok {
+		return entry.Born < known.Born
+	}
+	for _, gone := range r.departed {
+		if gone.id == entry.ID && entry.Born < gone.born {
+			return true
+		}
+	}
+	return false
 }
 
 // stillLeaving returns an entry with what its run has said before.
@@ -51,6 +60,12 @@
 	return entry
 }
 
+// list takes an entry for what its server is now.
+func (r *Registry) list(entry Entry) {
+	delete(r.departed, entry.Run())
+	r.servers[entry.ID] = Server{Entry: entry}
+}
+
 // take takes in an entry that was written at a position. In a later era than the first it
 // may be one that was written before, and comes again.
 func (r *Registry) take(entry Entry, position oplog.Position) {
@@ -60,6 +75,5 @@
 		}
 		entry = r.stillLeaving(entry)
 	}
-	delete(r.departed, entry.Run())
-	r.servers[entry.ID] = Server{Entry: entry}
+	r.list(entry)
 }
--- a/registry/older_test.go
+++ b/registry/older_test.go
@@ -74,3 +74,28 @@
 		t.Errorf("%+v", server)
 	}
 }
+
+// A server started again, and its later run left, since the copy was made in which the first
+// is listed.
+func TestAnEarlierRunIsOverThoughTheLaterOneLeftToo(t *testing.T) {
+	r := New(DefaultConfig())
+	first := Snapshot{Position: oplog.At(1, 10), Entries: []Entry{{ID: "a", Born: 1}}}
+	r.Reset(first, start)
+	r.Apply([]Change{{ID: "a", Entry: &Entry{ID: "a", Born: 2, Draining: true}}, {ID: "a"}}, oplog.At(1, 12), start)
+	first.Position = oplog.At(2, 10)
+	r.Reset(first, start.Add(time.Second))
+	if server := r.View().Find("a"); server != nil {
+		t.Errorf("%+v", server)
+	}
+}
+
+// What is remembered of runs that are gone is bounded.
+func TestRunsThatAreGoneAreForgotten(t *testing.T) {
+	r := New(DefaultConfig())
+	r.Reset(Snapshot{Position: oplog.At(1, 1), Entries: []Entry{{ID: "a", Born: 1, Draining: true}}}, start)
+	r.Apply([]Change{{ID: "a"}}, oplog.At(1, 2), start)
+	r.Tick(start.Add(DefaultConfig().DepartedFor + time.Second))
+	if len(r.departed) != 0 {
+		t.Errorf("%d are remembered", len(r.departed))
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -200,8 +200,7 @@
 	listed := make(map[string]bool, len(snapshot.Entries))
 	for _, entry := range snapshot.Entries {
 		listed[entry.ID] = true
-		delete(r.departed, entry.Run())
-		r.servers[entry.ID] = Server{Entry: entry}
+		r.list(entry)
 	}
 	var removed []string
 	for id := range r.servers {
@@ -283,6 +282,7 @@
 func (r *Registry) Tick(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now.Sub(d.at) > r.config.DepartedFor })
 	if !r.lapsing {
 		return
 	}
@@ -294,7 +294,6 @@
 		}
 		return gone
 	})
-	maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now.Sub(d.at) > r.config.DepartedFor })
 	r.lapsing = false
 	for _, server := range r.servers {
 		r.lapsing = r.lapsing || server.Lapsed
