--- a/allotment/gossip.go
+++ b/allotment/gossip.go
@@ -11,7 +11,7 @@
 type Spent struct {
 	Team  ID    `cbor:"1,keyasint"`
 	Total int64 `cbor:"2,keyasint"`
-	// Recent is the part of it that is new within Config.ToldFor, for those who hear of
+	// Recent is the part of it that is new within Config.RepeatFor, for those who hear of
 	// the team from this instance for the first time.
 	Recent int64 `cbor:"3,keyasint,omitempty"`
 }
@@ -31,8 +31,8 @@
 	defer l.mu.Unlock()
 	var spent []Spent
 	for _, a := range l.teams {
-		if len(a.spends) > 0 && now.Sub(a.spends[len(a.spends)-1].at) <= l.config.ToldFor {
-			before := a.ownAt(now.Add(-l.config.ToldFor))
+		if len(a.spends) > 0 && now.Sub(a.spends[len(a.spends)-1].at) <= l.config.RepeatFor {
+			before := a.ownAt(now.Add(-l.config.RepeatFor))
 			spent = append(spent, Spent{Team: IDOf(a.team), Total: int64(a.own), Recent: int64(a.own - before)})
 		}
 	}
@@ -40,14 +40,14 @@
 	return spent
 }
 
-// Levels returns what a hub tells of the teams for which anybody has spent something of
+// Levels returns what a hub sends about the teams for which anybody has spent something of
 // late, at most so many, those with least left first: for them it matters most.
 func (l *Ledger) Levels(most int, now time.Time) []Level {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var levels []Level
 	for _, a := range l.teams {
-		if now.Sub(a.moved) > l.config.ToldFor {
+		if now.Sub(a.moved) > l.config.RepeatFor {
 			continue
 		}
 		l.settle(a, now)
@@ -64,12 +64,12 @@
 	defer l.mu.Unlock()
 	l.heard = now
 	from := l.follow(sourceName{sibling: sibling}, incarnation)
-	for _, told := range spent {
-		new, known := from.advance(told.Team, told.Total)
+	for _, one := range spent {
+		new, known := from.advance(one.Team, one.Total)
 		if !known {
-			new = told.Recent
+			new = one.Recent
 		}
-		for _, a := range l.byID[told.Team] {
+		for _, a := range l.byID[one.Team] {
 			l.take(a, new, now)
 			if sameZone {
 				a.zone += float64(new)
@@ -84,12 +84,12 @@
 	defer l.mu.Unlock()
 	l.heard = now
 	from := l.follow(sourceName{sibling: hub, zone: true}, incarnation)
-	for _, told := range levels {
-		new, known := from.advance(told.Team, told.Total)
-		for _, a := range l.byID[told.Team] {
+	for _, one := range levels {
+		new, known := from.advance(one.Team, one.Total)
+		for _, a := range l.byID[one.Team] {
 			l.take(a, new, now)
 			if !known {
-				a.level = min(a.level, float64(told.Left))
+				a.level = min(a.level, float64(one.Left))
 			}
 		}
 	}
@@ -110,9 +110,9 @@
 	defer l.mu.Unlock()
 	l.heard = now
 	l.due = word.Due
-	for _, told := range word.Levels {
-		for _, a := range l.byID[told.Team] {
-			a.level = float64(told.Left) - (a.own - a.ownAt(word.Known))
+	for _, one := range word.Levels {
+		for _, a := range l.byID[one.Team] {
+			a.level = float64(one.Left) - (a.own - a.ownAt(word.Known))
 			a.at, a.moved, a.ahead = now, now, false
 		}
 	}
--- a/allotment/ledger.go
+++ b/allotment/ledger.go
@@ -32,18 +32,18 @@
 	// that keep to their rate in the mean refusals when some of their requests come
 	// together.
 	Slack float64
-	// ToldFor is how long others are told again of what was spent: longer than some
+	// RepeatFor is how long it is repeated to others what was spent: longer than some
 	// datagrams in a row are lost.
-	ToldFor time.Duration
+	RepeatFor time.Duration
 	// RememberFor is how long it is remembered when this instance spent what: longer
 	// than it takes until others' word that holds it arrives.
 	RememberFor time.Duration
 }
 
-// DefaultConfig suits some hundreds of instances that tell each other several times a
+// DefaultConfig suits some hundreds of instances that gossip several times a
 // second. The slack is the deployment's own figure.
 func DefaultConfig() Config {
-	return Config{ToldFor: 1500 * time.Millisecond, RememberFor: 3 * time.Second}
+	return Config{RepeatFor: 1500 * time.Millisecond, RememberFor: 3 * time.Second}
 }
 
 // ID is a short stand-in for a team's name in messages between siblings. Where two teams
@@ -65,7 +65,7 @@
 	// Used is the part that is used up of what the team may use at once, from 0 to 1.
 	Used float64
 	// Share is the part of the team's rate that the instance decided by; Known how long
-	// before the decision others had told it last, 0 if nobody has.
+	// before the decision others had said so last, 0 if nobody has.
 	Share float64
 	Known time.Duration
 	// Wait is when there will be something left, if nobody else takes it.
@@ -81,7 +81,7 @@
 	share float64
 	// due is when the next word of a hub is; zero for an instance that follows none.
 	due time.Time
-	// heard is when others have told last.
+	// heard is when others were heard last.
 	heard  time.Time
 	teams  map[string]*account
 	byID   map[ID][]*account
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -192,7 +192,7 @@
 		{p.settings.Callers, platform.NewIngress(p.gateway).Serve},
 		{p.settings.Ready, directory.Serve},
 		{p.settings.Directory, directory.Serve},
-		{p.settings.Siblings, sibling.NewServer(p.edge.Tell).Serve},
+		{p.settings.Siblings, sibling.NewServer(p.edge.SnapshotFor).Serve},
 	}
 	if p.metricsPort > 0 {
 		all = append(all, listenerFor{metricsAddress(p.settings.Callers, p.metricsPort), p.serveMetrics})
--- a/edge/answers.go
+++ b/edge/answers.go
@@ -22,7 +22,7 @@
 // 1,200 ms, the first of which may just have been due).
 const awayAfter = 2 * time.Second
 
-// heard notes an answer, and whether this instance believes all that it told.
+// heard notes an answer, and whether this instance believes all that it said.
 // It returns whether the store had been away before.
 func (a *answers) heard(at time.Time, all bool) (returned bool) {
 	a.mu.Lock()
--- a/edge/beat.go
+++ b/edge/beat.go
@@ -13,31 +13,31 @@
 
 // beat sends heartbeats until ctx ends, and one more whenever something has changed.
 func (in *Instance) beat(ctx context.Context) {
-	var told []heartbeat.Load
+	var announced []heartbeat.Load
 	sent, turn := time.Time{}, 0
 	for more := true; more; more = in.rest(ctx) {
 		now := clock.Now()
 		in.shareAllotments(now)
 		loads := in.loads()
-		changed, urgent := loadsChanged(told, loads), in.urgent.Swap(false)
+		changed, urgent := loadsChanged(announced, loads), in.urgent.Swap(false)
 		many := in.usesHubs()
 		in.inMesh.Store(!many)
 		switch {
 		case many:
 			in.hubBeat(now, loads, changed, urgent)
 			if changed {
-				told = loads
+				announced = loads
 			}
 		case changed || urgent || now.Sub(sent) >= in.config.Members.HeartbeatEvery:
 			in.reads.Store(true)
 			in.meshBeat(now, turn, loads)
-			told, sent = loads, now
+			announced, sent = loads, now
 			turn++
 		}
 	}
 }
 
-// committed has hubs told of a change of this instance's commitments. Without, they
+// committed has a change of this instance's commitments sent to its hubs. Without, they
 // would hear of it with the next beat, and what is known of engines' memory be half a
 // beat older: of 3,691 streams 3,276 were in time by updates of two beats, 3,393 by updates
 // of one and 3,530 by updates of half a beat (TestLoadsMustBeFresh).
@@ -80,7 +80,7 @@
 	}
 }
 
-// sendHeartbeats has all who hear this instance told at once how it is.
+// sendHeartbeats has heartbeats sent at once to all who hear this instance.
 func (in *Instance) sendHeartbeats() {
 	if !in.usesHubs() {
 		addresses := in.peers.addresses(clock.Now())
@@ -92,7 +92,7 @@
 }
 
 // quickBeat is the least pause between two heartbeats. Siblings that do not
-// know of each other's requests send theirs to the same engine, so updates are told
+// know of each other's requests send theirs to the same engine, so updates are sent
 // at once where there are few siblings; each datagram costs every one of them.
 func (in *Instance) quickBeat() time.Duration {
 	pause := time.Duration(len(in.members.View().Siblings)) * in.config.QuickBeatPerSibling
@@ -105,12 +105,12 @@
 
 // loadsChanged says whether loads have changed so that siblings would decide
 // otherwise.
-func loadsChanged(told, loads []heartbeat.Load) bool {
-	if len(told) != len(loads) {
+func loadsChanged(announced, loads []heartbeat.Load) bool {
+	if len(announced) != len(loads) {
 		return true
 	}
 	for i, load := range loads {
-		before := told[i]
+		before := announced[i]
 		if before.Server != load.Server || differ(before.Commitment(), load.Commitment()) {
 			return true
 		}
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -17,7 +17,7 @@
 	Position oplog.Position
 }
 
-// Snapshot is what one instance tells another that cannot reach the store.
+// Snapshot is what one instance sends another that cannot reach the store.
 type Snapshot struct {
 	// Table is the configuration in force, if it is newer than what the other
 	// has.
@@ -26,8 +26,8 @@
 	Servers *registry.Snapshot `cbor:"2,keyasint,omitempty"`
 }
 
-// Tell returns what this instance knows beyond what another has.
-func (in *Instance) Tell(have Have) Snapshot {
+// SnapshotFor returns what this instance knows beyond what another has.
+func (in *Instance) SnapshotFor(have Have) Snapshot {
 	var snapshot Snapshot
 	if revision := in.table.Load(); revision != nil && revision.Number > have.Revision {
 		snapshot.Table = revision.Raw
@@ -39,7 +39,7 @@
 	return snapshot
 }
 
-// catchUp asks a sibling that knows more than the store has told: the store
+// catchUp asks a sibling that knows more than the store has answered: the store
 // may be away, or slow, or not answer just this instance.
 func (in *Instance) catchUp(ctx context.Context) {
 	var before Have
@@ -48,7 +48,7 @@
 		mine := in.have()
 		sibling, ahead := in.ahead(mine, failed)
 		failed = ""
-		// Where a long poll waits at the store, it may be about to tell the same.
+		// Where a long poll waits at the store, it may be about to be answered with the same.
 		if !ahead || (mine != before && !in.usesHubs()) {
 			before = mine
 			continue
@@ -61,7 +61,7 @@
 	}
 }
 
-// askStore asks the store for what a sibling did not tell, where no long poll waits
+// askStore asks the store for what a sibling did not send, where no long poll waits
 // there.
 func (in *Instance) askStore(ctx context.Context, sibling member.Sibling, mine Have) {
 	behind := map[*feed]bool{in.tableFeed: sibling.Revision > mine.Revision, in.list: oplog.Position(sibling.Next) > mine.Position}
@@ -77,7 +77,7 @@
 }
 
 // ahead finds the sibling that knows most beyond what this instance has, and
-// should have been told by now. One that has just failed to answer is asked only
+// should have come by now. One that has just failed to answer is asked only
 // if there is no other: it may stand still, and heartbeats do not show that yet.
 func (in *Instance) ahead(mine Have, failed string) (best member.Sibling, found bool) {
 	now := clock.Now()
--- a/edge/config.go
+++ b/edge/config.go
@@ -26,7 +26,7 @@
 	StoreWait time.Duration
 	// FreshFor is how long the instances together may have no answer from the
 	// store before one of them asks beside the long polls that wait there, and
-	// ProbeEvery the pause between two looks at that. Updates that no poll tells
+	// ProbeEvery the pause between two looks at that. Updates that no poll brings
 	// are known to all after FreshFor, one to three looks and two looks at what
 	// siblings know: 0.4 to 0.7 s in the median and 1.2 s at most (1, 8 and 62
 	// instances on a virtual clock, 40, 40 and 12 draws), where a leaving server
@@ -72,27 +72,27 @@
 	// still itself, rather than having been busy.
 	LongPause time.Duration
 	// NearPerBeat and FarPerBeat are about how many siblings of the own and of
-	// other zones get each heartbeat. More tell loads and failures sooner; what
+	// other zones get each heartbeat. More spread loads and failures sooner; what
 	// an instance sends and receives grows with them, not with the siblings.
 	NearPerBeat int
 	FarPerBeat  int
 	// QuickBeat is the least pause between two heartbeats, and between two sums
-	// of what siblings have told. Shorter lets siblings know sooner of requests
+	// of what siblings have sent. Shorter lets siblings know sooner of requests
 	// that an engine got; QuickBeatPerSibling stretches it where there are many, up
 	// to the period of heartbeats.
 	QuickBeat           time.Duration
 	QuickBeatPerSibling time.Duration
-	// PeersTold is how many other siblings a heartbeat names.
-	PeersTold int
+	// PeersNamed is how many other siblings a heartbeat names.
+	PeersNamed int
 
-	// MeshAtMost is up to how many instances each tells all others what it does.
+	// MeshAtMost is up to how many instances each sends its state to all others.
 	// Beyond it hubs do: fewer datagrams, and updates at most two beats old in place of
-	// several, at the price of a beat's delay where all could be told directly.
+	// several, at the price of a beat's delay where all could be reached directly.
 	MeshAtMost int
 	// HubsPerZone is how many hubs hear the members of a zone. The second is ready
 	// when the first falls silent; a third would cost each member a datagram a beat.
 	HubsPerZone int
-	// KeepEvery is how often an instance without updates tells its hubs that it lives,
+	// KeepEvery is how often an instance without updates sends its hubs a heartbeat,
 	// and SubscribedFor how long a hub serves one that says no more: three of these,
 	// since datagrams are lost now and then. DirectSilence is the silence after which
 	// a member is taken for silent.
@@ -115,23 +115,23 @@
 	// it sends with each beat; it is then left alone for HubAvoidedFor.
 	HubSilence    time.Duration
 	HubAvoidedFor time.Duration
-	// HubGrace is how long an instance has been a hub before it tells of members as
+	// HubGrace is how long an instance has been a hub before it reports members as
 	// silent that it does not hear: they must have had the time to choose it.
 	HubGrace time.Duration
-	// ZoneSumFor is how long the sum of another zone counts that is not told anew,
+	// ZoneSumFor is how long the sum of another zone counts that is not renewed,
 	// and CountHoldsFor the same for the number of instances.
 	ZoneSumFor    time.Duration
 	CountHoldsFor time.Duration
-	// LoadsAtOnce bounds the servers that a digest tells of because their sums have
-	// changed, some 19 bytes each, and LoadsInTurn is how many it tells of in any case.
+	// LoadsAtOnce bounds the servers that a digest holds because their sums have
+	// changed, some 19 bytes each, and LoadsInTurn is how many it holds in any case.
 	LoadsAtOnce int
 	LoadsInTurn int
-	// ToldAtOnce bounds the siblings in one digest, some 110 bytes each, and
+	// StatesAtOnce bounds the siblings in one digest, some 110 bytes each, and
 	// HelloAtOnce the unknown addresses that are tried at a time.
-	ToldAtOnce  int
-	HelloAtOnce int
+	StatesAtOnce int
+	HelloAtOnce  int
 	// RepeatedAtOnce is how many siblings' states a digest repeats in turn, some 60 bytes
-	// each: those of 295 each 5.5 s. What a subscriber was told wrongly stands until then.
+	// each: those of 295 each 5.5 s. What a subscriber was sent wrongly stands until then.
 	RepeatedAtOnce int
 	// UpdatesAtMost bounds the changes of the list in one datagram, some 120 bytes each;
 	// whoever lacks more asks for the list.
@@ -194,7 +194,7 @@
 		LongPause:           600 * time.Millisecond,
 		NearPerBeat:         24,
 		FarPerBeat:          12,
-		PeersTold:           4,
+		PeersNamed:          4,
 		QuickBeat:           30 * time.Millisecond,
 		QuickBeatPerSibling: 5 * time.Millisecond,
 		MeshAtMost:          36,
@@ -212,7 +212,7 @@
 		CountHoldsFor:       10 * time.Second,
 		LoadsAtOnce:         320,
 		LoadsInTurn:         48,
-		ToldAtOnce:          32,
+		StatesAtOnce:        32,
 		HelloAtOnce:         8,
 		RepeatedAtOnce:      4,
 		UpdatesAtMost:       32,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -1,5 +1,5 @@
 // Package edge is one instance on a platform that keeps the table and the list
-// of backend servers for it: the loops that follow both, what siblings tell
+// of backend servers for it: the loops that follow both, what siblings send
 // each other, and who gives engines their roles. Requests are package
 // forward's; this package holds what they are decided by.
 package edge
@@ -121,7 +121,7 @@
 	Siblings Siblings
 	Socket   Socket
 	Random   func() float64
-	// ServersChanged is told of each new picture of the servers.
+	// ServersChanged is called with each new picture of the servers.
 	ServersChanged func(view *registry.View)
 }
 
@@ -143,7 +143,7 @@
 	list      *feed
 	// tablePosition is where the store's log of the table is read on.
 	tablePosition atomic.Uint64
-	// loadsHeard is set when what siblings have told is to be summed anew.
+	// loadsHeard is set when what siblings have sent is to be summed anew.
 	loadsHeard atomic.Bool
 	stopping   atomic.Bool
 	orders     *orders
@@ -153,7 +153,7 @@
 	// urgent is set, and hurried wakes the beat, when siblings are to hear at once.
 	urgent  atomic.Bool
 	hurried chan struct{}
-	// inMesh is set while each instance tells all others what it does.
+	// inMesh is set while each instance sends its state to all others.
 	inMesh atomic.Bool
 	// Allotments is what teams may still use.
 	Allotments *allotment.Ledger
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -19,7 +19,7 @@
 // reset, the poll is never answered, and updates were known up to 26.5 s late, to
 // all instances at once. So the instances together see to it that one of them has
 // asked anew within Config.FreshFor, and one that knows of updates which its own
-// poll has not told gives that poll up.
+// poll has not brought gives that poll up.
 type feed struct {
 	*Instance
 	name  string
@@ -27,13 +27,13 @@
 	answers
 	// read asks the store for what is new, or for everything unless something is
 	// known, and takes it in. It returns when the store had no more than that; zero
-	// if it has told less than is believed by now.
+	// if it has brought less than is believed by now.
 	read func(ctx context.Context, known bool, wait time.Duration) (at time.Time, err error)
 	// rest is the pause between an answer and the next poll.
 	rest func() time.Duration
 	// progress grows with what is believed.
 	progress func() uint64
-	// returned is told when the store answers again after it was away.
+	// returned is called when the store answers again after it was away.
 	returned func(at time.Time)
 
 	// probes and givenUp count polls.
@@ -148,17 +148,17 @@
 	f.hear(at, true)
 }
 
-// toldAt is when the store had no more than it told: one that waited for updates
-// told them as it got them; of an immediate answer nothing is known but that it
+// answeredAt is when the store had no more than it answered: one that waited for updates
+// passed them on as it got them; of an immediate answer nothing is known but that it
 // is later than the poll.
-func toldAt(asked time.Time, wait time.Duration) time.Time {
+func answeredAt(asked time.Time, wait time.Duration) time.Time {
 	if wait > 0 {
 		return clock.Now()
 	}
 	return asked
 }
 
-// hear notes an answer to any instance, and whether all that it told is
+// hear notes an answer to any instance, and whether all that it said is
 // believed here.
 func (f *feed) hear(at time.Time, all bool) {
 	if f.answers.heard(at, all) {
@@ -183,19 +183,19 @@
 	return pause
 }
 
-// pollSlack is how long a poll may tell updates later than others do: a
+// pollSlack is how long a poll may bring updates later than others do: a
 // slow store takes some 240 ms (source: the users' kinds of trouble, 60 times its
 // usual 4 ms).
 const pollSlack = 300 * time.Millisecond
 
-// review gives up a poll that should have told what is known otherwise, and
+// review gives up a poll that should have brought what is known otherwise, and
 // writes a line when the belief begins or ceases to be old.
 func (f *feed) review(now time.Time) {
 	f.mu.Lock()
 	lost := f.poll != nil && f.poll.asked.Before(f.surpassed) && now.Sub(f.surpassed) >= pollSlack
 	f.mu.Unlock()
 	if lost {
-		f.giveUp("others told updates that it did not")
+		f.giveUp("others had updates that it did not")
 	}
 	f.logAge(now)
 }
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -273,7 +273,7 @@
 	time.Sleep(networkTakes)
 	for _, in := range f.instances {
 		if in.config.SiblingAddress == address {
-			return in.Tell(have), nil
+			return in.SnapshotFor(have), nil
 		}
 	}
 	return Snapshot{}, errors.New("nobody is there")
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -64,7 +64,7 @@
 			return time.Time{}, nil
 		}
 		if in.tablePosition.CompareAndSwap(before, uint64(next)) {
-			return toldAt(asked, wait), nil
+			return answeredAt(asked, wait), nil
 		}
 	}
 }
@@ -118,14 +118,14 @@
 		in.list.hear(asked, false)
 		in.registry.Reset(snapshot, clock.Now())
 		in.rebuild()
-		return in.toldOfServers(asked, snapshot.Position), nil
+		return in.confirmedUpTo(asked, snapshot.Position), nil
 	}
 	from := in.registry.View().Position
 	changes, next, err := in.deps.Servers.Since(ctx, from, wait)
 	if err != nil {
 		return time.Time{}, err
 	}
-	at := toldAt(asked, wait)
+	at := answeredAt(asked, wait)
 	before := in.registry.View().Position
 	// That the store was away must be known before a removal is judged.
 	in.list.hear(at, false)
@@ -134,12 +134,12 @@
 	if next > before {
 		in.sendUpdates(updatesOf(from, next, changes, at), "")
 	}
-	return in.toldOfServers(at, next), nil
+	return in.confirmedUpTo(at, next), nil
 }
 
-// toldOfServers is when the list was known to end at a position; zero if more is
+// confirmedUpTo is when the list was known to end at a position; zero if more is
 // known.
-func (in *Instance) toldOfServers(at time.Time, position oplog.Position) time.Time {
+func (in *Instance) confirmedUpTo(at time.Time, position oplog.Position) time.Time {
 	if position < in.registry.View().Position {
 		return time.Time{}
 	}
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -13,10 +13,10 @@
 	"github.com/mastwheel/mastwheel/operation"
 )
 
-// usesHubs says whether there are too many instances for each to tell all others.
+// usesHubs says whether there are too many instances for each to send its state to all others.
 func (in *Instance) usesHubs() bool { return in.Instances() > in.config.MeshAtMost }
 
-// hubBeat tells the hubs what this instance does, if that is due, and those that ask
+// hubBeat sends the hubs this instance's state, if that is due, and those that ask
 // this instance what all others do.
 func (in *Instance) hubBeat(now time.Time, loads []heartbeat.Load, changed, urgent bool) {
 	in.members.SetSuspectAfter(in.config.DirectSilence)
@@ -36,8 +36,8 @@
 	if changed || urgent || in.hubs.takeAcknowledge() {
 		every = 0
 	}
-	if in.hubs.due(&in.hubs.told, every, now) {
-		in.tellHubs(now, self, chosen, hub, settled, loads)
+	if in.hubs.due(&in.hubs.notified, every, now) {
+		in.sendToHubs(now, self, chosen, hub, settled, loads)
 	}
 	if in.hubs.due(&in.hubs.greeted, in.config.HelloEvery, now) {
 		in.greet(now, view, loads)
@@ -77,10 +77,10 @@
 	return false
 }
 
-// tellHubs sends a heartbeat to the hubs of the own zone. The best of them is asked
+// sendToHubs sends a heartbeat to the hubs of the own zone. The best of them is asked
 // for what it knows, and by itself, until it has settled, the second. A hub asks the
 // best one of each other zone too.
-func (in *Instance) tellHubs(now time.Time, self member.Info, chosen map[string][]member.Info, hub, settled bool, loads []heartbeat.Load) {
+func (in *Instance) sendToHubs(now time.Time, self member.Info, chosen map[string][]member.Info, hub, settled bool, loads []heartbeat.Load) {
 	asked := make(map[string]bool)
 	message := in.message(now)
 	message.Hubs, message.Loads = true, loads
@@ -91,7 +91,7 @@
 		if info.Name == self.Name {
 			continue
 		}
-		in.tellHub(now, message, info, wanted, asked)
+		in.sendToHub(now, message, info, wanted, asked)
 		wanted = false
 	}
 	if hub {
@@ -99,7 +99,7 @@
 		message.Loads, message.Spent = nil, nil
 		for zone, infos := range chosen {
 			if zone != self.Zone {
-				in.tellHub(now, message, infos[0], true, asked)
+				in.sendToHub(now, message, infos[0], true, asked)
 			}
 		}
 	}
@@ -108,7 +108,7 @@
 	}
 }
 
-func (in *Instance) tellHub(now time.Time, message heartbeat.Message, to member.Info, want bool, asked map[string]bool) {
+func (in *Instance) sendToHub(now time.Time, message heartbeat.Message, to member.Info, want bool, asked map[string]bool) {
 	message.Want = want
 	if want {
 		asked[to.Name] = true
@@ -141,7 +141,7 @@
 	return in.hubs.choose(in.info(), in.members.View().Siblings, now)
 }
 
-// introduceHubs tells the hubs of other zones that ask this one which hubs their zone
+// introduceHubs lets the hubs of other zones that ask this one know which hubs their zone
 // has: two that have each found half of their zone would else never hear of each other.
 func (in *Instance) introduceHubs() {
 	for name, to := range in.hubs.current() {
@@ -174,7 +174,7 @@
 	instances := in.Instances()
 	everyone := func(member.Sibling) bool { return true }
 	near := func(sibling member.Sibling) bool { return sibling.Zone == in.config.Zone }
-	again := map[bool][]heartbeat.Told{}
+	again := map[bool][]heartbeat.Observation{}
 	if settled {
 		again[false] = repeated(view, everyone, in.hubs.turn, in.config.RepeatedAtOnce, now)
 		again[true] = repeated(view, near, in.hubs.turn, in.config.RepeatedAtOnce, now)
@@ -190,8 +190,8 @@
 		if digest.Zone {
 			keep = near
 		}
-		digest.Told, digest.Upto = in.hubs.lacks(to.seen, view, keep, now)
-		digest.Told = append(digest.Told, again[digest.Zone]...)
+		digest.Observations, digest.Upto = in.hubs.lacks(to.seen, view, keep, now)
+		digest.Observations = append(digest.Observations, again[digest.Zone]...)
 		message.Digest = digest
 		bytes += in.send(message, to.peer)
 	}
@@ -224,26 +224,26 @@
 
 // takeDigest takes in what a hub knows.
 func (in *Instance) takeDigest(message heartbeat.Message, now time.Time) {
-	for _, told := range message.Digest.Told {
-		if told.Age < 0 {
+	for _, seen := range message.Digest.Observations {
+		if seen.Age < 0 {
 			// From the future: it would count for ever.
 			continue
 		}
-		before, known := in.members.Find(told.Info.Name)
-		in.members.Told(told.Info, told.State, now.Add(-told.Age), now)
-		if known && before.Told != "" && before.Told != told.State {
-			klog.InfoS("Sibling told of", "sibling", told.Info.Name, "incarnation", told.Info.Incarnation, "zone", told.Info.Zone,
-				"before", before.Told, "state", told.State, "by", message.From.Name)
+		before, known := in.members.Find(seen.Info.Name)
+		in.members.Report(seen.Info, seen.State, now.Add(-seen.Age), now)
+		if known && before.Reported != "" && before.Reported != seen.State {
+			klog.InfoS("Sibling reported", "sibling", seen.Info.Name, "incarnation", seen.Info.Incarnation, "zone", seen.Info.Zone,
+				"before", before.Reported, "state", seen.State, "by", message.From.Name)
 		}
 	}
-	in.members.ToldOn(now)
+	in.members.ConfirmReports(now)
 	in.hubs.take(message, in.config.Zone, now)
 	if message.Digest.Summed {
 		in.sumLoads()
 	}
 }
 
-// wanted serves an instance that asks this one to be its hub, or tells it of better
+// wanted serves an instance that asks this one to be its hub, or names it better
 // ones: of its own zone anyone is served, of another one its hubs are.
 func (in *Instance) wanted(message heartbeat.Message, now time.Time) {
 	chosen := in.hubsOfZones(now)
@@ -257,7 +257,7 @@
 	}
 }
 
-// redirect tells an instance which hubs its zone and this one's have.
+// redirect names an instance the hubs that its zone and this one's have.
 func (in *Instance) redirect(to member.Info) {
 	now := clock.Now()
 	view := in.members.View()
@@ -266,7 +266,7 @@
 	for _, zone := range []string{to.Zone, in.config.Zone} {
 		for _, info := range chosen[zone] {
 			if sibling, known := view.Find(info.Name); known && info.Name != to.Name {
-				digest.Told = append(digest.Told, toldOf(info, sibling, now))
+				digest.Observations = append(digest.Observations, observationOf(info, sibling, now))
 			}
 		}
 	}
--- a/edge/hubs.go
+++ b/edge/hubs.go
@@ -14,9 +14,9 @@
 	"github.com/mastwheel/mastwheel/route"
 )
 
-// Up to some tens of instances each tells all others what it does. Beyond that the
-// instances of a zone tell two hubs, the strongest among them, and one of these tells
-// each what all together do, and which of them live; hubs of different zones tell each
+// Up to some tens of instances each sends its state to all others. Beyond that the
+// instances of a zone send theirs to two hubs, the strongest among them, and one of these sends
+// each what all together do, and which of them live; hubs of different zones send each
 // other the sums of their zones. An instance at rest then sends some 24 datagrams and
 // 2.2 KB a second, whether there are 58 instances or 295 (TestManyInstancesTellLittle),
 // where telling 36 others with each beat was 240 datagrams; and what is known of the
@@ -37,12 +37,12 @@
 	sources map[string]*source
 	// avoided holds hubs that stayed silent, and until when they are left alone.
 	avoided map[string]time.Time
-	// sums is what all other instances have committed, by what this one's hub told
+	// sums is what all other instances have committed, by what this one's hub sent
 	// last; nil before.
 	sums map[uint32]route.Commitment
 	// zones is what the instances of each other zone have committed.
 	zones map[string]zoneSum
-	// instances is how many there are, by what a hub told at instancesAt.
+	// instances is how many there are, by what a hub said at instancesAt.
 	instances   int
 	instancesAt time.Time
 	// since is from when on this instance has been a hub of its zone; zero if it is
@@ -52,9 +52,9 @@
 	// acknowledge is set when a hub should hear at once how far its account was
 	// taken in.
 	acknowledge bool
-	// said is what this instance told its hubs lately of its own loads.
+	// said is what this instance sent its hubs lately of its own loads.
 	said []saidLoads
-	// zoneParts and allParts are what of sums was told, and pause is the least time
+	// zoneParts and allParts are what of sums was sent, and pause is the least time
 	// until the next digests; used by the beat alone.
 	zoneParts, allParts parts
 	// turn is whose states are repeated next; used by the beat alone.
@@ -62,9 +62,9 @@
 	pause time.Duration
 	// followed is the hub that this instance follows; itself if it is the first.
 	followed string
-	// told, greeted and served are when hubs were told, strangers greeted and
+	// notified, greeted and served are when hubs were notified, strangers greeted and
 	// subscribers served last.
-	told, greeted, served time.Time
+	notified, greeted, served time.Time
 }
 
 // subscriber is an instance that has asked this one.
@@ -276,7 +276,7 @@
 	return !h.since.IsZero()
 }
 
-// count returns how many instances there are, by what a hub told lately; 0 if none
+// count returns how many instances there are, by what a hub said lately; 0 if none
 // did.
 func (h *hubs) count(now time.Time) int {
 	h.mu.Lock()
@@ -325,7 +325,7 @@
 	return all
 }
 
-// account brings the account of siblings up to date. A hub that has not settled tells
+// account brings the account of siblings up to date. A hub that has not settled speaks
 // only of those that live: the others may not have heard of it.
 func (h *hubs) account(siblings []member.Sibling, settled bool) {
 	h.mu.Lock()
@@ -334,8 +334,8 @@
 }
 
 // lacks returns what a subscriber lacks of the account.
-func (h *hubs) lacks(seen uint64, view *member.View, keep func(member.Sibling) bool, now time.Time) ([]heartbeat.Told, uint64) {
+func (h *hubs) lacks(seen uint64, view *member.View, keep func(member.Sibling) bool, now time.Time) ([]heartbeat.Observation, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.ledger.since(seen, view, keep, h.config.ToldAtOnce, now)
+	return h.ledger.since(seen, view, keep, h.config.StatesAtOnce, now)
 }
--- a/edge/ledger.go
+++ b/edge/ledger.go
@@ -10,7 +10,7 @@
 )
 
 // ledger numbers the changes of siblings' states, so that each subscriber of a hub is
-// told those that it lacks, and only those: 295 whole accounts are 30 KB, too much
+// sent the ones that it lacks, and only those: 295 whole accounts are 30 KB, too much
 // for each beat.
 type ledger struct {
 	version uint64
@@ -19,7 +19,7 @@
 	changes []stateChange
 }
 
-// siblingState is what others are told of a sibling.
+// siblingState is what digests say of a sibling.
 type siblingState struct {
 	incarnation operation.Incarnation
 	peer        string
@@ -59,42 +59,42 @@
 
 // since returns some states that changed behind a version, and the version that they
 // lead to. Siblings for which keep is false are passed over.
-func (l *ledger) since(version uint64, view *member.View, keep func(member.Sibling) bool, most int, now time.Time) (told []heartbeat.Told, upto uint64) {
+func (l *ledger) since(version uint64, view *member.View, keep func(member.Sibling) bool, most int, now time.Time) (states []heartbeat.Observation, upto uint64) {
 	first, _ := slices.BinarySearchFunc(l.changes, version+1, func(c stateChange, v uint64) int { return int(c.version) - int(v) })
 	upto = version
 	for _, change := range l.changes[first:] {
-		if len(told) == most {
-			return told, upto
+		if len(states) == most {
+			return states, upto
 		}
 		upto = change.version
 		sibling, known := view.Find(change.name)
 		if known && keep(sibling) {
-			told = append(told, toldOf(sibling.Info, sibling, now))
+			states = append(states, observationOf(sibling.Info, sibling, now))
 		}
 	}
-	return told, upto
+	return states, upto
 }
 
 // repeated returns some states in turn, whether they have changed or not, without what does
 // not change. A subscriber may have believed somebody else meanwhile, whose word is not
 // taken back.
-func repeated(view *member.View, keep func(member.Sibling) bool, turn, most int, now time.Time) []heartbeat.Told {
+func repeated(view *member.View, keep func(member.Sibling) bool, turn, most int, now time.Time) []heartbeat.Observation {
 	var kept []member.Sibling
 	for _, sibling := range view.Siblings {
 		if keep(sibling) {
 			kept = append(kept, sibling)
 		}
 	}
-	var told []heartbeat.Told
+	var states []heartbeat.Observation
 	for i := range min(most, len(kept)) {
 		sibling := kept[(turn+i)%len(kept)]
 		info := member.Info{Name: sibling.Name, Incarnation: sibling.Incarnation, Uptime: sibling.Uptime}
-		told = append(told, toldOf(info, sibling, now))
+		states = append(states, observationOf(info, sibling, now))
 	}
-	return told
+	return states
 }
 
-// toldOf is what others are told of a sibling.
-func toldOf(info member.Info, sibling member.Sibling, now time.Time) heartbeat.Told {
-	return heartbeat.Told{Info: info, State: sibling.State, Age: max(now.Sub(sibling.Observed), 0)}
+// observationOf is what digests say of a sibling.
+func observationOf(info member.Info, sibling member.Sibling, now time.Time) heartbeat.Observation {
+	return heartbeat.Observation{Info: info, State: sibling.State, Age: max(now.Sub(sibling.Observed), 0)}
 }
--- a/edge/ledger_test.go
+++ b/edge/ledger_test.go
@@ -57,8 +57,8 @@
 	})
 }
 
-func take(members *member.Members, told []heartbeat.Told, now time.Time) {
+func take(members *member.Members, told []heartbeat.Observation, now time.Time) {
 	for _, one := range told {
-		members.Told(one.Info, one.State, now.Add(-one.Age), now)
+		members.Report(one.Info, one.State, now.Add(-one.Age), now)
 	}
 }
--- a/edge/listupdates.go
+++ b/edge/listupdates.go
@@ -12,7 +12,7 @@
 // Changes of the list of backend servers go from the hubs that read them to all.
 
 // sendUpdates passes changes of the list on: to the hubs of the own zone, and from a hub
-// to those that it serves. One that got them is not told again.
+// to those that it serves. One that got them is not sent them again.
 func (in *Instance) sendUpdates(updates heartbeat.Updates, from string) {
 	if !in.usesHubs() || len(updates.Changes) == 0 || len(updates.Changes) > in.config.UpdatesAtMost {
 		return
@@ -55,7 +55,7 @@
 	in.sendUpdates(*updates, message.From.Name)
 }
 
-// updatesOf is the updates that a poll of the store has told.
+// updatesOf is the updates that a poll of the store has brought.
 func updatesOf(from, to oplog.Position, changes []registry.Change, at time.Time) heartbeat.Updates {
 	return heartbeat.Updates{From: from, To: to, Changes: changes, Age: max(clock.Since(at), 0)}
 }
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -7,7 +7,7 @@
 	"github.com/mastwheel/mastwheel/heartbeat"
 )
 
-// Up to some tens of instances tell each other directly what they do.
+// Up to some tens of instances send each other their state directly.
 
 // meshBeat sends heartbeats to those siblings whose turn it is. Where there are many,
 // each gets only some, and is given more time before it counts as silent; those of the
@@ -49,12 +49,12 @@
 	return picked
 }
 
-// sendTo sends a heartbeat that tells of loads and of some known addresses.
+// sendTo sends a heartbeat with loads and some known addresses.
 func (in *Instance) sendTo(addresses, known []string, loads []heartbeat.Load) {
 	now := clock.Now()
 	message := in.message(now)
 	message.Spent = in.Allotments.Spent(now)
-	message.Loads, message.Peers = loads, in.some(known, in.config.PeersTold)
+	message.Loads, message.Peers = loads, in.some(known, in.config.PeersNamed)
 	in.send(message, addresses...)
 }
 
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -189,7 +189,7 @@
 	return err
 }
 
-// announce tells this instance and its siblings that an engine takes no work
+// announce lets this instance and its siblings know that an engine takes no work
 // while it changes its role.
 func (o *orders) announce(engine, service string) {
 	view := o.Table()
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -79,7 +79,7 @@
 	return f.failures > 0 || !f.known
 }
 
-// probe asks for what is new at once, and tells the siblings.
+// probe asks for what is new at once, and passes it on to the siblings.
 func (f *feed) probe(ctx context.Context) {
 	defer f.endProbe()
 	f.probes.Add(1)
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -16,8 +16,8 @@
 	"github.com/mastwheel/mastwheel/wait"
 )
 
-// followLoads takes in what siblings tell of their loads, as often as they may
-// tell it.
+// followLoads takes in what siblings send of their loads, as often as they may
+// send it.
 func (in *Instance) followLoads(ctx context.Context) {
 	for wait.For(ctx, in.quickBeat()) {
 		if in.loadsHeard.Swap(false) {
@@ -26,7 +26,7 @@
 	}
 }
 
-// sumLoads tells each server's state what the siblings have committed there.
+// sumLoads notes in each server's state what the siblings have committed there.
 func (in *Instance) sumLoads() {
 	total := in.others(clock.Now())
 	for id := range in.servers.Load().ByRun {
@@ -145,14 +145,14 @@
 // (source: the users' sheets).
 const longestChange = 30 * time.Second
 
-// hurryHub has a hub tell those that it serves at once.
+// hurryHub has a hub send those that it serves at once.
 func (in *Instance) hurryHub() {
 	if in.usesHubs() && in.hubs.isHub() {
 		in.sendHeartbeats()
 	}
 }
 
-// hears takes in how long ago the store told a sibling, or someone that it
+// hears takes in how long ago the store answered a sibling, or someone that it
 // heard of, how far its log went, and returns whether that is an update that others wait
 // for. An answer from the future would keep everyone from asking until then.
 func hears(f *feed, age *time.Duration, progress uint64, now time.Time) bool {
@@ -173,15 +173,15 @@
 		"before", before.State, "draining", now.Draining, "revision", now.Revision)
 }
 
-// correct tells a sibling that restarted with its clock set back under which
-// incarnation it is known here.
+// correct sends a sibling that restarted with its clock set back the incarnation under
+// which it is known here.
 func (in *Instance) correct(sibling member.Info, known operation.Incarnation) {
 	datagram, err := heartbeat.Encode(heartbeat.Message{From: in.info(), Known: known})
 	if err == nil {
 		err = in.deps.Socket.Send(sibling.Peer, datagram)
 	}
 	if err != nil {
-		klog.InfoS("Sibling not told of its later run", "sibling", sibling.Name, "err", err.Error())
+		klog.InfoS("Sibling not sent its later run", "sibling", sibling.Name, "err", err.Error())
 	}
 }
 
--- a/edge/sums.go
+++ b/edge/sums.go
@@ -13,7 +13,7 @@
 
 // What all instances together have committed, as hubs and members know it.
 
-// saidLoads is what an instance told of its loads when it had run for so long.
+// saidLoads is what an instance sent about its loads when it had run for so long.
 type saidLoads struct {
 	uptime time.Duration
 	loads  map[uint32]route.Commitment
@@ -37,7 +37,7 @@
 }
 
 // merged returns sums with a newer part of them in place of what they held, less what
-// the receiver itself has told.
+// the receiver itself has sent.
 func merged(sums map[uint32]route.Commitment, part []heartbeat.Load, own map[uint32]route.Commitment) map[uint32]route.Commitment {
 	next := make(map[uint32]route.Commitment, len(sums)+len(part))
 	maps.Copy(next, sums)
@@ -52,11 +52,11 @@
 	return next
 }
 
-// parts picks what a digest tells of a sum: what has changed, and a few others in turn,
+// parts picks what of a sum a digest holds: what has changed, and a few others in turn,
 // for those whose datagram was lost or who have just come. With 3,000 engines a whole
 // sum is 57 KB, thirteen times a second to each.
 type parts struct {
-	told map[uint32]route.Commitment
+	sent map[uint32]route.Commitment
 	next int
 }
 
@@ -67,7 +67,7 @@
 	for i := range servers {
 		// It begins where it ended, so that none waits for ever.
 		server := servers[(p.next+i)%len(servers)]
-		now, before := sum[server], p.told[server]
+		now, before := sum[server], p.sent[server]
 		if i < inTurn || (len(due) < changedAtMost && differ(before, now)) {
 			due = append(due, heartbeat.Load{Server: server, InFlight: now.InFlight, Unread: now.Unread, Memory: now.Memory})
 			before = now
@@ -77,7 +77,7 @@
 	if len(servers) > 0 {
 		p.next = (p.next + inTurn) % len(servers)
 	}
-	p.told = next
+	p.sent = next
 	return due
 }
 
@@ -88,7 +88,7 @@
 	return before.InFlight != now.InFlight || before.Unread != now.Unread || off >= changedMemory || off <= -changedMemory
 }
 
-// say remembers what is told of this instance's own loads.
+// say remembers what is sent of this instance's own loads.
 func (h *hubs) say(uptime time.Duration, loads []heartbeat.Load) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -98,7 +98,7 @@
 	}
 }
 
-// saidAt is what this instance had told last of its own loads when it had run for so
+// saidAt is what this instance had sent last of its own loads when it had run for so
 // long. The caller holds the lock.
 func (h *hubs) saidAt(uptime time.Duration) map[uint32]route.Commitment {
 	for _, said := range slices.Backward(h.said) {
@@ -143,7 +143,7 @@
 }
 
 // sumsOf returns what all other instances have committed, by what the hub of a member
-// told last; nil before.
+// sent last; nil before.
 func (h *hubs) sumsOf() map[uint32]route.Commitment {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/edge/teams.go
+++ b/edge/teams.go
@@ -37,8 +37,8 @@
 	})
 }
 
-// takeSpent takes in what a sibling says that teams have used. The members of a zone tell
-// their hubs, and where there are no hubs all tell each other.
+// takeSpent takes in what a sibling says that teams have used. The members of a zone send
+// it to their hubs, and where there are no hubs all send it to each other.
 func (in *Instance) takeSpent(message heartbeat.Message, now time.Time) {
 	from := message.From
 	if len(message.Spent) > 0 {
@@ -91,7 +91,7 @@
 const lateDigest = 1.5
 
 // pause is until when the next digest should have come. Its least is that of hubs with
-// little to tell.
+// little to send.
 func (a *adoption) pause(least time.Duration) time.Duration {
 	return time.Duration(lateDigest * float64(max(least, a.every)))
 }
@@ -111,7 +111,7 @@
 	in.Allotments.SetShare(in.allotmentShare(now), now)
 }
 
-// followsHub says whether a hub tells this instance what all teams have left.
+// followsHub says whether this instance learns from a hub what teams have left.
 func (in *Instance) followsHub() bool { return in.usesHubs() && !in.hubs.isHub() }
 
 func (in *Instance) allotmentShare(now time.Time) float64 {
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -45,7 +45,7 @@
 	// Changing lists the servers that the sender has ordered to change their
 	// role, by route.ServerID.
 	Changing []Change `cbor:"5,keyasint,omitempty"`
-	// TableHeard and ServersHeard are how long ago the store last told anyone all
+	// TableHeard and ServersHeard are how long ago the store last answered anyone with all
 	// that it had of table and list, as far as the sender knows; nil if never.
 	TableHeard   *time.Duration `cbor:"6,keyasint,omitempty"`
 	ServersHeard *time.Duration `cbor:"7,keyasint,omitempty"`
@@ -95,19 +95,19 @@
 	Zone   bool          `cbor:"2,keyasint,omitempty"`
 	Loads  EncodedLoads  `cbor:"3,keyasint,omitempty"`
 	Echo   time.Duration `cbor:"8,keyasint,omitempty"`
-	// Told are states of siblings. They continue the hub's account behind After, up
+	// Observations are states of siblings. They continue the hub's account behind After, up
 	// to Upto; if that is 0, they stand alone.
-	Told  []Told `cbor:"4,keyasint,omitempty"`
-	After uint64 `cbor:"5,keyasint,omitempty"`
-	Upto  uint64 `cbor:"6,keyasint,omitempty"`
+	Observations []Observation `cbor:"4,keyasint,omitempty"`
+	After        uint64        `cbor:"5,keyasint,omitempty"`
+	Upto         uint64        `cbor:"6,keyasint,omitempty"`
 	// Teams is what the hub knows of teams that have spent something of late.
 	Teams []allotment.Level `cbor:"9,keyasint,omitempty"`
 	// Instances is how many instances there are, as far as the hub knows.
 	Instances int `cbor:"7,keyasint,omitempty"`
 }
 
-// Told is the state of one sibling.
-type Told struct {
+// Observation is the state of one sibling.
+type Observation struct {
 	Info  member.Info  `cbor:"1,keyasint"`
 	State member.State `cbor:"2,keyasint"`
 	// Age is how long ago the state was observed first-hand.
@@ -120,7 +120,7 @@
 	From    oplog.Position    `cbor:"1,keyasint"`
 	To      oplog.Position    `cbor:"2,keyasint"`
 	Changes []registry.Change `cbor:"3,keyasint"`
-	// Age is how long ago the store told them.
+	// Age is how long ago the store answered with them.
 	Age time.Duration `cbor:"4,keyasint"`
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -117,14 +117,14 @@
 	// latest time that a sibling reports.
 	Heard         time.Time `json:"heard"`
 	HeardAnywhere time.Time `json:"heard_anywhere"`
-	// Told is the state that one who hears it directly has told; empty if nobody
+	// Reported is the state that one who hears it directly has reported; empty if nobody
 	// has.
-	Told State `json:"told,omitempty"`
+	Reported State `json:"reported,omitempty"`
 	// Observed is when the state was observed first-hand: by this instance, or by the one
 	// whose word reached it through others.
 	Observed time.Time `json:"observed,omitzero"`
-	// toldObserved is the same for Told.
-	toldObserved time.Time
+	// reportObserved is the same for Reported.
+	reportObserved time.Time
 	// Vouched is when somebody had heard it, later than was known here.
 	Vouched time.Time `json:"vouched,omitzero"`
 }
@@ -144,9 +144,9 @@
 	mu       sync.Mutex
 	siblings map[string]Sibling
 	listed   listing
-	// toldAt is when those who tell states were last heard: what they told holds
+	// reportsConfirmed is when those who report states were last heard: what they reported holds
 	// until then.
-	toldAt time.Time
+	reportsConfirmed time.Time
 	// watched is the zone whose members this instance hears directly itself, and
 	// judges by that alone; empty for none.
 	watched string
@@ -219,7 +219,7 @@
 	}
 	sibling := Sibling{Info: info, Heard: now, HeardAnywhere: now, Observed: now}
 	if sameRun {
-		sibling.Told, sibling.toldObserved = known.Told, known.toldObserved
+		sibling.Reported, sibling.reportObserved = known.Reported, known.reportObserved
 	}
 	sibling.State = m.stateAt(sibling, now)
 	m.siblings[info.Name] = sibling
@@ -232,8 +232,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, sibling := range m.siblings {
-		if (sibling.Told == Alive || sibling.Told == Leaving) && m.toldAt.After(sibling.HeardAnywhere) {
-			sibling.HeardAnywhere = m.toldAt
+		if (sibling.Reported == Alive || sibling.Reported == Leaving) && m.reportsConfirmed.After(sibling.HeardAnywhere) {
+			sibling.HeardAnywhere = m.reportsConfirmed
 		}
 		if now.Sub(sibling.HeardAnywhere) > m.config.ForgetAfter {
 			delete(m.siblings, name)
@@ -250,7 +250,7 @@
 
 // judges says whether a sibling's silence is judged by what this instance hears itself.
 func (m *Members) judges(s Sibling) bool {
-	return s.Told == "" || (m.watched != "" && s.Zone == m.watched)
+	return s.Reported == "" || (m.watched != "" && s.Zone == m.watched)
 }
 
 func (m *Members) stateAt(s Sibling, now time.Time) State {
@@ -261,7 +261,7 @@
 		if m.judges(s) {
 			return Suspect
 		}
-		return s.Told
+		return s.Reported
 	case s.Draining || m.listed.leaving[s.Name]:
 		return Leaving
 	default:
--- a/member/told.go
+++ b/member/reports.go
@@ -3,13 +3,13 @@
 import "time"
 
 // Where there are too many members for each to hear all others, some hear those of
-// a zone and tell the rest how they are.
+// a zone and report to the rest how they are.
 
-// Told takes in what another says of a member, which was observed first-hand then, by
-// itself or by one who told it. An older observation changes nothing: else two that repeat
+// Report takes in what another says of a member, which was observed first-hand then, by
+// itself or by one who reported it. An older observation changes nothing: else two that repeat
 // each other's word would keep a member alive for as long as they do. Of a run that is known
 // it may leave out the addresses.
-func (m *Members) Told(info Info, state State, observed, now time.Time) {
+func (m *Members) Report(info Info, state State, observed, now time.Time) {
 	if info.Name == m.self.Name {
 		return
 	}
@@ -27,7 +27,7 @@
 	switch {
 	case !ok || known.Incarnation < info.Incarnation:
 		known = Sibling{Info: info}
-	case known.Incarnation > info.Incarnation || (known.Told != "" && !observed.After(known.toldObserved)):
+	case known.Incarnation > info.Incarnation || (known.Reported != "" && !observed.After(known.reportObserved)):
 		return
 	case known.Uptime < info.Uptime:
 		known.Info = info
@@ -35,7 +35,7 @@
 			known.Vouched = observed
 		}
 	}
-	known.Told, known.toldObserved = state, observed
+	known.Reported, known.reportObserved = state, observed
 	if observed.After(known.Observed) {
 		known.Observed = observed
 	}
@@ -47,16 +47,16 @@
 	m.publish()
 }
 
-// ToldOn notes that one who tells states was heard: what was told of members that
+// ConfirmReports notes that one who reports states was heard: what was reported of members that
 // live still holds.
-func (m *Members) ToldOn(now time.Time) {
+func (m *Members) ConfirmReports(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.toldAt = now
+	m.reportsConfirmed = now
 }
 
 // Watch has the members of a zone judged by what is heard of them directly, whatever
-// was told; an empty zone ends that.
+// was reported; an empty zone ends that.
 func (m *Members) Watch(zone string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/member/told_test.go
+++ b/member/reports_test.go
@@ -15,21 +15,21 @@
 func TestAnOlderObservationChangesNothing(t *testing.T) {
 	m := newMembers()
 	now := start.Add(10 * time.Second)
-	m.Told(beat(other, time.Second), Alive, now.Add(-3*time.Second), now)
-	m.Told(beat(other, time.Second), Suspect, now.Add(-time.Second), now)
-	m.ToldOn(now)
+	m.Report(beat(other, time.Second), Alive, now.Add(-3*time.Second), now)
+	m.Report(beat(other, time.Second), Suspect, now.Add(-time.Second), now)
+	m.ConfirmReports(now)
 	if got := stateOf(m, "other"); got != Suspect {
 		t.Fatalf("told that it is silent, it is %s", got)
 	}
 	for range 30 {
-		m.Told(beat(other, 1100*time.Millisecond), Alive, now.Add(-2900*time.Millisecond), now)
-		m.ToldOn(now)
+		m.Report(beat(other, 1100*time.Millisecond), Alive, now.Add(-2900*time.Millisecond), now)
+		m.ConfirmReports(now)
 		m.Tick(now)
 		if got := stateOf(m, "other"); got != Suspect {
 			t.Fatalf("by an older word it is %s", got)
 		}
 	}
-	m.Told(beat(other, 5*time.Second), Alive, now.Add(-time.Millisecond), now)
+	m.Report(beat(other, 5*time.Second), Alive, now.Add(-time.Millisecond), now)
 	if got := stateOf(m, "other"); got != Alive {
 		t.Errorf("it is back, and %s", got)
 	}
@@ -40,9 +40,9 @@
 func TestWhatIsToldCountsBesideWhatIsHeard(t *testing.T) {
 	m := newMembers()
 	m.Heard(beat(other, time.Second), start)
-	m.Told(beat(other, time.Second), Alive, start.Add(-10*time.Millisecond), start)
+	m.Report(beat(other, time.Second), Alive, start.Add(-10*time.Millisecond), start)
 	now := start.Add(time.Minute)
-	m.ToldOn(now)
+	m.ConfirmReports(now)
 	m.Tick(now)
 	if got := stateOf(m, "other"); got != Alive {
 		t.Errorf("told that it lives, it is %s", got)
@@ -71,7 +71,7 @@
 				if observed.After(latest) {
 					latest, want = observed, state
 				}
-				all[from].Told(beat(other, time.Second), state, observed, now)
+				all[from].Report(beat(other, time.Second), state, observed, now)
 				continue
 			}
 			repeat(all[from], all[rapid.IntRange(0, len(all)-1).Draw(t, "to")], now)
@@ -87,8 +87,8 @@
 			}
 		}
 		for i, m := range all {
-			if sibling, _ := m.Find("other"); sibling.Told != want {
-				t.Fatalf("%d believes %s, %s was observed last", i, sibling.Told, want)
+			if sibling, _ := m.Find("other"); sibling.Reported != want {
+				t.Fatalf("%d believes %s, %s was observed last", i, sibling.Reported, want)
 			}
 		}
 	})
@@ -97,6 +97,6 @@
 // repeat has one tell another what it believes.
 func repeat(from, to *Members, now time.Time) {
 	if sibling, known := from.Find("other"); known {
-		to.Told(sibling.Info, sibling.Told, sibling.Observed, now)
+		to.Report(sibling.Info, sibling.Reported, sibling.Observed, now)
 	}
 }
