--- a/edge/hubs.go
+++ b/edge/hubs.go
@@ -1,13 +1,9 @@
 package edge
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
@@ -19,7 +15,7 @@
 // each what all together do, and which of them live; hubs of different zones send each
 // other the sums of their zones. An instance at rest then sends some 24 datagrams and
 // 2.2 KB a second, whether there are 58 instances or 295 (TestManyInstancesTellLittle),
-// where telling 36 others with each beat was 240 datagrams; and what is known of the
+// where sending to 36 others with each beat was 240 datagrams; and what is known of the
 // others' loads is two beats old at most, where it was 24 with 295 instances.
 //
 // Nobody appoints hubs: each instance asks the two best that it knows to live, and
@@ -99,50 +95,6 @@
 	}
 }
 
-// betterHub orders instances by how well they serve as hubs: those that take requests
-// before those that start or stop, then the strongest, among equals by a hash, so that
-// all choose the same.
-func betterHub(a, b member.Info) int {
-	return cmp.Or(
-		compareBools(a.Draining, b.Draining),
-		cmp.Compare(b.Capacity, a.Capacity),
-		cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)),
-		cmp.Compare(a.Name, b.Name),
-	)
-}
-
-// compareBools orders false before true.
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
-// choose returns the hubs of each zone, the best first, among this instance and the
-// siblings that live.
-func (h *hubs) choose(self member.Info, siblings []member.Sibling, now time.Time) map[string][]member.Info {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	chosen := make(map[string][]member.Info)
-	add := func(info member.Info) {
-		best := append(chosen[info.Zone], info)
-		slices.SortFunc(best, betterHub)
-		chosen[info.Zone] = best[:min(len(best), h.config.HubsPerZone)]
-	}
-	add(self)
-	for _, sibling := range siblings {
-		lives := sibling.State == member.Alive || sibling.State == member.Leaving
-		if lives && !now.Before(h.avoided[sibling.Name]) {
-			add(sibling.Info)
-		}
-	}
-	return chosen
-}
-
 // follow notes which hub this instance follows, and returns which it did before.
 func (h *hubs) follow(name string) (before string) {
 	h.mu.Lock()
