--- a/allotment/ledger.go
+++ b/allotment/ledger.go
@@ -143,7 +143,8 @@
 }
 
 // SetShare sets the part of each team's rate that this instance may hand out by what it
-// knows: all of it while it hears everybody, its own part while it hears nobody.
+// knows: all of it while it hears everybody, its own part while it hears nobody. Where it
+// changes, the word that was due says nothing any more.
 func (l *Ledger) SetShare(share float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/edge/teams.go
+++ b/edge/teams.go
@@ -108,28 +108,35 @@
 // hears. Those that it does not hear, and that live as far as it knows, may hand out
 // their own part meanwhile.
 func (in *Instance) shareAllotments(now time.Time) {
-	if !in.followsHub() {
-		in.Allotments.DropWord(now)
+	if in.followsHub() {
+		in.Allotments.SetShare(in.followedShare(now), now)
+		return
 	}
-	in.Allotments.SetShare(in.allotmentShare(now), now)
+	in.Allotments.DropWord(now)
+	in.Allotments.SetShare(in.heardShare(now), now)
 }
 
 // followsHub says whether this instance learns from a hub what teams have left.
 func (in *Instance) followsHub() bool { return in.usesHubs() && !in.hubs.isHub() }
 
-func (in *Instance) allotmentShare(now time.Time) float64 {
-	instances := in.sharing(now)
-	if in.followsHub() {
-		if in.adopted.Load().fresh(now, in.config.AllotmentFresh) {
-			return 1
-		}
-		return 1 / float64(instances)
+// followedShare is the share of an instance that goes by its hub's word: all of it while
+// that counts, its own part later.
+func (in *Instance) followedShare(now time.Time) float64 {
+	if in.adopted.Load().fresh(now, in.config.AllotmentFresh) {
+		return 1
 	}
+	return 1 / float64(in.sharing(now))
+}
+
+// heardShare is the share of an instance that hears others itself: the part of all
+// instances that it hears, or whose zone's hub it does.
+func (in *Instance) heardShare(now time.Time) float64 {
+	hubs := in.usesHubs()
 	heard := 1
 	fresh := in.hubs.heardZones(now)
 	for _, sibling := range in.members.View().Siblings {
 		switch {
-		case in.usesHubs() && sibling.Zone != in.config.Zone:
+		case hubs && sibling.Zone != in.config.Zone:
 			if fresh[sibling.Zone] {
 				heard++
 			}
@@ -137,5 +144,5 @@
 			heard++
 		}
 	}
-	return min(float64(heard)/float64(instances), 1)
+	return min(float64(heard)/float64(in.sharing(now)), 1)
 }
