What servers say of themselves is read in one place, and logged when it changes

Every answer, of whatever kind of call, is decoded into a backpressure.Statement in Backends.exchange; the state by run of a server is package backpressure. No choice depends on it yet. A limit ends with an answer of the same kind, to a call sent after it was named, that names none: answers overtake each other, and answers of some kinds may never name one. What cannot be read is counted, logged once a server, and ignored.

Bounded: 10 lines a second, 300 at once.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/edge"
 	"github.com/mastwheel/mastwheel/forward"
@@ -65,7 +66,7 @@
 	p := &Platform{settings: settings, metricsPort: options.MetricsPort, metrics: metrics.New()}
 	p.rejected = new(platform.Rejected)
 	p.store = platform.NewStore(settings.Store, p.metrics.StoreCalled, p.rejected)
-	p.backends = platform.NewBackends(upstream.DefaultConfig(), p.connectionLimit)
+	p.backends = platform.NewBackends(upstream.DefaultConfig(), p.connectionLimit, p.pressure)
 	config := edge.DefaultConfig()
 	config.Name, config.Zone, config.Capacity = settings.Name, settings.Zone, settings.Capacity
 	config.CallerAddress, config.SiblingAddress, config.Seeds = settings.Callers, advertised, settings.Seeds
@@ -151,6 +152,10 @@
 	}
 	p.metrics.Watch("requests_suspect", "Requests under which servers ended, and that are probed one at a time.", suspects(poison.Suspect))
 	p.metrics.Watch("requests_blocked", "Requests that crash servers and are sent to none.", suspects(poison.Blocked))
+	p.metrics.Watch("servers_limited", "Backend servers that name a rate limit.", func() float64 { return float64(p.edge.Fleet.Backpressure.Limited()) })
+	p.metrics.Count("server_statements_unreadable_total", "Statements of backend servers about themselves that could not be read.", func() float64 {
+		return float64(p.backends.Unreadable())
+	})
 	p.metrics.Watch("requests_in_flight", "Requests being forwarded.", func() float64 { return float64(p.gateway.InFlight()) })
 	p.metrics.Watch("decode_memory_free_tokens", "KV memory of decode engines that nobody has committed.", func() float64 { return float64(p.gateway.FreeMemory()) })
 	p.metrics.Watch("retry_budget_left", "Retries left over all services.", p.edge.RetriesLeft)
@@ -170,6 +175,11 @@
 	return int(limit / float64(p.edge.Instances()))
 }
 
+// pressure returns what a run of a server has said of itself.
+func (p *Platform) pressure(run string) *backpressure.Server {
+	return p.edge.Fleet.Backpressure.Server(run, clock.Now())
+}
+
 // keepConnections drops the connections that are no longer of use.
 func (p *Platform) keepConnections() {
 	servers := p.edge.Servers()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/lease"
+	"github.com/mastwheel/mastwheel/logging"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/oplog"
@@ -161,6 +162,8 @@
 	adopted atomic.Pointer[adoption]
 	// Poison remembers which requests ran at servers when these ended.
 	Poison *poison.Tracker
+	// says bounds the log lines on what servers say of themselves.
+	says *logging.Limit
 }
 
 // New returns an instance that knows nothing yet.
@@ -186,6 +189,7 @@
 	in.started = clock.Now()
 	in.Fleet = route.NewFleet()
 	in.Fleet.OnCommitted(in.committed)
+	in.Fleet.Backpressure.OnChange(in.logBackpressure)
 	in.budgets = newBudgets(in.config.RetryRatio, in.config.RetrySlack, in.config.RetryWindow)
 	in.tableFeed = in.newTableFeed()
 	in.list = in.newListFeed()
@@ -195,6 +199,7 @@
 	in.reads.Store(true)
 	in.inMesh.Store(true)
 	in.hurried = make(chan struct{}, 1)
+	in.says = newSaysLimit()
 	in.Allotments = allotment.New(allotment.DefaultConfig(), in.deps.Random)
 	in.Allotments.SetSlack(in.config.AllotmentSlack * slackUsed)
 	in.Poison = poison.New(poison.DefaultConfig(), in.deps.Random, in.Instances)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -168,5 +168,6 @@
 		in.loadsHeard.Store(true)
 		in.budgets.share(in.sharing(now))
 		in.forgetSiblings()
+		in.forgetBackpressure(now)
 	}
 }
--- a/route/server.go
+++ b/route/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/table"
 )
 
@@ -209,6 +210,8 @@
 	index atomic.Pointer[fleetIndex]
 	// committed is told of changes of this instance's commitments.
 	committed func()
+	// Backpressure is what servers say of themselves in their answers.
+	Backpressure *backpressure.Tracker
 }
 
 type fleetIndex struct {
@@ -218,7 +221,7 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
-	f := &Fleet{}
+	f := &Fleet{Backpressure: backpressure.New()}
 	f.index.Store(&fleetIndex{})
 	return f
 }
