A server's rate limit is kept to by all instances together

Cause: what a server says of itself in its answers went through to the caller, and no choice depended on it. Class: what one instance hears of a server that holds for all of them.

Now every instance keeps to its part of the limit (package backpressure): few instances, chosen by rendezvous hashing among those that take requests, share it. A choice leaves servers out that have no room, and the last look is where a call is sent, since opening a connection takes a while. Siblings hear of a limit and of its end within 0.5 s; statements are known by the answer they came in, so that none is kept alive by repetition. Requests that find no room are refused at once, as servers_limited, and told when there will be some.

Why it works: the parts add up to the limit whatever is heard late; bursts of two at 1+limit instances stay within what is tolerated beyond it.

--- /dev/null
+++ b/backpressure/server.go
@@ -0,0 +1,141 @@
+package backpressure
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Verdict says whether a call may be sent to a server, and what holds it back.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Clear: nothing holds it back.
+	Clear Verdict = iota
+	// OverLimit: the server's rate limit leaves no room for it here.
+	OverLimit
+)
+
+// String names the verdict, for the log.
+func (v Verdict) String() string {
+	switch v {
+	case Clear:
+		return "clear"
+	case OverLimit:
+		return "limit"
+	}
+	return "unknown"
+}
+
+// Server is what is known of one run of a backend server. A nil *Server is one that has
+// said nothing.
+type Server struct {
+	tracker *Tracker
+	id      ID
+	// name and known, when it was last on the list of servers, are guarded by the tracker.
+	name  string
+	known time.Time
+	// said is set once the server has said anything that may hold calls back: until then
+	// requests pass without a lock.
+	said atomic.Bool
+
+	mu        sync.Mutex
+	limit     limit
+	allowance allowance
+}
+
+// Limit returns the requests a second that the server takes, if it names a limit.
+func (s *Server) Limit() (rate float64, named bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.rate, s.limit.named
+}
+
+// Look says whether work may be sent to the server now, as far as is known.
+func (s *Server) Look(work Work, now time.Time) Verdict {
+	if s == nil || !s.said.Load() {
+		return Clear
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.judge(work, now)
+}
+
+// Send says whether work may be sent now, and counts it if so.
+func (s *Server) Send(work Work, now time.Time) Verdict {
+	if s == nil || !s.said.Load() {
+		return Clear
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	verdict := s.judge(work, now)
+	if verdict == Clear {
+		s.spend(work.Calls, now)
+	}
+	return verdict
+}
+
+// judge says what holds work back. The caller holds the lock.
+func (s *Server) judge(work Work, now time.Time) Verdict {
+	switch {
+	case work.Owed:
+		return Clear
+	case s.holdsBack(work.Calls, now):
+		return OverLimit
+	}
+	return Clear
+}
+
+// RoomIn is how long it takes until work may be sent to the server, as far as is known.
+func (s *Server) RoomIn(work Work, now time.Time) time.Duration {
+	if s == nil || !s.said.Load() {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roomIn(work.Calls, now)
+}
+
+// Heard takes in what an answer says to a call that was sent then.
+func (s *Server) Heard(said Statement, sent, now time.Time) {
+	if !said.Limited && !s.said.Load() {
+		return
+	}
+	s.mu.Lock()
+	before := s.limit
+	s.hearLimit(said, sent, now)
+	changed := s.limit.differs(&before)
+	if changed {
+		s.limit.freshUntil = now.Add(freshFor)
+	}
+	after := s.limit
+	s.mu.Unlock()
+	if changed {
+		s.tracker.tell(Change{Server: s.tracker.nameOf(s), Before: before.String(), Now: after.String()})
+		s.tracker.hurry()
+	}
+}
+
+// hearLimit takes in what an answer says of a limit. One without a limit ends it, unless
+// the call was sent before the limit was last named: answers overtake each other. The
+// caller holds the lock.
+func (s *Server) hearLimit(said Statement, sent, now time.Time) {
+	next := limit{at: now, observation: s.tracker.nextObservation(), kind: said.Kind, freshUntil: s.limit.freshUntil}
+	switch {
+	case said.Limited:
+		next.named, next.rate = true, said.Limit
+		s.adopt(next, now)
+	case s.limit.named && said.ends(s.limit.kind) && sent.After(s.limit.at):
+		s.adopt(next, now)
+	}
+}
+
+// adopt takes a limit in place of the one before. The caller holds the lock.
+func (s *Server) adopt(next limit, now time.Time) {
+	if next.named && !s.limit.named {
+		s.allowance.begin(s.tracker.random(), now)
+	}
+	s.limit = next
+	s.said.Store(true)
+}
--- a/backpressure/statement.go
+++ b/backpressure/statement.go
@@ -21,6 +21,34 @@
 	Free
 )
 
+// Work is what a call asks of a server.
+type Work struct {
+	Kind Kind
+	// Calls is how many calls it counts against a rate limit: those that are sure to follow
+	// it count with it.
+	Calls float64
+	// Owed is set for what ends, or goes on with, something that the server has already: to
+	// withhold it would cost the server more. It counts, but waits for nothing.
+	Owed bool
+}
+
+// Works that are sent to servers.
+var (
+	PlainWork   = Work{Kind: Plain, Calls: 1}
+	PrefillWork = Work{Kind: Prefill, Calls: 1}
+	// ReserveWork counts what uses the reservation too, or gives it back.
+	ReserveWork = Work{Kind: Reserve, Calls: 2}
+	ReleaseWork = Work{Kind: Release, Owed: true}
+	// DecodeWork has a reservation.
+	DecodeWork = Work{Kind: Decode}
+	// TakeOverWork goes on with a stream that has moved to the server, TakeBackWork with
+	// one that was stopped there and could not move.
+	TakeOverWork = Work{Kind: Decode, Calls: 1}
+	TakeBackWork = Work{Kind: Decode, Calls: 1, Owed: true}
+	MoveWork     = Work{Kind: Move, Calls: 1, Owed: true}
+	FreeWork     = Work{Kind: Free, Calls: 1, Owed: true}
+)
+
 // Statement is what one answer says of the server that gave it.
 type Statement struct {
 	Kind Kind
@@ -30,4 +58,12 @@
 	// second the server takes from all instances together.
 	Limited bool
 	Limit   float64
+	// Unreadable is set if the answer says something of a limit that cannot be read.
+	Unreadable bool
+}
+
+// ends says whether a statement ends a limit that was named in an answer of a kind: answers
+// to refused calls, or of other kinds, may never name one.
+func (s Statement) ends(named Kind) bool {
+	return !s.Limited && !s.Refused && !s.Unreadable && s.Kind == named
 }
--- a/backpressure/tracker.go
+++ b/backpressure/tracker.go
@@ -1,10 +1,15 @@
-// Package backpressure holds what backend servers say of themselves in their answers:
-// how many requests a second they take from all instances together. It does no I/O and
-// reads no clock.
+// Package backpressure holds what backend servers say of themselves in their answers, and
+// what this instance may send them by that: a server in need names how many requests a
+// second it takes from all instances together. It does no I/O and reads no clock.
+//
+// Each instance keeps to its part of a limit. The parts hold by themselves, whatever
+// instances send each other: what one of them sends another cannot be late for them. What
+// instances send each other is which servers are limited (Update, Merge).
 package backpressure
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,7 +23,7 @@
 
 // Change is a change of what is known of a server.
 type Change struct {
-	// Server is the name of its run.
+	// Server is the name of its run; empty if it is not known here yet.
 	Server string
 	// Before and Now say what is known of it, for the log.
 	Before, Now string
@@ -30,27 +35,75 @@
 
 // Tracker holds what is known of all servers. Safe for concurrent use.
 type Tracker struct {
-	// changed, if set, is told of changes.
+	random func() float64
+	// changed and hurried, if set, are told of changes, and that siblings should hear of
+	// one now.
 	changed func(Change)
+	hurried func()
+	// instances is who shares limits.
+	instances atomic.Pointer[Instances]
+	// observations names the answers that this instance has had.
+	observations atomic.Uint64
 
 	mu      sync.Mutex
 	servers map[ID]*Server
+	// turn is whose state is sent next without being fresh.
+	turn int
 }
 
-// New returns a tracker that knows nothing.
-func New() *Tracker { return &Tracker{servers: make(map[ID]*Server)} }
+// New returns a tracker that knows nothing. random returns a number in [0,1).
+func New(random func() float64) *Tracker {
+	t := &Tracker{random: random, servers: make(map[ID]*Server)}
+	t.instances.Store(&Instances{})
+	t.observations.Store(uint64(random()*(1<<53)) << 11)
+	return t
+}
 
-// OnChange has a function called for each change. It must be called before anything else.
-func (t *Tracker) OnChange(changed func(Change)) { t.changed = changed }
+// OnChange has functions called for each change, and whenever siblings should hear of one
+// now. It must be called before anything else.
+func (t *Tracker) OnChange(changed func(Change), hurried func()) {
+	t.changed, t.hurried = changed, hurried
+}
+
+func (t *Tracker) tell(change Change) {
+	if t.changed != nil {
+		t.changed(change)
+	}
+}
+
+func (t *Tracker) hurry() {
+	if t.hurried != nil {
+		t.hurried()
+	}
+}
+
+// nextObservation names an answer; no other instance gives that name.
+func (t *Tracker) nextObservation() uint64 { return t.observations.Add(1) }
+
+// SetInstances says who shares what limited servers take.
+func (t *Tracker) SetInstances(instances Instances) {
+	if !t.instances.Load().equal(&instances) {
+		t.instances.Store(&instances)
+	}
+}
 
 // Server returns what is known of a run of a server.
-func (t *Tracker) Server(run string, now time.Time) *Server {
+func (t *Tracker) Server(run string) *Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	server := t.servers[IDOf(run)]
+	server := t.find(IDOf(run))
+	if server.name == "" {
+		server.name = run
+	}
+	return server
+}
+
+// find returns what is known of a server, which may be nothing. The caller holds the lock.
+func (t *Tracker) find(id ID) *Server {
+	server := t.servers[id]
 	if server == nil {
-		server = &Server{tracker: t, name: run, known: now}
-		t.servers[IDOf(run)] = server
+		server = &Server{tracker: t, id: id}
+		t.servers[id] = server
 	}
 	return server
 }
@@ -74,13 +127,24 @@
 
 // Limited counts the servers that name a rate limit.
 func (t *Tracker) Limited() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	count := 0
-	for _, server := range t.servers {
+	for _, server := range t.all() {
 		if _, named := server.Limit(); named {
 			count++
 		}
 	}
 	return count
 }
+
+// all returns the servers that have said something.
+func (t *Tracker) all() []*Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []*Server
+	for _, server := range t.servers {
+		if server.said.Load() {
+			all = append(all, server)
+		}
+	}
+	return all
+}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -177,7 +177,7 @@
 
 // pressure returns what a run of a server has said of itself.
 func (p *Platform) pressure(run string) *backpressure.Server {
-	return p.edge.Fleet.Backpressure.Server(run, clock.Now())
+	return p.edge.Fleet.Backpressure.Server(run)
 }
 
 // keepConnections drops the connections that are no longer of use.
--- a/edge/beat.go
+++ b/edge/beat.go
@@ -47,6 +47,12 @@
 	}
 }
 
+// hurryAll has a heartbeat sent at once to all who hear this instance.
+func (in *Instance) hurryAll() {
+	in.urgent.Store(true)
+	in.wake()
+}
+
 // wake ends the rest between two beats.
 func (in *Instance) wake() {
 	select {
@@ -87,8 +93,7 @@
 		in.sendTo(addresses, addresses, in.loads())
 		return
 	}
-	in.urgent.Store(true)
-	in.wake()
+	in.hurryAll()
 }
 
 // quickBeat is the least pause between two heartbeats. Siblings that do not
@@ -125,7 +130,7 @@
 	table, servers := in.tableFeed.age(now), in.list.age(now)
 	return heartbeat.Message{
 		From: in.info(), Changing: in.peers.underWay(now), TableHeard: table, ServersHeard: servers,
-		Poison: in.Poison.Update(now),
+		Poison: in.Poison.Update(now), Pressure: in.Fleet.Backpressure.Update(now),
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mastwheel/mastwheel/allotment"
+	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/heartbeat"
@@ -189,7 +190,8 @@
 	in.started = clock.Now()
 	in.Fleet = route.NewFleet()
 	in.Fleet.OnCommitted(in.committed)
-	in.Fleet.Backpressure.OnChange(in.logBackpressure)
+	in.Fleet.Backpressure = backpressure.New(in.deps.Random)
+	in.Fleet.Backpressure.OnChange(in.logBackpressure, in.hurryAll)
 	in.budgets = newBudgets(in.config.RetryRatio, in.config.RetrySlack, in.config.RetryWindow)
 	in.tableFeed = in.newTableFeed()
 	in.list = in.newListFeed()
@@ -203,7 +205,7 @@
 	in.Allotments = allotment.New(allotment.DefaultConfig(), in.deps.Random)
 	in.Allotments.SetSlack(in.config.AllotmentSlack * slackUsed)
 	in.Poison = poison.New(poison.DefaultConfig(), in.deps.Random, in.Instances)
-	in.Poison.OnChange(logPoison, in.poisonChanged)
+	in.Poison.OnChange(logPoison, in.hurryAll)
 }
 
 // Run follows table, servers and siblings until ctx ends.
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -220,7 +221,7 @@
 func (r rosterOf) Withdraw(context.Context, string) error         { return nil }
 func (r rosterOf) Addresses(context.Context) (map[string]string, error) {
 	all := make(map[string]string)
-	for _, in := range r.instances {
+	for _, in := range r.all() {
 		all[in.config.Name] = in.config.SiblingAddress
 	}
 	return all, nil
@@ -271,7 +272,7 @@
 // Snapshot implements Siblings.
 func (f *fleet) Snapshot(_ context.Context, address string, have Have) (Snapshot, error) {
 	time.Sleep(networkTakes)
-	for _, in := range f.instances {
+	for _, in := range f.all() {
 		if in.config.SiblingAddress == address {
 			return in.SnapshotFor(have), nil
 		}
@@ -347,11 +348,13 @@
 	// Seeds are out of date in part: nobody is at the first.
 	config.Seeds = []string{"10.0.0.1:9999", "10.0.0.1:1", "10.0.0.1:5"}
 	inbox := make(chan []byte, 10_000)
+	f.mu.Lock()
 	f.inbox[config.SiblingAddress] = inbox
 	f.zones[config.SiblingAddress] = config.Zone
+	f.mu.Unlock()
 	random := rand.New(rand.NewPCG(uint64(number), 7))
 	var mu sync.Mutex
-	f.instances = append(f.instances, New(config, Deps{
+	in := New(config, Deps{
 		Tables:   tablesOf{f.store, config.Name},
 		Servers:  listOf{f.store, config.Name},
 		Roster:   rosterOf{f},
@@ -364,7 +367,28 @@
 			defer mu.Unlock()
 			return random.Float64()
 		},
-	}))
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances = append(f.instances, in)
+}
+
+// all returns the instances, also while some are replaced.
+func (f *fleet) all() []*Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.instances)
+}
+
+// replace has an instance that was stopped take its place anew, at the same address and
+// knowing nothing.
+func (f *fleet) replace(which int) {
+	f.add(which)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := len(f.instances) - 1
+	f.instances[which] = f.instances[last]
+	f.instances = f.instances[:last]
 }
 
 // slowest is the longest that any instance takes until something holds there; it
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -168,6 +168,7 @@
 		in.loadsHeard.Store(true)
 		in.budgets.share(in.sharing(now))
 		in.forgetSiblings()
+		in.shareLimits(now)
 		in.forgetBackpressure(now)
 	}
 }
--- a/edge/poison.go
+++ b/edge/poison.go
@@ -13,12 +13,6 @@
 // Instances send each other, with their heartbeats, at which servers requests ran when
 // these ended: callers send a request that crashes servers to any instance.
 
-// poisonChanged has a heartbeat sent at once to all who hear this instance.
-func (in *Instance) poisonChanged() {
-	in.urgent.Store(true)
-	in.wake()
-}
-
 // takePoison takes in what a sibling says of servers that ended. Hubs, and through them
 // all others, are sent on; where all hear each other, they need not be.
 func (in *Instance) takePoison(message heartbeat.Message, now time.Time) {
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -111,6 +111,7 @@
 		}
 		if !known || before.Incarnation != message.From.Incarnation || now.Sub(before.Heard) > missedAfter {
 			in.introducePoison(message.From, now)
+			in.introduceBackpressure(message.From, now)
 		}
 		return
 	}
@@ -131,6 +132,7 @@
 		}
 	}
 	in.takePoison(message, now)
+	in.takeBackpressure(message, now)
 	in.takeSpent(message, now)
 	in.takeUpdates(message, now)
 	table := hears(in.tableFeed, message.TableHeard, message.From.Revision, now)
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/reason"
@@ -47,6 +48,10 @@
 	sent time.Time
 	// mayRun is set once a backend server may have run the request.
 	mayRun bool
+	// held is set once a choice found no server only since those that are sound would not
+	// take the work at that moment, and opens is when the first of them will.
+	held  bool
+	opens time.Time
 	// decisions are what was decided for the request so far.
 	decisions []decision
 	// prints are the request's fingerprints once somebody asked for them.
@@ -55,20 +60,30 @@
 	admission poison.Admission
 }
 
-// pool picks the servers of a service from a picture of all.
-type pool func(servers *Servers, service string) []*table.BackendView
+// pool picks the servers of a service from a picture of all, and says what is to be sent to
+// one of them.
+type pool struct {
+	pick func(servers *Servers, service string) []*table.BackendView
+	work backpressure.Work
+}
+
+var (
+	prefillPool = pool{pickPrefill, backpressure.PrefillWork}
+	decodePool  = pool{pickDecode, backpressure.ReserveWork}
+	plainPool   = pool{pickPlain, backpressure.PlainWork}
+)
 
-func prefillPool(servers *Servers, service string) []*table.BackendView {
+func pickPrefill(servers *Servers, service string) []*table.BackendView {
 	return servers.Prefill[service]
 }
 
-func decodePool(servers *Servers, service string) []*table.BackendView {
+func pickDecode(servers *Servers, service string) []*table.BackendView {
 	return servers.Decode[service]
 }
 
-// plainPool is the servers of a plain service; a model service's engines answer
-// plain requests too.
-func plainPool(servers *Servers, service string) []*table.BackendView {
+// pickPlain picks the servers of a plain service; a model service's engines answer plain
+// requests too.
+func pickPlain(servers *Servers, service string) []*table.BackendView {
 	if plain := servers.Plain[service]; len(plain) > 0 {
 		return plain
 	}
@@ -116,10 +131,13 @@
 // chooseBy decides as choose does, for a query that says more.
 func (f *flow) chooseBy(query *route.Query, profile *route.Profile, from pool) *route.Rated {
 	f.servers = f.View.Servers()
-	made := profile.Decide(query, f.Fleet, from(f.servers, f.service.Name))
+	f.held = false
+	query.Work = from.work
+	made := profile.Decide(query, f.Fleet, from.pick(f.servers, f.service.Name))
 	outcome := made.Pick
 	if made.Chosen == nil {
 		outcome = "none"
+		f.noteHeld(query, made.Rated)
 	}
 	if f.probed() && made.Chosen != nil {
 		made.Chosen = fewestLost(made.Rated)
@@ -133,6 +151,22 @@
 	return made.Chosen
 }
 
+// noteHeld notes whether a choice found no server only for what these have said of
+// themselves.
+func (f *flow) noteHeld(query *route.Query, rated []route.Rated) {
+	opens, held := route.HeldBack(query, rated)
+	f.held, f.opens = held, query.Now.Add(opens)
+}
+
+// whyNoServer is the reason to refuse a request for which the last choice found no server;
+// usual is that where none of them has said anything.
+func (f *flow) whyNoServer(usual reason.Reason) reason.Reason {
+	if f.held {
+		return reason.ServersLimited
+	}
+	return usual
+}
+
 // entry returns the entry of a server that was chosen, as it was then: the
 // server may be gone from the list by now.
 func (f *flow) entry(chosen *route.Rated) *registry.Entry { return f.entries[chosen.Name] }
@@ -142,8 +176,13 @@
 	if why == reason.Stopping {
 		return f.config.RetryElsewhere
 	}
-	part := f.config.RetryEarliest + f.Random()*(f.config.RetryLatest-f.config.RetryEarliest)
-	return time.Duration(part * float64(clock.Until(f.request.Deadline)))
+	left := float64(clock.Until(f.request.Deadline))
+	spread := f.Random() * (f.config.RetryLatest - f.config.RetryEarliest)
+	usual := time.Duration((f.config.RetryEarliest + spread) * left)
+	if why == reason.ServersLimited {
+		return max(usual, clock.Until(f.opens)+time.Duration(spread*left))
+	}
+	return usual
 }
 
 // refuse ends a request that has not run. Its status promises just that.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -78,6 +78,9 @@
 	Why reason.Reason
 	// Sent says whether the request reached the server.
 	Sent bool
+	// Withheld is set when it was not sent since the server would not take it now, by what
+	// it has said of itself.
+	Withheld bool
 	// Misdirected is set when another server answers at the address, or one
 	// that has another role by now.
 	Misdirected bool
--- a/forward/learn.go
+++ b/forward/learn.go
@@ -9,10 +9,13 @@
 
 // learn takes the result of a call into what is believed of its server. A
 // server that refuses because it is full is sound; one that cannot be reached
-// or breaks off is not.
+// or breaks off is not. What was not sent to it says nothing.
 func (f *flow) learn(server *route.Server, err error) {
 	now := clock.Now()
 	var notRun *NotRun
+	if errors.As(err, &notRun) && notRun.Withheld {
+		return
+	}
 	if !errors.As(err, &notRun) || notRun.Sent {
 		server.Reached()
 	}
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -19,7 +19,7 @@
 	until := g.since.Add(time.Duration(g.config.RefuseWithin * float64(g.route.TTFT)))
 	for {
 		failed := g.reserveOnce()
-		if failed == nil || failed.why != reason.NoDecodeMemory {
+		if failed == nil || !g.mayPass(failed.why, until) {
 			return failed
 		}
 		if clock.Now().Add(g.config.ReservePause).After(until) {
@@ -33,6 +33,11 @@
 	}
 }
 
+// mayPass says whether what no engine could be reserved for may be over by then.
+func (g *generation) mayPass(why reason.Reason, by time.Time) bool {
+	return why == reason.NoDecodeMemory || (why == reason.ServersLimited && g.opens.Before(by))
+}
+
 // reserveOnce asks the engines with most memory left, only some of them.
 func (g *generation) reserveOnce() *stepError {
 	for range g.config.ReserveTries {
@@ -62,7 +67,10 @@
 	if g.readAtDecode {
 		return &stepError{why: reason.DeadlineTooClose, detail: "the prompts ahead take too long"}
 	}
-	return &stepError{why: reason.NoDecodeMemory, detail: "no decode engine has enough memory left"}
+	if len(g.tried) > 0 {
+		return &stepError{why: reason.NoDecodeMemory, detail: "no decode engine has enough memory left"}
+	}
+	return &stepError{why: g.whyNoServer(reason.NoDecodeMemory), detail: "no decode engine takes it now"}
 }
 
 // decodeProfile chooses an engine that generates; one that is to read the
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mastwheel/mastwheel/allotment"
+	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/oplog"
@@ -63,6 +64,8 @@
 	Poison *poison.Update `cbor:"14,keyasint,omitempty"`
 	// Spent is what the sender has admitted of late for teams that are limited.
 	Spent []allotment.Spent `cbor:"15,keyasint,omitempty"`
+	// Pressure is what the sender knows of what servers say of themselves.
+	Pressure *backpressure.Update `cbor:"16,keyasint,omitempty"`
 	// Known, if not 0, is the incarnation under which the sender knows the
 	// receiver. A receiver that restarted with a lower one, since its clock was
 	// set back, takes a higher one.
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -28,6 +28,7 @@
 	// request have run.
 	CrashesServers Reason = "crashes_servers"
 	ProbeUnderWay  Reason = "probe_under_way"
+	ServersLimited Reason = "servers_limited"
 )
 
 // Retries: an attempt was abandoned and the next one took its place.
@@ -89,6 +90,7 @@
 	{OverAllotment, "the team has used what it may, over all instances", "team.rate, team.burst"},
 	{CrashesServers, "three servers or more have ended under earlier attempts of the same request; it is sent to none", "none"},
 	{ProbeUnderWay, "servers have ended under earlier attempts of the same request, and another one is being probed, or is to be soon", "none"},
+	{ServersLimited, "the servers that could take it name a rate limit for all instances together, and this instance's part leaves no room now", "none"},
 	{ReserveRefused, "the steward had no room at the decode engine", "backend.pieces"},
 	{StewardUnreached, "the steward of the decode engine did not answer", "none"},
 	{PrefillFailed, "the prefill engine failed in the middle of a prefill", "none"},
--- a/route/decide.go
+++ b/route/decide.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/table"
 )
 
@@ -24,6 +25,8 @@
 	// Partner is the other server of the pair, once chosen; nil before.
 	Partner *table.BackendView
 	Now     time.Time
+	// Work is what is to be sent to the server.
+	Work backpressure.Work
 }
 
 // Candidate is one backend server under consideration.
--- a/route/filter_room.go
+++ b/route/filter_room.go
@@ -5,8 +5,11 @@
 // there.
 type RoomFilter struct{}
 
+// filteredRoom names RoomFilter.
+const filteredRoom = "room"
+
 // Name implements Filter.
-func (RoomFilter) Name() string { return "room" }
+func (RoomFilter) Name() string { return filteredRoom }
 
 // Keep implements Filter.
 func (RoomFilter) Keep(q *Query, c Candidate) bool {
--- a/route/server.go
+++ b/route/server.go
@@ -4,6 +4,7 @@
 package route
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -56,6 +57,8 @@
 	unreached refusals
 	// changing is until when the server changes its role, on the clock of epoch.
 	changing atomic.Int64
+	// Pressure is what the server says of itself in its answers; nil if that is not known.
+	Pressure *backpressure.Server
 	// committed, if set, is called when this instance's part of the server's memory
 	// or unread tokens changes.
 	committed func()
@@ -221,7 +224,7 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
-	f := &Fleet{Backpressure: backpressure.New()}
+	f := &Fleet{Backpressure: backpressure.New(rand.Float64)}
 	f.index.Store(&fleetIndex{})
 	return f
 }
@@ -261,7 +264,7 @@
 	for name := range view.Backends {
 		server, stays := old[name]
 		if !stays {
-			server = &Server{Name: name, committed: f.committed}
+			server = &Server{Name: name, committed: f.committed, Pressure: f.Backpressure.Server(name)}
 		}
 		next.byName[name] = server
 		next.byID[ServerID(name)] = server
