That servers leave, or want rest, is read and logged

Both join the rate limit in backpressure.Statement, decoded in one place. No choice depends on them yet.

--- /dev/null
+++ b/backpressure/drain.go
@@ -0,0 +1,22 @@
+package backpressure
+
+import "time"
+
+// drain is whether a run of a server has said that it leaves. It does not take that back:
+// whatever serves later under its name is another run.
+type drain struct {
+	leaving bool
+	// at is when it said so first, and freshUntil until when others are sent it with each
+	// message.
+	at         time.Time
+	freshUntil time.Time
+}
+
+// begin notes that the server leaves, and says whether that is new.
+func (d *drain) begin(at, freshUntil time.Time) (isNew bool) {
+	if d.leaving {
+		return false
+	}
+	*d = drain{leaving: true, at: at, freshUntil: freshUntil}
+	return true
+}
--- a/backpressure/server.go
+++ b/backpressure/server.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,8 @@
 	mu        sync.Mutex
 	limit     limit
 	allowance allowance
+	drain     drain
+	rest      rest
 }
 
 // Limit returns the requests a second that the server takes, if it names a limit.
@@ -99,24 +102,41 @@
 
 // Heard takes in what an answer says to a call that was sent then.
 func (s *Server) Heard(said Statement, sent, now time.Time) {
-	if !said.Limited && !s.said.Load() {
+	if !said.says() && !s.said.Load() {
 		return
 	}
 	s.mu.Lock()
-	before := s.limit
+	before, limitBefore := s.describe(now), s.limit
 	s.hearLimit(said, sent, now)
-	changed := s.limit.differs(&before)
-	if changed {
+	limited := s.limit.differs(&limitBefore)
+	if limited {
 		s.limit.freshUntil = now.Add(freshFor)
 	}
-	after := s.limit
+	drains := said.Leaving && s.drain.begin(now, now.Add(freshFor))
+	rests := said.Backoff > 0 && s.rest.extend(now.Add(said.Backoff), now)
+	s.said.Store(s.said.Load() || said.says())
+	after := s.describe(now)
 	s.mu.Unlock()
-	if changed {
-		s.tracker.tell(Change{Server: s.tracker.nameOf(s), Before: before.String(), Now: after.String()})
+	if limited || drains || rests {
+		s.tracker.tell(Change{Server: s.tracker.nameOf(s), Before: before, Now: after})
+	}
+	if limited || drains {
 		s.tracker.hurry()
 	}
 }
 
+// describe says what is known of the server, for the log. The caller holds the lock.
+func (s *Server) describe(now time.Time) string {
+	text := s.limit.String()
+	if s.drain.leaving {
+		text += ", leaving"
+	}
+	if now.Before(s.rest.until) {
+		text += fmt.Sprintf(", rests for %.1f s", s.rest.until.Sub(now).Seconds())
+	}
+	return text
+}
+
 // hearLimit takes in what an answer says of a limit. One without a limit ends it, unless
 // the call was sent before the limit was last named: answers overtake each other. The
 // caller holds the lock.
--- a/backpressure/statement.go
+++ b/backpressure/statement.go
@@ -1,5 +1,7 @@
 package backpressure
 
+import "time"
+
 // Kind is the kind of call that an answer belongs to.
 type Kind uint8
 
@@ -58,10 +60,18 @@
 	// second the server takes from all instances together.
 	Limited bool
 	Limit   float64
+	// Leaving is set if the server says that it leaves: it is not to get new work.
+	Leaving bool
+	// Backoff is for how long the server, as it turned the call away, wants nothing from the
+	// instance that made it; 0 if it did not say.
+	Backoff time.Duration
 	// Unreadable is set if the answer says something of a limit that cannot be read.
 	Unreadable bool
 }
 
+// says says whether the statement holds anything that may hold calls back.
+func (s Statement) says() bool { return s.Limited || s.Leaving || s.Backoff > 0 }
+
 // ends says whether a statement ends a limit that was named in an answer of a kind: answers
 // to refused calls, or of other kinds, may never name one.
 func (s Statement) ends(named Kind) bool {
