A server that says it leaves, or asks for rest, is left alone

Cause: neither word was read where servers are chosen; the first went through to the caller, the second was dropped with the refusal, and pauses of the breaker's and of refusals decided instead.

Leaving holds for that run, at once, against any list, and is sent to all siblings; streams move off, prompts that were read go to another engine, no order goes there. Rest holds for the instance that was asked, as a server may turn away one zone only: until the latest moment asked for, then one request, then the others; it is no failure of the breaker. What would lapse by itself is not sent to a server that rests; a stream that was stopped there for a move goes on. All is judged once more where a call is sent.

--- a/backpressure/drain.go
+++ b/backpressure/drain.go
@@ -12,6 +12,13 @@
 	freshUntil time.Time
 }
 
+// drainKept is how long siblings are sent that a server leaves: longer than any takes to do
+// so (source: the users' protocol, many seconds at times).
+const drainKept = time.Hour
+
+// isTold says whether siblings are told.
+func (d *drain) isTold(now time.Time) bool { return d.leaving && now.Sub(d.at) < drainKept }
+
 // begin notes that the server leaves, and says whether that is new.
 func (d *drain) begin(at, freshUntil time.Time) (isNew bool) {
 	if d.leaving {
--- a/backpressure/server.go
+++ b/backpressure/server.go
@@ -16,6 +16,10 @@
 	Clear Verdict = iota
 	// OverLimit: the server's rate limit leaves no room for it here.
 	OverLimit
+	// Leaving: the server has said that it leaves.
+	Leaving
+	// Resting: the server wants nothing from this instance for a while.
+	Resting
 )
 
 // String names the verdict, for the log.
@@ -25,6 +29,10 @@
 		return "clear"
 	case OverLimit:
 		return "limit"
+	case Leaving:
+		return "leaving"
+	case Resting:
+		return "resting"
 	}
 	return "unknown"
 }
@@ -75,6 +83,7 @@
 	verdict := s.judge(work, now)
 	if verdict == Clear {
 		s.spend(work.Calls, now)
+		s.rest.sent(now)
 	}
 	return verdict
 }
@@ -82,14 +91,52 @@
 // judge says what holds work back. The caller holds the lock.
 func (s *Server) judge(work Work, now time.Time) Verdict {
 	switch {
+	case work.Owed && work.Kind == Decode:
+		// Without, a stream that was stopped there would be lost.
+		return Clear
+	case s.rest.holdsBack(now):
+		return Resting
 	case work.Owed:
 		return Clear
+	case s.drain.leaving:
+		return Leaving
 	case s.holdsBack(work.Calls, now):
 		return OverLimit
 	}
 	return Clear
 }
 
+// IsLeaving says whether the server has said that it leaves.
+func (s *Server) IsLeaving() bool {
+	if s == nil || !s.said.Load() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drain.leaving
+}
+
+// IsResting says whether the server has asked this instance to leave it alone.
+func (s *Server) IsResting(now time.Time) bool {
+	if s == nil || !s.said.Load() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.rest.until)
+}
+
+// WantsNothing says whether the server is to be left alone by this instance now, since it
+// has asked for that, or has just been sent the first request since.
+func (s *Server) WantsNothing(now time.Time) bool {
+	if s == nil || !s.said.Load() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rest.holdsBack(now)
+}
+
 // RoomIn is how long it takes until work may be sent to the server, as far as is known.
 func (s *Server) RoomIn(work Work, now time.Time) time.Duration {
 	if s == nil || !s.said.Load() {
@@ -97,7 +144,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.roomIn(work.Calls, now)
+	return max(s.roomIn(work.Calls, now), s.rest.roomIn(now))
 }
 
 // Heard takes in what an answer says to a call that was sent then.
@@ -113,7 +160,7 @@
 		s.limit.freshUntil = now.Add(freshFor)
 	}
 	drains := said.Leaving && s.drain.begin(now, now.Add(freshFor))
-	rests := said.Backoff > 0 && s.rest.extend(now.Add(said.Backoff), now)
+	rests := s.hearRest(said, now)
 	s.said.Store(s.said.Load() || said.says())
 	after := s.describe(now)
 	s.mu.Unlock()
@@ -125,6 +172,18 @@
 	}
 }
 
+// hearRest takes in whether the server wants to be left alone, and says whether that
+// begins. The caller holds the lock.
+func (s *Server) hearRest(said Statement, now time.Time) (begins bool) {
+	if said.Backoff > 0 {
+		return s.rest.extend(said.Backoff, s.tracker.random(), now)
+	}
+	if !said.Refused && !now.Before(s.rest.until) {
+		s.rest.recovering = false
+	}
+	return false
+}
+
 // describe says what is known of the server, for the log. The caller holds the lock.
 func (s *Server) describe(now time.Time) string {
 	text := s.limit.String()
--- a/backpressure/statement.go
+++ b/backpressure/statement.go
@@ -21,6 +21,9 @@
 	Move
 	// Free gives up the result of a prefill or of a move.
 	Free
+	// Report has an engine report, Order changes its role.
+	Report
+	Order
 )
 
 // Work is what a call asks of a server.
@@ -49,6 +52,8 @@
 	TakeBackWork = Work{Kind: Decode, Calls: 1, Owed: true}
 	MoveWork     = Work{Kind: Move, Calls: 1, Owed: true}
 	FreeWork     = Work{Kind: Free, Calls: 1, Owed: true}
+	// OrderWork counts the report that an order is decided by.
+	OrderWork = Work{Kind: Order, Calls: 2}
 )
 
 // Statement is what one answer says of the server that gave it.
--- a/backpressure/tracker.go
+++ b/backpressure/tracker.go
@@ -1,6 +1,7 @@
 // Package backpressure holds what backend servers say of themselves in their answers, and
 // what this instance may send them by that: a server in need names how many requests a
-// second it takes from all instances together. It does no I/O and reads no clock.
+// second it takes from all instances together, one that leaves says so, and one that turns
+// a request away may ask to be left alone. It does no I/O and reads no clock.
 //
 // Each instance keeps to its part of a limit. The parts hold by themselves, whatever
 // instances send each other: what one of them sends another cannot be late for them. What
@@ -125,17 +126,33 @@
 	}
 }
 
-// Limited counts the servers that name a rate limit.
-func (t *Tracker) Limited() int {
+// Count counts the servers of which something holds.
+func (t *Tracker) Count(holds func(*Server) bool) int {
 	count := 0
 	for _, server := range t.all() {
-		if _, named := server.Limit(); named {
+		if holds(server) {
 			count++
 		}
 	}
 	return count
 }
 
+// Limited counts the servers that name a rate limit.
+func (t *Tracker) Limited() int {
+	return t.Count(func(server *Server) bool {
+		_, named := server.Limit()
+		return named
+	})
+}
+
+// Leaving counts the servers that have said that they leave.
+func (t *Tracker) Leaving() int { return t.Count((*Server).IsLeaving) }
+
+// Resting counts the servers that have asked this instance to leave them alone.
+func (t *Tracker) Resting(now time.Time) int {
+	return t.Count(func(server *Server) bool { return server.IsResting(now) })
+}
+
 // all returns the servers that have said something.
 func (t *Tracker) all() []*Server {
 	t.mu.Lock()
--- a/backpressure/update.go
+++ b/backpressure/update.go
@@ -9,6 +9,15 @@
 // Update is what an instance sends its siblings of what servers say.
 type Update struct {
 	Limits []LimitSaid `cbor:"1,keyasint,omitempty"`
+	Drains []DrainSaid `cbor:"2,keyasint,omitempty"`
+}
+
+// DrainSaid is that a server has said that it leaves.
+type DrainSaid struct {
+	_      struct{} `cbor:",toarray"`
+	Server ID
+	// AgeMillis is how long ago it first did, in milliseconds.
+	AgeMillis int64
 }
 
 // LimitSaid is what a server said of its limit in one answer.
@@ -49,7 +58,7 @@
 	update := &Update{}
 	var rest []*Server
 	for _, server := range known {
-		if server.isFresh(now) && len(update.Limits) < freshAtOnce {
+		if server.isFresh(now) && update.size() < freshAtOnce {
 			update.add(server, now)
 		} else {
 			rest = append(rest, server)
@@ -94,27 +103,41 @@
 	return picked
 }
 
+// size counts the statements in an update.
+func (u *Update) size() int { return len(u.Limits) + len(u.Drains) }
+
 func (u *Update) add(server *Server, now time.Time) {
 	server.mu.Lock()
 	defer server.mu.Unlock()
+	if d := &server.drain; d.isTold(now) {
+		u.Drains = append(u.Drains, DrainSaid{Server: server.id, AgeMillis: now.Sub(d.at).Milliseconds()})
+	}
 	l := &server.limit
+	if !l.isTold(now) {
+		return
+	}
 	u.Limits = append(u.Limits, LimitSaid{
 		Server: server.id, Observation: l.observation, AgeMillis: now.Sub(l.at).Milliseconds(), Kind: l.kind, Named: l.named, Rate: l.rate,
 	})
 }
 
+// isTold says whether siblings are told of the limit.
+func (l *limit) isTold(now time.Time) bool {
+	return now.Sub(l.at) < memory && (l.named || now.Sub(l.at) < endedFor)
+}
+
 // isTold says whether siblings are told of the server.
 func (s *Server) isTold(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.limit.at) < memory && (s.limit.named || now.Sub(s.limit.at) < endedFor)
+	return s.limit.isTold(now) || s.drain.isTold(now)
 }
 
 // isFresh says whether what is known of the server has just changed.
 func (s *Server) isFresh(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Before(s.limit.freshUntil)
+	return now.Before(s.limit.freshUntil) || now.Before(s.drain.freshUntil)
 }
 
 // Merge takes in what a sibling sends. With relay set, what is new is sent on at once.
@@ -126,6 +149,9 @@
 	for _, said := range update.Limits {
 		hurry = t.mergeLimit(said, by, relay, now) || hurry
 	}
+	for _, said := range update.Drains {
+		hurry = t.mergeDrain(said, by, relay, now) || hurry
+	}
 	if hurry && relay {
 		t.hurry()
 	}
@@ -142,24 +168,50 @@
 	}
 	next := limit{named: said.Named, rate: said.Rate, kind: said.Kind, at: now.Add(-age), observation: said.Observation}
 	server.mu.Lock()
-	before := server.limit
 	if !server.takes(&next) {
 		server.mu.Unlock()
 		return false
 	}
-	next.freshUntil = before.freshUntil
-	changed = next.differs(&before)
+	before := server.describe(now)
+	next.freshUntil = server.limit.freshUntil
+	changed = next.differs(&server.limit)
 	if changed && relay {
 		next.freshUntil = now.Add(freshFor)
 	}
 	server.adopt(next, now)
+	after := server.describe(now)
 	server.mu.Unlock()
 	if changed {
-		t.tell(Change{Server: t.nameOf(server), Before: before.String(), Now: next.String(), By: by, Age: age})
+		t.tell(Change{Server: t.nameOf(server), Before: before, Now: after, By: by, Age: age})
 	}
 	return changed
 }
 
+func (t *Tracker) mergeDrain(said DrainSaid, by string, relay bool, now time.Time) (isNew bool) {
+	age := time.Duration(said.AgeMillis) * time.Millisecond
+	if said.AgeMillis < 0 || said.AgeMillis > drainKept.Milliseconds() {
+		return false
+	}
+	server := t.toldOf(said.Server, now)
+	if server == nil {
+		return false
+	}
+	freshUntil := time.Time{}
+	if relay {
+		freshUntil = now.Add(freshFor)
+	}
+	server.mu.Lock()
+	before := server.describe(now)
+	isNew = server.drain.begin(now.Add(-age), freshUntil)
+	server.said.Store(true)
+	after := server.describe(now)
+	server.mu.Unlock()
+	if isNew {
+		t.tell(Change{Server: t.nameOf(server), Before: before, Now: after, By: by, Age: age})
+	}
+	return isNew
+}
+
 // takes says whether a sibling's word on the limit goes before what is known. The caller
 // holds the lock.
 func (s *Server) takes(next *limit) bool {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -153,6 +153,10 @@
 	p.metrics.Watch("requests_suspect", "Requests under which servers ended, and that are probed one at a time.", suspects(poison.Suspect))
 	p.metrics.Watch("requests_blocked", "Requests that crash servers and are sent to none.", suspects(poison.Blocked))
 	p.metrics.Watch("servers_limited", "Backend servers that name a rate limit.", func() float64 { return float64(p.edge.Fleet.Backpressure.Limited()) })
+	p.metrics.Watch("servers_leaving", "Backend servers that have said in their answers that they leave.", func() float64 { return float64(p.edge.Fleet.Backpressure.Leaving()) })
+	p.metrics.Watch("servers_resting", "Backend servers that have asked this instance to leave them alone for a while.", func() float64 {
+		return float64(p.edge.Fleet.Backpressure.Resting(clock.Now()))
+	})
 	p.metrics.Count("server_statements_unreadable_total", "Statements of backend servers about themselves that could not be read.", func() float64 {
 		return float64(p.backends.Unreadable())
 	})
--- a/edge/backpressure_test.go
+++ b/edge/backpressure_test.go
@@ -54,6 +54,11 @@
 			t.Errorf("it has come back at some, for %v", took)
 		}
 	}
+	says(f.instances[1], "s4", backpressure.Statement{Kind: backpressure.Plain, Leaving: true})
+	leaves := func(in *Instance) bool { return in.Fleet.Server("s4").Pressure.IsLeaving() }
+	if took := f.slowest(leaves); took > spreadWithin {
+		t.Errorf("that it leaves is known everywhere after %v", took)
+	}
 }
 
 // An instance that starts, or was cut off, hears it as it is heard.
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -126,7 +126,7 @@
 	var engines []roles.Engine
 	for _, role := range []string{table.RolePrefill, table.RoleDecode} {
 		for _, backend := range poolOf(servers, role, name) {
-			if backend.Drain {
+			if backend.Drain || o.Fleet.Backpressure.Server(backend.Name).IsLeaving() {
 				continue
 			}
 			known := roles.Engine{Name: backend.Name, Zone: backend.Zone, Role: role}
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -48,9 +48,9 @@
 	sent time.Time
 	// mayRun is set once a backend server may have run the request.
 	mayRun bool
-	// held is set once a choice found no server only since those that are sound would not
-	// take the work at that moment, and opens is when the first of them will.
-	held  bool
+	// held is why the last choice found no server, if that is only since those that are
+	// sound would not take the work at that moment; opens is when the first of them will.
+	held  reason.Reason
 	opens time.Time
 	// decisions are what was decided for the request so far.
 	decisions []decision
@@ -131,7 +131,7 @@
 // chooseBy decides as choose does, for a query that says more.
 func (f *flow) chooseBy(query *route.Query, profile *route.Profile, from pool) *route.Rated {
 	f.servers = f.View.Servers()
-	f.held = false
+	f.held = reason.None
 	query.Work = from.work
 	made := profile.Decide(query, f.Fleet, from.pick(f.servers, f.service.Name))
 	outcome := made.Pick
@@ -154,15 +154,15 @@
 // noteHeld notes whether a choice found no server only for what these have said of
 // themselves.
 func (f *flow) noteHeld(query *route.Query, rated []route.Rated) {
-	opens, held := route.HeldBack(query, rated)
-	f.held, f.opens = held, query.Now.Add(opens)
+	why, opens := route.HeldBack(query, rated)
+	f.held, f.opens = why, query.Now.Add(opens)
 }
 
 // whyNoServer is the reason to refuse a request for which the last choice found no server;
 // usual is that where none of them has said anything.
 func (f *flow) whyNoServer(usual reason.Reason) reason.Reason {
-	if f.held {
-		return reason.ServersLimited
+	if f.held != reason.None {
+		return f.held
 	}
 	return usual
 }
@@ -179,7 +179,7 @@
 	left := float64(clock.Until(f.request.Deadline))
 	spread := f.Random() * (f.config.RetryLatest - f.config.RetryEarliest)
 	usual := time.Duration((f.config.RetryEarliest + spread) * left)
-	if why == reason.ServersLimited {
+	if why == f.held && why != reason.None {
 		return max(usual, clock.Until(f.opens)+time.Duration(spread*left))
 	}
 	return usual
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -118,7 +118,7 @@
 // so, an engine must get no new work.
 func (g *generation) begin() (*Stream, *stepError) {
 	if g.leaving(g.decode.Name) {
-		return g.handOffElsewhere(&stepError{why: reason.HandoffRefused, detail: "the decode engine is leaving"})
+		return g.handOffElsewhere(&stepError{why: reason.HandoffRefused, detail: "the decode engine is leaving"}, false)
 	}
 	if g.result != "" && g.View.Servers().Restarted(g.entry(g.prefill)) {
 		return g.beginWithoutResult()
--- a/forward/learn.go
+++ b/forward/learn.go
@@ -33,6 +33,9 @@
 	case errors.As(err, &notRun):
 		server.Unreached(now)
 		server.Breaker.Failure(now)
+	case server.Pressure.IsResting(now):
+		// It asked to be left alone, which is no failure.
+		server.Heard(now)
 	default:
 		server.Breaker.Failure(now)
 	}
--- a/forward/pressure_test.go
+++ b/forward/pressure_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
@@ -102,3 +104,109 @@
 		}
 	})
 }
+
+// says has a server say something of itself.
+func (b *bench) says(server string, said backpressure.Statement) {
+	now := time.Now()
+	b.Fleet.Server(server).Pressure.Heard(said, now, now)
+}
+
+func TestRequestsThatAllServersWantNoneOfAreRefusedAtOnce(t *testing.T) {
+	play(t, func(b *bench) {
+		for server, rest := range map[string]time.Duration{"s1": 4 * time.Second, "s2": 2 * time.Second} {
+			b.says(server, backpressure.Statement{Kind: backpressure.Plain, Refused: true, Backoff: rest})
+		}
+		began := time.Now()
+		reply := b.serve(b.plain("a"))
+		if reply.Reason != reason.ServersResting || time.Since(began) > 0 || b.did("call") > 0 {
+			t.Errorf("%s after %v, %d calls", reply.Reason, time.Since(began), b.did("call"))
+		}
+		if reply.RetryAfter < 2*time.Second || reply.RetryAfter > 4*time.Second {
+			t.Errorf("told to come back after %v, the first opens after 2 s", reply.RetryAfter)
+		}
+	})
+}
+
+// Rest that is asked for is no failure, also where the server does not say that it has not
+// run the request.
+func TestRestOpensNoBreaker(t *testing.T) {
+	play(t, func(b *bench) {
+		b.engines.call = func(server string) (*Answer, error) {
+			b.says(server, backpressure.Statement{Kind: backpressure.Plain, Refused: true, Backoff: 10 * time.Millisecond})
+			return nil, errors.New("status 503 without a word on whether it ran")
+		}
+		for i := range 30 {
+			b.serve(b.plain(fmt.Sprint(i)))
+			time.Sleep(50 * time.Millisecond)
+		}
+		for _, id := range []string{"s1", "s2"} {
+			if state := b.Fleet.Server(id).Breaker.State(time.Now()); state != route.BreakerClosed {
+				t.Errorf("the breaker of %s is %s", id, state)
+			}
+		}
+	})
+}
+
+// The list goes on saying that it is ready.
+func TestAnEngineThatSaysItLeavesGetsNoStreamWhosePromptWasRead(t *testing.T) {
+	play(t, func(b *bench) {
+		reserved := ""
+		b.engines.reserve = func(server string) error {
+			reserved = server
+			return nil
+		}
+		first := ""
+		b.engines.prefill = func(string) error {
+			if first == "" {
+				first = reserved
+				b.says(first, backpressure.Statement{Kind: backpressure.Decode, Leaving: true})
+			}
+			return nil
+		}
+		if reply := b.serve(b.generation("a", testPrompt)); reply.Status != 200 {
+			t.Errorf("%d, %s", reply.Status, reply.Reason)
+		}
+		if b.did("decode "+first) != 0 || b.did("prefill") != 1 {
+			t.Errorf("%d runs where it leaves, %d prefills", b.did("decode "+first), b.did("prefill"))
+		}
+		b.nothingHeld()
+	})
+}
+
+// The word may come as the run is sent.
+func TestARunThatIsWithheldGoesToAnotherEngine(t *testing.T) {
+	play(t, func(b *bench) {
+		withheld := ""
+		b.engines.decode = func(server string, _ DecodeOrder) error {
+			if withheld == "" || withheld == server {
+				withheld = server
+				return &NotRun{Why: reason.ServersResting, Withheld: true}
+			}
+			return nil
+		}
+		if reply := b.serve(b.generation("a", testPrompt)); reply.Status != 200 {
+			t.Errorf("%d, %s", reply.Status, reply.Reason)
+		}
+		if b.did("prefill") != 1 {
+			t.Errorf("%d prefills", b.did("prefill"))
+		}
+		b.nothingHeld()
+	})
+}
+
+func TestStreamsMoveOffAnEngineThatSaysItLeaves(t *testing.T) {
+	play(t, func(b *bench) {
+		m := newMovers(b)
+		time.AfterFunc(200*time.Millisecond, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			b.says(m.runs[0].server, backpressure.Statement{Kind: backpressure.Decode, Leaving: true})
+		})
+		if reply := b.serve(b.generation("a", testPrompt)); reply.Status != 200 {
+			t.Errorf("%d, %s", reply.Status, reply.Reason)
+		}
+		if ran := m.ran(); ran != "d1 d2" && ran != "d2 d1" {
+			t.Errorf("ran at %s", ran)
+		}
+	})
+}
--- a/forward/read.go
+++ b/forward/read.go
@@ -154,11 +154,14 @@
 // the prompt itself.
 func (g *generation) readAfterAll(refused *NotRun) (*Stream, *stepError) {
 	failed := &stepError{why: refused.Why, detail: refused.Detail}
+	if refused.Withheld {
+		return g.handOffElsewhere(failed, false)
+	}
 	if g.result == "" || !refused.Sent {
 		return nil, failed
 	}
 	if refused.Misdirected {
-		return g.handOffElsewhere(failed)
+		return g.handOffElsewhere(failed, true)
 	}
 	g.prefill.Server.HandoffLost(clock.Now())
 	late := clock.Now().After(g.target.Add(-g.config.LandingMargin))
@@ -194,22 +197,27 @@
 	return g.begin()
 }
 
-// leaving says whether a server has begun to leave, or is gone.
+// leaving says whether a server has begun to leave, by the list or by its own word, or is
+// gone.
 func (g *generation) leaving(name string) bool {
 	entry := g.View.Servers().ByRun[name]
-	return entry == nil || entry.Draining
+	if entry == nil || entry.Draining {
+		return true
+	}
+	server := g.Fleet.Server(name)
+	return server != nil && server.Pressure.IsLeaving()
 }
 
 // handOffElsewhere takes a request to another decode engine when the first
-// turned out not to be one, or is leaving. A prefill's result waits only for a
-// short while.
-func (g *generation) handOffElsewhere(failed *stepError) (*Stream, *stepError) {
+// turned out not to be one, is leaving or would not take it; sent is whether it was sent
+// there. A prefill's result waits only for a short while.
+func (g *generation) handOffElsewhere(failed *stepError, sent bool) (*Stream, *stepError) {
 	lapses := g.readAt.Add(g.service.Engine.Handle - g.config.HandleMargin)
 	if g.result != "" && clock.Now().After(lapses) {
 		return nil, failed
 	}
 	// An engine that got nothing yet costs no retry.
-	if !g.leaving(g.decode.Name) && !g.Budget(g.service.Name).Spend(clock.Now()) {
+	if sent && !g.Budget(g.service.Name).Spend(clock.Now()) {
 		return nil, failed
 	}
 	g.Metrics.Retried(failed.why)
--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/table"
@@ -107,7 +108,8 @@
 		return false
 	}
 	for _, backend := range g.View.Servers().Decode[service] {
-		if backend.Name == one || backend.Drain || g.Fleet.Server(backend.Name) == nil {
+		server := g.Fleet.Server(backend.Name)
+		if backend.Name == one || backend.Drain || server == nil || server.Pressure.Look(backpressure.ReserveWork, clock.Now()) != backpressure.Clear {
 			continue
 		}
 		if backend.MemoryTokens == 0 || g.freeAt(backend) >= need {
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -29,6 +29,8 @@
 	CrashesServers Reason = "crashes_servers"
 	ProbeUnderWay  Reason = "probe_under_way"
 	ServersLimited Reason = "servers_limited"
+	ServersResting Reason = "servers_resting"
+	ServerLeaving  Reason = "server_leaving"
 )
 
 // Retries: an attempt was abandoned and the next one took its place.
@@ -91,6 +93,8 @@
 	{CrashesServers, "three servers or more have ended under earlier attempts of the same request; it is sent to none", "none"},
 	{ProbeUnderWay, "servers have ended under earlier attempts of the same request, and another one is being probed, or is to be soon", "none"},
 	{ServersLimited, "the servers that could take it name a rate limit for all instances together, and this instance's part leaves no room now", "none"},
+	{ServersResting, "the servers that could take it have turned this instance away and asked it to leave them alone for a while", "none"},
+	{ServerLeaving, "the server said that it leaves after it had been chosen", "none"},
 	{ReserveRefused, "the steward had no room at the decode engine", "backend.pieces"},
 	{StewardUnreached, "the steward of the decode engine did not answer", "none"},
 	{PrefillFailed, "the prefill engine failed in the middle of a prefill", "none"},
--- a/route/filter_leaving.go
+++ b/route/filter_leaving.go
@@ -1,7 +1,7 @@
 package route
 
 // LeavingFilter drops servers that the operator drains or that say themselves
-// that they are leaving, whichever is known first.
+// that they are leaving, on the list, in a report or in an answer, whichever is known first.
 type LeavingFilter struct{}
 
 // Name implements Filter.
@@ -9,7 +9,7 @@
 
 // Keep implements Filter.
 func (LeavingFilter) Keep(_ *Query, c Candidate) bool {
-	if c.Backend.Drain {
+	if c.Backend.Drain || c.Server.Pressure.IsLeaving() {
 		return false
 	}
 	report := c.Server.Report()
--- a/route/forwarding.go
+++ b/route/forwarding.go
@@ -10,7 +10,7 @@
 // every 60 ms (source: the users' sheets).
 const ordinarySilence = 500 * time.Millisecond
 
-var forwardingFilters = append([]Filter{SilentFilter{Limit: ordinarySilence}, RefusingFilter{}, LimitFilter{}}, commonFilters...)
+var forwardingFilters = append([]Filter{SilentFilter{Limit: ordinarySilence}, RestFilter{}, LimitFilter{}, RefusingFilter{}}, commonFilters...)
 
 // ForwardPrefill chooses engines that read prompts. Zones decide only between
 // those that are done about equally soon: with more weight, one engine's queue
