--- a/backpressure/update.go
+++ b/backpressure/update.go
@@ -36,13 +36,13 @@
 const (
 	// freshFor is how long a change is sent with each message: several of them, since
 	// datagrams are lost now and then.
-	freshFor = time.Second
+	freshFor = 400 * time.Millisecond
 	// endedFor is how long the end of a limit is sent, for those that missed it.
 	endedFor = 10 * time.Second
 	// freshAtOnce bounds the servers in one update whose limit has just changed, some 30
 	// bytes each, and inTurn is how many it repeats of the others.
 	freshAtOnce = 64
-	inTurn      = 4
+	inTurn      = 2
 	// memory is how old a statement may be that is taken in.
 	memory = 2 * time.Minute
 	// mostServers bounds the servers of which something is known.
--- a/edge/backpressure_test.go
+++ b/edge/backpressure_test.go
@@ -210,3 +210,32 @@
 	}
 	f.running.Wait()
 }
+
+// controlBytes is what control may send a second, in bytes (source: the size to design for).
+const controlBytes = 20_000.0
+
+// What is sent of limited servers costs nothing while none is, and little else.
+func TestWhatIsSentOfLimitedServersIsLittle(t *testing.T) {
+	manyInstances(t, func(t *testing.T, f *fleet) {
+		rate := func() float64 {
+			f.mu.Lock()
+			before := f.bytes
+			f.mu.Unlock()
+			const spell = 5 * time.Second
+			time.Sleep(spell)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return float64(f.bytes-before) / spell.Seconds() / float64(len(f.instances))
+		}
+		calm := rate()
+		for i := range 40 {
+			says(f.instances[i%len(f.instances)], fmt.Sprint("x", i), limitedBy(5))
+		}
+		learning := rate()
+		later := rate()
+		t.Logf("%.0f bytes a second and instance; %.0f in the 5 s after 40 servers named limits, %.0f later", calm, learning, later)
+		if most := max(learning, later); most > controlBytes {
+			t.Errorf("%.0f bytes a second and instance, %v are for control", most, controlBytes)
+		}
+	})
+}
