--- a/edge/backpressure_test.go
+++ b/edge/backpressure_test.go
@@ -74,22 +74,14 @@
 }
 
 func testNewcomerHears(t *testing.T, f *fleet) {
-	last := len(f.instances) - 1
-	newcomer, others := f.instances[last], f.instances[:last]
-	defer f.running.Wait()
-	defer f.startThese(others)()
-	time.Sleep(5 * time.Second)
-	for i := range 10 {
-		says(others[i%len(others)], fmt.Sprint("s", i), limitedBy(5))
-	}
-	time.Sleep(12 * time.Second)
-	defer f.startThese([]*Instance{newcomer})()
-	began := time.Now()
-	for !knowsLimited(10)(newcomer) && time.Since(began) < 10*time.Second {
-		time.Sleep(10 * time.Millisecond)
+	const servers = 10
+	learn := func(others []*Instance) {
+		for i := range servers {
+			says(others[i%len(others)], fmt.Sprint("s", i), limitedBy(5))
+		}
 	}
-	if took := time.Since(began); took > 2*time.Second {
-		t.Errorf("knows of %d of 10 after %v", newcomer.Fleet.Backpressure.Limited(), took)
+	if took := f.newcomerKnows(learn, knowsLimited(servers)); took > newcomerWithin {
+		t.Errorf("knows all after %v", took)
 	}
 }
 
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -391,6 +391,27 @@
 	f.instances = f.instances[:last]
 }
 
+// newcomerWithin is how soon an instance that starts must know what the others do.
+const newcomerWithin = 2 * time.Second
+
+// newcomerKnows has the last instance start long after the others have learnt something, and
+// returns how long it takes to know that; ten seconds if it never does.
+func (f *fleet) newcomerKnows(learn func(others []*Instance), knows func(in *Instance) bool) time.Duration {
+	last := len(f.instances) - 1
+	others := f.instances[:last]
+	defer f.running.Wait()
+	defer f.startThese(others)()
+	time.Sleep(5 * time.Second)
+	learn(others)
+	time.Sleep(12 * time.Second)
+	defer f.startThese(f.instances[last:])()
+	began := time.Now()
+	for !knows(f.instances[last]) && time.Since(began) < 10*time.Second {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
 // slowest is the longest that any instance takes until something holds there; it
 // gives up after a minute.
 func (f *fleet) slowest(holds func(in *Instance) bool) time.Duration {
--- a/edge/poison_test.go
+++ b/edge/poison_test.go
@@ -70,24 +70,15 @@
 	}
 }
 
-// testNewcomerIsTold has the last instance start long after the others.
 func testNewcomerIsTold(t *testing.T, f *fleet) {
-	newcomer := f.instances[len(f.instances)-1]
-	defer f.running.Wait()
-	defer f.startThese(f.instances[:len(f.instances)-1])()
-	time.Sleep(5 * time.Second)
 	const requests = 20
-	for request := range requests {
-		endThree(f.instances[:len(f.instances)-1], request)
-	}
-	time.Sleep(12 * time.Second)
-	defer f.startThese([]*Instance{newcomer})()
-	began := time.Now()
-	for newcomer.Poison.Count(poison.Blocked) < requests && time.Since(began) < 10*time.Second {
-		time.Sleep(10 * time.Millisecond)
+	learn := func(others []*Instance) {
+		for request := range requests {
+			endThree(others, request)
+		}
 	}
-	if took := time.Since(began); took > 2*time.Second {
-		t.Errorf("knows %d of %d after %v", newcomer.Poison.Count(poison.Blocked), requests, took)
+	if took := f.newcomerKnows(learn, func(in *Instance) bool { return in.Poison.Count(poison.Blocked) == requests }); took > newcomerWithin {
+		t.Errorf("knows all after %v", took)
 	}
 }
 
