Servers that speak: siblings are told of those on the list only, and of one's changes of mind ten times a second at most

Found by reading: an instance forgets a server two minutes after it left the list, and was reminded of it by the next one that had not yet, for an hour; a server that names a limit in every other answer would have had each instance send all others a message with each. Texts for the log are made for changes only, and what has said something is kept apart, so that a message no longer looks through all servers. A generation that no engine takes now is refused for that, also where its prompt would have been read there.

--- a/backpressure/server.go
+++ b/backpressure/server.go
@@ -42,18 +42,39 @@
 type Server struct {
 	tracker *Tracker
 	id      ID
-	// name and known, when it was last on the list of servers, are guarded by the tracker.
-	name  string
-	known time.Time
+	// name, known and listed are guarded by the tracker: known is when it was last on the
+	// list of servers, or was heard of before that, and listed whether it is there.
+	name   string
+	known  time.Time
+	listed bool
 	// said is set once the server has said anything that may hold calls back: until then
 	// requests pass without a lock.
 	said atomic.Bool
 
-	mu        sync.Mutex
-	limit     limit
+	mu sync.Mutex
+	state
 	allowance allowance
-	drain     drain
-	rest      rest
+	// hurried is when siblings were last to hear of a change at once.
+	hurried time.Time
+}
+
+// state is what a server has said.
+type state struct {
+	limit limit
+	drain drain
+	rest  rest
+}
+
+// describe says what a server has said, for the log.
+func (s *state) describe(now time.Time) string {
+	text := s.limit.String()
+	if s.drain.leaving {
+		text += ", leaving"
+	}
+	if now.Before(s.rest.until) {
+		text += fmt.Sprintf(", rests for %.1f s", s.rest.until.Sub(now).Seconds())
+	}
+	return text
 }
 
 // Limit returns the requests a second that the server takes, if it names a limit.
@@ -153,25 +174,40 @@
 		return
 	}
 	s.mu.Lock()
-	before, limitBefore := s.describe(now), s.limit
+	before := s.state
 	s.hearLimit(said, sent, now)
-	limited := s.limit.differs(&limitBefore)
+	limited := s.limit.differs(&before.limit)
 	if limited {
 		s.limit.freshUntil = now.Add(freshFor)
 	}
 	drains := said.Leaving && s.drain.begin(now, now.Add(freshFor))
 	rests := s.hearRest(said, now)
-	s.said.Store(s.said.Load() || said.says())
-	after := s.describe(now)
+	s.speaks()
+	after := s.state
+	hurry := (limited || drains) && now.Sub(s.hurried) >= hurryGap
+	if hurry {
+		s.hurried = now
+	}
 	s.mu.Unlock()
 	if limited || drains || rests {
-		s.tracker.tell(Change{Server: s.tracker.nameOf(s), Before: before, Now: after})
+		s.tracker.tell(Change{Server: s.tracker.nameOf(s), Before: before.describe(now), Now: after.describe(now)})
 	}
-	if limited || drains {
+	if hurry {
 		s.tracker.hurry()
 	}
 }
 
+// hurryGap is the least pause between two changes of a server that siblings hear of at
+// once: one may change its mind with each answer.
+const hurryGap = 100 * time.Millisecond
+
+// speaks notes that the server has said something. The caller holds the lock.
+func (s *Server) speaks() {
+	if s.said.CompareAndSwap(false, true) {
+		s.tracker.addSpeaking(s)
+	}
+}
+
 // hearRest takes in whether the server wants to be left alone, and says whether that
 // begins. The caller holds the lock.
 func (s *Server) hearRest(said Statement, now time.Time) (begins bool) {
@@ -184,18 +220,6 @@
 	return false
 }
 
-// describe says what is known of the server, for the log. The caller holds the lock.
-func (s *Server) describe(now time.Time) string {
-	text := s.limit.String()
-	if s.drain.leaving {
-		text += ", leaving"
-	}
-	if now.Before(s.rest.until) {
-		text += fmt.Sprintf(", rests for %.1f s", s.rest.until.Sub(now).Seconds())
-	}
-	return text
-}
-
 // hearLimit takes in what an answer says of a limit. One without a limit ends it, unless
 // the call was sent before the limit was last named: answers overtake each other. The
 // caller holds the lock.
@@ -216,5 +240,5 @@
 		s.allowance.begin(s.tracker.random(), now)
 	}
 	s.limit = next
-	s.said.Store(true)
+	s.speaks()
 }
--- a/backpressure/tracker.go
+++ b/backpressure/tracker.go
@@ -9,6 +9,8 @@
 package backpressure
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,13 +50,15 @@
 
 	mu      sync.Mutex
 	servers map[ID]*Server
+	// speaking holds those of them that have said something.
+	speaking map[ID]*Server
 	// turn is whose state is sent next without being fresh.
 	turn int
 }
 
 // New returns a tracker that knows nothing. random returns a number in [0,1).
 func New(random func() float64) *Tracker {
-	t := &Tracker{random: random, servers: make(map[ID]*Server)}
+	t := &Tracker{random: random, servers: make(map[ID]*Server), speaking: make(map[ID]*Server)}
 	t.instances.Store(&Instances{})
 	t.observations.Store(uint64(random()*(1<<53)) << 11)
 	return t
@@ -94,7 +98,7 @@
 	defer t.mu.Unlock()
 	server := t.find(IDOf(run))
 	if server.name == "" {
-		server.name = run
+		server.name, server.listed = run, true
 	}
 	return server
 }
@@ -118,10 +122,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, server := range t.servers {
-		if known(server.name) {
+		server.listed = known(server.name)
+		if server.listed {
 			server.known = now
 		} else if now.Sub(server.known) > forgetAfter {
 			delete(t.servers, id)
+			delete(t.speaking, id)
 		}
 	}
 }
@@ -129,7 +135,7 @@
 // Count counts the servers of which something holds.
 func (t *Tracker) Count(holds func(*Server) bool) int {
 	count := 0
-	for _, server := range t.all() {
+	for _, server := range t.speakingServers() {
 		if holds(server) {
 			count++
 		}
@@ -153,15 +159,23 @@
 	return t.Count(func(server *Server) bool { return server.IsResting(now) })
 }
 
-// all returns the servers that have said something.
-func (t *Tracker) all() []*Server {
+// addSpeaking notes that a server has said something.
+func (t *Tracker) addSpeaking(server *Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var all []*Server
-	for _, server := range t.servers {
-		if server.said.Load() {
-			all = append(all, server)
-		}
-	}
-	return all
+	t.speaking[server.id] = server
+}
+
+// speakingServers returns the servers that have said something.
+func (t *Tracker) speakingServers() []*Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Values(t.speaking))
+}
+
+// isListed says whether a server is on the list of servers.
+func (t *Tracker) isListed(server *Server) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return server.listed
 }
--- a/backpressure/update.go
+++ b/backpressure/update.go
@@ -84,9 +84,10 @@
 	return updates
 }
 
-// telling returns the servers of which siblings are told, by id.
+// telling returns the servers of which siblings are told, by id: those on the list. Of
+// others instances would remind each other for ever.
 func (t *Tracker) telling(now time.Time) []*Server {
-	all := slices.DeleteFunc(t.all(), func(server *Server) bool { return !server.isTold(now) })
+	all := slices.DeleteFunc(t.speakingServers(), func(server *Server) bool { return !t.isListed(server) || !server.isTold(now) })
 	slices.SortFunc(all, func(a, b *Server) int { return cmp.Compare(a.id, b.id) })
 	return all
 }
@@ -172,17 +173,17 @@
 		server.mu.Unlock()
 		return false
 	}
-	before := server.describe(now)
+	before := server.state
 	next.freshUntil = server.limit.freshUntil
 	changed = next.differs(&server.limit)
 	if changed && relay {
 		next.freshUntil = now.Add(freshFor)
 	}
 	server.adopt(next, now)
-	after := server.describe(now)
+	after := server.state
 	server.mu.Unlock()
 	if changed {
-		t.tell(Change{Server: t.nameOf(server), Before: before, Now: after, By: by, Age: age})
+		t.tell(Change{Server: t.nameOf(server), Before: before.describe(now), Now: after.describe(now), By: by, Age: age})
 	}
 	return changed
 }
@@ -201,13 +202,13 @@
 		freshUntil = now.Add(freshFor)
 	}
 	server.mu.Lock()
-	before := server.describe(now)
+	before := server.state
 	isNew = server.drain.begin(now.Add(-age), freshUntil)
-	server.said.Store(true)
-	after := server.describe(now)
+	server.speaks()
+	after := server.state
 	server.mu.Unlock()
 	if isNew {
-		t.tell(Change{Server: t.nameOf(server), Before: before, Now: after, By: by, Age: age})
+		t.tell(Change{Server: t.nameOf(server), Before: before.describe(now), Now: after.describe(now), By: by, Age: age})
 	}
 	return isNew
 }
--- a/backpressure/update_test.go
+++ b/backpressure/update_test.go
@@ -70,6 +70,23 @@
 	}
 }
 
+// Of servers that are gone instances would remind each other for ever.
+func TestNobodyIsToldOfServersThatAreNotListed(t *testing.T) {
+	tracker, now := alone(), time.Now()
+	tracker.Merge(&Update{Drains: []DrainSaid{{Server: IDOf("s")}}}, "sibling", true, now)
+	if tracker.Update(now) != nil || tracker.Whole(now) != nil {
+		t.Error("told before it is on the list")
+	}
+	tracker.Server("s")
+	if tracker.Update(now) == nil {
+		t.Error("not told though it is on the list")
+	}
+	tracker.Keep(func(string) bool { return false }, now)
+	if tracker.Update(now) != nil {
+		t.Error("told though it has left the list")
+	}
+}
+
 // Rest is asked of the one that was turned away.
 func TestRestIsNobodyElses(t *testing.T) {
 	all := trackers(2)
--- a/edge/backpressure_test.go
+++ b/edge/backpressure_test.go
@@ -219,8 +219,13 @@
 			defer f.mu.Unlock()
 			return float64(f.bytes-before) / spell.Seconds() / float64(len(f.instances))
 		}
+		const servers = 40
+		for i := range servers {
+			f.store.register(fmt.Sprint("x", i), false)
+		}
+		time.Sleep(5 * time.Second)
 		calm := rate()
-		for i := range 40 {
+		for i := range servers {
 			says(f.instances[i%len(f.instances)], fmt.Sprint("x", i), limitedBy(5))
 		}
 		learning := rate()
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -158,15 +158,6 @@
 	f.held, f.opens = why, query.Now.Add(opens)
 }
 
-// whyNoServer is the reason to refuse a request for which the last choice found no server;
-// usual is that where none of them has said anything.
-func (f *flow) whyNoServer(usual reason.Reason) reason.Reason {
-	if f.held != reason.None {
-		return f.held
-	}
-	return usual
-}
-
 // entry returns the entry of a server that was chosen, as it was then: the
 // server may be gone from the list by now.
 func (f *flow) entry(chosen *route.Rated) *registry.Entry { return f.entries[chosen.Name] }
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -64,13 +64,18 @@
 			return &stepError{why: reason.CallerGone, detail: err.Error()}
 		}
 	}
-	if g.readAtDecode {
+	return g.noEngine()
+}
+
+// noEngine says why no engine could be reserved.
+func (g *generation) noEngine() *stepError {
+	switch {
+	case g.held != reason.None && len(g.tried) == 0:
+		return &stepError{why: g.held, detail: "no decode engine takes it now"}
+	case g.readAtDecode:
 		return &stepError{why: reason.DeadlineTooClose, detail: "the prompts ahead take too long"}
 	}
-	if len(g.tried) > 0 {
-		return &stepError{why: reason.NoDecodeMemory, detail: "no decode engine has enough memory left"}
-	}
-	return &stepError{why: g.whyNoServer(reason.NoDecodeMemory), detail: "no decode engine takes it now"}
+	return &stepError{why: reason.NoDecodeMemory, detail: "no decode engine has enough memory left"}
 }
 
 // decodeProfile chooses an engine that generates; one that is to read the
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 
@@ -147,7 +148,7 @@
 	case errors.Is(err, errPoison):
 		return f.fail(reason.CrashesServers, err.Error())
 	case errors.Is(err, errNoServer):
-		return f.refuse(f.whyNoServer(reason.NoBackend), err.Error())
+		return f.refuse(cmp.Or(f.held, reason.NoBackend), err.Error())
 	case errors.As(err, &notRun):
 		return f.refuse(notRun.Why, notRun.Detail)
 	default:
