A limit ends with an answer of any kind of call that has named it

Found by reading. Of a server that names its limit in all its answers the last kind to do so decided which answers could end it: after a report, which is asked for seldom, no answer of a plain call or a run ended it, and the server stayed limited everywhere until the next report. The test failed before. Kept now is the set of kinds that have named it, also in what siblings send.

--- a/backpressure/limit.go
+++ b/backpressure/limit.go
@@ -11,9 +11,10 @@
 	named bool
 	// rate is in requests a second, from all instances together.
 	rate float64
-	// kind is the kind of call in whose answer the server said so, and at when.
-	kind Kind
-	at   time.Time
+	// kinds are the kinds of calls in whose answers the server has named it, and at is when
+	// it last did.
+	kinds Kinds
+	at    time.Time
 	// observation names that answer among those that any instance has had: whoever repeats
 	// it makes it no newer.
 	observation uint64
--- a/backpressure/limit_test.go
+++ b/backpressure/limit_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// Answers of a rare kind may be the last to name a limit; those of any kind that has named
+// it end it.
+func TestALimitEndsWithAnAnswerOfAnyKindThatHasNamedIt(t *testing.T) {
+	server, start := alone().Server("s"), time.Now()
+	at := func(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+	server.Heard(named(5), at(0), at(10))
+	server.Heard(Statement{Kind: Report, Limited: true, Limit: 5}, at(20), at(30))
+	server.Heard(Statement{Kind: Release}, at(40), at(50))
+	if _, limited := server.Limit(); !limited {
+		t.Fatal("ended by an answer of a kind that has never named it")
+	}
+	server.Heard(silent, at(60), at(70))
+	if _, limited := server.Limit(); limited {
+		t.Error("still limited")
+	}
+}
+
 func TestChangesAreToldOnce(t *testing.T) {
 	tracker, start := alone(), time.Now()
 	var told []Change
--- a/backpressure/server.go
+++ b/backpressure/server.go
@@ -224,12 +224,12 @@
 // the call was sent before the limit was last named: answers overtake each other. The
 // caller holds the lock.
 func (s *Server) hearLimit(said Statement, sent, now time.Time) {
-	next := limit{at: now, observation: s.tracker.nextObservation(), kind: said.Kind, freshUntil: s.limit.freshUntil}
+	next := limit{at: now, observation: s.tracker.nextObservation(), freshUntil: s.limit.freshUntil}
 	switch {
 	case said.Limited:
-		next.named, next.rate = true, said.Limit
+		next.named, next.rate, next.kinds = true, said.Limit, Kinds(0).with(said.Kind)
 		s.adopt(next, now)
-	case s.limit.named && said.ends(s.limit.kind) && sent.After(s.limit.at):
+	case s.limit.named && said.ends(s.limit.kinds) && sent.After(s.limit.at):
 		s.adopt(next, now)
 	}
 }
@@ -239,6 +239,9 @@
 	if next.named && !s.limit.named {
 		s.allowance.begin(s.tracker.random(), now)
 	}
+	if next.named {
+		next.kinds |= s.limit.kinds
+	}
 	s.limit = next
 	s.speaks()
 }
--- a/backpressure/statement.go
+++ b/backpressure/statement.go
@@ -26,6 +26,14 @@
 	Order
 )
 
+// Kinds is a set of kinds of calls.
+type Kinds uint16
+
+// with returns the set with one kind more.
+func (k Kinds) with(kind Kind) Kinds { return k | 1<<kind }
+
+func (k Kinds) has(kind Kind) bool { return k&(1<<kind) != 0 }
+
 // Work is what a call asks of a server.
 type Work struct {
 	Kind Kind
@@ -77,8 +85,8 @@
 // says says whether the statement holds anything that may hold calls back.
 func (s Statement) says() bool { return s.Limited || s.Leaving || s.Backoff > 0 }
 
-// ends says whether a statement ends a limit that was named in an answer of a kind: answers
-// to refused calls, or of other kinds, may never name one.
-func (s Statement) ends(named Kind) bool {
-	return !s.Limited && !s.Refused && !s.Unreadable && s.Kind == named
+// ends says whether a statement ends a limit that was named in answers of some kinds:
+// answers to refused calls, or of other kinds, may never name one.
+func (s Statement) ends(named Kinds) bool {
+	return !s.Limited && !s.Refused && !s.Unreadable && named.has(s.Kind)
 }
--- a/backpressure/update.go
+++ b/backpressure/update.go
@@ -27,7 +27,8 @@
 	// Observation names the answer, and AgeMillis is how long ago it came, in milliseconds.
 	Observation uint64
 	AgeMillis   int64
-	Kind        Kind
+	// Kinds are the kinds of calls in whose answers the server has named the limit.
+	Kinds Kinds
 	// Named is unset if the answer ended a limit.
 	Named bool
 	Rate  float64
@@ -118,7 +119,7 @@
 		return
 	}
 	u.Limits = append(u.Limits, LimitSaid{
-		Server: server.id, Observation: l.observation, AgeMillis: now.Sub(l.at).Milliseconds(), Kind: l.kind, Named: l.named, Rate: l.rate,
+		Server: server.id, Observation: l.observation, AgeMillis: now.Sub(l.at).Milliseconds(), Kinds: l.kinds, Named: l.named, Rate: l.rate,
 	})
 }
 
@@ -167,7 +168,7 @@
 	if server == nil {
 		return false
 	}
-	next := limit{named: said.Named, rate: said.Rate, kind: said.Kind, at: now.Add(-age), observation: said.Observation}
+	next := limit{named: said.Named, rate: said.Rate, kinds: said.Kinds, at: now.Add(-age), observation: said.Observation}
 	server.mu.Lock()
 	if !server.takes(&next) {
 		server.mu.Unlock()
