What a listed server has said is found without a lock on a request's path

The tracker's lock and a hash of the run's name were taken twice for each call; the fleet's index, which is read without one, holds the same.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -179,8 +179,12 @@
 	return int(limit / float64(p.edge.Instances()))
 }
 
-// pressure returns what a run of a server has said of itself.
+// pressure returns what a run of a server has said of itself. Of those on the list it is
+// found without a lock.
 func (p *Platform) pressure(run string) *backpressure.Server {
+	if server := p.edge.Fleet.Server(run); server != nil {
+		return server.Pressure
+	}
 	return p.edge.Fleet.Backpressure.Server(run)
 }
 
