Evacuated zones: their backend servers get nothing more

What callers saw: nothing yet; an operator who evacuated a zone saw its servers used on as before. Cause: the records of the operators' log that ask for it were not read. Evidence: no word of them in platform/.

They are read with the configuration, in the order of the log. An instance keeps which zones are evacuated and up to where it has read; heartbeats tell that, and what was read further on counts, so those that the store turns away hear it from others, and a word from before one's own reading changes nothing. In the picture that requests go by, servers of such a zone count as leaving: every choice, the second step of a generation and moves of running streams go by that already.

Ruled out: a filter of its own in each choice (a prefill's result, a reservation and a move would each have needed it again).

There was nothing before.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -160,6 +160,7 @@
 	p.metrics.Count("server_statements_unreadable_total", "Statements of backend servers about themselves that could not be read.", func() float64 {
 		return float64(p.backends.Unreadable())
 	})
+	p.metrics.Watch("zones_evacuated", "Availability zones whose backend servers get nothing more.", func() float64 { return float64(p.edge.Evacuated()) })
 	p.metrics.Watch("requests_in_flight", "Requests being forwarded.", func() float64 { return float64(p.gateway.InFlight()) })
 	p.metrics.Watch("decode_memory_free_tokens", "KV memory of decode engines that nobody has committed.", func() float64 { return float64(p.gateway.FreeMemory()) })
 	p.metrics.Watch("retry_budget_left", "Retries left over all services.", p.edge.RetriesLeft)
--- a/edge/beat.go
+++ b/edge/beat.go
@@ -131,6 +131,7 @@
 	return heartbeat.Message{
 		From: in.info(), Changing: in.peers.underWay(now), TableHeard: table, ServersHeard: servers,
 		Poison: in.Poison.Update(now), Pressure: in.Fleet.Backpressure.Update(now),
+		Evacuation: in.evacuation.Load(),
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -37,16 +37,26 @@
 
 // Tables is where the operators' configuration comes from.
 type Tables interface {
-	// Newest returns the configuration in force, nil before the first, and the
-	// position to follow it from.
-	Newest(ctx context.Context) (raw []byte, position oplog.Position, err error)
-	// Since waits for changes after a position. It returns the newest
-	// configuration among them, nil without one. oplog.ErrTruncated means that
-	// the position is no longer kept.
-	Since(ctx context.Context, position oplog.Position, wait time.Duration) (raw []byte, next oplog.Position, err error)
+	// Newest returns all that the operators have in force, and the position to follow it
+	// from.
+	Newest(ctx context.Context) (all OperatorChanges, position oplog.Position, err error)
+	// Since waits for changes after a position. oplog.ErrTruncated means that the
+	// position is no longer kept.
+	Since(ctx context.Context, position oplog.Position, wait time.Duration) (changes OperatorChanges, next oplog.Position, err error)
 	Decode(raw []byte) (*Revision, error)
 }
 
+// OperatorChanges is what the operators have changed since a position of their log.
+type OperatorChanges struct {
+	// Table is the newest configuration; nil without one.
+	Table []byte
+	// Evacuated says of availability zones whether their backend servers are to get
+	// nothing more. Whole is set if those that are missing are not evacuated; else they
+	// stay as they were.
+	Evacuated map[string]bool
+	Whole     bool
+}
+
 // ServerList is where the list of backend servers comes from.
 type ServerList interface {
 	Newest(ctx context.Context) (registry.Snapshot, error)
@@ -145,6 +155,8 @@
 	list      *feed
 	// tablePosition is where the store's log of the table is read on.
 	tablePosition atomic.Uint64
+	// evacuation is which zones are evacuated; nil until any ever was.
+	evacuation atomic.Pointer[heartbeat.Evacuation]
 	// loadsHeard is set when what siblings have sent is to be summed anew.
 	loadsHeard atomic.Bool
 	stopping   atomic.Bool
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -331,15 +331,15 @@
 type truncated struct{ calls int }
 
 // Newest implements Tables.
-func (l *truncated) Newest(context.Context) ([]byte, oplog.Position, error) {
+func (l *truncated) Newest(context.Context) (OperatorChanges, oplog.Position, error) {
 	l.calls++
-	return nil, 1, nil
+	return OperatorChanges{}, 1, nil
 }
 
 // Since implements Tables.
-func (l *truncated) Since(context.Context, oplog.Position, time.Duration) ([]byte, oplog.Position, error) {
+func (l *truncated) Since(context.Context, oplog.Position, time.Duration) (OperatorChanges, oplog.Position, error) {
 	l.calls++
-	return nil, 0, oplog.ErrTruncated
+	return OperatorChanges{}, 0, oplog.ErrTruncated
 }
 
 // Decode implements Tables.
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -53,11 +53,19 @@
 	topicServers = "servers"
 )
 
+// tableChange is one record of the operators: the next configuration, or the evacuation of a
+// zone.
+type tableChange struct {
+	configuration int
+	zone          string
+	evacuated     bool
+}
+
 // memoryStore is a log of changes to the list and to the table.
 type memoryStore struct {
 	mu      sync.Mutex
 	servers []registry.Change
-	tables  []int
+	tables  []tableChange
 	// silent is set while a topic's polls are not answered. One that is
 	// under way when that begins is never answered, though its connection lives.
 	silent map[string]bool
@@ -102,7 +110,14 @@
 }
 
 // configure writes the next configuration.
-func (s *memoryStore) configure() { s.change(func() { s.tables = append(s.tables, len(s.tables)+1) }) }
+func (s *memoryStore) configure() {
+	s.change(func() { s.tables = append(s.tables, tableChange{configuration: len(s.tables) + 1}) })
+}
+
+// evacuate has a zone evacuated, or takes that back.
+func (s *memoryStore) evacuate(zone string, evacuated bool) {
+	s.change(func() { s.tables = append(s.tables, tableChange{zone: zone, evacuated: evacuated}) })
+}
 
 // silence loses what is under way about a topic, and all that is asked for a
 // while.
@@ -193,20 +208,27 @@
 	return append([]registry.Change(nil), l.servers[position:]...), oplog.Position(len(l.servers)), nil
 }
 
-func (s tablesOf) Newest(ctx context.Context) ([]byte, oplog.Position, error) {
-	return s.Since(ctx, 0, 0)
+func (s tablesOf) Newest(ctx context.Context) (OperatorChanges, oplog.Position, error) {
+	all, next, err := s.Since(ctx, 0, 0)
+	all.Whole = true
+	return all, next, err
 }
 
-func (s tablesOf) Since(ctx context.Context, position oplog.Position, wait time.Duration) ([]byte, oplog.Position, error) {
+func (s tablesOf) Since(ctx context.Context, position oplog.Position, wait time.Duration) (OperatorChanges, oplog.Position, error) {
 	if err := s.ask(ctx, s.name, topicTable, int(position), wait); err != nil {
-		return nil, position, err
+		return OperatorChanges{}, position, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.tables) <= int(position) {
-		return nil, position, nil
+	changes := OperatorChanges{Evacuated: make(map[string]bool)}
+	for _, change := range s.tables[min(int(position), len(s.tables)):] {
+		if change.configuration > 0 {
+			changes.Table = strconv.AppendInt(nil, int64(change.configuration), 10)
+		} else {
+			changes.Evacuated[change.zone] = change.evacuated
+		}
 	}
-	return strconv.AppendInt(nil, int64(len(s.tables)), 10), oplog.Position(len(s.tables)), nil
+	return changes, max(position, oplog.Position(len(s.tables))), nil
 }
 
 func (s tablesOf) Decode(raw []byte) (*Revision, error) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -51,13 +51,14 @@
 // one in force.
 func (in *Instance) readTable(ctx context.Context, known bool, wait time.Duration) (time.Time, error) {
 	asked := clock.Now()
-	raw, next, err := in.askTable(ctx, known, wait)
+	changes, next, err := in.askTable(ctx, known, wait)
 	if err != nil {
 		return time.Time{}, err
 	}
-	if raw != nil {
-		in.adoptRaw(raw, "store")
+	if changes.Table != nil {
+		in.adoptRaw(changes.Table, "store")
 	}
+	in.readEvacuation(changes, next)
 	// Of two polls at a time the earlier one may be answered later.
 	for before := in.tablePosition.Load(); ; before = in.tablePosition.Load() {
 		if uint64(next) < before {
@@ -69,7 +70,7 @@
 	}
 }
 
-func (in *Instance) askTable(ctx context.Context, known bool, wait time.Duration) (raw []byte, next oplog.Position, err error) {
+func (in *Instance) askTable(ctx context.Context, known bool, wait time.Duration) (changes OperatorChanges, next oplog.Position, err error) {
 	if known {
 		return in.deps.Tables.Since(ctx, oplog.Position(in.tablePosition.Load()), wait)
 	}
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -14,6 +14,7 @@
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/forward"
+	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/lease"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/registry"
@@ -33,9 +34,10 @@
 	given map[string]givenOrder
 
 	mu sync.Mutex
-	// builtFrom and builtWith are what the picture of the servers was made of.
+	// builtFrom, builtWith and builtFor are what the picture of the servers was made of.
 	builtFrom *registry.View
 	builtWith *table.View
+	builtFor  *heartbeat.Evacuation
 }
 
 // want is a change of roles that is wanted.
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -5,35 +5,37 @@
 
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/forward"
+	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/table"
 )
 
-// rebuild makes the picture of the servers anew from list and table, if either
-// has changed.
+// rebuild makes the picture of the servers anew from list, table and evacuated zones, if
+// any of them has changed.
 func (in *Instance) rebuild() {
-	list, view := in.registry.View(), in.Table()
 	in.orders.mu.Lock()
 	defer in.orders.mu.Unlock()
-	if list == in.orders.builtFrom && view == in.orders.builtWith {
+	list, view, evacuation := in.registry.View(), in.Table(), in.evacuation.Load()
+	if list == in.orders.builtFrom && view == in.orders.builtWith && sameZones(evacuation, in.orders.builtFor) {
 		return
 	}
 	before := in.orders.builtFrom
-	next := build(list, view)
+	next := build(list, view, evacuation)
 	in.Fleet.Adopt(&table.View{Backends: backendsOf(next)})
 	in.servers.Store(next)
 	if view != nil && view != in.orders.builtWith {
 		in.takeLimits(view, clock.Now())
 	}
-	in.orders.builtFrom, in.orders.builtWith = list, view
+	in.orders.builtFrom, in.orders.builtWith, in.orders.builtFor = list, view, evacuation
 	logServers(before, list)
 	if in.deps.ServersChanged != nil {
 		in.deps.ServersChanged(list)
 	}
 }
 
-// build sorts the registered servers by service and role.
-func build(list *registry.View, view *table.View) *forward.Servers {
+// build sorts the registered servers by service and role. Those of evacuated zones count
+// as leaving.
+func build(list *registry.View, view *table.View, evacuation *heartbeat.Evacuation) *forward.Servers {
 	servers := &forward.Servers{
 		Position: list.Position,
 		ByRun:    make(map[string]*registry.Entry, len(list.Servers)),
@@ -44,6 +46,11 @@
 	}
 	for i := range list.Servers {
 		entry := &list.Servers[i].Entry
+		if !entry.Draining && evacuates(evacuation, entry.Zone) {
+			leaving := *entry
+			leaving.Draining = true
+			entry = &leaving
+		}
 		servers.ByRun[entry.Run()] = entry
 		servers.ByID[entry.ID] = entry
 		backend := backendOf(entry, view)
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -135,6 +135,7 @@
 	in.takeBackpressure(message, now)
 	in.takeSpent(message, now)
 	in.takeUpdates(message, now)
+	in.takeEvacuation(message)
 	table := hears(in.tableFeed, message.TableHeard, message.From.Revision, now)
 	list := hears(in.list, message.ServersHeard, message.From.Next, now)
 	if table || list || message.From.Revision > in.Revision() {
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -66,6 +66,8 @@
 	Spent []allotment.Spent `cbor:"15,keyasint,omitempty"`
 	// Pressure is what the sender knows of what servers say of themselves.
 	Pressure *backpressure.Update `cbor:"16,keyasint,omitempty"`
+	// Evacuation is which zones are evacuated; nil if the sender never knew of any.
+	Evacuation *Evacuation `cbor:"17,keyasint,omitempty"`
 	// Known, if not 0, is the incarnation under which the sender knows the
 	// receiver. A receiver that restarted with a lower one, since its clock was
 	// set back, takes a higher one.
@@ -127,6 +129,14 @@
 	Age time.Duration `cbor:"4,keyasint"`
 }
 
+// Evacuation says which availability zones' backend servers are to get nothing more.
+type Evacuation struct {
+	// Position is up to where the operators' log was read for it.
+	Position oplog.Position `cbor:"1,keyasint"`
+	// Zones are sorted.
+	Zones []string `cbor:"2,keyasint,omitempty"`
+}
+
 // Change is a server's change of role that is under way.
 type Change struct {
 	Server uint32 `cbor:"1,keyasint"`
