Routes and teams may name the regions that serve them

What callers saw: requests of routes and teams that the operators bind to regions went to servers anywhere, and the directory named instances of all regions. Cause: the field was not read. Evidence: no word of it in platform/ or table/.

Columns "regions" of routes and teams, both bind. Servers outside are no candidates for any step of a request (flow.chooseBy, hasRoomBeside); without one inside it is refused at once as outside_regions, which is true: nothing was sent. The directory names a caller the instances of its region while any serves, and, where an answer does not hold all, those of its zone first.

Ruled out: waiting for a region's return within the caller's time (nothing says when that is), and handing requests to instances inside (a body more on the way).

All new; before, the same servers were used for every request.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -69,6 +69,7 @@
 	p.backends = platform.NewBackends(upstream.DefaultConfig(), p.connectionLimit, p.pressure)
 	config := edge.DefaultConfig()
 	config.Name, config.Zone, config.Capacity = settings.Name, settings.Zone, settings.Capacity
+	config.RegionOf, config.EntriesAtMost = settings.Regions, platform.EntriesAtMost
 	config.CallerAddress, config.SiblingAddress, config.Seeds = settings.Callers, advertised, settings.Seeds
 	config.RetryRatio, config.RetrySlack = settings.Bounds.RetryRatio, settings.Bounds.RetrySlack
 	config.RetryWindow = settings.Bounds.RetryWindow
@@ -86,7 +87,7 @@
 		ServersChanged: func(*registry.View) { p.keepConnections() },
 	})
 	p.gateway = forward.New(forward.Deps{
-		Zone: settings.Zone, View: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
+		Zone: settings.Zone, RegionOf: settings.Regions, View: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
 		Budget: p.edge.Budget, Allotments: p.edge.Allotments, Metrics: p.metrics, Poison: p.edge.Poison, Random: rand.Float64,
 	}, forward.DefaultConfig())
 	p.watch()
--- a/edge/config.go
+++ b/edge/config.go
@@ -11,6 +11,10 @@
 type Config struct {
 	Name string
 	Zone string
+	// RegionOf is the region of each availability zone.
+	RegionOf map[string]string
+	// EntriesAtMost is how many addresses of one answer callers use; 0 means all.
+	EntriesAtMost int
 	// CallerAddress is where callers connect, and SiblingAddress where siblings
 	// do, each "ip:port".
 	CallerAddress  string
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -2,26 +2,45 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/member"
 )
 
-// Entry returns the addresses that callers should use: those of this instance
-// and of the siblings that are alive.
-func (in *Instance) Entry(string) []string {
-	var addresses []string
+// Entry returns the addresses that callers of a region and zone should use: those of this
+// instance and of the siblings that are alive, in that region if any are there. Where one
+// answer does not hold them all, those of the caller's zone come first.
+func (in *Instance) Entry(region, zone string) []string {
+	var all, near []member.Info
+	add := func(info member.Info) {
+		all = append(all, info)
+		if region != "" && in.config.RegionOf[info.Zone] == region {
+			near = append(near, info)
+		}
+	}
 	if in.Ready() {
-		addresses = append(addresses, in.config.CallerAddress)
+		add(in.info())
 	}
 	for _, sibling := range in.members.View().Siblings {
 		if sibling.State == member.Alive {
-			addresses = append(addresses, sibling.Caller)
+			add(sibling.Info)
 		}
 	}
-	first := int(in.deps.Random() * float64(len(addresses)+1))
-	return append(addresses[min(first, len(addresses)):], addresses[:min(first, len(addresses))]...)
+	if len(near) > 0 {
+		all = near
+	}
+	first := min(int(in.deps.Random()*float64(len(all)+1)), len(all))
+	all = slices.Concat(all[first:], all[:first])
+	if in.config.EntriesAtMost > 0 && len(all) > in.config.EntriesAtMost {
+		slices.SortStableFunc(all, func(a, b member.Info) int { return compareBools(a.Zone != zone, b.Zone != zone) })
+	}
+	addresses := make([]string, 0, len(all))
+	for _, info := range all {
+		addresses = append(addresses, info.Caller)
+	}
+	return addresses
 }
 
 // Settled says whether this instance knows most of those that serve: one that has just
--- /dev/null
+++ b/edge/entry_test.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mastwheel/mastwheel/member"
+)
+
+// listed is a ready instance of zone a0 that knows siblings in four zones of two regions.
+func listed(t *testing.T, perZone, atMost int) *Instance {
+	t.Helper()
+	in := candidate("self", new(claims), workersOf(1, 1))
+	in.see(workersOf(1, 1))
+	in.config.Zone, in.config.CallerAddress, in.config.EntriesAtMost = "a0", "a0-self", atMost
+	in.config.RegionOf = map[string]string{"a0": "a", "a1": "a", "b0": "b", "b1": "b"}
+	for zone := range in.config.RegionOf {
+		for i := range perZone {
+			name := fmt.Sprintf("%s-%d", zone, i)
+			in.members.Heard(member.Info{Name: name, Zone: zone, Caller: name, Peer: name, Incarnation: 1}, time.Now())
+		}
+	}
+	return in
+}
+
+func TestCallersAreNamedInstancesOfTheirRegion(t *testing.T) {
+	in := listed(t, 3, 0)
+	for _, region := range []string{"a", "b"} {
+		for _, address := range in.Entry(region, region+"1") {
+			if !strings.HasPrefix(address, region) {
+				t.Errorf("a caller of region %s is named %s", region, address)
+			}
+		}
+	}
+	if n := len(in.Entry("c", "c0")); n != 13 {
+		t.Errorf("a caller of a region without instances is named %d of 13", n)
+	}
+	if n := len(in.Entry("", "")); n != 13 {
+		t.Errorf("a caller that names no region is named %d of 13", n)
+	}
+}
+
+func TestThoseOfTheZoneComeFirstWhereNotAllFit(t *testing.T) {
+	in := listed(t, 3, 4)
+	for range 20 {
+		first := in.Entry("b", "b1")[:3]
+		if slices.ContainsFunc(first, func(address string) bool { return !strings.HasPrefix(address, "b1") }) {
+			t.Fatalf("named first: %v", first)
+		}
+	}
+	in.config.EntriesAtMost = 6
+	mixed := false
+	for range 20 {
+		first := in.Entry("b", "b1")[:3]
+		mixed = mixed || slices.ContainsFunc(first, func(address string) bool { return !strings.HasPrefix(address, "b1") })
+	}
+	if in.deps.Random = func() float64 { return 0.9 }; !mixed && strings.HasPrefix(in.Entry("b", "b1")[0], "b1") {
+		t.Error("those of one zone come first though all fit")
+	}
+}
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -32,6 +32,8 @@
 	charged float64
 	// used is the part of the team's allotment that was used up then, from 0 to 1.
 	used float64
+	// regions are where it may be served.
+	regions regions
 	// deadline is when the caller must have its answer.
 	deadline time.Time
 	// leave takes the request off the count of those in flight.
@@ -131,9 +133,16 @@
 // chooseBy decides as choose does, for a query that says more.
 func (f *flow) chooseBy(query *route.Query, profile *route.Profile, from pool) *route.Rated {
 	f.servers = f.View.Servers()
-	f.held = reason.None
+	f.held, f.opens = reason.None, time.Time{}
 	query.Work = from.work
-	made := profile.Decide(query, f.Fleet, from.pick(f.servers, f.service.Name))
+	all := from.pick(f.servers, f.service.Name)
+	within := f.regions.within(all, f.RegionOf)
+	if len(within) == 0 && len(all) > 0 {
+		f.held = reason.OutsideRegions
+		f.decide(stepChoose, "none", "why", f.held)
+		return nil
+	}
+	made := profile.Decide(query, f.Fleet, within)
 	outcome := made.Pick
 	if made.Chosen == nil {
 		outcome = "none"
@@ -155,7 +164,9 @@
 // themselves.
 func (f *flow) noteHeld(query *route.Query, rated []route.Rated) {
 	why, opens := route.HeldBack(query, rated)
-	f.held, f.opens = why, query.Now.Add(opens)
+	if f.held = why; why != reason.None {
+		f.opens = query.Now.Add(opens)
+	}
 }
 
 // entry returns the entry of a server that was chosen, as it was then: the
@@ -170,7 +181,7 @@
 	left := float64(clock.Until(f.request.Deadline))
 	spread := f.Random() * (f.config.RetryLatest - f.config.RetryEarliest)
 	usual := time.Duration((f.config.RetryEarliest + spread) * left)
-	if why == f.held && why != reason.None {
+	if why == f.held && !f.opens.IsZero() {
 		return max(usual, clock.Until(f.opens)+time.Duration(spread*left))
 	}
 	return usual
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -133,7 +133,9 @@
 
 // Deps is what a Gateway works with.
 type Deps struct {
-	Zone     string
+	Zone string
+	// RegionOf is the region of each availability zone.
+	RegionOf map[string]string
 	View     View
 	Fleet    *route.Fleet
 	Backends Backends
@@ -272,6 +274,7 @@
 	if refused := f.authenticate(view); refused != nil {
 		return refused
 	}
+	f.regions = allowedRegions(f.route, f.team)
 	f.service = view.Services[f.route.Service(r.ID)]
 	if f.service == nil {
 		return f.refuse(reason.UnknownService, "the route names no service")
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -35,7 +35,7 @@
 
 // mayPass says whether what no engine could be reserved for may be over by then.
 func (g *generation) mayPass(why reason.Reason, by time.Time) bool {
-	return why == reason.NoDecodeMemory || (why == g.held && g.opens.Before(by))
+	return why == reason.NoDecodeMemory || (why == g.held && !g.opens.IsZero() && g.opens.Before(by))
 }
 
 // reserveOnce asks the engines with most memory left, only some of them.
--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -77,7 +77,7 @@
 	if !g.mayRerun() {
 		return ctx, cancel
 	}
-	service, at, need := g.service.Name, g.decode.Name, g.need
+	service, at, need, allowed := g.service.Name, g.decode.Name, g.need, g.regions
 	recheck := g.stallAfter(1)
 	var stall *time.Timer
 	ready := make(chan struct{})
@@ -86,7 +86,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if g.Gateway.hasRoomBeside(at, service, need) {
+		if g.Gateway.hasRoomBeside(at, service, need, allowed) {
 			cancel()
 			return
 		}
@@ -101,15 +101,15 @@
 // itself and the reading of its prompt.
 const rerunRetries = 2
 
-// hasRoomBeside says whether another engine than one would take a run of so much
-// memory, and whether the budget allows it.
-func (g *Gateway) hasRoomBeside(one, service string, need int) bool {
+// hasRoomBeside says whether another engine than one, in the allowed regions, would take a
+// run of so much memory, and whether the budget allows it.
+func (g *Gateway) hasRoomBeside(one, service string, need int, allowed regions) bool {
 	if g.Budget(service).Left(clock.Now()) < rerunRetries {
 		return false
 	}
 	for _, backend := range g.View.Servers().Decode[service] {
 		server := g.Fleet.Server(backend.Name)
-		if backend.Name == one || backend.Drain || server == nil || server.Pressure.Look(backpressure.ReserveWork, clock.Now()) != backpressure.Clear {
+		if backend.Name == one || backend.Drain || !allowed.hold(backend, g.RegionOf) || server == nil || server.Pressure.Look(backpressure.ReserveWork, clock.Now()) != backpressure.Clear {
 			continue
 		}
 		if backend.MemoryTokens == 0 || g.freeAt(backend) >= need {
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -31,6 +31,7 @@
 	ServersLimited Reason = "servers_limited"
 	ServersResting Reason = "servers_resting"
 	ServerLeaving  Reason = "server_leaving"
+	OutsideRegions Reason = "outside_regions"
 )
 
 // Retries: an attempt was abandoned and the next one took its place.
@@ -94,6 +95,7 @@
 	{ProbeUnderWay, "servers have ended under earlier attempts of the same request, and another one is being probed, or is to be soon", "none"},
 	{ServersLimited, "the servers that could take it name a rate limit for all instances together, and this instance's part leaves no room now", "none"},
 	{ServersResting, "the servers that could take it have turned this instance away and asked it to leave them alone for a while", "none"},
+	{OutsideRegions, "no backend server is in a region where the route and the team may be served", "route.regions, team.regions"},
 	{ServerLeaving, "the server said that it leaves after it had been chosen", "none"},
 	{ReserveRefused, "the steward had no room at the decode engine", "backend.pieces"},
 	{StewardUnreached, "the steward of the decode engine did not answer", "none"},
--- a/table/column.go
+++ b/table/column.go
@@ -69,6 +69,8 @@
 	// ColKeys lists the digests of a team's keys, or is KeysNone.
 	ColKeys   Column = "keys"
 	ColPublic Column = "public"
+	// ColRegions lists the regions that may serve, "a,b"; empty means all.
+	ColRegions Column = "regions"
 	// ColUnit is what a team's allotment counts.
 	ColUnit Column = "unit"
 	// ColRate is the allotment a second, ColBurst what may come at once beside it.
@@ -166,6 +168,7 @@
 		{column: ColRate, check: decimalTo(1_000_000_000), later: true},
 		{column: ColBurst, check: decimalTo(1_000_000_000), later: true},
 		{column: ColPlainTokens, check: intIn(0, 1_000_000_000), later: true},
+		{column: ColRegions, check: anyText, later: true},
 	},
 	Route: {
 		{column: ColHost, required: true, check: anyText},
@@ -178,6 +181,7 @@
 		{column: ColPriority, check: intIn(0, 9)},
 		{column: ColAttempts, check: intIn(1, 100)},
 		{column: ColPublic, check: oneOf("true", "false"), later: true},
+		{column: ColRegions, check: anyText, later: true},
 	},
 	Limit: {
 		{column: ColHeaderBytes, check: intIn(1, 1<<30)},
--- a/table/routes.go
+++ b/table/routes.go
@@ -36,6 +36,8 @@
 	Attempts int
 	// Public is set if callers need no key.
 	Public bool
+	// Regions are those that may serve; empty means all.
+	Regions []string
 }
 
 // LimitsView bounds what callers may send.
@@ -160,6 +162,7 @@
 		Priority: number(cells[ColPriority], 0),
 		Attempts: number(cells[ColAttempts], 1),
 		Public:   cells[ColPublic] == "true",
+		Regions:  ParseRegions(cells[ColRegions]),
 	}
 }
 
--- a/table/view.go
+++ b/table/view.go
@@ -76,6 +76,8 @@
 	// Digests are those of the team's keys.
 	Digests   []KeyDigest
 	Allotment Allotment
+	// Regions are those that may serve the team; empty means all.
+	Regions []string
 }
 
 // View is a table compiled for the path of a request.
@@ -203,6 +205,7 @@
 		Priority: number(cells[ColPriority], 0),
 		InFlight: number(cells[ColInFlight], 0),
 
+		Regions: ParseRegions(cells[ColRegions]),
 		Keyed:   cells[ColKeys] != "",
 		Digests: digestsOf(cells[ColKeys]),
 		Allotment: Allotment{
