Servers that have just started get no more requests than they bear

What callers saw: nothing yet; a cold server crashes at well above the rate that its service names, and cold ones were used like any other: an engine that comes back empty is the best choice of all instances at once. Cause: neither what a server says of its start nor its service's rate was read.

A cold server is one with a rate limit whose end is known, so package backpressure keeps it with the limits that servers name themselves: parts of few instances by rendezvous hashing, judged as a server is chosen and again as a call is sent. The time left counts from when the entry was read.

Test: 1, 8, 65 and 300 instances that all send what they may, 0.5 to 200 requests a second: in no second more than 1.5 times the rate and 5, and 0.8 of the rate or more is used. Without the bound such instances send without end (the test's loop does not).

--- a/backpressure/bench_test.go
+++ b/backpressure/bench_test.go
@@ -29,7 +29,7 @@
 				instances.Taking = append(instances.Taking, fmt.Sprint("i", i))
 			}
 			for b.Loop() {
-				instances.part(7, 5)
+				instances.part(7, 5, instances.sendersFor(5))
 			}
 		})
 	}
--- /dev/null
+++ b/backpressure/cold_test.go
@@ -0,0 +1,99 @@
+package backpressure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// coldRates are requests a second that a cold server bears, and coldOverage and coldSlack
+// what it may get beyond that in any second (source: the users' rules).
+var coldRates = []float64{0.5, 3, 29, 200}
+
+const (
+	coldOverage = 1.5
+	coldSlack   = 5.0
+)
+
+// Instances that all send to a cold server as much as they may stay within what it bears in
+// any second, and it gets that; once it is warm they send what they like.
+func TestAColdServerGetsWhatItBears(t *testing.T) {
+	for _, size := range []int{1, 8, 65, 300} {
+		for _, rate := range coldRates {
+			t.Run(fmt.Sprint(size, " ", rate), func(t *testing.T) {
+				most := rate*coldOverage + coldSlack
+				servers, start := coldServers(size, rate, most), time.Now()
+				warm := start.Add(10 * time.Second)
+				for _, server := range servers {
+					server.Cold(rate, most, warm, start)
+				}
+				var sent []time.Time
+				for now := start; now.Before(warm); now = now.Add(10 * time.Millisecond) {
+					for _, server := range servers {
+						for server.Send(PlainWork, now) == Clear {
+							sent = append(sent, now)
+						}
+					}
+				}
+				if busiest := busiestSpan(sent, time.Second); float64(busiest) > most {
+					t.Errorf("%d in a second, %v allowed", busiest, most)
+				}
+				if float64(len(sent)) < 0.8*rate*10 {
+					t.Errorf("%d in 10 s, it bears %v a second", len(sent), rate)
+				}
+				if servers[0].IsCold(warm) || servers[0].Send(PlainWork, warm) != Clear || servers[0].RoomIn(PlainWork, warm) != 0 {
+					t.Error("held back once it is warm")
+				}
+			})
+		}
+	}
+}
+
+// coldServers is one server as so many instances know it.
+func coldServers(size int, rate, most float64) []*Server {
+	var taking []string
+	for i := range size {
+		taking = append(taking, fmt.Sprint("i", i))
+	}
+	var servers []*Server
+	for i, self := range taking {
+		tracker := New(rand.New(rand.NewPCG(uint64(i), 5)).Float64)
+		tracker.SetInstances(Instances{Self: self, Taking: taking})
+		servers = append(servers, tracker.Server("s"))
+	}
+	return servers
+}
+
+// busiestSpan is the most of some moments, in their order, that lie in a span.
+func busiestSpan(moments []time.Time, span time.Duration) int {
+	most, first := 0, 0
+	for i, moment := range moments {
+		for moment.Sub(moments[first]) >= span {
+			first++
+		}
+		most = max(most, i+1-first)
+	}
+	return most
+}
+
+func TestAColdServerMaySayThatItIsLimitedToo(t *testing.T) {
+	server, now := alone().Server("s"), time.Now()
+	server.Cold(100, 155, now.Add(time.Minute), now)
+	server.Heard(named(1), now, now)
+	sent := 0
+	for i := range 1000 {
+		if server.Send(PlainWork, now.Add(time.Duration(i)*10*time.Millisecond)) == Clear {
+			sent++
+		}
+	}
+	if sent > 12 {
+		t.Errorf("%d in 10 s, though it is limited to 1 a second", sent)
+	}
+	if server.tracker.Limited() != 1 || server.tracker.Cold(now) != 1 {
+		t.Error("not counted")
+	}
+	if updates := server.tracker.Whole(now); len(updates) != 1 || len(updates[0].Limits) != 1 {
+		t.Errorf("siblings are told %+v", updates)
+	}
+}
--- a/backpressure/instances.go
+++ b/backpressure/instances.go
@@ -32,15 +32,20 @@
 // (source: the users' rules).
 const sendersPerRate = 1.0
 
+// sendersFor is how many instances share a limit that a server names.
+func (i *Instances) sendersFor(limit float64) int {
+	return 1 + int(min(limit, float64(len(i.Taking)))*sendersPerRate)
+}
+
 // part is the part of a server's limit, in requests a second, that is for this instance to
-// use. Few instances share it, chosen by rendezvous hashing: with a part for each, those of
+// use, if so many share it. They are chosen by rendezvous hashing: with a part for each, those of
 // a large deployment would have one request in many seconds each, and their bursts together
 // would break the limit. All that know the same instances choose the same.
-func (i *Instances) part(server ID, limit float64) float64 {
+func (i *Instances) part(server ID, limit float64, senders int) float64 {
 	if !slices.Contains(i.Taking, i.Self) {
 		return 0
 	}
-	senders := min(1+int(min(limit, float64(len(i.Taking)))*sendersPerRate), len(i.Taking))
+	senders = min(senders, len(i.Taking))
 	own, better := weight(server, i.Self), 0
 	for _, name := range i.Taking {
 		if weight(server, name) > own {
--- a/backpressure/limit.go
+++ b/backpressure/limit.go
@@ -73,15 +73,19 @@
 
 // settle brings the allowance up to date. The caller holds the lock.
 func (s *Server) settle(now time.Time) {
-	a := &s.allowance
+	instances := s.tracker.instances.Load()
+	s.allowance.settle(s.id, s.limit.rate, instances.sendersFor(s.limit.rate), instances, now)
+}
+
+// settle brings an allowance up to date that so many instances share.
+func (a *allowance) settle(server ID, rate float64, senders int, instances *Instances, now time.Time) {
 	if passed := now.Sub(a.at); passed > 0 {
 		a.level = min(a.level+a.part*passed.Seconds(), burst)
 		a.at = now
 	}
-	instances := s.tracker.instances.Load()
-	if a.instances != instances || a.of != s.limit.rate {
-		a.instances, a.of = instances, s.limit.rate
-		a.part = instances.part(s.id, s.limit.rate)
+	if a.instances != instances || a.of != rate {
+		a.instances, a.of = instances, rate
+		a.part = instances.part(server, rate, senders)
 	}
 	if a.part == 0 {
 		// What was left is for those to use whose part it is now.
@@ -138,6 +142,7 @@
 
 // spend notes that so many calls are sent. The caller holds the lock.
 func (s *Server) spend(calls float64, now time.Time) {
+	s.spendCold(calls, now)
 	if !s.limit.named || calls == 0 {
 		return
 	}
--- a/backpressure/limit_test.go
+++ b/backpressure/limit_test.go
@@ -143,7 +143,8 @@
 	}
 	sum, senders := 0.0, 0
 	for _, self := range taking {
-		part := (&Instances{Self: self, Taking: taking}).part(server, rate)
+		instances := &Instances{Self: self, Taking: taking}
+		part := instances.part(server, rate, instances.sendersFor(rate))
 		sum += part
 		if part > 0 {
 			senders++
@@ -164,10 +165,10 @@
 func tolerated(rate float64) float64 { return 1.5*rate*spell.Seconds() + 5 }
 
 func TestOneThatTakesNoRequestsHasNoPart(t *testing.T) {
-	if part := (&Instances{Self: "i", Taking: []string{"j"}}).part(1, 5); part != 0 {
+	if part := (&Instances{Self: "i", Taking: []string{"j"}}).part(1, 5, 6); part != 0 {
 		t.Errorf("a part of %v", part)
 	}
-	if part := (&Instances{Self: "i", Taking: []string{"i"}, Silent: 3}).part(1, 8); part != 2 {
+	if part := (&Instances{Self: "i", Taking: []string{"i"}, Silent: 3}).part(1, 8, 9); part != 2 {
 		t.Errorf("one of four that is alone takes %v of 8", part)
 	}
 }
--- a/backpressure/server.go
+++ b/backpressure/server.go
@@ -51,8 +51,12 @@
 	// requests pass without a lock.
 	said atomic.Bool
 
+	// bounded is set once the server was cold.
+	bounded atomic.Bool
+
 	mu sync.Mutex
 	state
+	cold      cold
 	allowance allowance
 	// hurried is when siblings were last to hear of a change at once.
 	hurried time.Time
@@ -84,9 +88,12 @@
 	return s.limit.rate, s.limit.named
 }
 
+// takesAll says whether nothing is known that may hold calls back.
+func (s *Server) takesAll() bool { return s == nil || (!s.said.Load() && !s.bounded.Load()) }
+
 // Look says whether work may be sent to the server now, as far as is known.
 func (s *Server) Look(work Work, now time.Time) Verdict {
-	if s == nil || !s.said.Load() {
+	if s.takesAll() {
 		return Clear
 	}
 	s.mu.Lock()
@@ -96,7 +103,7 @@
 
 // Send says whether work may be sent now, and counts it if so.
 func (s *Server) Send(work Work, now time.Time) Verdict {
-	if s == nil || !s.said.Load() {
+	if s.takesAll() {
 		return Clear
 	}
 	s.mu.Lock()
@@ -121,7 +128,7 @@
 		return Clear
 	case s.drain.leaving:
 		return Leaving
-	case s.holdsBack(work.Calls, now):
+	case s.holdsBack(work.Calls, now) || s.coldHoldsBack(work.Calls, now):
 		return OverLimit
 	}
 	return Clear
@@ -160,12 +167,12 @@
 
 // RoomIn is how long it takes until work may be sent to the server, as far as is known.
 func (s *Server) RoomIn(work Work, now time.Time) time.Duration {
-	if s == nil || !s.said.Load() {
+	if s.takesAll() {
 		return 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(s.roomIn(work.Calls, now), s.rest.roomIn(now))
+	return max(s.roomIn(work.Calls, now), s.coldRoomIn(work.Calls, now), s.rest.roomIn(now))
 }
 
 // Heard takes in what an answer says to a call that was sent then.
--- a/backpressure/tracker.go
+++ b/backpressure/tracker.go
@@ -159,6 +159,20 @@
 	return t.Count(func(server *Server) bool { return server.IsResting(now) })
 }
 
+// Cold counts the servers that bear few requests since they have just started.
+func (t *Tracker) Cold(now time.Time) int {
+	t.mu.Lock()
+	all := slices.Collect(maps.Values(t.servers))
+	t.mu.Unlock()
+	count := 0
+	for _, server := range all {
+		if server.IsCold(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // addSpeaking notes that a server has said something.
 func (t *Tracker) addSpeaking(server *Server) {
 	t.mu.Lock()
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -74,6 +74,7 @@
 	config.RetryRatio, config.RetrySlack = settings.Bounds.RetryRatio, settings.Bounds.RetrySlack
 	config.RetryWindow = settings.Bounds.RetryWindow
 	config.AllotmentSlack = settings.Bounds.AllotmentSlack
+	config.ColdOverage, config.ColdSlack = settings.Bounds.ColdOverage, settings.Bounds.ColdSlack
 	config.Lease = edge.LeaseConfig(settings.Bounds.Lease)
 	p.edge = edge.New(config, edge.Deps{
 		Tables:         platform.Tables{Store: p.store},
@@ -158,6 +159,9 @@
 	p.metrics.Watch("servers_resting", "Backend servers that have asked this instance to leave them alone for a while.", func() float64 {
 		return float64(p.edge.Fleet.Backpressure.Resting(clock.Now()))
 	})
+	p.metrics.Watch("servers_cold", "Backend servers that bear few requests since they have just started.", func() float64 {
+		return float64(p.edge.Fleet.Backpressure.Cold(clock.Now()))
+	})
 	p.metrics.Count("server_statements_unreadable_total", "Statements of backend servers about themselves that could not be read.", func() float64 {
 		return float64(p.backends.Unreadable())
 	})
--- a/edge/config.go
+++ b/edge/config.go
@@ -156,6 +156,10 @@
 	// AllotmentSlack is what a team may use beyond its limits, in units, before the
 	// users hold it against the system.
 	AllotmentSlack float64
+	// ColdOverage and ColdSlack bound the requests that a server gets in any second that has
+	// just started, from all instances: so many times its rate, and so many more.
+	ColdOverage float64
+	ColdSlack   float64
 	// AllotmentFresh is how old a hub's word on what teams may use can be for an
 	// instance to go by it: four digests, or two where they come less often. Longer, and
 	// the members of a hub that is gone all hand out the same; shorter, and each lost
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"time"
+
 	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/clock"
@@ -23,6 +25,7 @@
 	next := build(list, view, evacuation)
 	in.Fleet.Adopt(&table.View{Backends: backendsOf(next)})
 	in.servers.Store(next)
+	in.boundCold(list, view, clock.Now())
 	if view != nil && view != in.orders.builtWith {
 		in.takeLimits(view, clock.Now())
 	}
@@ -33,6 +36,22 @@
 	}
 }
 
+// boundCold has the servers that have just started get only as many requests as they bear.
+func (in *Instance) boundCold(list *registry.View, view *table.View, now time.Time) {
+	if view == nil {
+		return
+	}
+	for i := range list.Servers {
+		server := &list.Servers[i]
+		service := view.Services[server.Service]
+		if service == nil || service.ColdRate == 0 || !now.Before(server.ColdUntil) {
+			continue
+		}
+		most := service.ColdRate*in.config.ColdOverage + in.config.ColdSlack
+		in.Fleet.Server(server.Run()).Pressure.Cold(service.ColdRate, most, server.ColdUntil, now)
+	}
+}
+
 // build sorts the registered servers by service and role. Those of evacuated zones count
 // as leaving.
 func build(list *registry.View, view *table.View, evacuation *heartbeat.Evacuation) *forward.Servers {
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -93,7 +93,7 @@
 	{OverAllotment, "the team has used what it may, over all instances", "team.rate, team.burst"},
 	{CrashesServers, "three servers or more have ended under earlier attempts of the same request; it is sent to none", "none"},
 	{ProbeUnderWay, "servers have ended under earlier attempts of the same request, and another one is being probed, or is to be soon", "none"},
-	{ServersLimited, "the servers that could take it name a rate limit for all instances together, and this instance's part leaves no room now", "none"},
+	{ServersLimited, "the servers that could take it name a rate limit for all instances together, or have just started and bear few requests, and this instance's part leaves no room now", "none"},
 	{ServersResting, "the servers that could take it have turned this instance away and asked it to leave them alone for a while", "none"},
 	{OutsideRegions, "no backend server is in a region where the route and the team may be served", "route.regions, team.regions"},
 	{ServerLeaving, "the server said that it leaves after it had been chosen", "none"},
--- a/registry/older.go
+++ b/registry/older.go
@@ -61,19 +61,25 @@
 }
 
 // list takes an entry for what its server is now.
-func (r *Registry) list(entry Entry) {
+func (r *Registry) list(entry Entry, now time.Time) {
 	delete(r.departed, entry.Run())
-	r.servers[entry.ID] = Server{Entry: entry}
+	server := Server{Entry: entry}
+	if known := r.servers[entry.ID]; known.Entry == entry {
+		server.ColdUntil = known.ColdUntil
+	} else if entry.ColdMillis > 0 {
+		server.ColdUntil = now.Add(time.Duration(entry.ColdMillis) * time.Millisecond)
+	}
+	r.servers[entry.ID] = server
 }
 
 // take takes in an entry that was written at a position. In a later era than the first it
 // may be one that was written before, and comes again.
-func (r *Registry) take(entry Entry, position oplog.Position) {
+func (r *Registry) take(entry Entry, position oplog.Position, now time.Time) {
 	if position.Era() > 0 {
 		if r.earlierRun(entry) {
 			return
 		}
 		entry = r.stillLeaving(entry)
 	}
-	r.list(entry)
+	r.list(entry, now)
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -36,6 +36,9 @@
 	// Born is when this run of the server started, in milliseconds since 1970 on
 	// its own clock; 0 for servers that do not say.
 	Born int64 `cbor:"10,keyasint,omitempty"`
+	// ColdMillis is for how much longer, as it wrote the entry, it bears few requests, in
+	// milliseconds.
+	ColdMillis int64 `cbor:"11,keyasint,omitempty"`
 }
 
 const (
@@ -102,6 +105,8 @@
 	Lapsed bool
 	// Gone is when a lapsed server counts as gone.
 	Gone time.Time
+	// ColdUntil is until when it bears few requests, by when its entry was read.
+	ColdUntil time.Time
 }
 
 // View is an immutable picture of all servers, sorted by id.
@@ -200,7 +205,7 @@
 	listed := make(map[string]bool, len(snapshot.Entries))
 	for _, entry := range snapshot.Entries {
 		listed[entry.ID] = true
-		r.list(entry)
+		r.list(entry, now)
 	}
 	var removed []string
 	for id := range r.servers {
@@ -224,7 +229,7 @@
 		gone[change.ID] = change.Entry == nil
 		switch {
 		case change.Entry != nil:
-			r.take(*change.Entry, position)
+			r.take(*change.Entry, position, now)
 		case change.Unusable:
 			delete(r.servers, change.ID)
 		}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -190,3 +190,28 @@
 		t.Fatal("an equal view was published")
 	}
 }
+
+func TestColdServersByWhenTheirEntriesWereRead(t *testing.T) {
+	r := New(DefaultConfig())
+	entry := Entry{ID: "a", Born: 1, ColdMillis: 3000}
+	until := func() time.Duration { return r.View().Find("a").ColdUntil.Sub(start) }
+	r.Reset(Snapshot{Position: 1, Entries: []Entry{entry}}, start)
+	if until() != 3*time.Second {
+		t.Errorf("cold for %v", until())
+	}
+	// The same entry again is no news, as a sibling's list or after it had lapsed.
+	r.Reset(Snapshot{Position: 2, Entries: []Entry{entry}}, start.Add(time.Second))
+	if until() != 3*time.Second {
+		t.Errorf("cold for %v", until())
+	}
+	entry.ColdMillis = 1000
+	r.Apply([]Change{{ID: "a", Entry: &entry}}, 3, start.Add(1500*time.Millisecond))
+	if until() != 2500*time.Millisecond {
+		t.Errorf("cold for %v", until())
+	}
+	entry.ColdMillis = 0
+	r.Apply([]Change{{ID: "a", Entry: &entry}}, 4, start.Add(2*time.Second))
+	if !r.View().Find("a").ColdUntil.IsZero() {
+		t.Error("still cold")
+	}
+}
--- a/table/column.go
+++ b/table/column.go
@@ -66,6 +66,9 @@
 	ColIdle        Column = "idle_ms"
 	// ColMoves says whether engines hand running streams to each other.
 	ColMoves Column = "moves"
+	// ColColdRate is how many requests a second a server of the service bears that has just
+	// started, from all instances together; empty means no bound.
+	ColColdRate Column = "cold_per_s"
 	// ColKeys lists the digests of a team's keys, or is KeysNone.
 	ColKeys   Column = "keys"
 	ColPublic Column = "public"
@@ -146,6 +149,7 @@
 		{column: ColSwitch, check: intIn(0, 600_000), later: true},
 		{column: ColStride, check: intIn(0, 100_000), later: true},
 		{column: ColMoves, check: oneOf("true", "false"), later: true},
+		{column: ColColdRate, check: decimalTo(1_000_000_000), later: true},
 	},
 	Pool: {
 		{column: ColRole, required: true, check: oneOf(RolePrefill, RoleDecode, RolePlain)},
--- a/table/view.go
+++ b/table/view.go
@@ -23,7 +23,10 @@
 	Connections int
 	// HealthPath answers health checks; empty without.
 	HealthPath string
-	Engine     EngineView
+	// ColdRate is how many requests a second a server bears that has just started, from all
+	// instances together; 0 means no bound.
+	ColdRate float64
+	Engine   EngineView
 }
 
 // EngineView describes the model engines of a service; zero values are not
@@ -185,6 +188,7 @@
 		RetryPercent: number(cells[ColRetryPercent], defaultRetryPercent),
 		Connections:  number(cells[ColConnections], 0),
 		HealthPath:   cells[ColHealth],
+		ColdRate:     decimal(cells[ColColdRate]),
 		Engine: EngineView{
 			MemoryTokens: number(cells[ColMemory], 0),
 			TokenBytes:   number(cells[ColTokenBytes], 0),
