Orders: few looks at another's lease, engines that do not report are passed over, many changes only in demand

- A lease that another holds is looked at again when its claim has run out, not sooner: at most 40 looks in two minutes where the holder renews each 0.7 s (209 before).
- An engine that could not be asked is left out of the choice for as long as an order takes, and keeps its role in the count.
- More than 32 changes are made only where a quarter of the engines of the role that is short have work.
Few changes are made as before, so that sites of up to some hundred engines keep what they had.

Tests, each failing before: looks counted (209 > 40); ten engines of which two are mute get three orders (0, and 77 calls); 400 idle engines get none (51), with half of those that generate in use 40 and more; 70 engines get their four.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -22,12 +22,14 @@
 	mu    sync.Mutex
 	state lease.State
 	end   oplog.Position
+	looks int
 }
 
 // Last implements Claims.
 func (c *claims) Last(context.Context, string) (lease.State, oplog.Position, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.looks++
 	return c.state, c.end, nil
 }
 
@@ -55,11 +57,19 @@
 	roles  map[string]string
 	orders map[string][]given
 	stale  bool
+	// mute holds those that do not report, and asked counts the calls.
+	mute  map[string]bool
+	asked int
 }
 
 // SetRole implements Engines.
 func (e *engines) SetRole(_ context.Context, server *registry.Entry, decide func(EngineStatus) (RoleOrder, bool)) error {
 	e.mu.Lock()
+	e.asked++
+	if e.mute[server.ID] {
+		e.mu.Unlock()
+		return engine.ErrRefused
+	}
 	status := EngineStatus{Role: e.roles[server.ID], Sequence: uint64(len(e.orders[server.ID]))}
 	e.mu.Unlock()
 	order, due := decide(status)
@@ -234,6 +244,87 @@
 	})
 }
 
+// ordersWithin plays one instance for a while, and counts its orders.
+func ordersWithin(workers *engines, begin func(in *Instance), lasts time.Duration) (orders int) {
+	in := candidate("a", new(claims), workers)
+	in.see(workers)
+	begin(in)
+	ctx, cancel := context.WithTimeout(context.Background(), lasts)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			in.see(workers)
+			time.Sleep(time.Second)
+		}
+	}()
+	in.orders.run(ctx)
+	for _, given := range workers.orders {
+		orders += len(given)
+	}
+	return orders
+}
+
+// Of hundreds of engines that have nothing to do none changes its role; a few change it in
+// any case, and many where those of the role that is short are in use.
+func TestManyEnginesChangeTheirRolesOnlyInDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		idle := func(*Instance) {}
+		if n := ordersWithin(workersOf(140, 260), idle, time.Minute); n > 0 {
+			t.Errorf("%d orders though all engines are idle", n)
+		}
+		used := func(in *Instance) {
+			for i := range 130 {
+				in.Fleet.Server(fmt.Sprintf("d%d", i)).Hold(1000)
+			}
+		}
+		if n := ordersWithin(workersOf(140, 260), used, time.Minute); n < 40 {
+			t.Errorf("%d orders though half of the engines that generate are in use", n)
+		}
+		if n := ordersWithin(workersOf(20, 50), idle, time.Minute); n != 4 {
+			t.Errorf("%d orders where four are few", n)
+		}
+	})
+}
+
+// An engine that cannot be asked keeps no other from its order.
+func TestAnEngineThatDoesNotReportIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := workersOf(5, 5)
+		workers.mute = map[string]bool{"p0": true, "p1": true}
+		if n := ordersWithin(workers, func(*Instance) {}, 40*time.Second); n < 3 {
+			t.Errorf("%d orders, three are wanted", n)
+		}
+		if workers.asked > 40 {
+			t.Errorf("%d calls to engines", workers.asked)
+		}
+	})
+}
+
+// Instances that want the same orders look at the lease no more often than it may change
+// hands.
+func TestFewLooksAtALeaseThatAnotherHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, workers := new(claims), workersOf(30, 1)
+		// Its holder renews it for as long as this lasts.
+		go func() {
+			for i := range 200 {
+				state, condition, _ := shared.Last(context.Background(), "model")
+				_, _, _ = shared.Claim(context.Background(), lease.Claim{Key: "model", Holder: "b", After: state.Token, Serial: uint64(i)}, condition)
+				time.Sleep(700 * time.Millisecond)
+			}
+		}()
+		in := candidate("a", shared, workers)
+		in.see(workers)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+		defer cancel()
+		in.orders.run(ctx)
+		if looks := shared.looks - 200; looks > 40 || len(workers.orders) > 0 {
+			t.Errorf("%d looks and %d orders in two minutes", looks, len(workers.orders))
+		}
+		time.Sleep(30 * time.Second)
+	})
+}
+
 func TestNoOrderWhileEnginesStillRegister(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		shared, workers := new(claims), workersOf(3, 1)
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -1,9 +1,7 @@
 package edge
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -13,7 +11,6 @@
 
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/engine"
-	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/lease"
 	"github.com/mastwheel/mastwheel/member"
@@ -32,6 +29,8 @@
 	wanted map[string]want
 	// given is the last order that an engine got from here.
 	given map[string]givenOrder
+	// lookAgain is when the lease of a service may be free that another instance held.
+	lookAgain map[string]time.Time
 
 	mu sync.Mutex
 	// builtFrom, builtWith and builtFor are what the picture of the servers was made of.
@@ -51,12 +50,14 @@
 type givenOrder struct {
 	role string
 	at   time.Time
+	// unreached is set if the engine could not be asked.
+	unreached bool
 }
 
 func newOrders(in *Instance) *orders {
 	return &orders{
 		Instance: in, leases: make(map[string]*lease.Candidate),
-		wanted: make(map[string]want), given: make(map[string]givenOrder),
+		wanted: make(map[string]want), given: make(map[string]givenOrder), lookAgain: make(map[string]time.Time),
 	}
 }
 
@@ -103,7 +104,7 @@
 		wanted = want{since: now, engines: engines}
 		o.wanted[name] = wanted
 	}
-	if now.Sub(wanted.since) < settleFor+time.Duration(o.turn())*turnEvery {
+	if now.Sub(wanted.since) < settleFor+time.Duration(o.turn())*turnEvery || now.Before(o.lookAgain[name]) {
 		return
 	}
 	if err := o.give(ctx, name, change); err != nil {
@@ -124,29 +125,59 @@
 
 // plan finds the next change of role, if one is needed.
 func (o *orders) plan(name string, service *table.ServiceView, now time.Time) (roles.Change, bool) {
-	servers := o.servers.Load()
+	evacuation := o.evacuation.Load()
 	var engines []roles.Engine
-	for _, role := range []string{table.RolePrefill, table.RoleDecode} {
-		for _, backend := range poolOf(servers, role, name) {
-			if backend.Drain || o.Fleet.Backpressure.Server(backend.Name).IsLeaving() {
-				continue
-			}
-			known := roles.Engine{Name: backend.Name, Zone: backend.Zone, Role: role}
-			if given, ok := o.given[backend.Name]; ok && now.Sub(given.at) < service.Engine.Switch+orderSettle {
+	for i := range o.registry.View().Servers {
+		entry := &o.registry.View().Servers[i].Entry
+		if entry.Service != name || entry.Role == "" || entry.Draining || evacuates(evacuation, entry.Zone) {
+			continue
+		}
+		known := roles.Engine{Name: entry.Run(), Zone: entry.Zone, Role: entry.Role}
+		if server := o.Fleet.Server(known.Name); server != nil && server.Pressure.IsLeaving() {
+			continue
+		}
+		if given, ok := o.given[known.Name]; ok && now.Sub(given.at) < service.Engine.Switch+orderSettle {
+			if known.Unreached = given.unreached; !given.unreached {
 				known.Ordered = given.role
 			}
-			engines = append(engines, known)
 		}
+		engines = append(engines, known)
+	}
+	change, needed := roles.Next(engines, o.config.PrefillShare)
+	if many := max(change.Prefill-change.Want, change.Want-change.Prefill) > fewChanges; needed && many {
+		return change, o.inDemand(engines, change.Role, now)
 	}
-	slices.SortFunc(engines, func(a, b roles.Engine) int { return cmp.Compare(a.Name, b.Name) })
-	return roles.Next(engines, o.config.PrefillShare)
+	return change, needed
 }
 
-func poolOf(servers *forward.Servers, role, service string) []*table.BackendView {
-	if role == table.RolePrefill {
-		return servers.Prefill[service]
+const (
+	// fewChanges is how many changes of role are made whether they are needed now or not.
+	// Each is an order, and takes an engine out for seconds: for thousands of engines a
+	// plan that is off by a tenth would be minutes of that.
+	fewChanges = 32
+	// demand is the part of a role's engines that must have something to do for many more
+	// to be given it.
+	demand = 0.25
+)
+
+// inDemand says whether so many engines of a role have work that others should join them.
+func (o *orders) inDemand(engines []roles.Engine, role string, now time.Time) bool {
+	others := o.others(now)
+	have, busy := 0, 0
+	for _, engine := range engines {
+		if engine.Role != role {
+			continue
+		}
+		have++
+		committed := others[route.ServerID(engine.Name)]
+		if server := o.Fleet.Server(engine.Name); server != nil {
+			committed = committed.Add(server.Own())
+		}
+		if committed != (route.Commitment{}) {
+			busy++
+		}
 	}
-	return servers.Decode[service]
+	return float64(busy) >= demand*float64(have)
 }
 
 // give gives one order under the lease.
@@ -181,6 +212,10 @@
 	case lapsed:
 		return errors.New("the lease has run out")
 	case given == nil:
+		if err != nil {
+			// The next order is for another engine meanwhile.
+			o.given[change.Engine] = givenOrder{at: clock.Now(), unreached: true}
+		}
 		return err
 	}
 	klog.InfoS("Order given", "service", service, "server", change.Engine, "role", change.Role, "token", given.Token,
@@ -225,6 +260,8 @@
 	candidate.Observe(state, clock.Now())
 	claim, due := candidate.Next(clock.Now(), true)
 	if !due {
+		// Each look is a call to the store, which all that want the order make.
+		o.lookAgain[service] = clock.Now().Add(o.config.Lease.TTL)
 		return nil, errors.New("another instance may still hold the lease: " + state.Holder)
 	}
 	state, won, err := o.deps.Claims.Claim(ctx, claim, condition)
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -16,8 +16,13 @@
 	// Ordered is the role that an order still under way gives it; empty without
 	// one.
 	Ordered string
+	// Unreached is set if it could not be asked of late: it keeps its role for now.
+	Unreached bool
 }
 
+// free says whether it could be ordered now.
+func (e Engine) free() bool { return !e.changing() && !e.Unreached }
+
 // changing says whether an order is under way.
 func (e Engine) changing() bool { return e.Ordered != "" && e.Ordered != e.Role }
 
@@ -74,13 +79,13 @@
 func pick(engines []Engine, role string) string {
 	perZone := make(map[string]int)
 	for _, engine := range engines {
-		if engine.Role == role && !engine.changing() {
+		if engine.Role == role && engine.free() {
 			perZone[engine.Zone]++
 		}
 	}
 	best, most := "", 0
 	for _, engine := range engines {
-		if engine.Role == role && !engine.changing() && perZone[engine.Zone] > most {
+		if engine.Role == role && engine.free() && perZone[engine.Zone] > most {
 			best, most = engine.Name, perZone[engine.Zone]
 		}
 	}
