Where all instances hear each other, two read the store and tell the rest

What callers saw: nothing; each change of the list and of the table cost a call of every instance. Cause: below 37 instances each left its own long polls at the store; only beyond that did few of them.

The two best instances by the order in which hubs are chosen leave long polls; all others are sent the changes (Updates) and ask a reader for a newer table. That somebody has asked the store within 0.75 s is seen to by all, as before, so a reader that is turned away, silent or gone is made up for by others' looks.

Tests: 20 changes in 14 s cost 55 calls with 8, 22 and 36 instances (177, 456, 733 before), and are known everywhere within 1.7 s, as is a table; also where the store turns away whoever reads. The tests of stores that fall silent in part hold.

--- a/edge/beat.go
+++ b/edge/beat.go
@@ -29,7 +29,7 @@
 				announced = loads
 			}
 		case changed || urgent || now.Sub(sent) >= in.config.Members.HeartbeatEvery:
-			in.reads.Store(true)
+			in.reads.Store(in.readsInMesh())
 			in.meshBeat(now, turn, loads)
 			announced, sent = loads, now
 			turn++
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -49,7 +49,7 @@
 		sibling, ahead := in.ahead(mine, failed)
 		failed = ""
 		// Where a long poll waits at the store, it may be about to be answered with the same.
-		if !ahead || (mine != before && !in.usesHubs()) {
+		if !ahead || (mine != before && in.reads.Load() && !in.usesHubs()) {
 			before = mine
 			continue
 		}
--- a/edge/config.go
+++ b/edge/config.go
@@ -93,6 +93,10 @@
 	// Beyond it hubs do: fewer datagrams, and updates at most two beats old in place of
 	// several, at the price of a beat's delay where all could be reached directly.
 	MeshAtMost int
+	// ReadersInMesh is how many instances leave long polls waiting at the store where there
+	// are no hubs. With the others' looks at what is fresh a second one costs calls only; with
+	// one alone, updates wait for these looks whenever it is restarted.
+	ReadersInMesh int
 	// HubsPerZone is how many hubs hear the members of a zone. The second is ready
 	// when the first falls silent; a third would cost each member a datagram a beat.
 	HubsPerZone int
@@ -206,6 +210,7 @@
 		QuickBeat:           30 * time.Millisecond,
 		QuickBeatPerSibling: 5 * time.Millisecond,
 		MeshAtMost:          36,
+		ReadersInMesh:       2,
 		HubsPerZone:         2,
 		KeepEvery:           300 * time.Millisecond,
 		SubscribedFor:       time.Second,
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -251,13 +251,15 @@
 	begin(in)
 	ctx, cancel := context.WithTimeout(context.Background(), lasts)
 	defer cancel()
-	go func() {
+	var seeing sync.WaitGroup
+	seeing.Go(func() {
 		for ctx.Err() == nil {
 			in.see(workers)
 			time.Sleep(time.Second)
 		}
-	}()
+	})
 	in.orders.run(ctx)
+	seeing.Wait()
 	for _, given := range workers.orders {
 		orders += len(given)
 	}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -94,7 +94,7 @@
 		}
 	}
 	in.rebuild()
-	if in.usesHubs() {
+	if in.usesHubs() || in.reads.Load() {
 		in.sendHeartbeats()
 	}
 	klog.InfoS("Table in force", "revision", revision.Number, "from", from, "hosts", len(revision.View.Routes),
--- a/edge/listupdates.go
+++ b/edge/listupdates.go
@@ -9,15 +9,24 @@
 	"github.com/mastwheel/mastwheel/registry"
 )
 
-// Changes of the list of backend servers go from the hubs that read them to all.
+// Changes of the list of backend servers go from those that read them to all.
 
-// sendUpdates passes changes of the list on: to the hubs of the own zone, and from a hub
-// to those that it serves. One that got them is not sent them again.
+// sendUpdates passes changes of the list on: where there are hubs to those of the own zone,
+// and from a hub to those that it serves, else to all. One that got them is not sent them
+// again.
 func (in *Instance) sendUpdates(updates heartbeat.Updates, from string) {
-	if !in.usesHubs() || len(updates.Changes) == 0 || len(updates.Changes) > in.config.UpdatesAtMost {
+	if len(updates.Changes) == 0 || len(updates.Changes) > in.config.UpdatesAtMost {
 		return
 	}
 	now := clock.Now()
+	if !in.usesHubs() {
+		if from == "" {
+			message := in.message(now)
+			message.Updates = &updates
+			in.send(message, in.peers.addresses(now)...)
+		}
+		return
+	}
 	var addresses []string
 	for _, info := range in.hubsOfZones(now)[in.config.Zone] {
 		if info.Name != in.config.Name && info.Name != from {
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -5,6 +5,7 @@
 
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/member"
 )
 
 // Up to some tens of instances send each other their state directly.
@@ -20,6 +21,19 @@
 	in.sendTo(in.due(addresses, turn, every), addresses, loads)
 }
 
+// readsInMesh says whether this instance is one of the few that leave long polls waiting at
+// the store: the others are sent what these are told. All that know the same instances
+// choose the same; one that knows nobody reads.
+func (in *Instance) readsInMesh() bool {
+	self, better := in.info(), 0
+	for _, sibling := range in.members.View().Siblings {
+		if sibling.State == member.Alive && betterHub(sibling.Info, self) < 0 {
+			better++
+		}
+	}
+	return better < in.config.ReadersInMesh
+}
+
 // patientBeats is how many heartbeats may be missing before a sibling counts
 // as silent, where they are rare: datagrams are lost now and then.
 const patientBeats = 4
