Instances use parts of many servers, and hubs tell each what concerns its part

A decision looked at thousands. What grew faster than the fleet: instances times servers.

Package subset: an instance uses one in 2^n of a service's servers in its zone and few of the others, by a hash of both names, so that it follows from names alone, stays as others come and go, and whoever knows n knows the part. n is such that 48 servers of a service or more remain, and each has 8 instances of its zone or more on the mean. Up to 512 servers nothing changes.

Hubs alone know the whole list. Sums of loads go to a member for its servers, and a digest only when it holds news, else each 0.3 s. One that becomes a hub reads the whole list from another hub, or the store. Orders are given by those who know all engines.

Ways weighed: all servers of the zone (2,000, a fifth: still 7 times what is used); the k best by rendezvous (a change of one server changes others' parts: the hub would have to keep each); shares told by the hub alone (two hubs that differ by a factor would leave a member without the end of a server). Shares are stated by the member.

--- a/edge/config.go
+++ b/edge/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/mastwheel/mastwheel/lease"
 	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/subset"
 )
 
 // Config tunes the loops of an instance.
@@ -89,6 +90,13 @@
 	// PeersNamed is how many other siblings a heartbeat names.
 	PeersNamed int
 
+	// Subset says how many servers an instance uses where there are many.
+	Subset subset.Config
+	// ReviewEvery is the pause between two looks at whether the shares that instances use
+	// still suit, and WholeFor for how long one that was a hub keeps the whole list: to read
+	// it again is a megabyte.
+	ReviewEvery time.Duration
+	WholeFor    time.Duration
 	// MeshAtMost is up to how many instances each sends its state to all others.
 	// Beyond it hubs do: fewer datagrams, and updates at most two beats old in place of
 	// several, at the price of a beat's delay where all could be reached directly.
@@ -209,6 +217,9 @@
 		PeersNamed:          4,
 		QuickBeat:           30 * time.Millisecond,
 		QuickBeatPerSibling: 5 * time.Millisecond,
+		Subset:              subset.DefaultConfig(),
+		ReviewEvery:         time.Second,
+		WholeFor:            10 * time.Second,
 		MeshAtMost:          36,
 		ReadersInMesh:       2,
 		HubsPerZone:         2,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
+	"github.com/mastwheel/mastwheel/subset"
 	"github.com/mastwheel/mastwheel/table"
 )
 
@@ -155,6 +156,13 @@
 	list      *feed
 	// tablePosition is where the store's log of the table is read on.
 	tablePosition atomic.Uint64
+	// uses is the part of all servers that this instance uses; nil if it uses all.
+	uses atomic.Pointer[subset.Subset]
+	// counted is the census of the list as it was counted last.
+	counted atomic.Pointer[countedList]
+	// outgrown names the hub by whose word this instance uses shares that do not suit any
+	// more; nil otherwise.
+	outgrown atomic.Pointer[string]
 	// evacuation is which zones are evacuated; nil until any ever was.
 	evacuation atomic.Pointer[heartbeat.Evacuation]
 	// loadsHeard is set when what siblings have sent is to be summed anew.
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -142,6 +142,21 @@
 	f.known = true
 }
 
+// learnt notes that a sibling has told everything: only what is new since has to be read.
+func (f *feed) learnt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known = true
+}
+
+// readWhole has everything read with the next poll.
+func (f *feed) readWhole(why string) {
+	f.mu.Lock()
+	f.known = false
+	f.mu.Unlock()
+	f.giveUp(why)
+}
+
 // answered notes an answer to this instance, and when the store had no more.
 func (f *feed) answered(at time.Time) {
 	f.store.ok(clock.Now())
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -117,8 +117,9 @@
 			return time.Time{}, err
 		}
 		in.list.hear(asked, false)
-		in.registry.Reset(snapshot, clock.Now())
+		in.registry.Take(snapshot, nil, clock.Now())
 		in.rebuild()
+		in.reviewUses(clock.Now())
 		return in.confirmedUpTo(asked, snapshot.Position), nil
 	}
 	from := in.registry.View().Position
@@ -127,13 +128,13 @@
 		return time.Time{}, err
 	}
 	at := answeredAt(asked, wait)
-	before := in.registry.View().Position
+	before := in.registry.View()
 	// That the store was away must be known before a removal is judged.
 	in.list.hear(at, false)
 	in.registry.Apply(changes, next, clock.Now())
 	in.rebuild()
-	if next > before {
-		in.sendUpdates(updatesOf(from, next, changes, at), "")
+	if next > before.Position {
+		in.sendUpdates(updatesOf(from, next, changes, at), before, "")
 	}
 	return in.confirmedUpTo(at, next), nil
 }
@@ -150,6 +151,7 @@
 // tick lets time pass for what is believed.
 func (in *Instance) tick(ctx context.Context) {
 	last, suspended := clock.Now(), clock.Suspended()
+	var reviewed time.Time
 	for wait.For(ctx, in.config.Members.HeartbeatEvery) {
 		now := clock.Now()
 		if stood := now.Sub(last) - in.config.Members.HeartbeatEvery; stood > in.config.LongPause {
@@ -165,6 +167,10 @@
 			feed.review(now)
 		}
 		in.rebuild()
+		if now.Sub(reviewed) >= in.config.ReviewEvery {
+			reviewed = now
+			in.reviewUses(now)
+		}
 		// A sibling that died, or a server that came, changes the sums too.
 		in.loadsHeard.Store(true)
 		in.budgets.share(in.sharing(now))
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -22,7 +22,7 @@
 	in.members.SetSuspectAfter(in.config.DirectSilence)
 	view := in.members.View()
 	self := in.info()
-	chosen := in.hubs.choose(self, view.Siblings, now)
+	chosen := in.hubs.chooseAnew(self, view.Siblings, now)
 	mine := chosen[self.Zone]
 	hub := holds(mine, self.Name)
 	in.reads.Store(mine[0].Name == self.Name)
@@ -43,12 +43,15 @@
 		in.greet(now, view, loads)
 		in.introduceHubs()
 	}
+	if in.hubs.due(&in.hubs.reviewed, in.config.ReviewEvery, now) {
+		in.reviewSubscribers()
+	}
 	every = max(in.config.HubBeatEvery, in.hubs.pause)
 	if urgent {
 		every = 0
 	}
 	if in.hubs.due(&in.hubs.served, every, now) {
-		in.hubs.pause = in.config.hubPause(in.serveSubscribers(now, view, settled, loads))
+		in.hubs.pause = in.config.hubPause(in.serveSubscribers(now, view, settled, urgent, loads))
 	}
 }
 
@@ -110,6 +113,10 @@
 
 func (in *Instance) sendToHub(now time.Time, message heartbeat.Message, to member.Info, want bool, asked map[string]bool) {
 	message.Want = want
+	message.Uses = nil
+	if want && message.From.Part {
+		message.Uses = in.uses.Load().Shares()
+	}
 	if want {
 		asked[to.Name] = true
 		message.Seen, message.SeenRun = in.hubs.ask(to, now)
@@ -136,8 +143,11 @@
 	in.send(message, in.some(strangers, in.config.HelloAtOnce)...)
 }
 
-// hubsOfZones returns the hubs of each zone as this instance would choose them now.
+// hubsOfZones returns the hubs of each zone as this instance chose them with the last beat.
 func (in *Instance) hubsOfZones(now time.Time) map[string][]member.Info {
+	if chosen := in.hubs.lastChoice(now); chosen != nil {
+		return chosen
+	}
 	return in.hubs.choose(in.info(), in.members.View().Siblings, now)
 }
 
@@ -153,8 +163,8 @@
 
 // serveSubscribers sends a digest to each instance that has asked lately, and returns
 // their bytes.
-func (in *Instance) serveSubscribers(now time.Time, view *member.View, settled bool, loads []heartbeat.Load) (bytes int) {
-	subscribers := in.hubs.current()
+func (in *Instance) serveSubscribers(now time.Time, view *member.View, settled, urgent bool, loads []heartbeat.Load) (bytes int) {
+	subscribers := in.hubs.toServe(now, in.config.KeepEvery, urgent)
 	if len(subscribers) == 0 {
 		return 0
 	}
@@ -163,7 +173,7 @@
 	addLoads(zone, commitments(loads))
 	total := in.hubs.others(now)
 	addLoads(total, zone)
-	ofZone, ofAll, err := in.encodeSums(zone, total)
+	sums, err := in.dueSums(zone, total)
 	if err != nil {
 		klog.ErrorS(err, "Digests not sent")
 		return 0
@@ -172,26 +182,25 @@
 	message.Hubs = true
 	message.Changing = in.peers.allUnderWay(now)
 	instances := in.Instances()
-	everyone := func(member.Sibling) bool { return true }
-	near := func(sibling member.Sibling) bool { return sibling.Zone == in.config.Zone }
-	again := map[bool][]heartbeat.Observation{}
-	if settled {
-		again[false] = repeated(view, everyone, in.hubs.turn, in.config.RepeatedAtOnce, now)
-		again[true] = repeated(view, near, in.hubs.turn, in.config.RepeatedAtOnce, now)
-		in.hubs.turn += in.config.RepeatedAtOnce
-	}
 	teams := in.Allotments.Levels(in.config.TeamsAtOnce, now)
+	news := urgent || message.Poison != nil || message.Pressure != nil || len(message.Changing) > 0 || len(teams) > 0
+	repeat := newRepetition(view, in.config.Zone, in.config.RepeatedAtOnce, now)
 	for _, to := range subscribers {
-		digest := &heartbeat.Digest{Summed: true, Loads: ofAll, Teams: teams, Instances: instances, After: to.seen, Echo: to.uptime}
-		if digest.Zone = to.zone != in.config.Zone; digest.Zone {
-			digest.Loads = ofZone
+		digest := &heartbeat.Digest{Summed: true, Teams: teams, Instances: instances, After: to.seen, Echo: to.uptime, Outgrown: to.outgrown}
+		digest.Zone = to.zone != in.config.Zone
+		digest.Observations, digest.Upto = in.hubs.lacks(to.seen, view, repeat.keep(digest.Zone), now)
+		some := false
+		if digest.Loads, some, err = sums.of(to.subscriber, digest.Zone); err != nil {
+			klog.ErrorS(err, "Digest not sent", "sibling", to.name)
+			continue
+		}
+		if to.part && !to.due && !news && !some && len(digest.Observations) == 0 {
+			continue
 		}
-		keep := everyone
-		if digest.Zone {
-			keep = near
+		if settled {
+			digest.Observations = append(digest.Observations, repeat.next(digest.Zone, &to.turn)...)
 		}
-		digest.Observations, digest.Upto = in.hubs.lacks(to.seen, view, keep, now)
-		digest.Observations = append(digest.Observations, again[digest.Zone]...)
+		in.hubs.told(to.name, to.turn, now)
 		message.Digest = digest
 		bytes += in.send(message, to.peer)
 	}
@@ -238,6 +247,9 @@
 	}
 	in.members.ConfirmReports(now)
 	in.hubs.take(message, in.config.Zone, now)
+	if message.Digest.Outgrown {
+		in.outgrown.Store(&message.From.Name)
+	}
 	if message.Digest.Summed {
 		in.sumLoads()
 	}
@@ -260,12 +272,11 @@
 // redirect names an instance the hubs that its zone and this one's have.
 func (in *Instance) redirect(to member.Info) {
 	now := clock.Now()
-	view := in.members.View()
 	chosen := in.hubsOfZones(now)
 	digest := &heartbeat.Digest{Instances: in.Instances()}
 	for _, zone := range []string{to.Zone, in.config.Zone} {
 		for _, info := range chosen[zone] {
-			if sibling, known := view.Find(info.Name); known && info.Name != to.Name {
+			if sibling, known := in.members.Find(info.Name); known && info.Name != to.Name {
 				digest.Observations = append(digest.Observations, observationOf(info, sibling, now))
 			}
 		}
--- a/edge/hubchoice.go
+++ b/edge/hubchoice.go
@@ -35,6 +35,31 @@
 	return 1
 }
 
+// choice is the hubs of each zone as they were chosen at a moment.
+type choice struct {
+	at   time.Time
+	hubs map[string][]member.Info
+}
+
+// choiceHolds is how long a choice is gone by between two beats: each question of a member is
+// answered by it, hundreds a second.
+const choiceHolds = 200 * time.Millisecond
+
+// chooseAnew chooses with a beat.
+func (h *hubs) chooseAnew(self member.Info, siblings []member.Sibling, now time.Time) map[string][]member.Info {
+	chosen := h.choose(self, siblings, now)
+	h.choice.Store(&choice{at: now, hubs: chosen})
+	return chosen
+}
+
+// lastChoice returns the last choice; nil if that was long ago.
+func (h *hubs) lastChoice(now time.Time) map[string][]member.Info {
+	if last := h.choice.Load(); last != nil && now.Sub(last.at) <= choiceHolds {
+		return last.hubs
+	}
+	return nil
+}
+
 // choose returns the hubs of each zone, the best first, among this instance and the
 // siblings that live.
 func (h *hubs) choose(self member.Info, siblings []member.Sibling, now time.Time) map[string][]member.Info {
--- a/edge/hubs.go
+++ b/edge/hubs.go
@@ -1,13 +1,16 @@
 package edge
 
 import (
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/route"
+	"github.com/mastwheel/mastwheel/subset"
 )
 
 // Up to some tens of instances each sends its state to all others. Beyond that the
@@ -25,6 +28,8 @@
 // hubs is an instance's part in that, as a member and as a hub.
 type hubs struct {
 	config Config
+	// choice is the hubs that were chosen last.
+	choice atomic.Pointer[choice]
 
 	mu sync.Mutex
 	// subscribers are the instances that this one serves, by name.
@@ -53,11 +58,16 @@
 	// zoneParts and allParts are what of sums was sent, and pause is the least time
 	// until the next digests; used by the beat alone.
 	zoneParts, allParts parts
-	// turn is whose states are repeated next; used by the beat alone.
-	turn  int
-	pause time.Duration
+	pause               time.Duration
+	// index finds servers for that; used by the beat alone.
+	index *serverIndex
 	// followed is the hub that this instance follows; itself if it is the first.
 	followed string
+	// neededWhole is when this instance last had to know the whole list of servers; used by
+	// the tick alone.
+	neededWhole time.Time
+	// reviewed is when the subscribers' shares were looked at last.
+	reviewed time.Time
 	// notified, greeted and served are when hubs were notified, strangers greeted and
 	// subscribers served last.
 	notified, greeted, served time.Time
@@ -71,6 +81,15 @@
 	heard time.Time
 	// uptime is how long it had run when it was heard last.
 	uptime time.Duration
+	// part is set if it is to be told of some servers only, those of uses, and outgrown if
+	// it should use others by now.
+	part     bool
+	uses     *subset.Subset
+	outgrown bool
+	// told is when it was sent a digest last, and turn whose states it is repeated next;
+	// used by the beat alone.
+	told time.Time
+	turn int
 }
 
 // source is a hub that this instance asks.
@@ -164,7 +183,28 @@
 	if message.SeenRun != self {
 		seen = 0
 	}
-	h.subscribers[message.From.Name] = &subscriber{peer: message.From.Peer, zone: message.From.Zone, seen: seen, heard: now, uptime: message.From.Uptime}
+	next := &subscriber{peer: message.From.Peer, zone: message.From.Zone, seen: seen, heard: now, uptime: message.From.Uptime, part: message.From.Part}
+	before := h.subscribers[message.From.Name]
+	if before == nil {
+		before = new(subscriber)
+	}
+	next.told, next.turn = before.told, before.turn
+	if next.part {
+		next.uses, next.outgrown = before.uses, before.outgrown
+		if !slices.Equal(before.uses.Shares(), message.Uses) || before.uses == nil {
+			next.uses, next.outgrown = subset.New(message.From.Name, message.From.Zone, message.Uses), false
+		}
+	}
+	h.subscribers[message.From.Name] = next
+}
+
+// setOutgrown notes whether a subscriber should use other shares of the servers.
+func (h *hubs) setOutgrown(name string, outgrown bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if to := h.subscribers[name]; to != nil {
+		to.outgrown = outgrown
+	}
 }
 
 // take notes what a hub's digest says of loads, numbers and the account of siblings.
@@ -266,6 +306,35 @@
 	return due
 }
 
+// servedNow is a subscriber that may be sent a digest, which is due if it has not been sent
+// one for long.
+type servedNow struct {
+	subscriber
+	name string
+	due  bool
+}
+
+// toServe returns those that this instance serves. One that is told of some servers only is
+// sent a digest when there is something to tell it, or when one is due.
+func (h *hubs) toServe(now time.Time, every time.Duration, urgent bool) []servedNow {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := make([]servedNow, 0, len(h.subscribers))
+	for name, one := range h.subscribers {
+		all = append(all, servedNow{subscriber: *one, name: name, due: urgent || now.Sub(one.told) >= every})
+	}
+	return all
+}
+
+// told notes that a subscriber is sent a digest, with states up to a turn.
+func (h *hubs) told(name string, turn int, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if to := h.subscribers[name]; to != nil {
+		to.told, to.turn = now, turn
+	}
+}
+
 // current returns those that this instance serves, by name.
 func (h *hubs) current() map[string]subscriber {
 	h.mu.Lock()
--- a/edge/hubs_test.go
+++ b/edge/hubs_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/racedetector"
+	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
 )
 
@@ -103,15 +105,16 @@
 // A sum over thousands of servers is told in parts: what changed, and all in turn.
 func TestLargeSumsAreToldInParts(t *testing.T) {
 	sum := make(map[uint32]route.Commitment)
-	var servers []uint32
+	servers := &serverIndex{byID: make(map[uint32]*registry.Entry)}
 	for i := range uint32(3000) {
-		servers = append(servers, i)
+		servers.ids = append(servers.ids, i)
+		servers.byID[i] = &registry.Entry{}
 		sum[i] = route.Commitment{Memory: 10_000 + int(i)}
 	}
 	var told parts
 	var received map[uint32]route.Commitment
 	tell := func(lost bool) int {
-		part := told.pick(sum, servers, 320, 48)
+		part := pickOf(&told, sum, servers)
 		if !lost {
 			received = merged(received, part, nil)
 		}
@@ -127,7 +130,7 @@
 	if _, holds := received[7]; holds || received[2999] != sum[2999] {
 		t.Error("a change waits for its turn")
 	}
-	for range len(servers)/48 + 1 {
+	for range len(servers.ids)/48 + 1 {
 		tell(false)
 	}
 	delete(sum, 7)
@@ -141,6 +144,11 @@
 	}
 }
 
+func pickOf(p *parts, sum map[uint32]route.Commitment, servers *serverIndex) []heartbeat.Load {
+	part, _ := p.pick(sum, servers, 320, 48)
+	return part
+}
+
 func TestAHubWithMuchToTellTellsItLessOften(t *testing.T) {
 	config := DefaultConfig()
 	for bytes, want := range map[int]time.Duration{
--- a/edge/ledger.go
+++ b/edge/ledger.go
@@ -75,22 +75,47 @@
 	return states, upto
 }
 
-// repeated returns some states in turn, whether they have changed or not, without what does
-// not change. A subscriber may have believed somebody else meanwhile, whose word is not
-// taken back.
-func repeated(view *member.View, keep func(member.Sibling) bool, turn, most int, now time.Time) []heartbeat.Observation {
-	var kept []member.Sibling
-	for _, sibling := range view.Siblings {
-		if keep(sibling) {
-			kept = append(kept, sibling)
+// repetition repeats the states of siblings in turn, whether they have changed or not, without
+// what does not change. A subscriber may have believed somebody else meanwhile, whose word is
+// not taken back.
+type repetition struct {
+	zone string
+	most int
+	now  time.Time
+	// all and near are the siblings, and those of the own zone.
+	all, near []*member.Sibling
+}
+
+func newRepetition(view *member.View, zone string, most int, now time.Time) *repetition {
+	r := &repetition{zone: zone, most: most, now: now, all: make([]*member.Sibling, 0, len(view.Siblings))}
+	for i := range view.Siblings {
+		sibling := &view.Siblings[i]
+		r.all = append(r.all, sibling)
+		if sibling.Zone == zone {
+			r.near = append(r.near, sibling)
 		}
 	}
-	var states []heartbeat.Observation
-	for i := range min(most, len(kept)) {
-		sibling := kept[(turn+i)%len(kept)]
+	return r
+}
+
+// keep says which siblings a subscriber is told of: one of another zone of those of this zone.
+func (r *repetition) keep(nearOnly bool) func(member.Sibling) bool {
+	return func(sibling member.Sibling) bool { return !nearOnly || sibling.Zone == r.zone }
+}
+
+// next returns the states that are due, and moves the turn on.
+func (r *repetition) next(nearOnly bool, turn *int) []heartbeat.Observation {
+	kept := r.all
+	if nearOnly {
+		kept = r.near
+	}
+	states := make([]heartbeat.Observation, 0, r.most)
+	for i := range min(r.most, len(kept)) {
+		sibling := kept[(*turn+i)%len(kept)]
 		info := member.Info{Name: sibling.Name, Incarnation: sibling.Incarnation, Uptime: sibling.Uptime}
-		states = append(states, observationOf(info, sibling, now))
+		states = append(states, observationOf(info, *sibling, r.now))
 	}
+	*turn += r.most
 	return states
 }
 
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -11,10 +11,8 @@
 
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/engine"
-	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/lease"
 	"github.com/mastwheel/mastwheel/member"
-	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/roles"
 	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
@@ -33,10 +31,8 @@
 	lookAgain map[string]time.Time
 
 	mu sync.Mutex
-	// builtFrom, builtWith and builtFor are what the picture of the servers was made of.
-	builtFrom *registry.View
-	builtWith *table.View
-	builtFor  *heartbeat.Evacuation
+	// built is what the picture of the servers was made of.
+	built picture
 }
 
 // want is a change of roles that is wanted.
@@ -78,7 +74,7 @@
 func (o *orders) run(ctx context.Context) {
 	for o.pause(ctx, o.config.OrdersEvery) {
 		view := o.Table()
-		if view == nil || o.stopping.Load() {
+		if view == nil || o.stopping.Load() || o.registry.View().Part {
 			continue
 		}
 		for name, service := range view.Services {
@@ -112,11 +108,12 @@
 	}
 }
 
-// turn is the number of living siblings that come before this instance.
+// turn is the number of living siblings that know the whole list and come before this
+// instance.
 func (o *orders) turn() int {
 	before := 0
 	for _, sibling := range o.members.View().Siblings {
-		if sibling.State == member.Alive && sibling.Name < o.config.Name {
+		if sibling.State == member.Alive && !sibling.Part && sibling.Name < o.config.Name {
 			before++
 		}
 	}
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -9,6 +9,7 @@
 	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/subset"
 	"github.com/mastwheel/mastwheel/table"
 )
 
@@ -17,25 +18,50 @@
 func (in *Instance) rebuild() {
 	in.orders.mu.Lock()
 	defer in.orders.mu.Unlock()
-	list, view, evacuation := in.registry.View(), in.Table(), in.evacuation.Load()
-	if list == in.orders.builtFrom && view == in.orders.builtWith && sameZones(evacuation, in.orders.builtFor) {
+	list, view, evacuation, uses := in.registry.View(), in.Table(), in.evacuation.Load(), in.uses.Load()
+	built := &in.orders.built
+	if list == built.from && view == built.with && sameZones(evacuation, built.without) && uses == built.uses {
 		return
 	}
-	before := in.orders.builtFrom
-	next := build(list, view, evacuation)
+	before := built.list
+	used := usedOf(list, uses)
+	next := build(used, view, evacuation)
 	in.Fleet.Adopt(&table.View{Backends: backendsOf(next)})
 	in.servers.Store(next)
-	in.boundCold(list, view, clock.Now())
-	if view != nil && view != in.orders.builtWith {
+	in.boundCold(used, view, clock.Now())
+	if view != nil && view != built.with {
 		in.takeLimits(view, clock.Now())
 	}
-	in.orders.builtFrom, in.orders.builtWith, in.orders.builtFor = list, view, evacuation
-	logServers(before, list)
+	*built = picture{from: list, with: view, without: evacuation, uses: uses, list: used}
+	logServers(before, used)
 	if in.deps.ServersChanged != nil {
-		in.deps.ServersChanged(list)
+		in.deps.ServersChanged(used)
 	}
 }
 
+// picture is what the picture of the servers was made of, and list what of that is used.
+type picture struct {
+	from    *registry.View
+	with    *table.View
+	without *heartbeat.Evacuation
+	uses    *subset.Subset
+	list    *registry.View
+}
+
+// usedOf cuts a list to what an instance uses.
+func usedOf(list *registry.View, uses *subset.Subset) *registry.View {
+	if uses == nil || list.Part {
+		return list
+	}
+	used := &registry.View{Position: list.Position, Read: list.Read}
+	for i := range list.Servers {
+		if server := &list.Servers[i]; uses.Holds(server.ID, server.Service, server.Zone) {
+			used.Servers = append(used.Servers, *server)
+		}
+	}
+	return used
+}
+
 // boundCold has the servers that have just started get only as many requests as they bear.
 func (in *Instance) boundCold(list *registry.View, view *table.View, now time.Time) {
 	if view == nil {
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -64,8 +64,9 @@
 		Draining:    !in.Ready(),
 		Uptime:      clock.Since(in.started),
 		Capacity:    in.config.Capacity,
-		Next:        uint64(in.registry.View().Position),
 	}
+	list := in.registry.View()
+	info.Next, info.Part = uint64(list.Position), list.Part
 	info.Revision = in.Revision()
 	return info
 }
--- a/edge/sums.go
+++ b/edge/sums.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
 )
 
@@ -60,25 +61,38 @@
 	next int
 }
 
-// pick returns the part of a sum over servers that is due.
-func (p *parts) pick(sum map[uint32]route.Commitment, servers []uint32, changedAtMost, inTurn int) []heartbeat.Load {
-	due := make([]heartbeat.Load, 0, min(len(servers), changedAtMost+inTurn))
-	next := make(map[uint32]route.Commitment, len(servers))
-	for i := range servers {
+// pick returns the part of a sum over servers that is due, and how many of that come first that
+// are due in turn only. Servers that are not on the list are left out.
+func (p *parts) pick(sum map[uint32]route.Commitment, servers *serverIndex, changedAtMost, inTurn int) (due []heartbeat.Load, turned int) {
+	if p.sent == nil {
+		p.sent = make(map[uint32]route.Commitment)
+	}
+	turned = min(inTurn, len(servers.ids))
+	due = make([]heartbeat.Load, 0, turned+min(len(sum), changedAtMost))
+	add := func(server uint32, now route.Commitment) {
+		due = append(due, heartbeat.Load{Server: server, InFlight: now.InFlight, Unread: now.Unread, Memory: now.Memory})
+		if p.sent[server] = now; now == (route.Commitment{}) {
+			delete(p.sent, server)
+		}
+	}
+	for i := range turned {
 		// It begins where it ended, so that none waits for ever.
-		server := servers[(p.next+i)%len(servers)]
-		now, before := sum[server], p.sent[server]
-		if i < inTurn || (len(due) < changedAtMost && differ(before, now)) {
-			due = append(due, heartbeat.Load{Server: server, InFlight: now.InFlight, Unread: now.Unread, Memory: now.Memory})
-			before = now
+		server := servers.ids[(p.next+i)%len(servers.ids)]
+		add(server, sum[server])
+	}
+	p.next += turned
+	consider := func(server uint32) {
+		if before, now := p.sent[server], sum[server]; len(due) < changedAtMost && servers.byID[server] != nil && differ(before, now) {
+			add(server, now)
 		}
-		next[server] = before
 	}
-	if len(servers) > 0 {
-		p.next = (p.next + inTurn) % len(servers)
+	for server := range sum {
+		consider(server)
 	}
-	p.sent = next
-	return due
+	for server := range p.sent {
+		consider(server)
+	}
+	return due, turned
 }
 
 // differ says whether others would decide otherwise by a commitment than by the one
@@ -150,21 +164,70 @@
 	return h.sums
 }
 
-// encodeSums encodes what is due of the sum of a zone, and of that of all.
-func (in *Instance) encodeSums(zone, total map[uint32]route.Commitment) (ofZone, ofAll heartbeat.EncodedLoads, err error) {
-	servers := make([]uint32, 0, len(in.servers.Load().ByRun))
-	for run := range in.servers.Load().ByRun {
-		servers = append(servers, route.ServerID(run))
+// serverIndex finds the servers of a list by route.ServerID.
+type serverIndex struct {
+	of   *registry.View
+	ids  []uint32
+	byID map[uint32]*registry.Entry
+}
+
+// index is the index of the list as it is; used by the beat alone.
+func (in *Instance) index() *serverIndex {
+	list := in.registry.View()
+	if known := in.hubs.index; known != nil && known.of == list {
+		return known
+	}
+	made := &serverIndex{of: list, ids: make([]uint32, 0, len(list.Servers)), byID: make(map[uint32]*registry.Entry, len(list.Servers))}
+	for i := range list.Servers {
+		entry := &list.Servers[i].Entry
+		id := route.ServerID(entry.Run())
+		made.ids = append(made.ids, id)
+		made.byID[id] = entry
+	}
+	slices.Sort(made.ids)
+	in.hubs.index = made
+	return made
+}
+
+// sums is what is due of the sum of a zone, and of that of all.
+type sums struct {
+	servers     *serverIndex
+	all         []heartbeat.Load
+	turned      int
+	zoneEncoded heartbeat.EncodedLoads
+	allEncoded  heartbeat.EncodedLoads
+}
+
+// dueSums picks what is due, and encodes it once for the many to whom it goes whole.
+func (in *Instance) dueSums(zone, total map[uint32]route.Commitment) (due sums, err error) {
+	due.servers = in.index()
+	due.all, due.turned = in.hubs.allParts.pick(total, due.servers, in.config.LoadsAtOnce, in.config.LoadsInTurn)
+	if due.allEncoded, err = heartbeat.EncodeLoads(due.all); err != nil {
+		return due, err
 	}
-	slices.Sort(servers)
-	due := func(p *parts, sum map[uint32]route.Commitment) (heartbeat.EncodedLoads, error) {
-		return heartbeat.EncodeLoads(p.pick(sum, servers, in.config.LoadsAtOnce, in.config.LoadsInTurn))
+	ofZone, _ := in.hubs.zoneParts.pick(zone, due.servers, in.config.LoadsAtOnce, in.config.LoadsInTurn)
+	due.zoneEncoded, err = heartbeat.EncodeLoads(ofZone)
+	return due, err
+}
+
+// of is what is due for one that this instance serves, and whether that is more than what is
+// repeated in turn.
+func (s *sums) of(to subscriber, zone bool) (loads heartbeat.EncodedLoads, some bool, err error) {
+	switch {
+	case zone:
+		return s.zoneEncoded, true, nil
+	case !to.part:
+		return s.allEncoded, true, nil
 	}
-	if ofZone, err = due(&in.hubs.zoneParts, zone); err != nil {
-		return nil, nil, err
+	var part []heartbeat.Load
+	for i, load := range s.all {
+		if entry := s.servers.byID[load.Server]; entry != nil && to.uses.Holds(entry.ID, entry.Service, entry.Zone) {
+			part = append(part, load)
+			some = some || i >= s.turned
+		}
 	}
-	ofAll, err = due(&in.hubs.allParts, total)
-	return ofZone, ofAll, err
+	loads, err = heartbeat.EncodeLoads(part)
+	return loads, some, err
 }
 
 // commitments sorts loads by server.
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -20,6 +20,7 @@
 	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
+	"github.com/mastwheel/mastwheel/subset"
 )
 
 // Load is what one instance has committed at one backend server.
@@ -59,7 +60,9 @@
 	Seen    uint64                `cbor:"10,keyasint,omitempty"`
 	SeenRun operation.Incarnation `cbor:"11,keyasint,omitempty"`
 	Digest  *Digest               `cbor:"12,keyasint,omitempty"`
-	Updates *Updates              `cbor:"13,keyasint,omitempty"`
+	// Uses are the shares of the servers that the sender wants to be told of; nil for all.
+	Uses    []subset.Share `cbor:"18,keyasint,omitempty"`
+	Updates *Updates       `cbor:"13,keyasint,omitempty"`
 	// Poison is what the sender has seen of servers that ended under requests.
 	Poison *poison.Update `cbor:"14,keyasint,omitempty"`
 	// Spent is what the sender has admitted of late for teams that are limited.
@@ -109,6 +112,9 @@
 	Teams []allotment.Level `cbor:"9,keyasint,omitempty"`
 	// Instances is how many instances there are, as far as the hub knows.
 	Instances int `cbor:"7,keyasint,omitempty"`
+	// Outgrown is set if the receiver should use other shares of the servers by now, and ask
+	// the hub for them.
+	Outgrown bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Observation is the state of one sibling.
@@ -127,6 +133,8 @@
 	Changes []registry.Change `cbor:"3,keyasint"`
 	// Age is how long ago the store answered with them.
 	Age time.Duration `cbor:"4,keyasint"`
+	// Of, if not 0, is the fingerprint of the subset of all servers whose changes these are.
+	Of uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Evacuation says which availability zones' backend servers are to get nothing more.
--- a/member/member.go
+++ b/member/member.go
@@ -96,6 +96,9 @@
 	// Capacity is the processor time that the instance may use, in thousandths of
 	// a core; 0 if it does not say.
 	Capacity int `cbor:"12,keyasint,omitempty" json:"capacity,omitempty"`
+	// Part is set if the instance knows only some of the servers on the list of backend
+	// servers.
+	Part bool `cbor:"13,keyasint,omitempty" json:"part,omitempty"`
 }
 
 // Member returns the identity of this run of the instance.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -116,6 +116,8 @@
 	Position oplog.Position
 	// Read is when changes were last taken in.
 	Read time.Time
+	// Part is set if only some of the servers on the list are kept.
+	Part bool
 }
 
 // Find returns the server of that id, or nil.
@@ -159,6 +161,8 @@
 	returned time.Time
 	// lapsing is set while there may be lapsed servers.
 	lapsing bool
+	// keep says which entries are kept; nil keeps all.
+	keep func(*Entry) bool
 	// departed holds the runs that are gone for good, with when they went.
 	departed map[string]departure
 	view     atomic.Pointer[View]
@@ -183,11 +187,49 @@
 	r.returned = at
 }
 
-// Reset takes a whole list in. One that is older than what is known is
-// ignored.
+// Keep drops all servers but some, and takes no others in until the next Take.
+func (r *Registry) Keep(keep func(*Entry) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keep = keep
+	r.drop()
+	view := r.view.Load()
+	r.publish(view.Position, view.Read)
+}
+
+// drop drops the servers that are not kept. They may live on: nothing of them is remembered.
+// The caller holds the lock.
+func (r *Registry) drop() {
+	maps.DeleteFunc(r.servers, func(_ string, server Server) bool { return !r.keeps(&server.Entry) })
+}
+
+// keeps says whether an entry is kept. The caller holds the lock.
+func (r *Registry) keeps(entry *Entry) bool { return r.keep == nil || r.keep(entry) }
+
+// Reset takes a whole list in, or what is kept of it. One that is older than what is known
+// is ignored.
 func (r *Registry) Reset(snapshot Snapshot, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.reset(snapshot, now)
+}
+
+// Take is Reset for a list that holds all that is to be kept from now on; nil keeps all. It
+// returns whether the list counted.
+func (r *Registry) Take(snapshot Snapshot, keep func(*Entry) bool, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if snapshot.Position < r.view.Load().Position {
+		return false
+	}
+	r.keep = keep
+	r.drop()
+	r.reset(snapshot, now)
+	return true
+}
+
+// reset takes a list in. The caller holds the lock.
+func (r *Registry) reset(snapshot Snapshot, now time.Time) {
 	before := r.view.Load().Position
 	if snapshot.Position < before {
 		return
@@ -204,6 +246,9 @@
 	}
 	listed := make(map[string]bool, len(snapshot.Entries))
 	for _, entry := range snapshot.Entries {
+		if !r.keeps(&entry) {
+			continue
+		}
 		listed[entry.ID] = true
 		r.list(entry, now)
 	}
@@ -228,6 +273,8 @@
 	for _, change := range changes {
 		gone[change.ID] = change.Entry == nil
 		switch {
+		case change.Entry != nil && !r.keeps(change.Entry):
+			delete(r.servers, change.ID)
 		case change.Entry != nil:
 			r.take(*change.Entry, position, now)
 		case change.Unusable:
@@ -310,7 +357,7 @@
 }
 
 func (r *Registry) publish(position oplog.Position, read time.Time) {
-	next := &View{Servers: make([]Server, 0, len(r.servers)), Position: position, Read: read}
+	next := &View{Servers: make([]Server, 0, len(r.servers)), Position: position, Read: read, Part: r.keep != nil}
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
 		next.Servers = append(next.Servers, r.servers[id])
 	}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -215,3 +215,46 @@
 		t.Error("still cold")
 	}
 }
+
+// even keeps the servers with an even last digit.
+func even(entry *Entry) bool { return (entry.ID[len(entry.ID)-1]-'0')%2 == 0 }
+
+func TestOnlyWhatIsKeptIsTakenIn(t *testing.T) {
+	r := filled(10)
+	r.Keep(even)
+	if n := len(r.View().Servers); n != 5 || r.View().Find("s3") != nil {
+		t.Fatalf("%d are kept", n)
+	}
+	position := r.View().Position
+	odd, more := Entry{ID: "s3"}, Entry{ID: "t2"}
+	r.Apply([]Change{{ID: "s3", Entry: &odd}, {ID: "t2", Entry: &more}, {ID: "s5"}, {ID: "s4"}}, position+4, start)
+	if r.View().Find("s3") != nil || r.View().Find("t2") == nil || r.View().Find("s4") != nil || r.View().Position != position+4 {
+		t.Errorf("%+v", r.View())
+	}
+	// A server that is not kept any more, since its entry has changed, is not there.
+	r.Keep(func(entry *Entry) bool { return entry.Zone == "" })
+	moved := Entry{ID: "s2", Zone: "far"}
+	r.Apply([]Change{{ID: "s2", Entry: &moved}}, position+5, start)
+	if r.View().Find("s2") != nil {
+		t.Error("kept")
+	}
+	whole := Snapshot{Entries: entries(10), Position: position + 5}
+	if !r.Take(whole, nil, start) || len(r.View().Servers) != 10 {
+		t.Errorf("%d after all were taken in", len(r.View().Servers))
+	}
+	whole.Position = position
+	if r.Take(whole, even, start) || len(r.View().Servers) != 10 {
+		t.Error("an older list changed what is kept")
+	}
+}
+
+// What was dropped for not being kept has not left: it counts as before once it is kept again.
+func TestWhatIsNotKeptHasNotLeft(t *testing.T) {
+	r := New(DefaultConfig())
+	r.Reset(Snapshot{Position: oplog.At(1, 1), Entries: []Entry{{ID: "s1", Born: 1}, {ID: "s2", Born: 1}}}, start)
+	r.Keep(even)
+	r.Take(Snapshot{Position: oplog.At(2, 1), Entries: []Entry{{ID: "s1", Born: 1}, {ID: "s2", Born: 1}}}, nil, start)
+	if server := r.View().Find("s1"); server == nil || server.Lapsed {
+		t.Errorf("%+v", server)
+	}
+}
--- a/sibling/sibling.go
+++ b/sibling/sibling.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -14,14 +13,11 @@
 
 	"github.com/mastwheel/mastwheel/edge"
 	"github.com/mastwheel/mastwheel/logging"
-	"github.com/mastwheel/mastwheel/oplog"
 )
 
 const (
-	// path asks for a snapshot; the arguments say what the asker has.
-	path             = "/snapshot"
-	argumentRevision = "revision"
-	argumentPosition = "position"
+	// path asks for a snapshot; the body says what the asker has.
+	path = "/snapshot"
 	// askTimeout bounds one question; a table with hundreds of routes has some
 	// hundred kilobytes.
 	askTimeout = 800 * time.Millisecond
@@ -54,10 +50,10 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	arguments := ctx.QueryArgs()
-	have := edge.Have{
-		Revision: uint64(arguments.GetUintOrZero(argumentRevision)),
-		Position: oplog.Position(arguments.GetUintOrZero(argumentPosition)),
+	var have edge.Have
+	if err := cbor.Unmarshal(ctx.PostBody(), &have); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
 	}
 	body, err := cbor.Marshal(s.tell(have))
 	if err != nil {
@@ -85,10 +81,13 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
+	body, err := cbor.Marshal(have)
+	if err != nil {
+		return edge.Snapshot{}, errors.Wrap(err, "encode what is known")
+	}
 	request.SetRequestURI("http://" + address + path)
-	arguments := request.URI().QueryArgs()
-	arguments.Set(argumentRevision, strconv.FormatUint(have.Revision, 10))
-	arguments.Set(argumentPosition, strconv.FormatUint(uint64(have.Position), 10))
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetBody(body)
 	if err := c.http.DoTimeout(request, response, askTimeout); err != nil {
 		return edge.Snapshot{}, errors.Wrap(err, "ask a sibling")
 	}
--- /dev/null
+++ b/subset/subset_test.go
@@ -0,0 +1,182 @@
+package subset
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+)
+
+// server is one of a deployment.
+type server struct{ id, service, zone string }
+
+// deployment is servers and instances in zones.
+type deployment struct {
+	servers   []server
+	counted   *Census
+	instances map[string][]string // by zone
+}
+
+// deploymentOf has the whole fleet's proportions: seven of eight servers are engines.
+func deploymentOf(zones, servers, instances int) deployment {
+	d := deployment{instances: make(map[string][]string)}
+	for i := range servers {
+		service := "engines"
+		if i%8 == 0 {
+			service = "plain"
+		}
+		d.servers = append(d.servers, server{fmt.Sprintf("i-%010x", i*7919), service, fmt.Sprint("z", i/8%zones)})
+	}
+	for i := range instances {
+		zone := fmt.Sprint("z", i%zones)
+		d.instances[zone] = append(d.instances[zone], fmt.Sprintf("front-%s-%d", zone, i))
+	}
+	d.counted = NewCensus()
+	for _, s := range d.servers {
+		d.counted.Add(s.service, s.zone)
+	}
+	return d
+}
+
+func (d deployment) census() *Census { return d.counted }
+
+func (d deployment) of(instance, zone string) *Subset {
+	all := 0
+	for _, names := range d.instances {
+		all += len(names)
+	}
+	return DefaultConfig().Of(instance, zone, d.census(), Instances{All: all, Near: len(d.instances[zone])})
+}
+
+var sizes = []struct{ zones, servers, instances int }{
+	{3, 12, 8}, {3, 93, 58}, {5, 500, 295},
+	{3, 1000, 100}, {3, 3000, 300}, {5, 10_000, 986}, {8, 10_000, 1400}, {8, 20_000, 2800}, {1, 10_000, 1000}, {5, 2000, 10},
+}
+
+func TestInstancesUseFewOfManyServers(t *testing.T) {
+	config := DefaultConfig()
+	for _, size := range sizes {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			d := deploymentOf(size.zones, size.servers, size.instances)
+			users := make(map[string]int)
+			load := make(map[string]float64)
+			largest := 0
+			for zone, names := range d.instances {
+				for _, name := range names {
+					uses := d.of(name, zone)
+					held := make(map[string][]string)
+					for _, s := range d.servers {
+						if uses.Holds(s.id, s.service, s.zone) {
+							held[s.service+" "+s.zone] = append(held[s.service+" "+s.zone], s.id)
+						}
+					}
+					count := 0
+					for place, ids := range held {
+						count += len(ids)
+						if place == "engines "+zone || place == "plain "+zone {
+							for _, id := range ids {
+								users[id]++
+								if place == "engines "+zone {
+									load[id] += 1 / float64(len(ids))
+								}
+							}
+						}
+					}
+					largest = max(largest, count)
+					if size.servers <= config.AllAtMost && count != size.servers {
+						t.Fatalf("%s uses %d of %d", name, count, size.servers)
+					}
+				}
+			}
+			unused := 0
+			for _, s := range d.servers {
+				if users[s.id] == 0 && len(d.instances[s.zone]) > 0 {
+					unused++
+				}
+			}
+			t.Logf("at most %d servers an instance, %d used by none of their zone, loads of engines differ by %.2f of the mean (standard deviation)", largest, unused, spread(load))
+			if size.instances >= 100 && largest > max(config.AllAtMost, 400) {
+				t.Errorf("an instance uses %d servers", largest)
+			}
+			if size.servers > config.AllAtMost && spread(load) > 0.4 {
+				t.Errorf("engines' loads differ by %.2f", spread(load))
+			}
+			if unused > size.servers/200 {
+				t.Errorf("%d servers are used by no instance of their zone", unused)
+			}
+		})
+	}
+}
+
+// spread is the standard deviation of loads, as a part of the mean.
+func spread(loads map[string]float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, load := range loads {
+		sum += load
+		squares += load * load
+	}
+	n := float64(len(loads))
+	mean := sum / n
+	return math.Sqrt(max(squares/n-mean*mean, 0)) / mean
+}
+
+// As servers and instances come and go, an instance keeps what it uses.
+func TestASubsetStaysAsOthersComeAndGo(t *testing.T) {
+	before, after := deploymentOf(5, 10_000, 986), deploymentOf(5, 9000, 900)
+	name := before.instances["z1"][7]
+	a, b := before.of(name, "z1"), after.of(name, "z1")
+	if !DefaultConfig().Fits(a, b, after.census()) {
+		t.Fatalf("%+v does not do for %+v", a.Shares(), b.Shares())
+	}
+	for _, s := range after.servers {
+		if a.Holds(s.id, s.service, s.zone) != New(name, "z1", a.Shares()).Holds(s.id, s.service, s.zone) {
+			t.Fatal("who knows the shares does not know the subset")
+		}
+	}
+}
+
+func TestWhenASubsetIsMadeAnew(t *testing.T) {
+	config, many := DefaultConfig(), deploymentOf(5, 10_000, 986).census()
+	share := func(near, far uint8) *Subset { return New("i", "z", []Share{{Service: "s", Near: near, Far: far}}) }
+	for _, test := range []struct {
+		have, now *Subset
+		fits      bool
+	}{
+		{share(4, 8), share(4, 8), true},
+		{share(4, 8), share(5, 7), true},
+		{share(4, 8), share(2, 8), false},
+		{share(4, 8), share(4, 6), false},
+		{share(4, 8), New("i", "z", []Share{{Service: "t"}}), false},
+		{nil, share(4, 8), false},
+		{share(4, 8), nil, false},
+		{nil, nil, true},
+	} {
+		if fits := config.Fits(test.have, test.now, many); fits != test.fits {
+			t.Errorf("%+v for %+v: %t", test.have, test.now, fits)
+		}
+	}
+	near := deploymentOf(5, config.AllAtMost+1, 100)
+	if !config.Fits(nil, near.of("i", "z1"), near.census()) {
+		t.Error("made anew at one server more")
+	}
+}
+
+func TestServersOfAServiceWithoutAShareAreAllUsed(t *testing.T) {
+	s := New("i", "z", []Share{{Service: "known", Near: 20, Far: 20}})
+	if !s.Holds("a", "new", "z") || s.Holds("a", "known", "z") && s.Holds("b", "known", "z") {
+		t.Error("a service that has just come has no servers")
+	}
+	if (*Subset)(nil).Fingerprint() != 0 || s.Fingerprint() == New("i", "z", []Share{{Service: "known", Near: 19, Far: 20}}).Fingerprint() {
+		t.Error("fingerprints do not tell subsets apart")
+	}
+	if !slices.Equal(s.Shares(), New("i", "z", s.Shares()).Shares()) {
+		t.Error("not the shares that it was made of")
+	}
+}
+
+func BenchmarkHolds(b *testing.B) {
+	s := New("front-sabana-17", "sabana", []Share{{Service: "plain", Near: 2, Far: 6}, {Service: "engines", Near: 4, Far: 8}})
+	for b.Loop() {
+		s.Holds("i-234df836d7", "engines", "sabana")
+	}
+}
