A bound on connections stays one with more instances than connections

Cause: an instance's share was rounded down, and 0 means no bound: beyond 1,520 instances nobody would have been bounded at servers of 1,900 connections.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -181,8 +181,17 @@
 	if view == nil || view.Services[service] == nil {
 		return 0
 	}
-	limit := float64(view.Services[service].Connections) * connectionShare
-	return int(limit / float64(p.edge.Instances()))
+	return shareOfConnections(view.Services[service].Connections, p.edge.Instances())
+}
+
+// shareOfConnections is one instance's share of the connections to one server; 0 means no
+// bound. One that has a request for a server may open a connection there, however many
+// instances there are.
+func shareOfConnections(connections, instances int) int {
+	if connections == 0 {
+		return 0
+	}
+	return max(int(float64(connections)*connectionShare)/instances, 1)
 }
 
 // pressure returns what a run of a server has said of itself. Of those on the list it is
