Who shares the limits of servers is reckoned seven times a second only while any has one

Seen: 0.34 ms and 70 KB of garbage seven times a second with 986 siblings, for an answer that nobody asks for as long as no server has named a limit or was cold. Now once a second until one has.

--- a/backpressure/cold.go
+++ b/backpressure/cold.go
@@ -24,6 +24,7 @@
 	// Each of those that share the rate may send a burst at once.
 	s.cold.rate, s.cold.until, s.cold.senders = rate, until, max(int((most-rate)/burst), 1)
 	s.bounded.Store(true)
+	s.tracker.holds.Store(true)
 }
 
 // IsCold says whether the server bears few requests.
--- a/backpressure/server.go
+++ b/backpressure/server.go
@@ -211,6 +211,7 @@
 // speaks notes that the server has said something. The caller holds the lock.
 func (s *Server) speaks() {
 	if s.said.CompareAndSwap(false, true) {
+		s.tracker.holds.Store(true)
 		s.tracker.addSpeaking(s)
 	}
 }
--- a/backpressure/tracker.go
+++ b/backpressure/tracker.go
@@ -48,6 +48,9 @@
 	// observations names the answers that this instance has had.
 	observations atomic.Uint64
 
+	// holds is set once any server has said something that holds calls back, or was cold.
+	holds atomic.Bool
+
 	mu      sync.Mutex
 	servers map[ID]*Server
 	// speaking holds those of them that have said something.
@@ -132,6 +135,10 @@
 	}
 }
 
+// Holds says whether any server has said something, or was cold: only then does it matter
+// who shares what such servers take.
+func (t *Tracker) Holds() bool { return t.holds.Load() }
+
 // Count counts the servers of which something holds.
 func (t *Tracker) Count(holds func(*Server) bool) int {
 	count := 0
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -151,7 +151,7 @@
 // tick lets time pass for what is believed.
 func (in *Instance) tick(ctx context.Context) {
 	last, suspended := clock.Now(), clock.Suspended()
-	var reviewed time.Time
+	var reviewed, shared time.Time
 	for wait.For(ctx, in.config.Members.HeartbeatEvery) {
 		now := clock.Now()
 		if stood := now.Sub(last) - in.config.Members.HeartbeatEvery; stood > in.config.LongPause {
@@ -175,7 +175,10 @@
 		in.loadsHeard.Store(true)
 		in.budgets.share(in.sharing(now))
 		in.forgetSiblings()
-		in.shareLimits(now)
+		if now.Sub(shared) >= in.config.ReviewEvery || in.Fleet.Backpressure.Holds() {
+			shared = now
+			in.shareLimits(now)
+		}
 		in.forgetBackpressure(now)
 	}
 }
