Instances that start together leave the list and the table to few to read

Cause: whoever knew nothing read everything at once.

- At the first start of all, nobody waits for them yet: who is to read (a hub, or two of few instances) does so after 1.5 s, in which they hear of each other; the others take it from them, or read after 6 s.
- At any other start the first page is read at once, so that small deployments are back as soon as before.
If there are more pages, an instance goes on only if it is to tell others, after 1.5 s, or if nobody has told it for 3 s, by lot.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -69,6 +69,7 @@
 	p.backends = platform.NewBackends(upstream.DefaultConfig(), p.connectionLimit, p.pressure)
 	config := edge.DefaultConfig()
 	config.Name, config.Zone, config.Capacity = settings.Name, settings.Zone, settings.Capacity
+	config.FirstStart = settings.FirstStart
 	config.RegionOf, config.EntriesAtMost = settings.Regions, platform.EntriesAtMost
 	config.CallerAddress, config.SiblingAddress, config.Seeds = settings.Callers, advertised, settings.Seeds
 	config.RetryRatio, config.RetrySlack = settings.Bounds.RetryRatio, settings.Bounds.RetrySlack
--- a/edge/config.go
+++ b/edge/config.go
@@ -152,6 +152,13 @@
 	// UpdatesAtMost bounds the changes of the list in one datagram, some 120 bytes each;
 	// whoever lacks more asks for the list.
 	UpdatesAtMost int
+	// FirstStart is set when all instances start for the first time: nobody waits for them yet,
+	// and none knows anything. Those that are not to read the store then wait for the others'
+	// word for FirstPatience at most, and those that are for ReaderPatience, in which they hear
+	// of each other.
+	FirstStart     bool
+	FirstPatience  time.Duration
+	ReaderPatience time.Duration
 	// StartPatience is how long an instance that starts hears its siblings before it
 	// leaves a long poll waiting at the store: with many, only hubs do.
 	StartPatience time.Duration
@@ -240,6 +247,8 @@
 		HelloAtOnce:         8,
 		RepeatedAtOnce:      4,
 		UpdatesAtMost:       32,
+		FirstPatience:       6 * time.Second,
+		ReaderPatience:      1500 * time.Millisecond,
 		StartPatience:       400 * time.Millisecond,
 		IdleLook:            300 * time.Millisecond,
 		AllotmentFresh:      300 * time.Millisecond,
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -78,6 +78,9 @@
 	if f.idles() {
 		return f.config.IdleLook
 	}
+	if f.awaitsOthers() {
+		return startLook
+	}
 	if began := clock.Since(f.started); f.progress() > 0 && began < f.config.StartPatience {
 		return f.config.StartPatience - began
 	}
@@ -103,6 +106,9 @@
 		return f.rest()
 	case ctx.Err() != nil || givenUp:
 		return 0
+	case errors.Is(err, errLeftToOthers):
+		f.learnt()
+		return f.rest()
 	default:
 		return f.failed(now, q.asked, err)
 	}
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -74,6 +74,10 @@
 	turnedAway map[string]bool
 	changed    chan struct{}
 	calls      int
+	// page is how many servers a call for the whole list returns; 0 means all. pages counts
+	// those that were read beyond the first of a list.
+	page  int
+	pages int
 }
 
 func newMemoryStore() *memoryStore {
@@ -179,7 +183,7 @@
 	}
 )
 
-func (l listOf) Newest(ctx context.Context) (registry.Snapshot, error) {
+func (l listOf) Newest(ctx context.Context, readsOn func(context.Context) error) (registry.Snapshot, error) {
 	if err := l.ask(ctx, l.name, topicServers, -1, 0); err != nil {
 		return registry.Snapshot{}, err
 	}
@@ -196,7 +200,18 @@
 	for _, entry := range newest {
 		snapshot.Entries = append(snapshot.Entries, entry)
 	}
-	return snapshot, nil
+	if l.page == 0 || len(newest) <= l.page {
+		return snapshot, nil
+	}
+	l.mu.Unlock()
+	err := readsOn(ctx)
+	l.mu.Lock()
+	if err == nil {
+		more := (len(newest) - 1) / l.page
+		l.calls += more
+		l.pages += more
+	}
+	return snapshot, err
 }
 
 func (l listOf) Since(ctx context.Context, position oplog.Position, wait time.Duration) ([]registry.Change, oplog.Position, error) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -112,7 +112,7 @@
 func (in *Instance) readServers(ctx context.Context, known bool, wait time.Duration) (time.Time, error) {
 	asked := clock.Now()
 	if !known {
-		snapshot, err := in.deps.Servers.Newest(ctx)
+		snapshot, err := in.deps.Servers.Newest(ctx, in.readsOn)
 		if err != nil {
 			return time.Time{}, err
 		}
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mastwheel/mastwheel/clock"
 )
 
@@ -91,6 +93,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if errors.Is(err, errLeftToOthers) {
+		f.learnt()
+		return
+	}
 	if err != nil {
 		f.failed(clock.Now(), asked, err)
 		f.giveUp("another poll failed")
--- a/edge/updates_test.go
+++ b/edge/updates_test.go
@@ -141,7 +141,7 @@
 	waits []time.Duration
 }
 
-func (l *lists) Newest(context.Context) (registry.Snapshot, error) {
+func (l *lists) Newest(context.Context, func(context.Context) error) (registry.Snapshot, error) {
 	return registry.Snapshot{Position: 1}, nil
 }
 
--- a/edge/uses_test.go
+++ b/edge/uses_test.go
@@ -37,6 +37,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, someInstances, manyConfig())
+		f.store.page = 50
 		for i := range manyServers {
 			f.store.registerIn(manyID(i), fmt.Sprint("z", i%3))
 		}
@@ -284,3 +285,34 @@
 		t.Errorf("%q of %d", got, pieces[0].Of)
 	}
 }
+
+// Instances that start together, for the first time or after all were lost, leave it to few to
+// read the whole list.
+func TestFewReadTheWholeListAtTheStart(t *testing.T) {
+	for name, first := range map[string]bool{"first start": true, "after all were lost": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				config := manyConfig()
+				config.FirstStart = first
+				f := newFleet(t, someInstances, config)
+				f.store.page = 50
+				for i := range manyServers {
+					f.store.registerIn(manyID(i), fmt.Sprint("z", i%3))
+				}
+				began := time.Now()
+				end := f.start()
+				took := f.slowest(func(in *Instance) bool { return in.Ready() })
+				t.Logf("all serve after %v; %d calls, %d of them pages beyond the first", took, f.store.called(), f.store.pages)
+				if took > 9*time.Second {
+					t.Errorf("all serve after %v", took)
+				}
+				time.Sleep(20*time.Second - time.Since(began))
+				// Six hubs, the pages of each, and some that heard of none in time.
+				if f.store.pages > 12*6 {
+					t.Errorf("%d pages beyond the first were read", f.store.pages)
+				}
+				end()
+			})
+		})
+	}
+}
