--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -139,7 +139,8 @@
 		return float64(givenUp)
 	})
 	p.metrics.Count("store_records_rejected_total", "Records of the store that cannot be used.", func() float64 { return float64(p.rejected.Count()) })
-	p.metrics.Watch("servers", "Backend servers believed.", func() float64 { return float64(len(p.edge.Servers().ByRun)) })
+	p.metrics.Watch("servers_known", "Backend servers on the list that this instance knows.", func() float64 { return float64(p.edge.Known()) })
+	p.metrics.Watch("servers", "Backend servers that this instance uses.", func() float64 { return float64(len(p.edge.Servers().ByRun)) })
 	p.metrics.Watch("siblings_serving", "Siblings that serve.", func() float64 { return float64(p.edge.Serving()) })
 	p.metrics.Watch("hub_serves", "Instances that this one tells what all do; 0 unless it is a hub.", func() float64 {
 		serves, _ := p.edge.HubState()
--- a/edge/uses.go
+++ b/edge/uses.go
@@ -34,6 +34,9 @@
 	return census
 }
 
+// Known counts the servers that this instance knows, whether it uses them or not.
+func (in *Instance) Known() int { return len(in.registry.View().Servers) }
+
 // instancesByZone counts the instances that serve, as far as is known.
 func (in *Instance) instancesByZone() map[string]int {
 	counts := map[string]int{in.config.Zone: 1}
