A change that falls to a server whose turn it is reaches those that use few servers

Seen: in 2 of 6 runs of TestLoadsReachThoseThatUseTheServer the instances of a zone knew nothing of what others had committed, or still knew it a second after it was given back. Cause: a hub sends those who use parts a digest when a sum has changed; a server whose sum was just being repeated in turn was no longer counted as changed, so that digest was not sent to any of them.

--- a/edge/sums.go
+++ b/edge/sums.go
@@ -61,13 +61,14 @@
 	next int
 }
 
-// pick returns the part of a sum over servers that is due, and how many of that come first that
-// are due in turn only. Servers that are not on the list are left out.
-func (p *parts) pick(sum map[uint32]route.Commitment, servers *serverIndex, changedAtMost, inTurn int) (due []heartbeat.Load, turned int) {
+// pick returns the part of a sum over servers that is due: what has changed, so many servers of
+// it, and then some in turn. Servers that are not on the list are left out.
+func (p *parts) pick(sum map[uint32]route.Commitment, servers *serverIndex, changedAtMost, inTurn int) (due []heartbeat.Load, changed int) {
 	if p.sent == nil {
 		p.sent = make(map[uint32]route.Commitment)
 	}
-	turned = min(inTurn, len(servers.ids))
+	turned := min(inTurn, len(servers.ids))
+	changedAtMost -= turned
 	due = make([]heartbeat.Load, 0, turned+min(len(sum), changedAtMost))
 	add := func(server uint32, now route.Commitment) {
 		due = append(due, heartbeat.Load{Server: server, InFlight: now.InFlight, Unread: now.Unread, Memory: now.Memory})
@@ -75,12 +76,6 @@
 			delete(p.sent, server)
 		}
 	}
-	for i := range turned {
-		// It begins where it ended, so that none waits for ever.
-		server := servers.ids[(p.next+i)%len(servers.ids)]
-		add(server, sum[server])
-	}
-	p.next += turned
 	consider := func(server uint32) {
 		if before, now := p.sent[server], sum[server]; len(due) < changedAtMost && servers.byID[server] != nil && differ(before, now) {
 			add(server, now)
@@ -92,7 +87,14 @@
 	for server := range p.sent {
 		consider(server)
 	}
-	return due, turned
+	changed = len(due)
+	for i := range turned {
+		// It begins where it ended, so that none waits for ever.
+		server := servers.ids[(p.next+i)%len(servers.ids)]
+		add(server, sum[server])
+	}
+	p.next += turned
+	return due, changed
 }
 
 // differ says whether others would decide otherwise by a commitment than by the one
@@ -193,7 +195,7 @@
 type sums struct {
 	servers     *serverIndex
 	all         []heartbeat.Load
-	turned      int
+	changed     int
 	zoneEncoded heartbeat.EncodedLoads
 	allEncoded  heartbeat.EncodedLoads
 }
@@ -201,7 +203,7 @@
 // dueSums picks what is due, and encodes it once for the many to whom it goes whole.
 func (in *Instance) dueSums(zone, total map[uint32]route.Commitment) (due sums, err error) {
 	due.servers = in.index()
-	due.all, due.turned = in.hubs.allParts.pick(total, due.servers, in.config.LoadsAtOnce, in.config.LoadsInTurn)
+	due.all, due.changed = in.hubs.allParts.pick(total, due.servers, in.config.LoadsAtOnce, in.config.LoadsInTurn)
 	if due.allEncoded, err = heartbeat.EncodeLoads(due.all); err != nil {
 		return due, err
 	}
@@ -223,7 +225,7 @@
 	for i, load := range s.all {
 		if entry := s.servers.byID[load.Server]; entry != nil && to.uses.Holds(entry.ID, entry.Service, entry.Zone) {
 			part = append(part, load)
-			some = some || i >= s.turned
+			some = some || i < s.changed
 		}
 	}
 	loads, err = heartbeat.EncodeLoads(part)
