--- a/allotment/ledger.go
+++ b/allotment/ledger.go
@@ -109,6 +109,13 @@
 	}
 }
 
+// Bounds says whether any team is limited.
+func (l *Ledger) Bounds() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.teams) > 0
+}
+
 // SetSlack changes Config.Slack.
 func (l *Ledger) SetSlack(units float64) {
 	l.mu.Lock()
--- a/edge/beat.go
+++ b/edge/beat.go
@@ -29,7 +29,7 @@
 				announced = loads
 			}
 		case changed || urgent || now.Sub(sent) >= in.config.Members.HeartbeatEvery:
-			in.reads.Store(in.readsInMesh())
+			in.setReads(in.readsInMesh())
 			in.meshBeat(now, turn, loads)
 			announced, sent = loads, now
 			turn++
@@ -69,8 +69,12 @@
 // in any case. It returns false when ctx ended first.
 func (in *Instance) rest(ctx context.Context) bool {
 	quick := in.quickBeat()
-	if in.hubs.isHub() {
+	switch {
+	case in.hubs.isHub():
 		quick = min(quick, in.config.HubBeatEvery)
+	case in.registry.View().Part && !in.Allotments.Bounds():
+		// What has changed meanwhile matters to few, and wakes the beat if it matters soon.
+		quick = in.config.KeepEvery
 	}
 	least := min(urgentGap, quick)
 	timer := time.NewTimer(quick)
--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -65,7 +66,7 @@
 func (in *Instance) catchUp(ctx context.Context) {
 	before := in.have()
 	failed := ""
-	for in.pause(ctx, in.config.CatchUpEvery) {
+	for in.pause(ctx, in.catchUpPause()) {
 		mine := in.have()
 		if in.readAnew(ctx, mine) {
 			continue
@@ -85,6 +86,15 @@
 	}
 }
 
+// catchUpPause is the pause between two looks: one that is told of changes by its hubs as they
+// come looks only for what got lost.
+func (in *Instance) catchUpPause() time.Duration {
+	if in.registry.View().Part && !in.needsWhole() {
+		return in.config.KeepEvery
+	}
+	return in.config.CatchUpEvery
+}
+
 // askStore asks the store for what a sibling did not send, where no long poll waits
 // there.
 func (in *Instance) askStore(ctx context.Context, sibling member.Sibling, mine Have) {
--- a/edge/config.go
+++ b/edge/config.go
@@ -162,8 +162,8 @@
 	// StartPatience is how long an instance that starts hears its siblings before it
 	// leaves a long poll waiting at the store: with many, only hubs do.
 	StartPatience time.Duration
-	// IdleLook is the pause between two looks at whether this instance is to leave a
-	// long poll waiting at the store.
+	// IdleLook is the pause between two looks at whether this instance has to read the store
+	// though it leaves no long poll waiting there. It is woken when it is to leave one.
 	IdleLook time.Duration
 
 	// RetryRatio and RetrySlack bound the retries to one service in a window,
@@ -250,7 +250,7 @@
 		FirstPatience:       6 * time.Second,
 		ReaderPatience:      1500 * time.Millisecond,
 		StartPatience:       400 * time.Millisecond,
-		IdleLook:            300 * time.Millisecond,
+		IdleLook:            2 * time.Second,
 		AllotmentFresh:      300 * time.Millisecond,
 		TeamsAtOnce:         64,
 		PrefillShare:        defaultPrefillShare,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -167,13 +167,15 @@
 	outgrown atomic.Pointer[string]
 	// evacuation is which zones are evacuated; nil until any ever was.
 	evacuation atomic.Pointer[heartbeat.Evacuation]
-	// loadsHeard is set when what siblings have sent is to be summed anew.
-	loadsHeard atomic.Bool
+	// loadsHeard holds an entry when what siblings have sent is to be summed anew.
+	loadsHeard chan struct{}
 	stopping   atomic.Bool
 	orders     *orders
 	hubs       *hubs
 	// reads is set while this instance leaves long polls waiting at the store.
 	reads atomic.Bool
+	// begins is closed, and replaced, when it begins to.
+	begins atomic.Pointer[chan struct{}]
 	// urgent is set, and hurried wakes the beat, when siblings are to hear at once.
 	urgent  atomic.Bool
 	hurried chan struct{}
@@ -220,6 +222,9 @@
 	in.servers.Store(&forward.Servers{})
 	in.orders = newOrders(in)
 	in.hubs = newHubs(in.config)
+	in.loadsHeard = make(chan struct{}, 1)
+	begins := make(chan struct{})
+	in.begins.Store(&begins)
 	in.reads.Store(true)
 	in.inMesh.Store(true)
 	in.hurried = make(chan struct{}, 1)
@@ -249,6 +254,17 @@
 	return group.Wait()
 }
 
+// setReads says whether this instance leaves long polls waiting at the store.
+func (in *Instance) setReads(reads bool) {
+	if !reads || in.reads.Load() {
+		in.reads.Store(reads)
+		return
+	}
+	in.reads.Store(true)
+	next := make(chan struct{})
+	close(*in.begins.Swap(&next))
+}
+
 // feeds are all that follow the store.
 func (in *Instance) feeds() []*feed { return []*feed{in.tableFeed, in.list} }
 
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -69,7 +69,25 @@
 // follow polls again and again until ctx ends.
 func (f *feed) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.pause(ctx, f.next(ctx))
+		begins := *f.begins.Load()
+		pause := f.next(ctx)
+		if f.idles() {
+			f.idle(ctx, begins)
+			continue
+		}
+		f.pause(ctx, pause)
+	}
+}
+
+// idle waits until this instance begins to leave long polls waiting, or a look is due at
+// whether it should read for another reason.
+func (f *feed) idle(ctx context.Context, begins <-chan struct{}) {
+	look := time.NewTimer(f.config.IdleLook)
+	defer look.Stop()
+	select {
+	case <-ctx.Done():
+	case <-begins:
+	case <-look.C:
 	}
 }
 
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -172,7 +172,7 @@
 			in.reviewUses(now)
 		}
 		// A sibling that died, or a server that came, changes the sums too.
-		in.loadsHeard.Store(true)
+		in.sumLoads()
 		in.budgets.share(in.sharing(now))
 		in.forgetSiblings()
 		if now.Sub(shared) >= in.config.ReviewEvery || in.Fleet.Backpressure.Holds() {
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -25,7 +25,7 @@
 	chosen := in.hubs.chooseAnew(self, view.Siblings, now)
 	mine := chosen[self.Zone]
 	hub := holds(mine, self.Name)
-	in.reads.Store(mine[0].Name == self.Name)
+	in.setReads(mine[0].Name == self.Name)
 	if before := in.hubs.follow(mine[0].Name); before != mine[0].Name {
 		klog.InfoS("Hub chosen", "hub", mine[0].Name, "before", before, "zone", self.Zone, "capacity", mine[0].Capacity,
 			"instances", in.Instances(), "isHub", hub)
@@ -36,7 +36,8 @@
 	if changed || urgent || in.hubs.takeAcknowledge() {
 		every = 0
 	}
-	if in.hubs.due(&in.hubs.notified, every, now) {
+	// The beat may come a little early.
+	if in.hubs.due(&in.hubs.notified, every*9/10, now) {
 		in.sendToHubs(now, self, chosen, hub, settled, loads)
 	}
 	if in.hubs.due(&in.hubs.greeted, in.config.HelloEvery, now) {
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/wait"
 )
 
 // keepFresh has the store asked beside the long polls that wait there, when nobody has
@@ -15,7 +16,7 @@
 func (in *Instance) keepFresh(ctx context.Context) {
 	var asking sync.WaitGroup
 	defer asking.Wait()
-	for in.pause(ctx, in.config.ProbeEvery) {
+	for wait.For(ctx, in.probePause()) {
 		now := clock.Now()
 		for _, feed := range in.feeds() {
 			if feed.probeDue(now) && feed.beginProbe() {
@@ -25,6 +26,25 @@
 	}
 }
 
+// probePause is the pause until the next look: answers that are fresh need none until they may
+// no longer be. Instances do not look in step.
+func (in *Instance) probePause() time.Duration {
+	due := in.config.FreshFor
+	for _, feed := range in.feeds() {
+		last := feed.latest()
+		if last.IsZero() {
+			due = 0
+			continue
+		}
+		due = min(due, in.config.FreshFor-clock.Since(last))
+	}
+	spread := in.deps.Random()
+	if due <= 0 {
+		return time.Duration((0.75 + 0.5*spread) * float64(in.config.ProbeEvery))
+	}
+	return due + time.Duration(spread*float64(in.config.ProbeEvery))
+}
+
 // beginProbe notes that the store is polled beside; false if it is already.
 func (f *feed) beginProbe() bool {
 	f.mu.Lock()
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -19,10 +19,25 @@
 // followLoads takes in what siblings send of their loads, as often as they may
 // send it.
 func (in *Instance) followLoads(ctx context.Context) {
-	for wait.For(ctx, in.quickBeat()) {
-		if in.loadsHeard.Swap(false) {
-			in.sumLoads()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-in.loadsHeard:
 		}
+		// What others send meanwhile is summed with it.
+		if !wait.For(ctx, in.quickBeat()) {
+			return
+		}
+		in.sumLoads()
+	}
+}
+
+// hearLoads has what siblings have sent summed anew.
+func (in *Instance) hearLoads() {
+	select {
+	case in.loadsHeard <- struct{}{}:
+	default:
 	}
 }
 
@@ -124,7 +139,9 @@
 // take takes in what a sibling says that counts as heard.
 func (in *Instance) take(message heartbeat.Message, now time.Time) {
 	in.peers.take(message, now)
-	in.loadsHeard.Store(true)
+	if message.Digest == nil || !in.followsHub() {
+		in.hearLoads()
+	}
 	for _, change := range message.Changing {
 		until := now.Add(min(change.Left, longestChange))
 		in.peers.hears(change.Server, until)
