--- a/edge/hubs.go
+++ b/edge/hubs.go
@@ -63,8 +63,7 @@
 	index *serverIndex
 	// followed is the hub that this instance follows; itself if it is the first.
 	followed string
-	// neededWhole is when this instance last had to know the whole list of servers; used by
-	// the tick alone.
+	// neededWhole is when this instance last had to know the whole list of servers.
 	neededWhole time.Time
 	// reviewed is when the subscribers' shares were looked at last.
 	reviewed time.Time
@@ -198,6 +197,17 @@
 	h.subscribers[message.From.Name] = next
 }
 
+// wholeUnneeded notes whether this instance has to know the whole list of servers, and returns
+// for how long it has not had to.
+func (h *hubs) wholeUnneeded(needed bool, now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if needed {
+		h.neededWhole = now
+	}
+	return now.Sub(h.neededWhole)
+}
+
 // setOutgrown notes whether a subscriber should use other shares of the servers.
 func (h *hubs) setOutgrown(name string, outgrown bool) {
 	h.mu.Lock()
--- a/edge/uses.go
+++ b/edge/uses.go
@@ -81,10 +81,7 @@
 		in.use(wanted, "the whole list")
 		uses = wanted
 	}
-	if in.needsWhole() {
-		in.hubs.neededWhole = now
-	}
-	if uses != nil && now.Sub(in.hubs.neededWhole) > in.config.WholeFor {
+	if unneeded := in.hubs.wholeUnneeded(in.needsWhole(), now); uses != nil && unneeded > in.config.WholeFor {
 		in.registry.Keep(keepsOf(uses))
 		in.rebuild()
 	}
