--- a/edge/evacuation_test.go
+++ b/edge/evacuation_test.go
@@ -8,6 +8,7 @@
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/oplog"
+	"github.com/mastwheel/mastwheel/racedetector"
 	"github.com/mastwheel/mastwheel/registry"
 )
 
@@ -30,6 +31,9 @@
 
 func TestAnEvacuatedZoneIsLeftByAll(t *testing.T) {
 	for _, instances := range []int{1, 8, 59} {
+		if racedetector.On && instances*goroutinesOfInstance > racedetector.MostGoroutines {
+			continue
+		}
 		t.Run(fmt.Sprint(instances), func(t *testing.T) {
 			play(t, instances, func(f *fleet) {
 				f.store.registerIn("far", "z1")
@@ -79,6 +83,9 @@
 
 func TestANewcomerKnowsOfAnEvacuation(t *testing.T) {
 	for _, instances := range []int{8, 59} {
+		if racedetector.On && instances*goroutinesOfInstance > racedetector.MostGoroutines {
+			continue
+		}
 		t.Run(fmt.Sprint(instances), func(t *testing.T) {
 			play(t, instances, func(f *fleet) {
 				f.store.registerIn("far", "z1")
--- a/edge/mesh_test.go
+++ b/edge/mesh_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/mastwheel/mastwheel/racedetector"
 )
 
 // meshSizes are numbers of instances that all hear each other.
@@ -12,6 +14,9 @@
 // inMeshes runs a test on a few instances.
 func inMeshes(t *testing.T, test func(t *testing.T, f *fleet)) {
 	for _, instances := range meshSizes {
+		if racedetector.On && instances*goroutinesOfInstance > racedetector.MostGoroutines {
+			continue
+		}
 		t.Run(fmt.Sprint(instances), func(t *testing.T) {
 			play(t, instances, func(f *fleet) { test(t, f) })
 		})
