--- a/edge/hubs.go
+++ b/edge/hubs.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,7 +9,6 @@
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/route"
-	"github.com/mastwheel/mastwheel/subset"
 )
 
 // Up to some tens of instances each sends its state to all others. Beyond that the
@@ -72,25 +70,6 @@
 	notified, greeted, served time.Time
 }
 
-// subscriber is an instance that has asked this one.
-type subscriber struct {
-	peer  string
-	zone  string
-	seen  uint64
-	heard time.Time
-	// uptime is how long it had run when it was heard last.
-	uptime time.Duration
-	// part is set if it is to be told of some servers only, those of uses, and outgrown if
-	// it should use others by now.
-	part     bool
-	uses     *subset.Subset
-	outgrown bool
-	// told is when it was sent a digest last, and turn whose states it is repeated next;
-	// used by the beat alone.
-	told time.Time
-	turn int
-}
-
 // source is a hub that this instance asks.
 type source struct {
 	run operation.Incarnation
@@ -174,29 +153,6 @@
 	return silent
 }
 
-// asked notes that an instance asks this one to be its hub.
-func (h *hubs) asked(message heartbeat.Message, self operation.Incarnation, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	seen := message.Seen
-	if message.SeenRun != self {
-		seen = 0
-	}
-	next := &subscriber{peer: message.From.Peer, zone: message.From.Zone, seen: seen, heard: now, uptime: message.From.Uptime, part: message.From.Part}
-	before := h.subscribers[message.From.Name]
-	if before == nil {
-		before = new(subscriber)
-	}
-	next.told, next.turn = before.told, before.turn
-	if next.part {
-		next.uses, next.outgrown = before.uses, before.outgrown
-		if !slices.Equal(before.uses.Shares(), message.Uses) || before.uses == nil {
-			next.uses, next.outgrown = subset.New(message.From.Name, message.From.Zone, message.Uses), false
-		}
-	}
-	h.subscribers[message.From.Name] = next
-}
-
 // wholeUnneeded notes whether this instance has to know the whole list of servers, and returns
 // for how long it has not had to.
 func (h *hubs) wholeUnneeded(needed bool, now time.Time) time.Duration {
@@ -208,15 +164,6 @@
 	return now.Sub(h.neededWhole)
 }
 
-// setOutgrown notes whether a subscriber should use other shares of the servers.
-func (h *hubs) setOutgrown(name string, outgrown bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if to := h.subscribers[name]; to != nil {
-		to.outgrown = outgrown
-	}
-}
-
 // take notes what a hub's digest says of loads, numbers and the account of siblings.
 func (h *hubs) take(message heartbeat.Message, zone string, now time.Time) {
 	h.mu.Lock()
@@ -316,46 +263,6 @@
 	return due
 }
 
-// servedNow is a subscriber that may be sent a digest, which is due if it has not been sent
-// one for long.
-type servedNow struct {
-	subscriber
-	name string
-	due  bool
-}
-
-// toServe returns those that this instance serves. One that is told of some servers only is
-// sent a digest when there is something to tell it, or when one is due.
-func (h *hubs) toServe(now time.Time, every time.Duration, urgent bool) []servedNow {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	all := make([]servedNow, 0, len(h.subscribers))
-	for name, one := range h.subscribers {
-		all = append(all, servedNow{subscriber: *one, name: name, due: urgent || now.Sub(one.told) >= every})
-	}
-	return all
-}
-
-// told notes that a subscriber is sent a digest, with states up to a turn.
-func (h *hubs) told(name string, turn int, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if to := h.subscribers[name]; to != nil {
-		to.told, to.turn = now, turn
-	}
-}
-
-// current returns those that this instance serves, by name.
-func (h *hubs) current() map[string]subscriber {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	all := make(map[string]subscriber, len(h.subscribers))
-	for name, one := range h.subscribers {
-		all[name] = *one
-	}
-	return all
-}
-
 // account brings the account of siblings up to date. A hub that has not settled speaks
 // only of those that live: the others may not have heard of it.
 func (h *hubs) account(siblings []*member.Sibling, settled bool) {
