--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -308,22 +308,25 @@
 	synctest.Test(t, func(t *testing.T) {
 		shared, workers := new(claims), workersOf(30, 1)
 		// Its holder renews it for as long as this lasts.
-		go func() {
+		var renewing sync.WaitGroup
+		renewing.Go(func() {
 			for i := range 200 {
 				state, condition, _ := shared.Last(context.Background(), "model")
 				_, _, _ = shared.Claim(context.Background(), lease.Claim{Key: "model", Holder: "b", After: state.Token, Serial: uint64(i)}, condition)
 				time.Sleep(700 * time.Millisecond)
 			}
-		}()
+		})
 		in := candidate("a", shared, workers)
 		in.see(workers)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 		defer cancel()
 		in.orders.run(ctx)
+		renewing.Wait()
+		shared.mu.Lock()
+		defer shared.mu.Unlock()
 		if looks := shared.looks - 200; looks > 40 || len(workers.orders) > 0 {
 			t.Errorf("%d looks and %d orders in two minutes", looks, len(workers.orders))
 		}
-		time.Sleep(30 * time.Second)
 	})
 }
 
