forward, upstream, metrics: how a stream's end was marked, and what was left unfinished

Nothing told an answer whose end is the end of the connection from one with a length or chunks.

The line of a stream's end has endsWithConnection and unfinishedBytes, a served stream with unfinished bytes is always logged, and stream_ends_total counts streams by both. No decision changes.

--- a/forward/decision.go
+++ b/forward/decision.go
@@ -75,7 +75,7 @@
 
 // shouldLog reports whether the request is written to the log.
 func (f *flow) shouldLog(outcome reason.Outcome) bool {
-	if outcome == reason.Done && !bool(klog.V(logServedVerbosity).Enabled()) && xxhash.Sum64String(f.request.ID)%logOneIn != 0 {
+	if outcome == reason.Done && !f.alwaysLog && !bool(klog.V(logServedVerbosity).Enabled()) && xxhash.Sum64String(f.request.ID)%logOneIn != 0 {
 		return false
 	}
 	if f.logLimit.Allow(clock.Now()) {
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -63,8 +63,10 @@
 	returnAfter time.Duration
 	// waited is how long the caller is estimated to have waited before this request.
 	waited time.Duration
-	// decisions are the decisions for the request so far.
+	// decisions are the decisions for the request so far. alwaysLog is set if they are written to
+	// the log even if the request was served.
 	decisions []decision
+	alwaysLog bool
 	// cachedFingerprints are the request's fingerprints, computed on first use.
 	cachedFingerprints poison.Fingerprints
 	// admission is the result of the poison check; zero if no request is under suspicion.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -69,6 +69,9 @@
 type Stream struct {
 	Status int
 	Fields []Field
+	// EndsWithConnection is set if the answer has neither a length nor chunks, so that nothing
+	// but the end of the connection marks its end.
+	EndsWithConnection bool
 	io.ReadCloser
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/reason"
 )
 
@@ -27,8 +28,10 @@
 	ready   int
 	scratch []byte
 	// ended is the error that ended the stream, once it was seen.
-	ended  error
-	events int
+	ended error
+	// unfinished is the number of bytes of an incomplete event with which the stream ended.
+	unfinished int
+	events     int
 	// lastID is the id of the last whole event.
 	lastID          string
 	lastEventAt     time.Time
@@ -104,6 +107,7 @@
 	case err == io.EOF:
 		// Bytes after the last event are part of the server's answer too.
 		r.ended = err
+		r.unfinished = len(r.buffer) - r.ready
 		r.ready = len(r.buffer)
 	default:
 		r.resumeAfterBreak(err)
@@ -259,11 +263,28 @@
 		r.recordLength()
 	}
 	why, detail := r.reason(departed)
-	r.record(stepStream, resultOf(r.ended), "events", r.events, "firstMillis", r.firstEventAfter.Milliseconds(), "longestGapMillis", r.longestPause.Milliseconds())
+	r.record(stepStream, resultOf(r.ended), "events", r.events, "firstMillis", r.firstEventAfter.Milliseconds(), "longestGapMillis", r.longestPause.Milliseconds(),
+		"endsWithConnection", r.stream.EndsWithConnection, "unfinishedBytes", r.unfinished)
+	r.Metrics.StreamEnded(r.stream.EndsWithConnection, r.streamEnd())
+	r.alwaysLog = r.unfinished > 0
 	r.close(r.status, why, detail)
 	return nil
 }
 
+// streamEnd returns how the server's stream ended.
+func (r *relay) streamEnd() metrics.StreamEnd {
+	switch {
+	case r.unfinished > 0:
+		return metrics.StreamInsideEvent
+	case r.ended == io.EOF:
+		return metrics.StreamComplete
+	case r.ended != nil:
+		return metrics.StreamBroken
+	default:
+		return metrics.StreamLeft
+	}
+}
+
 func (r *relay) reason(departed bool) (reason.Reason, string) {
 	switch {
 	case r.endPassedOn:
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -28,6 +28,7 @@
 	refusals       *prometheus.CounterVec
 	retries        *prometheus.CounterVec
 	dropped        *prometheus.CounterVec
+	streamEnds     *prometheus.CounterVec
 	notReturned    *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
 	serverExits    *prometheus.CounterVec
@@ -81,7 +82,8 @@
 		requestSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its end.", Buckets: requestBuckets,
 		}, []string{labelService}),
-		dropped: counters("dropped_answers_total", "Answers and tokens that were dropped, by reason.", labelReason),
+		dropped:    counters("dropped_answers_total", "Answers and tokens that were dropped, by reason.", labelReason),
+		streamEnds: newStreamEnds(),
 		FirstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "first_token_seconds", Help: "Time to the first token.", Buckets: firstTokenBuckets,
 		}, []string{labelService}),
@@ -94,7 +96,7 @@
 		CancelTries: counter("cancel_tries_total", "Cancel orders sent."),
 		Orphans:     counter("orphans_cancelled_total", "Streams of dead homes that were cancelled."),
 	}
-	s.Registry.MustRegister(s.requests, s.teams.requests, s.teams.refusals, s.allotments.refusals, s.allotments.returns, s.allotments.starts, s.refusals, s.retries, s.dropped, s.notReturned, s.storeCalls, s.serverExits, s.memory, s.speedChoices, s.overdueServers, s.withheld, s.requestSeconds, s.FirstToken, s.BetweenTokens,
+	s.Registry.MustRegister(s.requests, s.teams.requests, s.teams.refusals, s.allotments.refusals, s.allotments.returns, s.allotments.starts, s.refusals, s.retries, s.dropped, s.streamEnds, s.notReturned, s.storeCalls, s.serverExits, s.memory, s.speedChoices, s.overdueServers, s.withheld, s.requestSeconds, s.FirstToken, s.BetweenTokens,
 		s.CancelsPending, s.CancelTries, s.Orphans)
 	s.Registry.MustRegister(s.slots.decisions, s.slots.waiting, s.slots.waits)
 	for _, info := range reason.All {
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -27,7 +27,7 @@
 // discardAnswer reads and discards an answer to another request. It fails for an answer
 // whose end is the end of the connection, because no other answer can follow it.
 func discardAnswer(response *http.Response) error {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if endsWithConnection(response) {
 		return errors.New("answer to another request has neither length nor chunks")
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
@@ -85,7 +85,7 @@
 	}
 	a.done = true
 	running := a.stop()
-	if running && a.bodyRead && !a.Response.Close && a.fullyWritten() && a.selfDelimited() {
+	if running && a.bodyRead && !a.Response.Close && a.fullyWritten() && !a.EndsWithConnection() {
 		a.prepareReuse()
 		return a.conn
 	}
@@ -103,10 +103,12 @@
 	}
 }
 
-// selfDelimited reports whether the answer's length is known or it is chunked, so that
-// its end is not the end of the connection.
-func (a *Answer) selfDelimited() bool {
-	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
+// EndsWithConnection reports whether the answer has neither a length nor chunks, so that its
+// end is the end of the connection (RFC 9112, section 6.3).
+func (a *Answer) EndsWithConnection() bool { return endsWithConnection(a.Response) }
+
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
 // prepareReuse prepares the connection for another request.
