--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -42,6 +42,8 @@
 	statusOf func(server string) int
 	// stream returns the body of a stream, which ends with an error or io.EOF.
 	stream func(ctx context.Context, server, lastEvent string) io.ReadCloser
+	// endsWithConnection makes the end of a stream's connection its only end.
+	endsWithConnection bool
 	// prefillTime is the duration of a prefill.
 	prefillTime time.Duration
 	// crashed holds the ids of servers whose process has exited.
@@ -131,7 +133,7 @@
 		}
 	}
 	if e.stream != nil {
-		return &Stream{Status: e.status(server.ID), Fields: []Field{{Name: "By", Value: server.ID}}, ReadCloser: e.stream(ctx, server.ID, order.LastEvent)}, nil
+		return &Stream{Status: e.status(server.ID), Fields: []Field{{Name: "By", Value: server.ID}}, EndsWithConnection: e.endsWithConnection, ReadCloser: e.stream(ctx, server.ID, order.LastEvent)}, nil
 	}
 	return &Stream{Status: 200, ReadCloser: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))}, nil
 }
