forward: a stop for a move that closes the connection is not the stream's end

With chunks that is an error; of a stream that ends with its connection it was the end, between two events, so that the caller got a part as complete and the run was never continued.

Such an end now waits for the calls of the move: if the run was stopped the stream continues from its memory, and if the calls got no answer it counts as broken off. A refused stop leaves the end a proper one.

--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -5,6 +5,11 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/reason"
 )
 
 // insideEvent is a stream that ends without an error inside its third event.
@@ -51,3 +56,63 @@
 		b.checkNothingHeld()
 	})
 }
+
+// closing is a movable stream whose stop for a move closes its connection between two events.
+type closing struct{ stoppable }
+
+func (c *closing) Read(p []byte) (int, error) {
+	if c.rest == "" && c.stopped.Load() {
+		return 0, io.EOF
+	}
+	return c.events.Read(p)
+}
+
+// newClosingBench is newMovingBench with streams that end with their connection.
+func newClosingBench(b *bench) *movingBench {
+	m := newMovingBench(b)
+	b.engines.endsWithConnection = true
+	stream := b.engines.stream
+	b.engines.stream = func(ctx context.Context, server, lastEvent string) io.ReadCloser {
+		return &closing{stoppable: *stream(ctx, server, lastEvent).(*stoppable)}
+	}
+	return m
+}
+
+func TestStopForAMoveThatClosesTheConnectionIsNotTheEnd(t *testing.T) {
+	withBench(t, func(b *bench) {
+		m := newClosingBench(b)
+		m.drainAfter(300 * time.Millisecond)
+		_, body, err := b.read(m.longRequest("a"))
+		if err != nil || body != wholeMovable() || len(m.runs) != 2 {
+			b.t.Fatalf("%d runs, error %v, body %q", len(m.runs), err, body)
+		}
+		b.checkNothingHeld()
+	})
+}
+
+func TestUnansweredStopThatClosesTheConnectionIsNotTheEnd(t *testing.T) {
+	withBench(t, func(b *bench) {
+		m := newClosingBench(b)
+		m.drainAfter(300 * time.Millisecond)
+		m.onStop = func(stop func()) (PrefillHandle, error) {
+			stop()
+			return "", errors.New("no answer")
+		}
+		if _, body, err := b.read(m.longRequest("a")); err == nil {
+			b.t.Fatalf("the caller got %d bytes as complete", len(body))
+		}
+		b.checkNothingHeld()
+	})
+}
+
+func TestStreamWithoutFramingThatEndsBesideARefusedMoveIsComplete(t *testing.T) {
+	withBench(t, func(b *bench) {
+		m := newClosingBench(b)
+		m.drainAfter(300 * time.Millisecond)
+		m.onStop = func(func()) (PrefillHandle, error) { return "", &NotRunError{Why: reason.BackendRefused} }
+		if _, body, err := b.read(m.longRequest("a")); err != nil || body != wholeMovable() {
+			b.t.Fatalf("error %v, body %q", err, body)
+		}
+		b.checkNothingHeld()
+	})
+}
--- a/forward/move.go
+++ b/forward/move.go
@@ -31,11 +31,15 @@
 	// done is closed once the fields below are final.
 	done chan struct{}
 	// result identifies the stream's memory. stopped is set if the run was stopped for the
-	// move, and arrived if the memory is at the destination.
-	result  PrefillHandle
-	stopped bool
-	arrived bool
-	err     error
+	// move, mayHaveStopped if the calls to stop it got no answer, and arrived if the memory is at the
+	// destination.
+	result         PrefillHandle
+	stopped        bool
+	mayHaveStopped bool
+	arrived        bool
+	// ended is when the calls of the move were over.
+	ended time.Time
+	err   error
 }
 
 const (
@@ -202,6 +206,7 @@
 	from, to, request := r.entry(m.from), r.entry(m.to), r.request
 	go func() {
 		defer close(m.done)
+		defer func() { m.ended = clock.Now() }()
 		m.run(r.ctx, r.Backends, from, to, request)
 	}()
 }
@@ -212,12 +217,13 @@
 	if m.result, m.err = moveWithTimeout(ctx, moveCopyTimeout, backends, from, to, request, false); m.err != nil {
 		return
 	}
+	m.mayHaveStopped = true
 	for range moveStopAttempts {
 		var result PrefillHandle
 		result, m.err = moveWithTimeout(ctx, moveStopTimeout, backends, from, to, request, true)
 		var refused *NotRunError
 		if m.err == nil || errors.As(m.err, &refused) {
-			m.arrived = m.err == nil
+			m.arrived, m.mayHaveStopped = m.err == nil, false
 			m.stopped = result != ""
 			if result != "" {
 				m.result = result
@@ -240,7 +246,9 @@
 	default:
 		return
 	}
-	if r.move.stopped {
+	// An event that arrives so long after an unanswered call to stop shows that the run continues.
+	unknown := r.move.mayHaveStopped && r.stream.EndsWithConnection && clock.Since(r.move.ended) < moveStopTimeout
+	if r.move.stopped || unknown {
 		return
 	}
 	r.abandonMove("failed", r.move.err)
@@ -290,6 +298,16 @@
 	moveBrokenOff = "broken off"
 )
 
+// mayBeStopped reports whether the end of a stream may be the stop of its run for a move. Where the
+// connection alone marks the end, a stop looks like a proper end.
+func (r *relay) mayBeStopped() bool {
+	if r.move == nil || !r.stream.EndsWithConnection {
+		return false
+	}
+	<-r.move.done
+	return r.move.stopped || r.move.mayHaveStopped
+}
+
 // resumeMoved continues the stream where its memory is, if it broke off because its run was
 // stopped for a move. stopped reports whether that is why it broke off: then its engine has not
 // failed. The error is why the stream does not continue.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -111,14 +111,21 @@
 // whatever marks it: an engine that breaks off may close its connection without a reset.
 var errInsideEvent = errors.New("the stream ended inside an event")
 
+// errStopped is the error of a stream whose run was, or may have been, stopped for a move.
+var errStopped = errors.New("the run was stopped for a move")
+
 // endOfAnswer handles an end of the server's answer without an error.
 func (r *relay) endOfAnswer() {
 	if r.stream.hasEvents() {
 		r.unfinished = unfinishedEvent(r.buffer[r.ready:])
 	}
-	if r.unfinished > 0 {
+	switch {
+	case r.unfinished > 0:
 		r.resumeAfterBreak(errInsideEvent)
 		return
+	case r.mayBeStopped():
+		r.resumeAfterBreak(errStopped)
+		return
 	}
 	// Bytes after the last event are part of the server's answer too.
 	r.ended, r.ready = io.EOF, len(r.buffer)
