forward: a stream whose engine exits as its connection ends has broken off

Of a stream that ends with its connection the caller got a part as complete.

At such an end the engine is asked whether its process still listens, mostly by an idle connection. If it does not, the stream continues elsewhere or breaks off. A leaving engine exits after its last stream, and is not asked. Plain answers are not asked about: they are written at once, and a ready answer is worth delivering.

Before: TestCrashThatClosesTheConnectionBetweenEventsIsNotTheEnd got two of three events without an error; it passes now, beside TestLastStreamOfALeavingEngineWithoutFramingIsComplete.

--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -116,3 +116,37 @@
 		b.checkNothingHeld()
 	})
 }
+
+// crashAtEnd makes streams end with their connection after two of three events, while the engine's
+// process exits.
+func (b *bench) crashAtEnd() {
+	b.engines.endsWithConnection = true
+	b.engines.crashed = map[string]bool{"d1": true, "d2": true}
+	b.engines.stream = func(context.Context, string, string) io.ReadCloser {
+		return io.NopCloser(strings.NewReader("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"))
+	}
+}
+
+func TestCrashThatClosesTheConnectionBetweenEventsIsNotTheEnd(t *testing.T) {
+	withBench(t, func(b *bench) {
+		b.crashAtEnd()
+		if _, body, err := b.read(b.generation("a", testPromptTokens)); err == nil {
+			b.t.Fatalf("the caller got %q as complete", body)
+		}
+		b.checkNothingHeld()
+	})
+}
+
+func TestLastStreamOfALeavingEngineWithoutFramingIsComplete(t *testing.T) {
+	withBench(t, func(b *bench) {
+		b.crashAtEnd()
+		b.engines.decode = func(server string, _ DecodeRequest) error {
+			b.drain(server)
+			return nil
+		}
+		if _, body, err := b.read(b.generation("a", testPromptTokens)); err != nil {
+			b.t.Fatalf("the caller got %q, %v", body, err)
+		}
+		b.checkNothingHeld()
+	})
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -114,6 +114,19 @@
 // errStopped is the error of a stream whose run was, or may have been, stopped for a move.
 var errStopped = errors.New("the run was stopped for a move")
 
+// errExitedAtEnd is the error of a stream whose engine's process exited as its connection ended.
+var errExitedAtEnd = errors.New("the engine's process exited as its connection ended")
+
+// exitedAtEnd reports whether a stream that ends with its connection ended because the engine's
+// process exited: the kernel then closes the connection, mostly between two events. A leaving engine
+// exits after its last stream.
+func (r *relay) exitedAtEnd() bool {
+	if !r.stream.EndsWithConnection || !r.stream.hasEvents() || r.isLeaving(r.decode.Name) {
+		return false
+	}
+	return r.Backends.HasExited(r.ctx, r.entry(r.decode))
+}
+
 // endOfAnswer handles an end of the server's answer without an error.
 func (r *relay) endOfAnswer() {
 	if r.stream.hasEvents() {
@@ -126,6 +139,9 @@
 	case r.mayBeStopped():
 		r.resumeAfterBreak(errStopped)
 		return
+	case r.exitedAtEnd():
+		r.resumeAfterBreak(errExitedAtEnd)
+		return
 	}
 	// Bytes after the last event are part of the server's answer too.
 	r.ended, r.ready = io.EOF, len(r.buffer)
