reach, forward, metrics: what is known of the links to a service's servers

A choice that finds no server says how many servers have failed since any of them last answered, and since when; server_failures_total counts calls without an answer by whether a connection could be opened; a line says when a server answers again after a cut. Package reach keeps this per service. No decision changes.

--- a/forward/flow.go
+++ b/forward/flow.go
@@ -180,7 +180,11 @@
 		made.Pick = made.Selected.Name
 		outcome = made.Pick
 	}
-	f.recordDecision(decision{at: query.Now, step: stepChoose, outcome: outcome, rated: made.Rated})
+	chosen := decision{at: query.Now, step: stepChoose, outcome: outcome, rated: made.Rated}
+	if failed, since := f.reachOf(f.service.Name).State(); made.Selected == nil && failed > 0 {
+		chosen.inputs = []any{"failedServers", failed, "noAnswerMillis", query.Now.Sub(since).Milliseconds()}
+	}
+	f.recordDecision(chosen)
 	if made.Selected != nil {
 		f.entries[made.Pick] = f.servers.ByRun[made.Pick]
 	}
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -192,6 +192,8 @@
 	waits sync.Map
 	// fewSlots holds a *serviceSlots for the name of each service whose servers have few slots.
 	fewSlots sync.Map
+	// reaches holds a *reach.Service for each service name: how this instance reaches its servers.
+	reaches sync.Map
 	// cleanups counts the tasks that outlive their request.
 	cleanups sync.WaitGroup
 }
--- a/forward/learn.go
+++ b/forward/learn.go
@@ -19,6 +19,7 @@
 	if !errors.As(err, &notRun) || notRun.Sent {
 		server.Reached()
 	}
+	f.recordReach(server.Name, err, now)
 	switch {
 	case err == nil:
 		server.RecordContact(now)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -88,6 +88,7 @@
 	n, err := r.stream.Read(r.scratch)
 	if n > 0 {
 		r.decode.Server.RecordContact(clock.Now())
+		r.recordAnswer()
 	}
 	r.buffer = append(r.buffer, r.scratch[:n]...)
 	if length, count := wholeEvents(r.buffer); count > 0 {
