--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -53,6 +53,8 @@
 	// siblings, for example when a proxy is in between. If empty, the instance
 	// advertises the address that it listens on.
 	AdvertiseSiblings string
+	// DialServer, if set, opens the connections to backend servers in place of a net.Dialer.
+	DialServer upstream.Dial
 	// RolesByLoad makes the share of prefill engines follow the demand (edge.Config.RolesByLoad).
 	RolesByLoad bool
 }
@@ -70,7 +72,9 @@
 	p := &Platform{settings: settings, metricsPort: options.MetricsPort, metrics: metrics.New()}
 	p.rejected = new(platform.Rejected)
 	p.store = platform.NewStore(settings.Store, p.metrics.StoreCalled, p.rejected)
-	p.backends = platform.NewBackends(upstream.DefaultConfig(), p.connectionLimit, p.backpressureOf)
+	connections := upstream.DefaultConfig()
+	connections.Dial = options.DialServer
+	p.backends = platform.NewBackends(connections, p.connectionLimit, p.backpressureOf)
 	config := edge.DefaultConfig()
 	config.Name, config.Zone, config.Capacity = settings.Name, settings.Zone, settings.Capacity
 	config.FirstStart, config.RolesByLoad = settings.FirstStart, options.RolesByLoad
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -17,7 +17,7 @@
 type Pool struct {
 	address string
 	config  Config
-	dialer  net.Dialer
+	connect Dial
 
 	mu     sync.Mutex
 	idle   []*Conn
@@ -28,11 +28,11 @@
 
 // NewPool returns an empty pool for the server at address, "ip:port".
 func NewPool(address string, config Config) *Pool {
-	return &Pool{
-		address: address,
-		config:  config,
-		dialer:  net.Dialer{Timeout: config.DialTimeout, KeepAlive: -1, Control: UserTimeout(config.SilenceTimeout)},
+	connect := config.Dial
+	if connect == nil {
+		connect = (&net.Dialer{KeepAlive: -1, Control: UserTimeout(config.SilenceTimeout)}).DialContext
 	}
+	return &Pool{address: address, config: config, connect: connect}
 }
 
 // Limit sets the maximum number of open connections. 0 means no limit.
@@ -82,7 +82,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	ctx, cancel := context.WithTimeout(ctx, p.config.DialTimeout)
+	defer cancel()
+	raw, err := p.connect(ctx, "tcp", p.address)
 	if err != nil {
 		p.decrementOpen()
 		if errors.Is(err, syscall.ECONNREFUSED) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -5,6 +5,8 @@
 package upstream
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +23,9 @@
 	ErrBroken = errors.New("no complete answer from the backend server")
 )
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Config sets the timeouts of the connections to one backend server.
 type Config struct {
 	// DialTimeout limits the time to open a connection. A shorter timeout
@@ -36,6 +41,8 @@
 	// IdleTimeout is the time after which an idle connection is closed, unless
 	// the server announced another time.
 	IdleTimeout time.Duration
+	// Dial, if set, opens connections in place of a net.Dialer. Its context ends after DialTimeout.
+	Dial Dial
 	// IdleMargin is the time before the end of an announced idle timeout from
 	// which a connection is no longer used, so that the server doesn't close it
 	// while a request is in transit.
