forward, sibling, edge: an instance that reaches no server serves through its siblings

An instance suspects its links to a service when two servers have failed and none has answered since (silence of 0.7 s counts), and probes three of them. If none answers, the service is cut off: requests go to a sibling at once, over a connection of their own; the instance is left out of the directory; a probe every 0.2 s ends it, and the servers' failures are forgotten. A request that would be refused while half of the servers refuse connections is handed over too, which serves where only new connections fail. A sibling does not hand it on; it charges the team and answers for the request. A request is offered to another sibling only if it was not sent or was declined, so that it runs once.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -38,6 +38,7 @@
 	gateway  *forward.Gateway
 	backends *platform.Backends
 	metrics  *metrics.Set
+	handOver *sibling.HandOver
 	store    *platform.Store
 	// rejected counts store records that cannot be used.
 	rejected *platform.Rejected
@@ -97,7 +98,9 @@
 		Random:         rand.Float64,
 		ServersChanged: func(*registry.View) { p.closeUnusedConnections() },
 	})
+	p.handOver = sibling.NewHandOver(settings.Name)
 	p.gateway = forward.New(forward.Deps{
+		Siblings: siblings{Instance: p.edge, HandOver: p.handOver}, OnCutOff: p.edge.SetCutOff,
 		Zone: settings.Zone, RegionOf: settings.Regions, View: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
 		Budget: p.edge.Budget, Allotments: p.edge.Allotments, Metrics: p.metrics, Poison: p.edge.Poison, Random: rand.Float64,
 	}, forward.DefaultConfig())
@@ -106,6 +109,12 @@
 	return p, nil
 }
 
+// siblings implements forward.Siblings.
+type siblings struct {
+	*edge.Instance
+	*sibling.HandOver
+}
+
 // registerEraMetrics exports the era of the store (it increases by one each time the
 // store is restored from an older copy) as the instance knows it, and the number of
 // answers that the instance dropped because of their era.
@@ -183,6 +192,7 @@
 	p.metrics.RegisterGauge("servers_resting", "Backend servers that have asked this instance to leave them alone for a while.", func() float64 {
 		return float64(p.edge.Fleet.Backpressure.BackingOff(clock.Now()))
 	})
+	p.metrics.RegisterGauge("services_cut_off", "Services whose backend servers this instance cannot reach.", func() float64 { return float64(p.gateway.CutOffServices()) })
 	p.metrics.RegisterGauge("servers_cold", "Backend servers that bear few requests since they have just started.", func() float64 {
 		return float64(p.edge.Fleet.Backpressure.Cold(clock.Now()))
 	})
@@ -233,6 +243,7 @@
 func (p *Platform) closeUnusedConnections() {
 	servers := p.edge.Servers()
 	p.backends.Maintain(func(id string) bool { return servers.ByRun[id] != nil }, clock.Now())
+	p.handOver.Prune(clock.Now())
 }
 
 // connectionCheckInterval is the pause between two checks for unused connections.
@@ -251,7 +262,7 @@
 		{p.settings.Callers, platform.NewIngress(p.gateway).Serve},
 		{p.settings.Ready, directory.Serve},
 		{p.settings.Directory, directory.Serve},
-		{p.settings.Siblings, sibling.NewServer(p.edge.SnapshotFor).Serve},
+		{p.settings.Siblings, sibling.NewServer(p.edge.SnapshotFor, p.gateway.Serve).Serve},
 	}
 	if p.metricsPort > 0 {
 		all = append(all, endpoint{metricsAddress(p.settings.Callers, p.metricsPort), p.serveMetrics})
@@ -273,6 +284,10 @@
 		group.Go(func() error { return ignoreAfterDone(ctx, served.serve(listener)) })
 	}
 	group.Go(func() error { return p.edge.Run(ctx) })
+	group.Go(func() error {
+		p.gateway.WatchReach(ctx)
+		return nil
+	})
 	group.Go(func() error {
 		for wait.For(ctx, connectionCheckInterval) {
 			p.closeUnusedConnections()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -58,9 +58,11 @@
 	// they have assigned to each server) that are not in the sums yet.
 	loadsReceived chan struct{}
 	stopping      atomic.Bool
-	orders        *orders
-	hubs          *hubs
-	speeds        *speeds
+	// cutOff is set while this instance reaches no server of some service.
+	cutOff atomic.Bool
+	orders *orders
+	hubs   *hubs
+	speeds *speeds
 	// longPolls is set while this instance leaves long polls waiting at the store.
 	longPolls atomic.Bool
 	// longPollsBegin is closed and replaced when longPolls becomes true.
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/member"
 )
 
@@ -28,6 +30,7 @@
 			add(sibling.Info)
 		}
 	}
+	all, near = withLinks(all), withLinks(near)
 	if len(near) > 0 {
 		all = near
 	}
@@ -43,6 +46,47 @@
 	return addresses
 }
 
+// withLinks returns the instances that reach the servers, or all if none does. The others can only
+// hand requests over.
+func withLinks(all []member.Info) []member.Info {
+	linked := slices.DeleteFunc(slices.Clone(all), func(info member.Info) bool { return info.CutOff })
+	if len(linked) == 0 {
+		return all
+	}
+	return linked
+}
+
+// SetCutOff records whether this instance reaches no server of some service, and tells the siblings.
+func (in *Instance) SetCutOff(cutOff bool) {
+	if in.cutOff.Swap(cutOff) != cutOff {
+		in.sendHeartbeats()
+	}
+}
+
+// Targets returns the siblings that may serve requests of this instance, in a random order, those of
+// its own zone first. Siblings that do not reach the servers come last.
+func (in *Instance) Targets() []forward.Sibling {
+	var infos []member.Info
+	for _, sibling := range in.members.View().Siblings {
+		if sibling.State == member.Alive {
+			infos = append(infos, sibling.Info)
+		}
+	}
+	if len(infos) == 0 {
+		return nil
+	}
+	first := min(int(in.deps.Random()*float64(len(infos))), len(infos)-1)
+	infos = slices.Concat(infos[first:], infos[:first])
+	slices.SortStableFunc(infos, func(a, b member.Info) int {
+		return cmp.Or(compareBools(a.CutOff, b.CutOff), compareBools(a.Zone != in.config.Zone, b.Zone != in.config.Zone))
+	})
+	targets := make([]forward.Sibling, 0, len(infos))
+	for _, info := range infos {
+		targets = append(targets, forward.Sibling{Name: info.Name, Address: info.Peer})
+	}
+	return targets
+}
+
 // Settled reports whether this instance knows most of the serving instances. An instance that
 // has just started would send all its callers to the few instances that it knows.
 func (in *Instance) Settled() bool {
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -80,6 +80,7 @@
 		Draining:    !in.Ready(),
 		Uptime:      clock.Since(in.started),
 		Capacity:    in.config.Capacity,
+		CutOff:      in.cutOff.Load(),
 	}
 	list := in.registry.View()
 	info.Next, info.UsesSubset = uint64(list.Position), list.IsSubset
--- a/edge/slots_test.go
+++ b/edge/slots_test.go
@@ -240,4 +240,6 @@
 }
 
 // HasExited implements forward.Backends. The lost server is cut off: its process goes on.
+func (s *fewSlots) Probe(context.Context, *registry.Entry, string) error { return nil }
+
 func (s *fewSlots) HasExited(context.Context, *registry.Entry) bool { return false }
--- a/forward/crowd_engines_test.go
+++ b/forward/crowd_engines_test.go
@@ -202,6 +202,8 @@
 type simBackends struct{ *simulation }
 
 // HasExited implements Backends. No engine exits.
+func (simBackends) Probe(context.Context, *registry.Entry, string) error { return nil }
+
 func (simBackends) HasExited(context.Context, *registry.Entry) bool { return false }
 
 // Call implements Backends.
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -46,6 +46,7 @@
 	stepRetry    = "retry"
 	stepStream   = "stream"
 	stepMove     = "move"
+	stepHandOver = "hand_over"
 )
 
 // record adds a step to the request's log lines.
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -20,6 +20,10 @@
 type flow struct {
 	*Gateway
 	request *Request
+	// caller ends when the caller disconnects.
+	caller context.Context
+	// askedSiblings is set once siblings were asked to serve the request.
+	askedSiblings bool
 	// servers is the view that the last choice used. Each choice uses the newest view, because
 	// a request may take longer than the time for which a leaving server can still be used.
 	servers  *Servers
@@ -249,6 +253,11 @@
 	if f.mayHaveRun {
 		return f.fail(why, detail)
 	}
+	if f.mayHandOver(why) {
+		if reply := f.handOver(); reply != nil {
+			return reply
+		}
+	}
 	return f.end(&Reply{Status: statusUnavailable, Reason: why, RetryAfter: f.retryAfter(why)}, detail)
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -40,6 +40,9 @@
 	Key    table.KeyDigest
 	HasKey bool
 	Team   string
+	// HandedOver is the name of the sibling that handed the request over to this instance; empty
+	// if its caller sent it here.
+	HandedOver string
 	// Generation is set for requests to model services.
 	Generation *Generation
 	// LastEvent is the id of the last event that the caller has received; empty at the start
@@ -124,6 +127,9 @@
 	// refuses connections. It returns false for a server that is silent or whose address
 	// cannot be reached.
 	HasExited(ctx context.Context, server *registry.Entry) bool
+	// Probe asks a server for a short answer over a new connection. It fails only if there is no
+	// answer. healthPath is the path of the service's health checks, if it has one.
+	Probe(ctx context.Context, server *registry.Entry, healthPath string) error
 	// Move copies the KV memory of a running stream to another engine, where the stream can
 	// continue. With last set the run is stopped first, and its stream ends without an end
 	// marker. If the error is a *NotRunError the result may be set nevertheless: then the run
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -158,6 +158,11 @@
 	Allotments Allotments
 	// Poison records which requests were running at servers that crashed.
 	Poison *poison.Tracker
+	// Siblings passes requests on to other instances; nil if there are none.
+	Siblings Siblings
+	// OnCutOff, if set, is called when the instance loses its links to all servers of some service,
+	// and when it has links to all services again.
+	OnCutOff func(cutOff bool)
 	// Random returns a number in [0,1).
 	Random func() float64
 }
@@ -194,6 +199,8 @@
 	fewSlots sync.Map
 	// reaches holds a *reach.Service for each service name: how this instance reaches its servers.
 	reaches sync.Map
+	// cutOffServices counts the services whose servers this instance cannot reach.
+	cutOffServices atomic.Int64
 	// cleanups counts the tasks that outlive their request.
 	cleanups sync.WaitGroup
 }
@@ -294,7 +301,7 @@
 // Serve forwards one request. ctx ends when the caller disconnects.
 func (g *Gateway) Serve(ctx context.Context, r *Request) *Reply {
 	view := g.View.Table()
-	f := &flow{Gateway: g, request: r, servers: g.View.Servers(), entries: make(map[string]*registry.Entry)}
+	f := &flow{Gateway: g, request: r, caller: ctx, servers: g.View.Servers(), entries: make(map[string]*registry.Entry)}
 	if view == nil {
 		return f.refuse(reason.StaleTable, "no table has been received yet")
 	}
@@ -321,7 +328,12 @@
 		g.inFlight.Add(-1)
 		f.admission.Release()
 	})
-	g.Budget(f.service.Name).Earn(r.Arrived)
+	if r.HandedOver == "" {
+		g.Budget(f.service.Name).Earn(r.Arrived)
+	}
+	if reply := f.serveWhenCutOff(); reply != nil {
+		return reply
+	}
 	if refused := f.charge(); refused != nil {
 		return refused
 	}
--- /dev/null
+++ b/forward/handover.go
@@ -0,0 +1,175 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/table"
+)
+
+// An instance whose links to the servers fail hands requests over to a sibling, which serves them by
+// its own links and sends the answer back. A request that was handed over is not handed over again.
+
+// Siblings passes requests on to other instances.
+type Siblings interface {
+	// Targets returns the siblings that may serve a request of this instance, the best first.
+	Targets() []Sibling
+	// Serve has a sibling serve a request by a deadline. Its error is a *NotRunError if the
+	// request was not sent. After any other error a server may have run it.
+	Serve(ctx context.Context, to Sibling, r *Request, deadline time.Time) (*Reply, error)
+}
+
+// Sibling is another instance.
+type Sibling struct {
+	Name    string
+	Address string
+}
+
+// maxHandOvers bounds how many siblings are asked to serve one request. A sibling that is cut off too
+// declines within a round trip, and most of a zone may be cut off at once.
+const maxHandOvers = 4
+
+// serveWhenCutOff serves a request of a service whose servers this instance cannot reach: by a
+// sibling, or not at all if the request comes from a sibling. It returns nil if this instance is to
+// try its own links.
+func (f *flow) serveWhenCutOff() *Reply {
+	if !f.reachOf(f.service.Name).IsCutOff() {
+		return nil
+	}
+	if f.request.HandedOver != "" {
+		return f.refuse(reason.CutOff, "this instance reaches no server of the service")
+	}
+	return f.handOver()
+}
+
+// mayHandOver reports whether a request that would be refused is handed over instead, because the
+// links of this instance seem to be the cause.
+func (f *flow) mayHandOver(why reason.Reason) bool {
+	switch why {
+	case reason.NoBackend, reason.NoDecodeMemory, reason.NoFreeSlot, reason.ConnectFailed, reason.PrefillFailed, reason.PrefillRefused, reason.HandoffRefused:
+		return f.request.HandedOver == "" && !f.askedSiblings && f.manyUnreached()
+	}
+	return false
+}
+
+// manyUnreached reports whether half of the servers of the request's service, or more, could not be
+// reached recently.
+func (f *flow) manyUnreached() bool {
+	now, all, unreached := clock.Now(), 0, 0
+	servers := f.View.Servers()
+	for _, pool := range [][]*table.BackendView{servers.Plain[f.service.Name], servers.Prefill[f.service.Name], servers.Decode[f.service.Name]} {
+		for _, backend := range pool {
+			all++
+			if server := f.Fleet.Server(backend.Name); server != nil && server.IsUnreached(now) {
+				unreached++
+			}
+		}
+	}
+	return unreached > 0 && 2*unreached >= all
+}
+
+// handOver has a sibling serve the request. It returns nil if none could be asked or all declined, in
+// which case the request has not run.
+func (f *flow) handOver() *Reply {
+	if f.Siblings == nil || f.askedSiblings {
+		return nil
+	}
+	f.askedSiblings = true
+	// The sibling that serves the request charges its team.
+	f.refund(reason.NotRun)
+	ctx, cancel := clock.WithDeadline(f.caller, f.deadline)
+	for i, sibling := range f.Siblings.Targets() {
+		if i == maxHandOvers || ctx.Err() != nil {
+			break
+		}
+		began := clock.Now()
+		reply, err := f.Siblings.Serve(ctx, sibling, f.request, f.deadline)
+		f.recordHandOver(sibling, began, reply, err)
+		switch {
+		case err == nil && !declined(reply):
+			return f.passOn(reply, cancel)
+		case err == nil, isNotRun(err):
+			continue
+		}
+		defer cancel()
+		f.mayHaveRun = true
+		return f.endWithoutAnswer(ctx, err)
+	}
+	cancel()
+	return nil
+}
+
+// declined reports whether a sibling cannot reach the servers either.
+func declined(reply *Reply) bool {
+	return reply.Reason == reason.CutOff || reply.Reason == reason.ConnectFailed
+}
+
+func (f *flow) recordHandOver(to Sibling, began time.Time, reply *Reply, err error) {
+	status, why := 0, reason.None
+	if err == nil {
+		status, why = reply.Status, reply.Reason
+	}
+	f.record(stepHandOver, resultOf(err), "sibling", to.Name, "status", status, "why", why, "tookMillis", clock.Since(began).Milliseconds())
+	f.Metrics.HandedOver(err == nil && !declined(reply))
+}
+
+// passOn ends the request with the reply of a sibling. cancel ends the sibling's work.
+func (f *flow) passOn(reply *Reply, cancel context.CancelFunc) *Reply {
+	f.mayHaveRun = !promisesNotRun(reply.Status)
+	if reply.Stream == nil {
+		cancel()
+		return f.end(reply, "")
+	}
+	reply.Stream = &handedStream{ReadCloser: reply.Stream, flow: f, status: reply.Status, why: reply.Reason, cancel: cancel}
+	return reply
+}
+
+// promisesNotRun reports whether callers take a status as a promise that the request has not run.
+func promisesNotRun(status int) bool { return status == statusUnavailable || status == statusOverLimit }
+
+// handedStream is a stream that a sibling passes on.
+type handedStream struct {
+	io.ReadCloser
+	flow   *flow
+	status int
+	why    reason.Reason
+	cancel context.CancelFunc
+	ended  error
+	closed bool
+}
+
+// Read implements io.Reader.
+func (s *handedStream) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	if err != nil {
+		s.ended = err
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (s *handedStream) Close() error {
+	if s.closed {
+		return nil
+	}
+	s.closed = true
+	err := s.ReadCloser.Close()
+	departed := s.flow.caller.Err() != nil
+	s.cancel()
+	s.flow.release()
+	why, detail := s.why, ""
+	switch {
+	case s.ended == io.EOF:
+	case s.ended != nil && !departed:
+		why, detail = reason.StreamBroken, s.ended.Error()
+	default:
+		why = reason.CallerGone
+	}
+	s.flow.close(s.status, why, detail)
+	return errors.Wrap(err, "close the stream of a sibling")
+}
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -38,6 +38,7 @@
 	decode  func(server string, order DecodeRequest) error
 	call    func(server string) (*Answer, error)
 	move    func(from, to string, last bool) (PrefillHandle, error)
+	probe   func(server string) error
 	// statusOf returns the HTTP status of a stream; nil means 200.
 	statusOf func(server string) int
 	// stream returns the body of a stream, which ends with an error or io.EOF.
@@ -57,6 +58,14 @@
 	return e.crashed[server.ID]
 }
 
+func (e *engines) Probe(_ context.Context, server *registry.Entry, _ string) error {
+	e.record("probe", server.ID)
+	if e.probe != nil {
+		return e.probe(server.ID)
+	}
+	return nil
+}
+
 func (e *engines) status(server string) int {
 	if e.statusOf == nil {
 		return 200
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -1,13 +1,35 @@
 package forward
 
 import (
+	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/reach"
+	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/table"
+	"github.com/mastwheel/mastwheel/wait"
+)
+
+const (
+	// reachCheckInterval is the pause between two checks of the links to the servers.
+	reachCheckInterval = 100 * time.Millisecond
+	// silentAfter is the time without an answer after which a server with waiting requests counts as
+	// failed for this purpose. One silent server is no cut, and any answer of another outweighs it.
+	silentAfter = 700 * time.Millisecond
+	// probeTimeout bounds one probe of a server. It allows for a lost packet.
+	probeTimeout = 600 * time.Millisecond
+	// probePause is the pause after a failed probe.
+	probePause = 200 * time.Millisecond
+	// probeServers is how many servers of a service are probed at once. Only if none of them answers
+	// does the service count as cut off.
+	probeServers = 3
 )
 
 // reachOf returns the record of how this instance reaches the servers of a service.
@@ -38,7 +60,104 @@
 func (f *flow) recordAnswer() { f.Gateway.recordAnswer(f.service.Name) }
 
 func (g *Gateway) recordAnswer(service string) {
-	if g.reachOf(service).Answered() {
-		klog.InfoS("A server of a service answers again", "service", service)
+	if !g.reachOf(service).Answered() {
+		return
+	}
+	klog.InfoS("A server of a service answers again", "service", service)
+	// The failures before were those of the links.
+	for _, entry := range g.entriesOf(service) {
+		if server := g.Fleet.Server(entry.Run()); server != nil {
+			server.ResetFailures(clock.Now())
+		}
+	}
+	g.cutOffChanged(-1)
+}
+
+// WatchReach checks, until ctx ends, whether this instance still reaches the servers of each service.
+func (g *Gateway) WatchReach(ctx context.Context) {
+	for wait.For(ctx, reachCheckInterval) {
+		view := g.View.Table()
+		if view == nil {
+			continue
+		}
+		for name, service := range view.Services {
+			g.checkReach(ctx, service, g.entriesOf(name))
+		}
 	}
 }
+
+// entriesOf returns the servers of a service.
+func (g *Gateway) entriesOf(service string) []*registry.Entry {
+	servers := g.View.Servers()
+	var entries []*registry.Entry
+	for _, pool := range [][]*table.BackendView{servers.Plain[service], servers.Prefill[service], servers.Decode[service]} {
+		for _, backend := range pool {
+			if entry := servers.ByRun[backend.Name]; entry != nil {
+				entries = append(entries, entry)
+			}
+		}
+	}
+	return entries
+}
+
+// checkReach probes the servers of a service if its links are suspected or cut off.
+func (g *Gateway) checkReach(ctx context.Context, service *table.ServiceView, entries []*registry.Entry) {
+	known, now := g.reachOf(service.Name), clock.Now()
+	for _, entry := range entries {
+		if server := g.Fleet.Server(entry.Run()); server != nil && server.SilentFor(now) > silentAfter {
+			known.Failed(entry.Run(), now)
+		}
+	}
+	if len(entries) == 0 || !known.Suspected(len(entries)) && !known.IsCutOff() {
+		return
+	}
+	if !known.BeginProbe() {
+		return
+	}
+	go func() {
+		defer known.EndProbe()
+		if g.probeAny(ctx, service, entries) {
+			g.recordAnswer(service.Name)
+			return
+		}
+		if ctx.Err() == nil && known.ConfirmCutOff() {
+			failed, since := known.State()
+			klog.InfoS("No server of a service can be reached; requests are handed over to siblings", "service", service.Name,
+				"failedServers", failed, "noAnswerMillis", clock.Since(since).Milliseconds())
+			g.cutOffChanged(1)
+		}
+		wait.For(ctx, probePause)
+	}()
+}
+
+// probeAny probes some of the servers and reports whether any of them answered.
+func (g *Gateway) probeAny(ctx context.Context, service *table.ServiceView, entries []*registry.Entry) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var probes sync.WaitGroup
+	var answered atomic.Bool
+	first := int(g.Random() * float64(len(entries)))
+	for i := range min(probeServers, len(entries)) {
+		entry := entries[(first+i)%len(entries)]
+		probes.Go(func() {
+			if g.Backends.Probe(ctx, entry, service.HealthPath) == nil {
+				answered.Store(true)
+				cancel()
+			}
+		})
+	}
+	probes.Wait()
+	return answered.Load()
+}
+
+// cutOffChanged counts the services that are cut off, and reports when the first becomes so or the
+// last no longer is.
+func (g *Gateway) cutOffChanged(change int64) {
+	count := g.cutOffServices.Add(change)
+	if g.OnCutOff != nil && (count == 0 || count == change) {
+		g.OnCutOff(count > 0)
+	}
+}
+
+// CutOffServices returns the number of services whose servers this instance cannot reach.
+func (g *Gateway) CutOffServices() int { return int(g.cutOffServices.Load()) }
--- a/forward/relay_search_test.go
+++ b/forward/relay_search_test.go
@@ -251,6 +251,8 @@
 	}
 }
 
+func (p *searchPlay) Probe(context.Context, *registry.Entry, string) error { return nil }
+
 func (p *searchPlay) HasExited(_ context.Context, server *registry.Entry) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/member/member.go
+++ b/member/member.go
@@ -101,6 +101,8 @@
 	// Capacity is the processor time that the instance may use, in thousandths of a
 	// core. It is 0 if the instance does not report it.
 	Capacity int `cbor:"12,keyasint,omitempty" json:"capacity,omitempty"`
+	// CutOff is set if the instance reaches no server of some service.
+	CutOff bool `cbor:"14,keyasint,omitempty" json:"cut_off,omitempty"`
 	// UsesSubset is set if the instance knows only a subset of the list of backend servers.
 	UsesSubset bool `cbor:"13,keyasint,omitempty" json:"part,omitempty"`
 }
--- a/metrics/failures.go
+++ b/metrics/failures.go
@@ -11,6 +11,15 @@
 	FailedBroken ServerFailure = "broken"
 )
 
+// HandedOver counts a request that was handed over to a sibling, by whether the sibling took it.
+func (s *Set) HandedOver(taken bool) {
+	outcome := "declined"
+	if taken {
+		outcome = "taken"
+	}
+	s.handOvers.WithLabelValues(outcome).Inc()
+}
+
 // ServerFailed counts a call that got no answer from a server of the service.
 func (s *Set) ServerFailed(service string, how ServerFailure) {
 	s.serverFailures.WithLabelValues(service, string(how)).Inc()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -33,6 +33,7 @@
 	storeCalls     *prometheus.CounterVec
 	serverExits    *prometheus.CounterVec
 	serverFailures *prometheus.CounterVec
+	handOvers      *prometheus.CounterVec
 	memory         *prometheus.CounterVec
 	speedChoices   *prometheus.CounterVec
 	overdueServers *prometheus.CounterVec
@@ -73,6 +74,7 @@
 		retries:        counters("retries_total", "Attempts that were followed by another, by reason.", labelReason),
 		serverExits:    counters("server_ends_total", "Backend servers that were found to have ended with requests of this instance running, by service.", labelService),
 		serverFailures: counters("server_failures_total", "Calls that got no answer from a backend server, by service and by whether a connection could be opened.", labelService, "how"),
+		handOvers:      counters("hand_overs_total", "Requests that were handed over to a sibling, since this instance does not reach the servers.", labelOutcome),
 		speedChoices:   counters("speed_choices_total", "Choices among backend servers whose speeds differ, by kind of work.", "kind"),
 		overdueServers: counters("overdue_servers_total", "Backend servers that such choices left out since they had not answered for far longer than estimated, by kind of work.", "kind"),
 		withheld:       counter("log_requests_withheld_total", "Requests that were not logged, for the limit of log lines."),
@@ -98,7 +100,7 @@
 		CancelTries: counter("cancel_tries_total", "Cancel orders sent."),
 		Orphans:     counter("orphans_cancelled_total", "Streams of dead homes that were cancelled."),
 	}
-	s.Registry.MustRegister(s.requests, s.teams.requests, s.teams.refusals, s.allotments.refusals, s.allotments.returns, s.allotments.starts, s.refusals, s.retries, s.dropped, s.streamEnds, s.notReturned, s.storeCalls, s.serverExits, s.serverFailures, s.memory, s.speedChoices, s.overdueServers, s.withheld, s.requestSeconds, s.FirstToken, s.BetweenTokens,
+	s.Registry.MustRegister(s.requests, s.teams.requests, s.teams.refusals, s.allotments.refusals, s.allotments.returns, s.allotments.starts, s.refusals, s.retries, s.dropped, s.streamEnds, s.notReturned, s.storeCalls, s.serverExits, s.serverFailures, s.handOvers, s.memory, s.speedChoices, s.overdueServers, s.withheld, s.requestSeconds, s.FirstToken, s.BetweenTokens,
 		s.CancelsPending, s.CancelTries, s.Orphans)
 	s.Registry.MustRegister(s.slots.decisions, s.slots.waiting, s.slots.waits)
 	for _, info := range reason.All {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -17,6 +17,7 @@
 	// failing is set while failed is not empty, so that an answer costs one load otherwise.
 	failing atomic.Bool
 	cutOff  atomic.Bool
+	probing atomic.Bool
 
 	mu sync.Mutex
 	// failed holds the servers that have failed since the last answer of any server, with the time of
@@ -73,6 +74,12 @@
 	return len(s.failed) > 0 && !s.cutOff.Swap(true)
 }
 
+// BeginProbe reports whether a probe may begin, which is if none is under way. EndProbe ends it.
+func (s *Service) BeginProbe() bool { return s.probing.CompareAndSwap(false, true) }
+
+// EndProbe ends a probe.
+func (s *Service) EndProbe() { s.probing.Store(false) }
+
 // IsCutOff reports whether no server of the service can be reached from this instance.
 func (s *Service) IsCutOff() bool { return s.cutOff.Load() }
 
--- a/route/refusal.go
+++ b/route/refusal.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// end ends the row of failures and the present backoff.
+func (r *failureBackoff) end() {
+	r.consecutive.Store(0)
+	r.until.Store(0)
+}
+
 // active reports whether the server is in backoff at now.
 func (r *failureBackoff) active(now time.Time) bool { return int64(now.Sub(epoch)) < r.until.Load() }
 
@@ -71,6 +77,9 @@
 // Reached records that a connection to the server was opened.
 func (s *Server) Reached() { s.connectBackoff.reset() }
 
+// IsUnreached reports whether a connection to the server could not be opened recently.
+func (s *Server) IsUnreached(now time.Time) bool { return s.connectBackoff.active(now) }
+
 // HandoffLost records that a prefill result of the server could not be used.
 func (s *Server) HandoffLost(now time.Time) { s.handoffBackoff.fail(now, initialHandoffBackoff) }
 
--- a/route/server.go
+++ b/route/server.go
@@ -265,13 +265,18 @@
 // itself was suspended, they are caused by the suspension rather than by the servers.
 func (f *Fleet) ResetFailures(now time.Time) {
 	for _, server := range f.index.Load().byName {
-		server.Breaker.Success()
-		server.RecordContact(now)
-		server.Accepted()
-		server.Reached()
+		server.ResetFailures(now)
 	}
 }
 
+// ResetFailures clears failures, silence and refusals of the server.
+func (s *Server) ResetFailures(now time.Time) {
+	s.Breaker.Success()
+	s.RecordContact(now)
+	s.Accepted()
+	s.connectBackoff.end()
+}
+
 // Adopt makes the fleet match the table's backend servers. Servers that remain keep
 // their state. Only one goroutine may call it.
 func (f *Fleet) Adopt(view *table.View) {
--- /dev/null
+++ b/sibling/handover.go
@@ -0,0 +1,179 @@
+package sibling
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/connwatch"
+	"github.com/mastwheel/mastwheel/forward"
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/upstream"
+)
+
+const (
+	// handOverPath is the path of requests that are handed over.
+	handOverPath = "/handover"
+	// headField is the header field with the head of a reply, as base64 of CBOR. The reply's own
+	// fields may have names that belong to the connection between the instances.
+	headField = "Reply-Head"
+	// handOverLimit bounds the size of a request or of a whole reply in bytes. It is above the size
+	// of the largest body that callers may send.
+	handOverLimit = 5 << 20
+)
+
+// handedOver is a request that is handed over.
+type handedOver struct {
+	From    string          `cbor:"1,keyasint"`
+	Request forward.Request `cbor:"2,keyasint"`
+	// Left is the time left until the caller stops waiting, and Waited the time since the request
+	// arrived.
+	Left   time.Duration `cbor:"3,keyasint"`
+	Waited time.Duration `cbor:"4,keyasint"`
+}
+
+// request returns the request as this instance handles it.
+func (h *handedOver) request(now time.Time) *forward.Request {
+	r := h.Request
+	r.HandedOver = h.From
+	r.Arrived, r.Deadline = now.Add(-h.Waited), now.Add(h.Left)
+	return &r
+}
+
+// replyHead is a reply without its body.
+type replyHead struct {
+	Status     int             `cbor:"1,keyasint"`
+	Fields     []forward.Field `cbor:"2,keyasint,omitempty"`
+	RetryAfter time.Duration   `cbor:"3,keyasint,omitempty"`
+	Reason     reason.Reason   `cbor:"4,keyasint,omitempty"`
+	Streamed   bool            `cbor:"5,keyasint,omitempty"`
+}
+
+// serveHandedOver serves a request that a sibling hands over.
+func (s *Server) serveHandedOver(ctx *fasthttp.RequestCtx) {
+	var handed handedOver
+	if err := cbor.Unmarshal(ctx.PostBody(), &handed); err != nil || handed.From == "" {
+		ctx.Error(fmt.Sprintf("decode request that is handed over: %v", err), fasthttp.StatusBadRequest)
+		return
+	}
+	watched, release := connwatch.Context(ctx.Conn())
+	reply := s.serve(watched, handed.request(clock.Now()))
+	head, err := cbor.Marshal(replyHead{
+		Status: reply.Status, Fields: reply.Fields, RetryAfter: reply.RetryAfter, Reason: reply.Reason, Streamed: reply.Stream != nil,
+	})
+	if err != nil {
+		panic("sibling: encode the head of a reply: " + err.Error())
+	}
+	ctx.Response.Header.Set(headField, base64.StdEncoding.EncodeToString(head))
+	if reply.Stream == nil {
+		ctx.SetBody(reply.Body)
+		release()
+		return
+	}
+	ctx.SetBodyStream(&connwatch.Body{ReadCloser: reply.Stream, Release: release}, -1)
+}
+
+// HandOver hands requests over to siblings. It implements the sending part of forward.Siblings.
+type HandOver struct {
+	name string
+
+	mu    sync.Mutex
+	pools map[string]*upstream.Pool
+}
+
+// NewHandOver returns a client for the instance of the given name.
+func NewHandOver(name string) *HandOver {
+	return &HandOver{name: name, pools: make(map[string]*upstream.Pool)}
+}
+
+func (h *HandOver) pool(address string) *upstream.Pool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	pool, ok := h.pools[address]
+	if !ok {
+		config := upstream.DefaultConfig()
+		config.IdleTimeout = idleTimeout
+		pool = upstream.NewPool(address, config)
+		h.pools[address] = pool
+	}
+	return pool
+}
+
+// Prune closes the connections that were idle for too long.
+func (h *HandOver) Prune(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, pool := range h.pools {
+		pool.Prune(now)
+	}
+}
+
+// Serve has a sibling serve a request.
+func (h *HandOver) Serve(ctx context.Context, to forward.Sibling, r *forward.Request, deadline time.Time) (*forward.Reply, error) {
+	message, err := h.message(to.Address, r, deadline)
+	if err != nil {
+		return nil, &forward.NotRunError{Why: reason.ConnectFailed, Detail: err.Error()}
+	}
+	conn, err := h.pool(to.Address).Acquire(ctx)
+	if err != nil {
+		return nil, &forward.NotRunError{Why: reason.ConnectFailed, Detail: err.Error()}
+	}
+	answer, err := conn.Do(ctx, message)
+	if err != nil {
+		return nil, err
+	}
+	return readReply(answer)
+}
+
+func (h *HandOver) message(address string, r *forward.Request, deadline time.Time) (upstream.Message, error) {
+	now := clock.Now()
+	body, err := cbor.Marshal(handedOver{From: h.name, Request: *r, Left: deadline.Sub(now), Waited: now.Sub(r.Arrived)})
+	if err != nil {
+		return upstream.Message{}, errors.Wrap(err, "encode request that is handed over")
+	}
+	if len(body) > handOverLimit {
+		return upstream.Message{}, errors.New("request is too large to be handed over")
+	}
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", handOverPath, address, len(body))
+	out.Write(body)
+	return upstream.Message{Method: http.MethodPost, Bytes: out.Bytes()}, nil
+}
+
+// readReply reads a sibling's reply. A stream is read by whoever gets the reply.
+func readReply(answer *upstream.Answer) (*forward.Reply, error) {
+	head, err := readHead(answer)
+	if err != nil {
+		answer.Close()
+		return nil, err
+	}
+	reply := &forward.Reply{Status: head.Status, Fields: head.Fields, RetryAfter: head.RetryAfter, Reason: head.Reason}
+	if head.Streamed {
+		reply.Stream = answer
+		return reply, nil
+	}
+	defer answer.Close()
+	reply.Body, err = answer.ReadAll(handOverLimit)
+	return reply, err
+}
+
+func readHead(answer *upstream.Answer) (replyHead, error) {
+	var head replyHead
+	raw, err := base64.StdEncoding.DecodeString(answer.Header.Get(headField))
+	if err != nil {
+		return head, errors.Wrap(err, "decode the head of a sibling's reply")
+	}
+	if answer.StatusCode != http.StatusOK || cbor.Unmarshal(raw, &head) != nil || head.Status == 0 {
+		return head, errors.Errorf("sibling gave no reply: status %d", answer.StatusCode)
+	}
+	return head, nil
+}
--- a/sibling/sibling.go
+++ b/sibling/sibling.go
@@ -1,6 +1,7 @@
 // Package sibling transfers a snapshot of one instance's view (the table and the list of
 // backend servers) to another instance, over HTTP with CBOR. Instances that cannot reach
-// the platform's store request it.
+// the platform's store request it. Instances that cannot reach the backend servers hand callers'
+// requests over the same way.
 package sibling
 
 import (
@@ -12,7 +13,9 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/mastwheel/mastwheel/connwatch"
 	"github.com/mastwheel/mastwheel/edge"
+	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/logging"
 )
 
@@ -32,27 +35,37 @@
 // Server serves snapshots to siblings.
 type Server struct {
 	snapshot func(edge.Have) edge.Snapshot
+	serve    func(context.Context, *forward.Request) *forward.Reply
 	http     *fasthttp.Server
 }
 
-// NewServer returns a server that answers each request with the result of
-// snapshot.
-func NewServer(snapshot func(edge.Have) edge.Snapshot) *Server {
-	s := &Server{snapshot: snapshot}
-	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: logging.Silent{}}
+// NewServer returns a server that answers requests for snapshots with the result of snapshot, and
+// requests that are handed over with the result of serve.
+func NewServer(snapshot func(edge.Have) edge.Snapshot, serve func(context.Context, *forward.Request) *forward.Reply) *Server {
+	s := &Server{snapshot: snapshot, serve: serve}
+	s.http = &fasthttp.Server{
+		Handler: s.handle, NoDefaultServerHeader: true, MaxRequestBodySize: handOverLimit, Logger: logging.Silent{},
+	}
 	return s
 }
 
 // Serve serves siblings that connect to listener.
 func (s *Server) Serve(listener net.Listener) error {
-	return errors.Wrap(s.http.Serve(listener), "serve siblings")
+	return errors.Wrap(s.http.Serve(connwatch.Listener{Listener: listener}), "serve siblings")
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != snapshotPath {
+	switch string(ctx.Path()) {
+	case snapshotPath:
+		s.sendSnapshot(ctx)
+	case handOverPath:
+		s.serveHandedOver(ctx)
+	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
 	}
+}
+
+func (s *Server) sendSnapshot(ctx *fasthttp.RequestCtx) {
 	var have edge.Have
 	if err := cbor.Unmarshal(ctx.PostBody(), &have); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -64,6 +64,15 @@
 	}
 }
 
+// AcquireNew opens a new connection even if there are idle ones, which may be dead without a sign of
+// it. Its error is ErrNotSent.
+func (p *Pool) AcquireNew(ctx context.Context) (*Conn, error) {
+	p.mu.Lock()
+	p.open++
+	p.mu.Unlock()
+	return p.dial(ctx)
+}
+
 // takeIdle removes and returns the most recently used idle connection. Without
 // one it counts a new connection as open, or reports that the limit is reached.
 func (p *Pool) takeIdle() (conn *Conn, full bool) {
