forward: the loss of an instance's own links is no crash of servers

A refused connection counts as the end of a server only if the instance reaches another server of the service, where the service has three or more.

--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -105,7 +106,7 @@
 		switch {
 		case g.View.Servers().Restarted(entry):
 			why = "it was restarted"
-		case g.Backends.HasExited(ctx, entry):
+		case g.Backends.HasExited(ctx, entry) && g.reachesOthers(ctx, entry):
 			why = "its address refuses connections"
 		default:
 			continue
@@ -117,6 +118,26 @@
 	}
 }
 
+// minWitnesses is how many other servers a service must have for their silence to show that the links
+// of this instance failed. Two servers may have crashed under the same request.
+const minWitnesses = 2
+
+// reachesOthers reports whether this instance reaches any other server of the service. If it does
+// not, its own links failed rather than a server's process.
+func (g *Gateway) reachesOthers(ctx context.Context, entry *registry.Entry) bool {
+	others := slices.DeleteFunc(g.entriesOf(entry.Service), func(other *registry.Entry) bool { return other.Run() == entry.Run() })
+	if len(others) < minWitnesses {
+		return true
+	}
+	first := int(g.Random() * float64(len(others)))
+	for i := range min(probeServers, len(others)) {
+		if !g.Backends.HasExited(ctx, others[(first+i)%len(others)]) {
+			return true
+		}
+	}
+	return false
+}
+
 // fewestRunning returns the remaining candidate with the fewest requests in flight, so that
 // the fewest other requests are lost if it crashes.
 func fewestRunning(rated []route.ScoredCandidate) *route.ScoredCandidate {
--- a/forward/suspect_test.go
+++ b/forward/suspect_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -232,3 +234,43 @@
 		b.checkNothingHeld()
 	})
 }
+
+func TestLossOfAllLinksIsNoCrash(t *testing.T) {
+	withBench(t, func(b *bench) {
+		b.addPlainServer("s3")
+		b.engines.call = func(string) (*Answer, error) {
+			for _, server := range []string{"s1", "s2", "s3"} {
+				b.engines.crash(server)
+			}
+			return nil, errConnectionReset
+		}
+		for _, id := range []string{"a", "b", "c"} {
+			r := b.plain(id)
+			r.Method = "POST"
+			b.serve(r)
+		}
+		if b.Poison.HasSuspects() {
+			b.t.Error("a request is under suspicion after all links of the instance were lost")
+		}
+		b.engines.call, b.engines.crashed = nil, nil
+	})
+}
+
+// addPlainServer adds a server to the service "web".
+func (b *bench) addPlainServer(id string) {
+	next := *b.View.Servers()
+	next.ByRun, next.ByID, next.Plain = maps.Clone(next.ByRun), maps.Clone(next.ByID), maps.Clone(next.Plain)
+	next.ByRun[id] = &registry.Entry{ID: id, Service: "web", Zone: "z", Address: id}
+	next.ByID[id] = next.ByRun[id]
+	next.Plain["web"] = append(slices.Clone(next.Plain["web"]), &table.BackendView{Name: id, Pool: "web", Zone: "z"})
+	backends := make(map[string]*table.BackendView)
+	for _, pools := range []map[string][]*table.BackendView{next.Plain, next.Prefill, next.Decode} {
+		for _, pool := range pools {
+			for _, backend := range pool {
+				backends[backend.Name] = backend
+			}
+		}
+	}
+	b.Fleet.Adopt(&table.View{Backends: backends})
+	b.setServers(&next)
+}
