forward: hand over what fails for lack of links, also beside live connections

Where only new connections are refused, idle ones serve a few requests and a burst finds none: of 60 requests at once 12 were refused with deadline_too_close (no prefill engine could be reached) or connect_failed (one engine of five had been tried). Both are handed over now; a refused connection of the request itself needs no further evidence.

Tests in kinds that the incident did not show: two of three instances, one with reset and one with hanging links, beside a burst; one service only; new connections refused; no sibling; the directory. The second kind failed before.

--- a/forward/handover.go
+++ b/forward/handover.go
@@ -50,9 +50,14 @@
 // mayHandOver reports whether a request that would be refused is handed over instead, because the
 // links of this instance seem to be the cause.
 func (f *flow) mayHandOver(why reason.Reason) bool {
+	if f.request.HandedOver != "" || f.askedSiblings || !clock.Now().Before(f.deadline) {
+		return false
+	}
 	switch why {
-	case reason.NoBackend, reason.NoDecodeMemory, reason.NoFreeSlot, reason.ConnectFailed, reason.PrefillFailed, reason.PrefillRefused, reason.HandoffRefused:
-		return f.request.HandedOver == "" && !f.askedSiblings && f.manyUnreached()
+	case reason.ConnectFailed:
+		return true
+	case reason.NoBackend, reason.NoDecodeMemory, reason.NoFreeSlot, reason.DeadlineTooClose, reason.PrefillFailed, reason.PrefillRefused, reason.HandoffRefused:
+		return f.manyUnreached()
 	}
 	return false
 }
@@ -106,7 +111,11 @@
 
 // declined reports whether a sibling cannot reach the servers either.
 func declined(reply *Reply) bool {
-	return reply.Reason == reason.CutOff || reply.Reason == reason.ConnectFailed
+	switch reply.Reason {
+	case reason.CutOff, reason.ConnectFailed, reason.NoBackend:
+		return promisesNotRun(reply.Status)
+	}
+	return false
 }
 
 func (f *flow) recordHandOver(to Sibling, began time.Time, reply *Reply, err error) {
