--- a/cmd/mastwheeld/platform.go
+++ b/cmd/mastwheeld/platform.go
@@ -26,6 +26,7 @@
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 			&cli.IntFlag{Name: "verbosity", Usage: "log `LEVEL`: 0 for refusals, failures and the instance's state, 2 for every request"},
 			&cli.StringFlag{Name: "advertise-siblings", Usage: "`IP:PORT` at which siblings reach this instance, if it is not the address it listens on for them"},
+			&cli.StringFlag{Name: "source-address", Usage: "local `IP` address of connections to backend servers, on a machine that has several"},
 			&cli.BoolFlag{Name: "roles-by-load", Usage: "change engines between prefill and decode with the demand, for demand that shifts for minutes; the same at all instances"},
 			&cli.IntFlag{Name: "metrics-port", Usage: "serve metrics at this `PORT`; 0 for none"},
 		},
@@ -61,7 +62,7 @@
 	defer cancel()
 	instance, err := daemon.NewPlatform(settings, daemon.PlatformOptions{
 		MetricsPort: command.Int("metrics-port"), AdvertiseSiblings: command.String("advertise-siblings"),
-		RolesByLoad: command.Bool("roles-by-load"),
+		RolesByLoad: command.Bool("roles-by-load"), SourceAddress: command.String("source-address"),
 	})
 	if err != nil {
 		return err
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -54,6 +54,9 @@
 	// siblings, for example when a proxy is in between. If empty, the instance
 	// advertises the address that it listens on.
 	AdvertiseSiblings string
+	// SourceAddress, if set, is the IP address from which the instance connects to backend servers, on
+	// a machine that has several.
+	SourceAddress string
 	// DialServer, if set, opens the connections to backend servers in place of a net.Dialer.
 	DialServer upstream.Dial
 	// RolesByLoad makes the share of prefill engines follow the demand (edge.Config.RolesByLoad).
@@ -66,6 +69,11 @@
 	if _, err := netip.ParseAddrPort(advertised); err != nil {
 		return nil, errors.Wrap(err, "parse the address advertised to siblings")
 	}
+	if options.SourceAddress != "" {
+		if _, err := netip.ParseAddr(options.SourceAddress); err != nil {
+			return nil, errors.Wrap(err, "parse the source address of connections to backend servers")
+		}
+	}
 	socket, err := heartbeat.Listen(settings.Siblings)
 	if err != nil {
 		return nil, err
@@ -74,7 +82,7 @@
 	p.rejected = new(platform.Rejected)
 	p.store = platform.NewStore(settings.Store, p.metrics.StoreCalled, p.rejected)
 	connections := upstream.DefaultConfig()
-	connections.Dial = options.DialServer
+	connections.Dial, connections.SourceAddress = options.DialServer, options.SourceAddress
 	p.backends = platform.NewBackends(connections, p.connectionLimit, p.backpressureOf)
 	config := edge.DefaultConfig()
 	config.Name, config.Zone, config.Capacity = settings.Name, settings.Zone, settings.Capacity
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -30,7 +30,11 @@
 func NewPool(address string, config Config) *Pool {
 	connect := config.Dial
 	if connect == nil {
-		connect = (&net.Dialer{KeepAlive: -1, Control: UserTimeout(config.SilenceTimeout)}).DialContext
+		dialer := &net.Dialer{KeepAlive: -1, Control: UserTimeout(config.SilenceTimeout)}
+		if config.SourceAddress != "" {
+			dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(config.SourceAddress)}
+		}
+		connect = dialer.DialContext
 	}
 	return &Pool{address: address, config: config, connect: connect}
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -42,6 +42,8 @@
 	// IdleTimeout is the time after which an idle connection is closed, unless
 	// the server announced another time.
 	IdleTimeout time.Duration
+	// SourceAddress, if set, is the local IP address of the connections.
+	SourceAddress string
 	// Dial, if set, opens connections in place of a net.Dialer. Its context ends after DialTimeout.
 	Dial Dial
 	// IdleMargin is the time before the end of an announced idle timeout from
