forward, sibling: refuse at once what no instance can reach, and tests of hand-overs

A request whose service is cut off and that all siblings declined went on to the instance's own links, which are known to fail, so that with hanging links its caller waited for each connection in turn.

Tests of the decision (declined, not sent, lost, refused), of the message between instances, of callers who leave, and a fuzz test of its parser.

--- a/forward/handover.go
+++ b/forward/handover.go
@@ -35,16 +35,18 @@
 const maxHandOvers = 4
 
 // serveWhenCutOff serves a request of a service whose servers this instance cannot reach: by a
-// sibling, or not at all if the request comes from a sibling. It returns nil if this instance is to
-// try its own links.
+// sibling, or not at all if the request comes from a sibling or none can serve it either. It returns
+// nil if this instance is to try its own links.
 func (f *flow) serveWhenCutOff() *Reply {
 	if !f.reachOf(f.service.Name).IsCutOff() {
 		return nil
 	}
-	if f.request.HandedOver != "" {
-		return f.refuse(reason.CutOff, "this instance reaches no server of the service")
+	if f.request.HandedOver == "" {
+		if reply := f.handOver(); reply != nil {
+			return reply
+		}
 	}
-	return f.handOver()
+	return f.refuse(reason.CutOff, "neither this instance nor a sibling that was asked reaches a server of the service")
 }
 
 // mayHandOver reports whether a request that would be refused is handed over instead, because the
--- /dev/null
+++ b/forward/handover_test.go
@@ -0,0 +1,98 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/reason"
+)
+
+// fakeSiblings are siblings that answer as a test says, in the order of their names.
+type fakeSiblings struct {
+	names []string
+	asked []string
+	serve func(to string) (*Reply, error)
+}
+
+func (s *fakeSiblings) Targets() []Sibling {
+	var targets []Sibling
+	for _, name := range s.names {
+		targets = append(targets, Sibling{Name: name})
+	}
+	return targets
+}
+
+func (s *fakeSiblings) Serve(_ context.Context, to Sibling, _ *Request, _ time.Time) (*Reply, error) {
+	s.asked = append(s.asked, to.Name)
+	return s.serve(to.Name)
+}
+
+// cutOff makes the bench lose its links to the servers of a service.
+func (b *bench) cutOff(service string) {
+	known := b.reachOf(service)
+	known.Failed("s1", time.Now())
+	known.Failed("s2", time.Now())
+	known.ConfirmCutOff()
+}
+
+func TestHandOverGoesOnOnlyIfTheRequestHasNotRun(t *testing.T) {
+	declined := &Reply{Status: 503, Reason: reason.CutOff}
+	served := &Reply{Status: 200}
+	refused := &Reply{Status: 503, Reason: reason.NoDecodeMemory}
+	tests := map[string]struct {
+		replies map[string]*Reply
+		errs    map[string]error
+		asked   int
+		status  int
+	}{
+		"served":         {map[string]*Reply{"a": served}, nil, 1, 200},
+		"declined":       {map[string]*Reply{"a": declined, "b": served}, nil, 2, 200},
+		"not sent":       {map[string]*Reply{"b": served}, map[string]error{"a": &NotRunError{Why: reason.ConnectFailed}}, 2, 200},
+		"refused":        {map[string]*Reply{"a": refused}, nil, 1, 503},
+		"lost":           {nil, map[string]error{"a": errors.New("broken")}, 1, 502},
+		"all declined":   {map[string]*Reply{"a": declined, "b": declined}, nil, 2, 503},
+		"failed at last": {map[string]*Reply{"a": declined, "b": {Status: 502, Reason: reason.AnswerLost}}, nil, 2, 502},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			withBench(t, func(b *bench) {
+				siblings := &fakeSiblings{names: []string{"a", "b"}, serve: func(to string) (*Reply, error) {
+					if reply := test.replies[to]; reply != nil {
+						copied := *reply
+						return &copied, nil
+					}
+					return nil, test.errs[to]
+				}}
+				b.Siblings = siblings
+				b.cutOff("web")
+				r := b.plain("x")
+				r.Method = "POST"
+				reply := b.serve(r)
+				if reply.Status != test.status || len(siblings.asked) != test.asked {
+					b.t.Errorf("status %d after %v", reply.Status, siblings.asked)
+				}
+				if own := b.callCount("call"); own != 0 {
+					b.t.Errorf("%d calls to servers", own)
+				}
+				b.checkNothingHeld()
+			})
+		})
+	}
+}
+
+func TestHandedOverRequestIsNotHandedOn(t *testing.T) {
+	withBench(t, func(b *bench) {
+		siblings := &fakeSiblings{names: []string{"a"}, serve: func(string) (*Reply, error) { return &Reply{Status: 200}, nil }}
+		b.Siblings = siblings
+		b.cutOff("web")
+		r := b.plain("x")
+		r.HandedOver = "c"
+		if reply := b.serve(r); reply.Status != 503 || reply.Reason != reason.CutOff || len(siblings.asked) > 0 || b.callCount("call") > 0 {
+			b.t.Errorf("status %d, %q, asked %v", reply.Status, reply.Reason, siblings.asked)
+		}
+		b.checkNothingHeld()
+	})
+}
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -33,7 +33,7 @@
 	ServerLeaving  Reason = "server_leaving"
 	OutsideRegions Reason = "outside_regions"
 	NoFreeSlot     Reason = "no_free_slot"
-	// CutOff is the reason of an instance that declines a request that a sibling handed over.
+	// CutOff is the reason of an instance that reaches no server of the request's service.
 	CutOff Reason = "cut_off"
 )
 
@@ -100,7 +100,7 @@
 	{ServersLimited, "the servers that could take it name a rate limit for all instances together, or have just started and bear few requests, and this instance's part leaves no room now", "none"},
 	{ServersResting, "the servers that could take it have turned this instance away and asked it to leave them alone for a while", "none"},
 	{OutsideRegions, "no backend server is in a region where the route and the team may be served", "route.regions, team.regions"},
-	{CutOff, "a sibling handed the request over, and this instance does not reach the servers of the service either", "none"},
+	{CutOff, "the instance reaches no server of the service, nor does a sibling that was asked", "none"},
 	{NoFreeSlot, "the service's servers have few slots, all instances together have as many calls there as end in time, and no slot was expected soon enough", "route.ttft_ms"},
 	{ServerLeaving, "the server said that it leaves after it had been chosen", "none"},
 	{ReserveRefused, "the steward had no room at the decode engine", "backend.pieces"},
--- /dev/null
+++ b/sibling/handover_test.go
@@ -0,0 +1,147 @@
+package sibling
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mastwheel/mastwheel/edge"
+	"github.com/mastwheel/mastwheel/forward"
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/table"
+	"github.com/mastwheel/mastwheel/upstream"
+)
+
+// startServer starts a server that serves requests with serve.
+func startServer(t *testing.T, serve func(context.Context, *forward.Request) *forward.Reply) forward.Sibling {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go NewServer(func(edge.Have) edge.Snapshot { return edge.Snapshot{} }, serve).Serve(listener)
+	return forward.Sibling{Name: "b", Address: listener.Addr().String()}
+}
+
+func testRequest() *forward.Request {
+	return &forward.Request{
+		ID: "a-1", Caller: "10.0.0.1", Method: "POST", Target: "/x?y=%20", Path: "/x", Host: "h", Fields: []forward.Field{{Name: "X", Value: "1"}},
+		Body: []byte("body\x00"), Arrived: time.Now(), Deadline: time.Now().Add(time.Minute), Key: table.DigestOf("key"), HasKey: true,
+		Generation: &forward.Generation{Model: "m", PromptTokens: 7, MaxTokens: 9}, LastEvent: "3",
+	}
+}
+
+func TestRequestIsHandedOverUnchanged(t *testing.T) {
+	sent := testRequest()
+	var got *forward.Request
+	to := startServer(t, func(_ context.Context, r *forward.Request) *forward.Reply {
+		got = r
+		return &forward.Reply{Status: 503, Fields: []forward.Field{{Name: "Connection-Like", Value: "x"}}, RetryAfter: 300 * time.Millisecond, Reason: reason.NoDecodeMemory, Body: []byte("no")}
+	})
+	reply, err := NewHandOver("a").Serve(t.Context(), to, sent, sent.Deadline)
+	if err != nil || reply.Status != 503 || reply.RetryAfter != 300*time.Millisecond || reply.Reason != reason.NoDecodeMemory || string(reply.Body) != "no" || len(reply.Fields) != 1 {
+		t.Fatalf("%+v, %v", reply, err)
+	}
+	if got.HandedOver != "a" || got.ID != sent.ID || got.Target != sent.Target || !bytes.Equal(got.Body, sent.Body) || got.Key != sent.Key || !got.HasKey || *got.Generation != *sent.Generation || got.LastEvent != "3" || got.Caller != sent.Caller || len(got.Fields) != 1 {
+		t.Fatalf("%+v", got)
+	}
+	if left := got.Deadline.Sub(sent.Deadline).Abs(); left > time.Second {
+		t.Fatalf("the deadline moved by %v", left)
+	}
+}
+
+func TestBrokenStreamOfASiblingIsNotComplete(t *testing.T) {
+	for name, end := range map[string]error{"whole": io.EOF, "broken": errors.New("broken")} {
+		t.Run(name, func(t *testing.T) {
+			to := startServer(t, func(context.Context, *forward.Request) *forward.Reply {
+				return &forward.Reply{Status: 200, Stream: &endingStream{rest: "id: 1\n\n", end: end}}
+			})
+			reply, err := NewHandOver("a").Serve(t.Context(), to, testRequest(), time.Now().Add(time.Minute))
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(reply.Stream)
+			reply.Stream.Close()
+			if string(body) != "id: 1\n\n" || (err == nil) != (end == io.EOF) {
+				t.Fatalf("%q, %v", body, err)
+			}
+		})
+	}
+}
+
+// endingStream is a body that ends with an error.
+type endingStream struct {
+	rest string
+	end  error
+}
+
+func (s *endingStream) Read(p []byte) (int, error) {
+	if s.rest == "" {
+		return 0, s.end
+	}
+	n := copy(p, s.rest)
+	s.rest = s.rest[n:]
+	return n, nil
+}
+
+func (s *endingStream) Close() error { return nil }
+
+func TestRequestEndsAtTheSiblingWhenItsCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	to := startServer(t, func(ctx context.Context, _ *forward.Request) *forward.Reply {
+		<-ctx.Done()
+		close(ended)
+		return &forward.Reply{Status: 502, Reason: reason.CallerGone}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if _, err := NewHandOver("a").Serve(ctx, to, testRequest(), time.Now().Add(time.Minute)); !errors.Is(err, upstream.ErrBroken) {
+		t.Fatal(err)
+	}
+	<-ended
+}
+
+func TestRequestIsNotSentToASiblingThatIsGone(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	var notRun *forward.NotRunError
+	to := forward.Sibling{Name: "b", Address: listener.Addr().String()}
+	if _, err := NewHandOver("a").Serve(t.Context(), to, testRequest(), time.Now().Add(time.Minute)); !errors.As(err, &notRun) || notRun.Sent {
+		t.Fatal(err)
+	}
+}
+
+// FuzzHandedOver checks that input which is no request that was handed over is refused and served by
+// nobody.
+func FuzzHandedOver(f *testing.F) {
+	f.Add([]byte("\xa1\x01aa"))
+	f.Add([]byte(strings.Repeat("\x9f", 40)))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		served := 0
+		s := NewServer(nil, func(_ context.Context, r *forward.Request) *forward.Reply {
+			served++
+			if r.HandedOver == "" {
+				t.Error("a request without a sender was served")
+			}
+			return &forward.Reply{Status: 200}
+		})
+		var ctx fasthttp.RequestCtx
+		ctx.Request.SetRequestURI(handOverPath)
+		ctx.Request.SetBody(body)
+		s.handle(&ctx)
+		if served == 0 && ctx.Response.StatusCode() != fasthttp.StatusBadRequest {
+			t.Errorf("status %d", ctx.Response.StatusCode())
+		}
+	})
+}
