forward, sibling: a service without servers is not cut off; order of reports

Found by reading: a service that was removed, or whose servers all left, while it was cut off kept its instance out of the directory for good, since nothing was left to probe (TestServiceWithoutServersIsNotCutOff fails before); and two reports of cuts could overtake each other, with the same result. Connections to siblings that are gone are forgotten.

--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -201,6 +201,7 @@
 	reaches sync.Map
 	// cutOffServices counts the services whose servers this instance cannot reach.
 	cutOffServices atomic.Int64
+	cutOffReport   sync.Mutex
 	// cleanups counts the tasks that outlive their request.
 	cleanups sync.WaitGroup
 }
--- a/forward/handover_test.go
+++ b/forward/handover_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,3 +99,92 @@
 		b.checkNothingHeld()
 	})
 }
+
+// watchReach runs the checks of the links until the returned function is called. reports holds what
+// was reported of cuts.
+func (b *bench) watchReach() (stop func(), reports func() []bool) {
+	var mu sync.Mutex
+	var reported []bool
+	b.OnCutOff = func(cutOff bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		reported = append(reported, cutOff)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.WatchReach(ctx)
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	return stop, func() []bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(reported)
+	}
+}
+
+func TestCutIsNoticedAndItsEndToo(t *testing.T) {
+	withBench(t, func(b *bench) {
+		var lost atomic.Bool
+		lost.Store(true)
+		b.engines.probe = func(string) error {
+			if lost.Load() {
+				return errConnectionReset
+			}
+			return nil
+		}
+		stop, reports := b.watchReach()
+		b.reachOf("web").Failed("s1", time.Now())
+		time.Sleep(time.Second)
+		if b.CutOffServices() != 0 {
+			b.t.Error("the failure of one server counts as a cut")
+		}
+		b.reachOf("web").Failed("s2", time.Now())
+		time.Sleep(time.Second)
+		if b.CutOffServices() != 1 {
+			b.t.Error("the cut was not noticed")
+		}
+		lost.Store(false)
+		time.Sleep(time.Second)
+		if got := reports(); b.CutOffServices() != 0 || !slices.Equal(got, []bool{true, false}) {
+			b.t.Errorf("%d services are cut off, reported %v", b.CutOffServices(), got)
+		}
+		stop()
+	})
+}
+
+func TestServiceWithoutServersIsNotCutOff(t *testing.T) {
+	for name, remove := range map[string]func(b *bench){
+		"its servers are gone": func(b *bench) {
+			next := *b.View.Servers()
+			next.Plain = nil
+			b.setServers(&next)
+		},
+		"it was removed": func(b *bench) { delete(b.View.Table().Services, "web") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withBench(t, func(b *bench) {
+				b.engines.probe = func(string) error { return errConnectionReset }
+				b.reachOf("web").Failed("s1", time.Now())
+				b.reachOf("web").Failed("s2", time.Now())
+				stop, reports := b.watchReach()
+				time.Sleep(time.Second)
+				stop()
+				if !slices.Equal(reports(), []bool{true}) {
+					b.t.Errorf("reported %v", reports())
+				}
+				remove(b)
+				stop, reports = b.watchReach()
+				time.Sleep(time.Second)
+				stop()
+				if b.CutOffServices() != 0 || !slices.Equal(reports(), []bool{false}) {
+					b.t.Errorf("%d services are cut off, reported %v", b.CutOffServices(), reports())
+				}
+			})
+		})
+	}
+}
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -63,7 +63,7 @@
 	if !g.reachOf(service).Answered() {
 		return
 	}
-	klog.InfoS("A server of a service answers again", "service", service)
+	klog.InfoS("A server of a service answers again, or the service has none any more", "service", service)
 	// The failures before were those of the links.
 	for _, entry := range g.entriesOf(service) {
 		if server := g.Fleet.Server(entry.Run()); server != nil {
@@ -80,9 +80,16 @@
 		if view == nil {
 			continue
 		}
-		for name, service := range view.Services {
-			g.checkReach(ctx, service, g.entriesOf(name))
-		}
+		g.reaches.Range(func(name, _ any) bool {
+			service, entries := view.Services[name.(string)], g.entriesOf(name.(string))
+			if service == nil || len(entries) == 0 {
+				// There is nothing to be cut off from.
+				g.recordAnswer(name.(string))
+				return true
+			}
+			g.checkReach(ctx, service, entries)
+			return true
+		})
 	}
 }
 
@@ -108,10 +115,7 @@
 			known.Failed(entry.Run(), now)
 		}
 	}
-	if len(entries) == 0 || !known.Suspected(len(entries)) && !known.IsCutOff() {
-		return
-	}
-	if !known.BeginProbe() {
+	if !known.Suspected(len(entries)) && !known.IsCutOff() || !known.BeginProbe() {
 		return
 	}
 	go func() {
@@ -153,8 +157,12 @@
 // cutOffChanged counts the services that are cut off, and reports when the first becomes so or the
 // last no longer is.
 func (g *Gateway) cutOffChanged(change int64) {
+	// The lock keeps the reports in the order of the counts.
+	g.cutOffReport.Lock()
+	defer g.cutOffReport.Unlock()
+	before := g.cutOffServices.Load()
 	count := g.cutOffServices.Add(change)
-	if g.OnCutOff != nil && (count == 0 || count == change) {
+	if g.OnCutOff != nil && (before > 0) != (count > 0) {
 		g.OnCutOff(count > 0)
 	}
 }
--- a/sibling/handover.go
+++ b/sibling/handover.go
@@ -108,12 +108,15 @@
 	return pool
 }
 
-// Prune closes the connections that were idle for too long.
+// Prune closes the connections that were idle for too long, and forgets siblings without connections.
 func (h *HandOver) Prune(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, pool := range h.pools {
+	for address, pool := range h.pools {
 		pool.Prune(now)
+		if pool.IsEmpty() {
+			delete(h.pools, address)
+		}
 	}
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -126,6 +126,13 @@
 	p.idle = append(p.idle, conn)
 }
 
+// IsEmpty reports whether the pool has no connections.
+func (p *Pool) IsEmpty() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open == 0
+}
+
 // Prune closes the connections whose idle timeout has passed.
 func (p *Pool) Prune(now time.Time) {
 	p.mu.Lock()
