forward: fewer wake-ups and no lock on the path of requests for the links' state

The links are checked each 0.2 s, without a list of the servers unless they are suspected, and a choice that finds a server takes no lock.

--- a/forward/flow.go
+++ b/forward/flow.go
@@ -185,8 +185,10 @@
 		outcome = made.Pick
 	}
 	chosen := decision{at: query.Now, step: stepChoose, outcome: outcome, rated: made.Rated}
-	if failed, since := f.reachOf(f.service.Name).State(); made.Selected == nil && failed > 0 {
-		chosen.inputs = []any{"failedServers", failed, "noAnswerMillis", query.Now.Sub(since).Milliseconds()}
+	if made.Selected == nil {
+		if failed, since := f.reachOf(f.service.Name).State(); failed > 0 {
+			chosen.inputs = []any{"failedServers", failed, "noAnswerMillis", query.Now.Sub(since).Milliseconds()}
+		}
 	}
 	f.recordDecision(chosen)
 	if made.Selected != nil {
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -9,7 +9,6 @@
 
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/reason"
-	"github.com/mastwheel/mastwheel/table"
 )
 
 // An instance whose links to the servers fail hands requests over to a sibling, which serves them by
@@ -68,8 +67,7 @@
 // reached recently.
 func (f *flow) manyUnreached() bool {
 	now, all, unreached := clock.Now(), 0, 0
-	servers := f.View.Servers()
-	for _, pool := range [][]*table.BackendView{servers.Plain[f.service.Name], servers.Prefill[f.service.Name], servers.Decode[f.service.Name]} {
+	for _, pool := range f.poolsOf(f.service.Name) {
 		for _, backend := range pool {
 			all++
 			if server := f.Fleet.Server(backend.Name); server != nil && server.IsUnreached(now) {
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -19,7 +19,7 @@
 
 const (
 	// reachCheckInterval is the pause between two checks of the links to the servers.
-	reachCheckInterval = 100 * time.Millisecond
+	reachCheckInterval = 200 * time.Millisecond
 	// silentAfter is the time without an answer after which a server with waiting requests counts as
 	// failed for this purpose. One silent server is no cut, and any answer of another outweighs it.
 	silentAfter = 700 * time.Millisecond
@@ -81,25 +81,25 @@
 			continue
 		}
 		g.reaches.Range(func(name, _ any) bool {
-			service, entries := view.Services[name.(string)], g.entriesOf(name.(string))
-			if service == nil || len(entries) == 0 {
-				// There is nothing to be cut off from.
-				g.recordAnswer(name.(string))
-				return true
-			}
-			g.checkReach(ctx, service, entries)
+			g.checkReach(ctx, name.(string), view.Services[name.(string)])
 			return true
 		})
 	}
 }
 
+// poolsOf returns the pools of the servers of a service.
+func (g *Gateway) poolsOf(service string) [3][]*table.BackendView {
+	servers := g.View.Servers()
+	return [...][]*table.BackendView{servers.Plain[service], servers.Prefill[service], servers.Decode[service]}
+}
+
 // entriesOf returns the servers of a service.
 func (g *Gateway) entriesOf(service string) []*registry.Entry {
-	servers := g.View.Servers()
+	byRun := g.View.Servers().ByRun
 	var entries []*registry.Entry
-	for _, pool := range [][]*table.BackendView{servers.Plain[service], servers.Prefill[service], servers.Decode[service]} {
+	for _, pool := range g.poolsOf(service) {
 		for _, backend := range pool {
-			if entry := servers.ByRun[backend.Name]; entry != nil {
+			if entry := byRun[backend.Name]; entry != nil {
 				entries = append(entries, entry)
 			}
 		}
@@ -107,17 +107,32 @@
 	return entries
 }
 
-// checkReach probes the servers of a service if its links are suspected or cut off.
-func (g *Gateway) checkReach(ctx context.Context, service *table.ServiceView, entries []*registry.Entry) {
-	known, now := g.reachOf(service.Name), clock.Now()
-	for _, entry := range entries {
-		if server := g.Fleet.Server(entry.Run()); server != nil && server.SilentFor(now) > silentAfter {
-			known.Failed(entry.Run(), now)
+// recordSilence records the servers of a service that are silent, and returns the number of all.
+func (g *Gateway) recordSilence(service string, known *reach.Service, now time.Time) (servers int) {
+	for _, pool := range g.poolsOf(service) {
+		for _, backend := range pool {
+			servers++
+			if server := g.Fleet.Server(backend.Name); server != nil && server.SilentFor(now) > silentAfter {
+				known.Failed(backend.Name, now)
+			}
 		}
 	}
-	if !known.Suspected(len(entries)) && !known.IsCutOff() || !known.BeginProbe() {
+	return servers
+}
+
+// checkReach probes the servers of a service if its links are suspected or cut off.
+func (g *Gateway) checkReach(ctx context.Context, name string, service *table.ServiceView) {
+	known := g.reachOf(name)
+	servers := g.recordSilence(name, known, clock.Now())
+	if service == nil || servers == 0 {
+		// There is nothing to be cut off from.
+		g.recordAnswer(name)
+		return
+	}
+	if !known.Suspected(servers) && !known.IsCutOff() || !known.BeginProbe() {
 		return
 	}
+	entries := g.entriesOf(name)
 	go func() {
 		defer known.EndProbe()
 		if g.probeAny(ctx, service, entries) {
