sibling, forward: siblings of an older version, or that stop, decline hand-overs

While instances are replaced, a sibling of the version before answers 404 to a request that is handed over. That was taken for a lost answer, so that the request ended with 502 although nothing had run; another sibling is asked now, as after one that stops or has no table yet. Both tests fail before.

--- a/forward/handover.go
+++ b/forward/handover.go
@@ -109,10 +109,11 @@
 	return nil
 }
 
-// declined reports whether a sibling cannot reach the servers either.
+// declined reports whether a sibling cannot serve a request either, because it reaches no server, is
+// stopping or has just started.
 func declined(reply *Reply) bool {
 	switch reply.Reason {
-	case reason.CutOff, reason.ConnectFailed, reason.NoBackend:
+	case reason.CutOff, reason.ConnectFailed, reason.NoBackend, reason.Stopping, reason.StaleTable:
 		return promisesNotRun(reply.Status)
 	}
 	return false
--- a/forward/handover_test.go
+++ b/forward/handover_test.go
@@ -54,6 +54,7 @@
 		"served":         {map[string]*Reply{"a": served}, nil, 1, 200},
 		"declined":       {map[string]*Reply{"a": declined, "b": served}, nil, 2, 200},
 		"not sent":       {map[string]*Reply{"b": served}, map[string]error{"a": &NotRunError{Why: reason.ConnectFailed}}, 2, 200},
+		"stopping":       {map[string]*Reply{"a": {Status: 503, Reason: reason.Stopping}, "b": served}, nil, 2, 200},
 		"refused":        {map[string]*Reply{"a": refused}, nil, 1, 503},
 		"lost":           {nil, map[string]error{"a": errors.New("broken")}, 1, 502},
 		"all declined":   {map[string]*Reply{"a": declined, "b": declined}, nil, 2, 503},
--- a/sibling/handover.go
+++ b/sibling/handover.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -152,8 +153,13 @@
 	return upstream.Message{Method: http.MethodPost, Bytes: out.Bytes()}, nil
 }
 
-// readReply reads a sibling's reply. A stream is read by whoever gets the reply.
+// readReply reads a sibling's reply. A stream is read by whoever gets the reply. A sibling of a version
+// that does not know the path, or cannot decode the request, does not run it.
 func readReply(answer *upstream.Answer) (*forward.Reply, error) {
+	if answer.StatusCode == http.StatusNotFound || answer.StatusCode == http.StatusBadRequest {
+		answer.Close()
+		return nil, &forward.NotRunError{Why: reason.BackendRefused, Sent: true, Detail: "status " + strconv.Itoa(answer.StatusCode) + " of the sibling"}
+	}
 	head, err := readHead(answer)
 	if err != nil {
 		answer.Close()
--- a/sibling/handover_test.go
+++ b/sibling/handover_test.go
@@ -122,6 +122,20 @@
 	}
 }
 
+func TestSiblingOfAnOlderVersionDoesNotRunTheRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go fasthttp.Serve(listener, func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNotFound) })
+	var notRun *forward.NotRunError
+	to := forward.Sibling{Name: "b", Address: listener.Addr().String()}
+	if _, err := NewHandOver("a").Serve(t.Context(), to, testRequest(), time.Now().Add(time.Minute)); !errors.As(err, &notRun) {
+		t.Fatal(err)
+	}
+}
+
 // FuzzHandedOver checks that input which is no request that was handed over is refused and served by
 // nobody.
 func FuzzHandedOver(f *testing.F) {
