forward: a request that was handed over is not handled by an older table

The request carries the revision by which it was handed over, and a sibling with an older table declines it, so that another one is asked.

TestHandedOverRequestIsNotServedByAnOlderTable got 404 before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,6 +43,8 @@
 	// HandedOver is the name of the sibling that handed the request over to this instance; empty
 	// if its caller sent it here.
 	HandedOver string
+	// Revision is the revision of the table by which that sibling decided.
+	Revision uint64
 	// Generation is set for requests to model services.
 	Generation *Generation
 	// LastEvent is the id of the last event that the caller has received; empty at the start
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -307,6 +307,9 @@
 		return f.refuse(reason.StaleTable, "no table has been received yet")
 	}
 	f.revision = view.Revision
+	if r.HandedOver != "" && view.Revision < r.Revision {
+		return f.refuse(reason.StaleTable, "the table in force is older than that of the sibling that handed the request over")
+	}
 	f.route = view.Route(r.Host, r.Path)
 	if f.route == nil {
 		return f.end(&Reply{Status: statusNotFound, Reason: reason.UnknownService}, "no route matches the request")
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -85,6 +85,8 @@
 		return nil
 	}
 	f.askedSiblings = true
+	handed := *f.request
+	handed.Revision = f.revision
 	// The sibling that serves the request charges its team.
 	f.refund(reason.NotRun)
 	ctx, cancel := clock.WithDeadline(f.caller, f.deadline)
@@ -93,7 +95,7 @@
 			break
 		}
 		began := clock.Now()
-		reply, err := f.Siblings.Serve(ctx, sibling, f.request, f.deadline)
+		reply, err := f.Siblings.Serve(ctx, sibling, &handed, f.deadline)
 		f.recordHandOver(sibling, began, reply, err)
 		switch {
 		case err == nil && !declined(reply):
@@ -110,7 +112,7 @@
 }
 
 // declined reports whether a sibling cannot serve a request either, because it reaches no server, is
-// stopping or has just started.
+// stopping, or has no table yet or an older one.
 func declined(reply *Reply) bool {
 	switch reply.Reason {
 	case reason.CutOff, reason.ConnectFailed, reason.NoBackend, reason.Stopping, reason.StaleTable:
--- a/forward/handover_test.go
+++ b/forward/handover_test.go
@@ -87,6 +87,20 @@
 	}
 }
 
+func TestHandedOverRequestIsNotServedByAnOlderTable(t *testing.T) {
+	withBench(t, func(b *bench) {
+		r := b.plain("x")
+		r.Path, r.Target = "/added/x", "/added/x"
+		r.HandedOver, r.Revision = "c", b.View.Table().Revision+1
+		if reply := b.serve(r); reply.Status != 503 || reply.Reason != reason.StaleTable {
+			b.t.Errorf("status %d, %q", reply.Status, reply.Reason)
+		}
+		if r.Revision--; b.serve(r).Status != 404 {
+			b.t.Error("a route that no table has was not answered 404")
+		}
+	})
+}
+
 func TestHandedOverRequestIsNotHandedOn(t *testing.T) {
 	withBench(t, func(b *bench) {
 		siblings := &fakeSiblings{names: []string{"a"}, serve: func(string) (*Reply, error) { return &Reply{Status: 200}, nil }}
