--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -219,19 +219,30 @@
 		fleet.Server(id).Prefills.Measure(testPrefillRate, time.Second)
 	}
 	budget := route.NewSharedBudget(0.2, 10*time.Second, 20, time.Now())
-	random := rand.New(rand.NewPCG(1, 2))
+	random := lockedRandom(1, 2)
 	b := &bench{engines: &engines{prefillTime: 50 * time.Millisecond}, t: t}
 	config := DefaultConfig()
 	config.ForecastEngines = 0
 	view := &testView{view: testTable.Compile()}
 	view.servers.Store(servers)
 	b.Gateway = New(Deps{
-		Zone: "z", View: view, Fleet: fleet, Backends: b.engines, Budget: func(string) *route.SharedBudget { return budget }, Metrics: metrics.New(), Random: random.Float64,
-		Poison: poison.New(poison.DefaultConfig(), random.Float64, func() int { return 1 }),
+		Zone: "z", View: view, Fleet: fleet, Backends: b.engines, Budget: func(string) *route.SharedBudget { return budget }, Metrics: metrics.New(), Random: random,
+		Poison: poison.New(poison.DefaultConfig(), random, func() int { return 1 }),
 	}, config)
 	return b
 }
 
+// lockedRandom returns a seeded source of random numbers in [0,1) for several goroutines.
+func lockedRandom(seed1, seed2 uint64) func() float64 {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed1, seed2))
+	return func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.Float64()
+	}
+}
+
 // generation returns a generation request on the route "stream".
 func (b *bench) generation(id string, prompt int) *Request {
 	now := time.Now()
