--- a/forward/handover.go
+++ b/forward/handover.go
@@ -19,7 +19,7 @@
 	// Targets returns the siblings that may serve a request of this instance, the best first.
 	Targets() []Sibling
 	// Serve has a sibling serve a request by a deadline. Its error is a *NotRunError if the
-	// request was not sent. After any other error a server may have run it.
+	// request certainly did not run. After any other error a server may have run it.
 	Serve(ctx context.Context, to Sibling, r *Request, deadline time.Time) (*Reply, error)
 }
 
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -66,8 +66,8 @@
 }
 
 // ConfirmCutOff records that a probe found no server either. It changes nothing if a server has
-// answered since the probe began, and reports whether the service is cut off from now on and was not
-// before.
+// answered meanwhile and none has failed since, and reports whether the service is cut off from now on
+// and was not before.
 func (s *Service) ConfirmCutOff() (began bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
