forward, metrics: at which version of the servers' software a stream continues

Change: step "continue" of a request's lines, the version in step "decode", mastwheel_streams_continued_total by how and match. A stream that continued at another version is always logged. No decision changes.

--- a/forward/decision.go
+++ b/forward/decision.go
@@ -46,6 +46,7 @@
 	stepRetry    = "retry"
 	stepStream   = "stream"
 	stepMove     = "move"
+	stepContinue = "continue"
 	stepHandOver = "hand_over"
 )
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -50,6 +50,9 @@
 	// LastEvent is the id of the last event that the caller has received; empty at the start
 	// of a stream.
 	LastEvent string
+	// Resumes is the ID of the request that brought the stream's first event, if the caller takes a
+	// stream up and names it.
+	Resumes string
 }
 
 // Generation holds the model parameters of a request.
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
 )
@@ -30,6 +31,9 @@
 	// resumed is set if the caller already had the start of the stream when its request
 	// arrived.
 	resumed bool
+	// continuedBy is how the stream continues, from its continuation until its next event; empty for
+	// a new stream.
+	continuedBy metrics.Continuation
 	// runs counts the engines that may have run the request.
 	runs int
 	// noRerun is set once a run at another engine was not possible.
@@ -79,6 +83,9 @@
 		since: f.request.Arrived, target: f.request.Arrived.Add(f.route.TTFT),
 		resumed: f.request.LastEvent != "",
 	}
+	if g.resumed {
+		g.continuedBy = metrics.ContinuedByCaller
+	}
 	g.expected = f.lengthsOf(f.service.Name).ExpectedTokens(expectedLength(f.request.Generation))
 	g.need = expectedMemory(f.request.Generation, g.expected, f.margin())
 	f.sizesOf(f.service.Name).RecordStart(g.need, g.expected)
@@ -180,7 +187,7 @@
 	if g.ctx.Err() == nil {
 		g.updateServer(server, err)
 	}
-	g.record(stepDecode, resultOf(err), "server", g.decode.Name, "unread", unread)
+	g.record(stepDecode, resultOf(err), "server", g.decode.Name, "version", g.entry(g.decode).Release, "unread", unread)
 	end := func() { done(); endAwait(); g.endPromptRead() }
 	if err != nil {
 		g.stopStallTimer()
--- a/forward/move.go
+++ b/forward/move.go
@@ -381,7 +381,7 @@
 func (r *relay) continueStopped(order DecodeRequest) error {
 	stream, err := r.decodeOnce(order, 0)
 	if err == nil {
-		return r.continueWith(stream)
+		return r.continueWith(stream, metrics.ContinuedByMove)
 	}
 	r.recordSend(r.ctx, r.decode, err)
 	var notRun *NotRunError
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -40,8 +40,9 @@
 	// promptPending is set if the engine had a prompt to read at the last event.
 	promptPending bool
 	closed        bool
-	// continued is set from the continuation of the stream by another run until its first event.
-	continued bool
+	// beganAt is the release of the engine that sent the first event; empty before that, and if the
+	// caller has taken the stream up.
+	beganAt string
 	// endPassedOn is set once the reader got the proper end of the stream.
 	endPassedOn bool
 	// move is the transfer of the running stream to another engine while it is in progress.
@@ -171,7 +172,7 @@
 		r.decode.Server.Breaker.Failure(clock.Now())
 	}
 	if stream, failed := r.rerun(r.ended); failed == nil {
-		if err := r.continueWith(stream); err != nil {
+		if err := r.continueWith(stream, metrics.ContinuedByRerun); err != nil {
 			r.record(stepRetry, "failed", "status", stream.Status)
 		}
 	}
@@ -198,7 +199,7 @@
 
 // continueWith reads on from another engine's stream. An answer with another status than the
 // caller got, such as the engine's own failure, is not appended to what the caller got.
-func (r *relay) continueWith(next *Stream) error {
+func (r *relay) continueWith(next *Stream, how metrics.Continuation) error {
 	r.stream = next
 	if next.Status != r.status {
 		r.stopStallTimer()
@@ -206,7 +207,7 @@
 		r.cancelRun()
 		return &statusError{status: next.Status}
 	}
-	r.ended, r.continued, r.unfinished = nil, true, 0
+	r.ended, r.continuedBy, r.unfinished = nil, how, 0
 	return nil
 }
 
@@ -229,14 +230,14 @@
 	case r.events == 0:
 		r.firstEventAfter = now.Sub(r.request.Arrived)
 		r.Metrics.FirstToken.WithLabelValues(r.service.Name).Observe(r.firstEventAfter.Seconds())
-	case r.continued:
+	case r.continuedBy != "":
 		// The pause includes the time that it took to continue elsewhere.
 		r.longestPause = max(r.longestPause, now.Sub(r.lastEventAt))
 	default:
 		r.recordPause(now.Sub(r.lastEventAt))
 		r.recordEventTime(events, now)
 	}
-	r.continued = false
+	r.noteRelease()
 	r.promptPending = r.decode.Server.WaitingTokens() > 0
 	r.lastEventAt = now
 	r.events += events
@@ -244,6 +245,29 @@
 	r.grow(r.request.Generation.PromptTokens + r.generated())
 }
 
+// noteRelease records at which release the stream began, and counts its continuation at the same or
+// another one.
+func (r *relay) noteRelease() {
+	release := r.entry(r.decode).Release
+	if r.beganAt == "" && !r.resumed {
+		r.beganAt, r.continuedBy = release, ""
+	}
+	if r.continuedBy == "" {
+		return
+	}
+	match := metrics.SameRelease
+	switch {
+	case r.beganAt == "":
+		match = metrics.UnknownRelease
+	case r.beganAt != release:
+		match = metrics.OtherRelease
+	}
+	r.Metrics.StreamContinued(r.continuedBy, match)
+	r.record(stepContinue, string(match), "how", string(r.continuedBy), "began", r.beganAt, "version", release)
+	r.alwaysLog = r.alwaysLog || match == metrics.OtherRelease
+	r.continuedBy = ""
+}
+
 // recordPause records a pause between two events.
 func (r *relay) recordPause(pause time.Duration) {
 	r.longestPause = max(r.longestPause, pause)
@@ -287,7 +311,7 @@
 	r.record(stepStream, resultOf(r.ended), "events", r.events, "firstMillis", r.firstEventAfter.Milliseconds(), "longestGapMillis", r.longestPause.Milliseconds(),
 		"endsWithConnection", r.stream.EndsWithConnection, "unfinishedBytes", r.unfinished)
 	r.Metrics.StreamEnded(r.stream.EndsWithConnection, r.streamEnd())
-	r.alwaysLog = r.unfinished > 0
+	r.alwaysLog = r.alwaysLog || r.unfinished > 0
 	r.close(r.status, why, detail)
 	return nil
 }
--- a/metrics/streams.go
+++ b/metrics/streams.go
@@ -42,3 +42,42 @@
 	}
 	s.streamEnds.WithLabelValues(framing, string(end)).Inc()
 }
+
+// Continuation is how a stream continued after its first run.
+type Continuation string
+
+// Ways in which a stream continues.
+const (
+	// ContinuedByRerun is a further run in the same answer, after a break or a stall.
+	ContinuedByRerun Continuation = "rerun"
+	// ContinuedByMove is the same run at another engine, or at its own after a move that failed.
+	ContinuedByMove Continuation = "move"
+	// ContinuedByCaller is a request that names the last event that its caller has.
+	ContinuedByCaller Continuation = "taken_up"
+)
+
+// ReleaseMatch is whether a stream continued at the release (the version of the servers' software) at
+// which it began.
+type ReleaseMatch string
+
+// Values of a ReleaseMatch.
+const (
+	SameRelease    ReleaseMatch = "same"
+	OtherRelease   ReleaseMatch = "other"
+	UnknownRelease ReleaseMatch = "unknown"
+)
+
+func newContinuations() *prometheus.CounterVec {
+	continued := counters("streams_continued_total", "Streams that continued, by how and by whether at the version of the servers' software at which they began.", "how", "version")
+	for _, how := range []Continuation{ContinuedByRerun, ContinuedByMove, ContinuedByCaller} {
+		for _, match := range []ReleaseMatch{SameRelease, OtherRelease, UnknownRelease} {
+			continued.WithLabelValues(string(how), string(match))
+		}
+	}
+	return continued
+}
+
+// StreamContinued counts a stream that continued.
+func (s *Set) StreamContinued(how Continuation, match ReleaseMatch) {
+	s.continued.WithLabelValues(string(how), string(match)).Inc()
+}
