forward: a stream continues only at the version that began it

Callers saw: streams with events of two versions of the servers' software. Cause: after a break or a stall, and for a move, the next engine was chosen like the first one. The version of the servers, which their entries have, took part in no decision. Change: the stream's first event fixes its origin (service and version). Every later choice of an engine for it, of the one that decodes, of the one that reads the prompt again, of the destination of a move, and the check whether a silent run could continue elsewhere, regards only engines of that version. Without one the run is not ended for its silence, no retry is spent, and what is broken breaks off. New reason version_gone.

--- a/forward/flow.go
+++ b/forward/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -9,6 +10,7 @@
 	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/forecast"
+	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
@@ -39,6 +41,8 @@
 	allotmentUsed float64
 	// regions are the regions whose servers may serve the request.
 	regions regions
+	// origin is where the stream began; nil before its caller has an event of it.
+	origin atomic.Pointer[origin.Origin]
 	// deadline is when the caller must have its answer.
 	deadline time.Time
 	// release removes the request from the count of requests in flight.
@@ -155,7 +159,8 @@
 }
 
 // rate runs a profile over the servers of a pool that may serve the request. It returns false if
-// none of them is in a region where the request may be served.
+// none of them is in a region where the request may be served, or none runs the release at which the
+// stream began.
 func (f *flow) rate(query *route.Query, profile *route.Profile, from pool) (made route.Decision, possible bool) {
 	f.servers = f.View.Servers()
 	f.unavailable, f.availableAt = reason.None, time.Time{}
@@ -167,7 +172,13 @@
 		f.record(stepChoose, "none", "why", f.unavailable)
 		return route.Decision{}, false
 	}
-	made = profile.Decide(query, f.Fleet, within)
+	fitting := f.atOrigin(f.servers, within)
+	if len(fitting) == 0 && len(within) > 0 {
+		f.unavailable = reason.VersionGone
+		f.record(stepChoose, "none", "why", f.unavailable, "version", f.origin.Load().Release)
+		return route.Decision{}, false
+	}
+	made = profile.Decide(query, f.Fleet, fitting)
 	f.countSpeedChoice(profile, made.Rated)
 	return made, true
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -40,9 +40,6 @@
 	// promptPending is set if the engine had a prompt to read at the last event.
 	promptPending bool
 	closed        bool
-	// beganAt is the release of the engine that sent the first event; empty before that, and if the
-	// caller has taken the stream up.
-	beganAt string
 	// endPassedOn is set once the reader got the proper end of the stream.
 	endPassedOn bool
 	// move is the transfer of the running stream to another engine while it is in progress.
@@ -237,7 +234,7 @@
 		r.recordPause(now.Sub(r.lastEventAt))
 		r.recordEventTime(events, now)
 	}
-	r.noteRelease()
+	r.recordOrigin()
 	r.promptPending = r.decode.Server.WaitingTokens() > 0
 	r.lastEventAt = now
 	r.events += events
@@ -245,29 +242,6 @@
 	r.grow(r.request.Generation.PromptTokens + r.generated())
 }
 
-// noteRelease records at which release the stream began, and counts its continuation at the same or
-// another one.
-func (r *relay) noteRelease() {
-	release := r.entry(r.decode).Release
-	if r.beganAt == "" && !r.resumed {
-		r.beganAt, r.continuedBy = release, ""
-	}
-	if r.continuedBy == "" {
-		return
-	}
-	match := metrics.SameRelease
-	switch {
-	case r.beganAt == "":
-		match = metrics.UnknownRelease
-	case r.beganAt != release:
-		match = metrics.OtherRelease
-	}
-	r.Metrics.StreamContinued(r.continuedBy, match)
-	r.record(stepContinue, string(match), "how", string(r.continuedBy), "began", r.beganAt, "version", release)
-	r.alwaysLog = r.alwaysLog || match == metrics.OtherRelease
-	r.continuedBy = ""
-}
-
 // recordPause records a pause between two events.
 func (r *relay) recordPause(pause time.Duration) {
 	r.longestPause = max(r.longestPause, pause)
--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -6,6 +6,7 @@
 
 	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/table"
 	"github.com/mastwheel/mastwheel/upstream"
@@ -25,6 +26,10 @@
 func (g *generation) rerun(why error) (*Stream, *stepError) {
 	failed := &stepError{why: reason.StreamBroken, detail: why.Error(), unknownOutcome: why}
 	g.noRerun = true
+	if !g.hasOriginElsewhere() {
+		g.record(stepRetry, "no", "why", reason.VersionGone, "runs", g.runs, "version", g.origin.Load().Release)
+		return nil, failed
+	}
 	if !g.Budget(g.service.Name).Spend(clock.Now()) {
 		g.record(stepRetry, "no", "why", reason.StreamBroken, "runs", g.runs, "budgetLeft", 0)
 		return nil, failed
@@ -80,7 +85,7 @@
 	if !g.mayRerun() {
 		return ctx, cancel
 	}
-	service, at, need, allowed := g.service.Name, g.decode.Name, g.need, g.regions
+	service, at, need, allowed, began := g.service.Name, g.decode.Name, g.need, g.regions, &g.origin
 	recheck := g.stallAfter(1)
 	var stall *time.Timer
 	ready := make(chan struct{})
@@ -89,7 +94,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if g.Gateway.hasRoomElsewhere(at, service, need, allowed) {
+		if g.Gateway.hasRoomElsewhere(at, service, need, allowed, began.Load()) {
 			cancel()
 			return
 		}
@@ -104,13 +109,18 @@
 // the reading of its prompt.
 const rerunCost = 2
 
-// hasRoomElsewhere reports whether an engine other than excluded, in the allowed regions,
-// would accept a run that needs that much memory, and whether the retry budget allows it.
-func (g *Gateway) hasRoomElsewhere(excluded, service string, need int, allowed regions) bool {
+// hasRoomElsewhere reports whether an engine other than excluded, in the allowed regions and of the
+// release at which the stream began, would accept a run that needs that much memory, and whether the
+// retry budget allows it. began is nil before the stream's first event.
+func (g *Gateway) hasRoomElsewhere(excluded, service string, need int, allowed regions, began *origin.Origin) bool {
 	if g.Budget(service).Left(clock.Now()) < rerunCost {
 		return false
 	}
-	for _, backend := range g.View.Servers().Decode[service] {
+	servers := g.View.Servers()
+	for _, backend := range servers.Decode[service] {
+		if began != nil && !servers.isAt(backend, began) {
+			continue
+		}
 		server := g.Fleet.Server(backend.Name)
 		if backend.Name == excluded || backend.Drain || !allowed.contains(backend, g.RegionOf) || server == nil || server.Pressure.Check(backpressure.ReserveWork, clock.Now()) != backpressure.Clear {
 			continue
