edge, forward, origin: a stream that its caller takes up continues at its version

Cause: the instance that gets the new request did not know where the stream began, and served it like a new one. Nothing recorded it. Change: each instance records the origin (service and version) of the streams that begin there, and of versions the list shows which ones served in the last minute. A stream that is taken up continues at the version of its record; else at the only one that served in that minute, without a question to anybody; else siblings are asked, of which three keep the record of each stream while several versions serve. If nobody knows, or the version is gone, the request is refused at once (version_unknown, version_gone). The list counts only if it is confirmed, as a lagging one may lack a version. An instance that starts gets the history of versions from its siblings, and after a loss of all instances from the store, where one instance keeps it. Records are bounded: 16,384 of each kind. A request that is handed over takes its origin along, on a path that siblings of an older version of our own do not know.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -100,6 +100,7 @@
 		Servers:        platform.Servers{Store: p.store},
 		Roster:         platform.Roster{Store: p.store},
 		Claims:         platform.Claims{Store: p.store},
+		Releases:       platform.Releases{Store: p.store},
 		Engines:        p.backends,
 		Siblings:       sibling.NewClient(),
 		Socket:         socket,
@@ -111,6 +112,7 @@
 		Siblings: siblings{Instance: p.edge, HandOver: p.handOver}, OnCutOff: p.edge.SetCutOff,
 		Zone: settings.Zone, RegionOf: settings.Regions, View: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
 		Budget: p.edge.Budget, Allotments: p.edge.Allotments, Metrics: p.metrics, Poison: p.edge.Poison, Random: rand.Float64,
+		Origins: p.edge.Origins,
 	}, forward.DefaultConfig())
 	p.registerMetrics()
 	p.registerEraMetrics()
--- a/edge/deps.go
+++ b/edge/deps.go
@@ -119,6 +119,7 @@
 	Servers  ServerList
 	Roster   Roster
 	Claims   Claims
+	Releases ReleaseStore
 	Engines  Engines
 	Siblings Siblings
 	Socket   Socket
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -63,6 +63,8 @@
 	orders *orders
 	hubs   *hubs
 	speeds *speeds
+	// Origins holds at which releases streams began.
+	Origins *origins
 	// longPolls is set while this instance leaves long polls waiting at the store.
 	longPolls atomic.Bool
 	// longPollsBegin is closed and replaced when longPolls becomes true.
@@ -116,6 +118,7 @@
 	in.orders = newOrders(in)
 	in.hubs = newHubs(in.config)
 	in.speeds = newSpeeds()
+	in.Origins = newOrigins(in)
 	in.loadsReceived = make(chan struct{}, 1)
 	begins := make(chan struct{})
 	in.longPollsBegin.Store(&begins)
@@ -137,6 +140,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	loops := []func(context.Context){
 		in.followRoster, in.catchUp, in.heartbeatLoop, in.followLoads, in.tick, in.keepFresh, in.followEra, in.orders.run, in.followSpeeds,
+		in.Origins.run, in.Origins.followReleases,
 	}
 	for _, feed := range in.feeds() {
 		loops = append(loops, feed.follow)
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -16,6 +17,7 @@
 
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/oplog"
+	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/table"
 	"github.com/mastwheel/mastwheel/wait"
@@ -86,6 +88,8 @@
 	extraPages int
 	// pageLatency is the duration of a call for an extra page.
 	pageLatency time.Duration
+	// releases holds the releases that were saved; nil if none ever were.
+	releases map[origin.Origin]bool
 }
 
 func newMemoryStore() *memoryStore {
@@ -103,6 +107,31 @@
 	s.changed = make(chan struct{})
 }
 
+// releaseLog is the ReleaseStore of one instance.
+type releaseLog struct {
+	store *memoryStore
+	name  string
+}
+
+// Load implements ReleaseStore.
+func (l releaseLog) Load(context.Context) (map[origin.Origin]bool, bool, error) {
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	l.store.calls++
+	l.store.callsBy[l.name]++
+	return maps.Clone(l.store.releases), l.store.releases != nil, nil
+}
+
+// Save implements ReleaseStore.
+func (l releaseLog) Save(_ context.Context, releases map[origin.Origin]bool) error {
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	l.store.calls++
+	l.store.callsBy[l.name]++
+	l.store.releases = maps.Clone(releases)
+	return nil
+}
+
 // called returns the number of calls so far.
 func (s *memoryStore) called() int {
 	s.mu.Lock()
@@ -430,6 +459,7 @@
 		Servers:  serverLog{f.store, config.Name},
 		Roster:   fullRoster{f},
 		Claims:   new(claims),
+		Releases: releaseLog{f.store, config.Name},
 		Engines:  enginesOf(0, 0),
 		Siblings: f,
 		Socket:   memorySocket{f, config.SiblingAddress, inbox},
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -117,6 +117,7 @@
 			return time.Time{}, err
 		}
 		in.list.noteAnswer(sentAt, false)
+		in.Origins.noteReplaced(in.list.confirmed(), clock.Now())
 		in.registry.ResetWithFilter(snapshot, nil, clock.Now())
 		in.rebuild()
 		in.reviewSubset(clock.Now())
@@ -131,6 +132,7 @@
 	before := in.registry.View()
 	// The registry must know that the store was unavailable before it judges a removal.
 	in.list.noteAnswer(at, false)
+	in.Origins.noteChanges(changes, clock.Now())
 	in.registry.Apply(changes, next, clock.Now())
 	in.rebuild()
 	if next > before.Position {
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -207,7 +207,8 @@
 	instances := in.Instances()
 	teams := in.Allotments.Balances(in.config.TeamsAtOnce, now)
 	speeds := in.dueHubSpeeds(now)
-	news := urgent || message.Poison != nil || message.Pressure != nil || len(message.Changing) > 0 || len(teams) > 0
+	history, changed := in.Origins.historyForSubscribers(now)
+	news := urgent || changed || message.Poison != nil || message.Pressure != nil || len(message.Changing) > 0 || len(teams) > 0
 	repeat := newRepetition(view, in.config.Zone, in.config.RepeatedAtOnce, now)
 	for _, to := range subscribers {
 		digest := &heartbeat.Digest{Summed: true, Teams: teams, Instances: instances, After: to.seen, ReceiverUptime: to.uptime, Outgrown: to.outgrown}
@@ -226,7 +227,10 @@
 			digest.Observations = append(digest.Observations, repeat.next(digest.Zone, &to.turn)...)
 		}
 		in.hubs.recordDigest(to.name, to.turn, now)
-		message.Digest = digest
+		message.Digest, message.Origins = digest, nil
+		if to.part {
+			message.Origins = history
+		}
 		bytes += in.send(message, to.peer)
 	}
 	return bytes
--- a/edge/listupdates.go
+++ b/edge/listupdates.go
@@ -140,6 +140,7 @@
 	// The registry must know that the store was unavailable before it judges the removal of a
 	// server.
 	in.list.noteAnswer(at, false)
+	in.Origins.noteChanges(updates.Changes, now)
 	in.registry.Apply(updates.Changes, updates.To, now)
 	in.rebuild()
 	in.list.noteAnswer(at, updates.To == in.registry.View().Position)
--- /dev/null
+++ b/edge/origins.go
@@ -0,0 +1,362 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/origin"
+	"github.com/mastwheel/mastwheel/wait"
+)
+
+// A caller may take a stream up at any instance, which then has to know at which release the stream
+// began. While one release of a service has served for as long as streams may last, it is that one.
+// Otherwise a few instances, the keepers, have a record of each stream, and any instance asks them.
+
+const (
+	// originKeepers is how many instances keep the record of a stream. Half of the instances may be
+	// killed at once; more keepers cost a datagram a stream each.
+	originKeepers = 3
+	// originAsked is how many instances are asked where a stream began: the keepers, and those that are
+	// keepers in the view of an instance that knows other siblings.
+	originAsked = 8
+	// originTimeout bounds the wait for their answers. It allows for a round trip between zones and a
+	// busy sibling, and leaves most of the time in which a caller should be refused.
+	originTimeout = 150 * time.Millisecond
+	// originWindow is how long ago a stream that its caller takes up may have begun. Callers wait for
+	// a minute at most (source: the deadline of callers that state none).
+	originWindow = time.Minute
+	// originRecords bounds the records of each kind: 56 streams a second of an instance, kept for a
+	// minute for each of three others (source: the size to design for, docs/CAPACITY.md).
+	originRecords = 16_384
+	// originGrace is how much longer than its caller waits the record of a stream is kept.
+	originGrace = 5 * time.Second
+	// listFreshFor is the age up to which the list of servers is relied on for the releases that serve.
+	// Without faults it is confirmed each Config.FreshFor and a few checks, 1.2 s at most.
+	listFreshFor = 1500 * time.Millisecond
+	// originBatch is how long records wait for others to the same keepers.
+	originBatch = 10 * time.Millisecond
+	// originsInMessage bounds the records in one datagram, about 14 bytes each.
+	originsInMessage = 64
+)
+
+// origins holds where streams began, as far as this instance knows.
+type origins struct {
+	*Instance
+	// own holds the streams that began at this instance, kept those of siblings.
+	own, kept *origin.Records
+	releases  *origin.Releases
+
+	mu sync.Mutex
+	// unsent holds the own records that are still to be sent to their keepers.
+	unsent []unsentOrigin
+	// waiting holds the lookups that wait for answers of siblings.
+	waiting map[origin.Key][]chan originAnswer
+	// ambiguous holds the services whose records were sent to the keepers, because the release of a
+	// stream is not known without them.
+	ambiguous map[string]bool
+	// historyAt is when the releases that serve were last known to be complete from a sibling's list,
+	// and historyReceivedAt when that sibling's message arrived.
+	historyAt, historyReceivedAt time.Time
+	// servedHistory holds the releases that this instance last sent to those that it serves as a hub.
+	// Only the heartbeat loop uses it.
+	servedHistory map[origin.Origin]bool
+	woken         chan struct{}
+}
+
+type unsentOrigin struct {
+	key   origin.Key
+	at    origin.Origin
+	until time.Time
+}
+
+type originAnswer struct {
+	at    origin.Origin
+	known bool
+}
+
+func newOrigins(in *Instance) *origins {
+	o := &origins{
+		Instance: in, own: origin.NewRecords(originRecords), kept: origin.NewRecords(originRecords), releases: origin.NewReleases(originWindow),
+		waiting: make(map[origin.Key][]chan originAnswer), ambiguous: make(map[string]bool), woken: make(chan struct{}, 1),
+	}
+	if in.config.FirstStart {
+		o.releases.Extend(in.started.Add(-originWindow), nil, in.started)
+	}
+	return o
+}
+
+// Began records where a stream began that its caller may take up until a time. request is the ID of the
+// request that brought its first event.
+func (o *origins) Began(request string, at origin.Origin, until time.Time) {
+	now := clock.Now()
+	one := unsentOrigin{origin.KeyOf(request), at, until.Add(originGrace)}
+	o.own.Put(one.key, one.at, one.until, now)
+	if _, sole := o.soleRelease(at.Service, now); !sole {
+		o.enqueue(one)
+	}
+}
+
+func (o *origins) enqueue(records ...unsentOrigin) {
+	o.mu.Lock()
+	o.unsent = append(o.unsent, records...)
+	if excess := len(o.unsent) - originRecords; excess > 0 {
+		o.unsent = o.unsent[excess:]
+	}
+	o.mu.Unlock()
+	o.wake()
+}
+
+// wake ends the pause of the loop that sends records.
+func (o *origins) wake() {
+	select {
+	case o.woken <- struct{}{}:
+	default:
+	}
+}
+
+// soleRelease returns the only release of a service at which a stream that callers may take up can have
+// begun, if this instance knows that there is just one.
+func (o *origins) soleRelease(service string, now time.Time) (string, bool) {
+	if !o.isCurrent(now) || o.isBehind() {
+		return "", false
+	}
+	return o.releases.Sole(service, now)
+}
+
+// isCurrent reports whether the releases that serve are known up to now. An instance that knows only a
+// subset of the servers relies on its hub for that, which sends them with each digest.
+func (o *origins) isCurrent(now time.Time) bool {
+	if !o.registry.View().IsSubset {
+		return now.Sub(o.list.confirmed()) <= listFreshFor
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return now.Sub(o.historyAt) <= listFreshFor+o.config.KeepAliveEvery
+}
+
+// isBehind reports whether a sibling has changes of the list of servers that this instance lacks.
+func (o *origins) isBehind() bool {
+	view := o.registry.View()
+	if view.IsSubset {
+		return false
+	}
+	for _, sibling := range o.members.View().Siblings {
+		if sibling.Serves() && sibling.Next > uint64(view.Position) {
+			return true
+		}
+	}
+	return false
+}
+
+// Find returns where a stream of a service began, and how that is known. request is the ID of the
+// request that brought its first event, empty if the caller does not name it.
+func (o *origins) Find(ctx context.Context, request, service string) (origin.Origin, metrics.OriginSource) {
+	key := origin.KeyOf(request)
+	if at, source := o.lookUp(key, service, clock.Now()); source != metrics.OriginUnknown {
+		return at, source
+	}
+	if at, known := o.ask(ctx, key, service); known {
+		return at, metrics.OriginSibling
+	}
+	return origin.Origin{}, metrics.OriginUnknown
+}
+
+// lookUp returns where a stream began, as far as this instance knows.
+func (o *origins) lookUp(key origin.Key, service string, now time.Time) (origin.Origin, metrics.OriginSource) {
+	for _, records := range []*origin.Records{o.own, o.kept} {
+		if at, known := records.Find(key, now); known {
+			return at, metrics.OriginRecord
+		}
+	}
+	if release, sole := o.soleRelease(service, now); sole {
+		return origin.Origin{Service: service, Release: release}, metrics.OriginSole
+	}
+	return origin.Origin{}, metrics.OriginUnknown
+}
+
+// ask asks siblings where a stream began. It returns as soon as one knows, or all of them do not.
+func (o *origins) ask(ctx context.Context, key origin.Key, service string) (origin.Origin, bool) {
+	asked := o.keepers(key, originAsked)
+	if len(asked) == 0 {
+		return origin.Origin{}, false
+	}
+	answers := make(chan originAnswer, len(asked))
+	o.mu.Lock()
+	o.waiting[key] = append(o.waiting[key], answers)
+	o.mu.Unlock()
+	defer o.stopWaiting(key, answers)
+	message := heartbeat.Message{From: o.info(), Origins: &origin.Message{Questions: []origin.Question{{Key: key, Service: service}}}}
+	o.send(message, asked...)
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	for range asked {
+		select {
+		case answer := <-answers:
+			if answer.known {
+				return answer.at, true
+			}
+		case <-ctx.Done():
+			return origin.Origin{}, false
+		}
+	}
+	return origin.Origin{}, false
+}
+
+func (o *origins) stopWaiting(key origin.Key, answers chan originAnswer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	rest := o.waiting[key][:0]
+	for _, one := range o.waiting[key] {
+		if one != answers {
+			rest = append(rest, one)
+		}
+	}
+	if o.waiting[key] = rest; len(rest) == 0 {
+		delete(o.waiting, key)
+	}
+}
+
+// keepers returns the addresses of the siblings that keep the record of a stream, by the siblings that
+// this instance knows.
+func (o *origins) keepers(key origin.Key, most int) []string {
+	addresses := map[string]string{o.config.Name: ""}
+	names := []string{o.config.Name}
+	for _, sibling := range o.members.View().Siblings {
+		if sibling.Serves() {
+			addresses[sibling.Name] = sibling.Peer
+			names = append(names, sibling.Name)
+		}
+	}
+	var selected []string
+	for _, name := range origin.Keepers(key, names, most) {
+		if address := addresses[name]; address != "" {
+			selected = append(selected, address)
+		}
+	}
+	return selected
+}
+
+// apply applies what a sibling sends about where streams began.
+func (o *origins) apply(message heartbeat.Message, now time.Time) {
+	origins := message.Origins
+	if origins == nil {
+		return
+	}
+	for i := range origins.Began {
+		began := &origins.Began[i]
+		at, known := origins.Origin(began.At)
+		until, ok := began.Until(now)
+		if known && ok {
+			o.kept.Put(began.Key, at, until, now)
+		}
+	}
+	for _, answer := range origins.Answers {
+		at, known := origins.Origin(answer.At)
+		o.answered(answer.Key, originAnswer{at, known})
+	}
+	o.applyHistory(origins, now)
+	if len(origins.Questions) > 0 && message.From.Peer != "" {
+		o.answer(origins.Questions, message.From, now)
+	}
+}
+
+func (o *origins) answered(key origin.Key, answer originAnswer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, waiting := range o.waiting[key] {
+		select {
+		case waiting <- answer:
+		default:
+		}
+	}
+}
+
+// answer answers the questions of a sibling.
+func (o *origins) answer(questions []origin.Question, to member.Info, now time.Time) {
+	reply := new(origin.Message)
+	for _, question := range questions[:min(len(questions), originsInMessage)] {
+		answer := origin.Answer{Key: question.Key, At: origin.Unknown}
+		if at, source := o.lookUp(question.Key, question.Service, now); source != metrics.OriginUnknown {
+			answer.At = reply.Index(at)
+		}
+		reply.Answers = append(reply.Answers, answer)
+	}
+	o.send(heartbeat.Message{Origins: reply}, to.Peer)
+}
+
+// run sends the records of streams to their keepers until ctx ends, and the records of all streams of a
+// service once its release is no longer known without them.
+func (o *origins) run(ctx context.Context) {
+	ticker := time.NewTicker(o.config.Members.HeartbeatEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-o.woken:
+			if !wait.For(ctx, originBatch) {
+				return
+			}
+		}
+		now := clock.Now()
+		o.reviewServices(now)
+		o.sendRecords(now)
+	}
+}
+
+// reviewServices queues the records of a service's streams when its release is no longer known without
+// them.
+func (o *origins) reviewServices(now time.Time) {
+	for service := range o.own.Services() {
+		_, sole := o.soleRelease(service, now)
+		o.mu.Lock()
+		before := o.ambiguous[service]
+		o.ambiguous[service] = !sole
+		o.mu.Unlock()
+		if !sole && !before {
+			o.enqueueAll(service, now)
+		}
+	}
+}
+
+func (o *origins) enqueueAll(service string, now time.Time) {
+	var all []unsentOrigin
+	o.own.Each(service, now, func(key origin.Key, at origin.Origin, until time.Time) {
+		all = append(all, unsentOrigin{key, at, until})
+	})
+	if len(all) > 0 {
+		o.enqueue(all...)
+	}
+}
+
+// sendRecords sends the queued records to their keepers.
+func (o *origins) sendRecords(now time.Time) {
+	o.mu.Lock()
+	unsent := o.unsent
+	o.unsent = nil
+	o.mu.Unlock()
+	messages := make(map[string]*origin.Message)
+	for _, one := range unsent {
+		for _, keeper := range o.keepers(one.key, originKeepers) {
+			message := messages[keeper]
+			if message == nil {
+				message = new(origin.Message)
+				messages[keeper] = message
+			}
+			message.Began = append(message.Began, origin.Began{Key: one.key, At: message.Index(one.at), LeftMillis: one.until.Sub(now).Milliseconds()})
+			if len(message.Began) == originsInMessage {
+				o.send(heartbeat.Message{Origins: message}, keeper)
+				delete(messages, keeper)
+			}
+		}
+	}
+	for keeper, message := range messages {
+		o.send(heartbeat.Message{Origins: message}, keeper)
+	}
+}
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -23,6 +23,9 @@
 	if list == built.from && view == built.with && sameZones(evacuation, built.without) && uses == built.uses {
 		return
 	}
+	if list != built.from {
+		in.Origins.setListed(list, clock.Now())
+	}
 	before := built.list
 	used := usedServers(list, uses)
 	next := buildServers(used, view, evacuation)
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -114,6 +114,7 @@
 		klog.InfoS("Raised the incarnation of this instance because a sibling knows it under a later one", "incarnation", in.incarnation.Load(), "sibling", message.From.Name)
 	}
 	now := clock.Now()
+	in.Origins.apply(message, now)
 	for _, peer := range message.Peers {
 		in.peers.addAddress(peer, now)
 	}
@@ -130,6 +131,7 @@
 		if !known || before.Incarnation != message.From.Incarnation || now.Sub(before.LastContact) > missedAfter {
 			in.sendFullPoison(message.From, now)
 			in.sendFullBackpressure(message.From, now)
+			in.Origins.introduce(message.From, now)
 		}
 		return
 	}
--- a/edge/uses.go
+++ b/edge/uses.go
@@ -107,6 +107,7 @@
 	if snapshot.IsSubset {
 		uses = subset.New(in.config.Name, in.config.Zone, snapshot.Shares)
 	}
+	in.Origins.noteReplaced(in.list.confirmed(), clock.Now())
 	if !in.registry.ResetWithFilter(*snapshot.Servers, subsetFilter(uses), clock.Now()) {
 		return
 	}
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -47,6 +47,7 @@
 	stepStream   = "stream"
 	stepMove     = "move"
 	stepContinue = "continue"
+	stepOrigin   = "origin"
 	stepHandOver = "hand_over"
 )
 
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -43,6 +43,8 @@
 	regions regions
 	// origin is where the stream began; nil before its caller has an event of it.
 	origin atomic.Pointer[origin.Origin]
+	// beganAt is the server at which the stream began, if it did so in this request.
+	beganAt *registry.Entry
 	// deadline is when the caller must have its answer.
 	deadline time.Time
 	// release removes the request from the count of requests in flight.
@@ -237,8 +239,12 @@
 
 // retryAfter returns the delay after which a refused caller should come back.
 func (f *flow) retryAfter(why reason.Reason) time.Duration {
-	if why == reason.Stopping {
+	switch why {
+	case reason.Stopping, reason.VersionUnknown:
 		return f.config.StoppingRetryDelay
+	case reason.VersionGone:
+		// No instance can continue the stream later either.
+		return 0
 	}
 	if why == reason.NoFreeSlot {
 		return f.returnAfter
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -10,6 +10,7 @@
 	"io"
 	"time"
 
+	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/table"
@@ -45,6 +46,9 @@
 	HandedOver string
 	// Revision is the revision of the table by which that sibling decided.
 	Revision uint64
+	// Origin is where the stream began that the request takes up, if a sibling handed the request over
+	// and knew that.
+	Origin *origin.Origin
 	// Generation is set for requests to model services.
 	Generation *Generation
 	// LastEvent is the id of the last event that the caller has received; empty at the start
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -83,8 +84,9 @@
 	// PlainShutdownMargin is how long before the end of a graceful shutdown plain requests are
 	// no longer accepted. Nearly all plain requests take less time.
 	PlainShutdownMargin time.Duration
-	// StoppingRetryDelay is the retry delay for callers that a stopping instance refuses. It is
-	// short because other instances can serve them immediately.
+	// StoppingRetryDelay is the retry delay for callers that a stopping instance refuses, or that take
+	// up a stream of which the instance does not know where it began. It is short because other
+	// instances can serve them immediately.
 	StoppingRetryDelay time.Duration
 	// StreamGrace is how long after the start of a graceful shutdown streams are still
 	// accepted. Later streams might not end before the instance does.
@@ -158,6 +160,8 @@
 	Allotments Allotments
 	// Poison records which requests were running at servers that crashed.
 	Poison *poison.Tracker
+	// Origins holds at which releases streams began.
+	Origins Origins
 	// Siblings passes requests on to other instances; nil if there are none.
 	Siblings Siblings
 	// OnCutOff, if set, is called when the instance loses its links to all servers of some service,
@@ -318,7 +322,7 @@
 		return refused
 	}
 	f.regions = allowedRegions(f.route, f.team)
-	f.service = view.Services[f.route.Service(r.ID)]
+	f.service = view.Services[f.route.Service(cmp.Or(r.Resumes, r.ID))]
 	if f.service == nil {
 		return f.refuse(reason.UnknownService, "the route's service is unknown")
 	}
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -59,6 +59,9 @@
 		return true
 	case reason.NoBackend, reason.NoDecodeMemory, reason.NoFreeSlot, reason.DeadlineTooClose, reason.PrefillFailed, reason.PrefillRefused, reason.HandoffRefused:
 		return f.manyUnreached()
+	case reason.VersionGone:
+		// A sibling with another subset of the servers may know one of that version.
+		return f.servers.Subset
 	}
 	return false
 }
@@ -87,6 +90,9 @@
 	f.askedSiblings = true
 	handed := *f.request
 	handed.Revision = f.revision
+	if f.findOrigin(f.caller) {
+		handed.Origin = f.origin.Load()
+	}
 	// The sibling that serves the request charges its team.
 	f.refund(reason.NotRun)
 	ctx, cancel := clock.WithDeadline(f.caller, f.deadline)
@@ -112,10 +118,10 @@
 }
 
 // declined reports whether a sibling cannot serve a request either, because it reaches no server, is
-// stopping, or has no table yet or an older one.
+// stopping, has no table yet or an older one, or knows no server of the version that began the stream.
 func declined(reply *Reply) bool {
 	switch reply.Reason {
-	case reason.CutOff, reason.ConnectFailed, reason.NoBackend, reason.Stopping, reason.StaleTable:
+	case reason.CutOff, reason.ConnectFailed, reason.NoBackend, reason.Stopping, reason.StaleTable, reason.VersionGone:
 		return promisesNotRun(reply.Status)
 	}
 	return false
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
@@ -147,6 +148,35 @@
 	return &Stream{Status: 200, ReadCloser: io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))}, nil
 }
 
+// testOrigins knows all streams that began through it, and for others the given release; none if that is
+// nil.
+type testOrigins struct {
+	mu    sync.Mutex
+	began map[string]origin.Origin
+	sole  *string
+}
+
+func (o *testOrigins) Began(request string, at origin.Origin, _ time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.began == nil {
+		o.began = make(map[string]origin.Origin)
+	}
+	o.began[request] = at
+}
+
+func (o *testOrigins) Find(_ context.Context, request, service string) (origin.Origin, metrics.OriginSource) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if at, known := o.began[request]; known {
+		return at, metrics.OriginRecord
+	}
+	if o.sole == nil {
+		return origin.Origin{}, metrics.OriginUnknown
+	}
+	return origin.Origin{Service: service, Release: *o.sole}, metrics.OriginSole
+}
+
 // testView is a View whose content the test sets.
 type testView struct {
 	view    *table.View
@@ -227,7 +257,8 @@
 	view.servers.Store(servers)
 	b.Gateway = New(Deps{
 		Zone: "z", View: view, Fleet: fleet, Backends: b.engines, Budget: func(string) *route.SharedBudget { return budget }, Metrics: metrics.New(), Random: random,
-		Poison: poison.New(poison.DefaultConfig(), random, func() int { return 1 }),
+		Poison:  poison.New(poison.DefaultConfig(), random, func() int { return 1 }),
+		Origins: &testOrigins{sole: new(string)},
 	}, config)
 	return b
 }
--- a/forward/move.go
+++ b/forward/move.go
@@ -78,7 +78,7 @@
 		r.endFailedMove()
 		return
 	}
-	if !r.service.Engine.Moves || r.lastID == "" || r.moves >= maxMoves || now.Before(r.nextMoveCheck) {
+	if !r.service.Engine.Moves || r.lastID == "" || !r.isOriginClear(r.View.Servers()) || r.moves >= maxMoves || now.Before(r.nextMoveCheck) {
 		return
 	}
 	r.nextMoveCheck = now.Add(moveCheckInterval)
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -18,6 +18,7 @@
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/oplog"
+	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/poison"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
@@ -79,6 +80,9 @@
 	// Speeds holds some of the sender's own estimates of the speeds of servers, as
 	// speed.Encode encodes them.
 	Speeds []byte `cbor:"21,keyasint,omitempty"`
+	// Origins holds at which releases streams began and which releases served lately. A message with
+	// nothing else has no sender, unless it asks a question.
+	Origins *origin.Message `cbor:"22,keyasint,omitempty"`
 	// Known, if not 0, is the receiver's incarnation as the sender knows it. A receiver
 	// that restarted with a lower incarnation, because its clock was set back, adopts a
 	// higher one.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -30,6 +30,7 @@
 	dropped        *prometheus.CounterVec
 	streamEnds     *prometheus.CounterVec
 	continued      *prometheus.CounterVec
+	lookups        *prometheus.CounterVec
 	notReturned    *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
 	serverExits    *prometheus.CounterVec
@@ -90,6 +91,7 @@
 		dropped:    counters("dropped_answers_total", "Answers and tokens that were dropped, by reason.", labelReason),
 		streamEnds: newStreamEnds(),
 		continued:  newContinuations(),
+		lookups:    newOriginLookups(),
 		FirstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "first_token_seconds", Help: "Time to the first token.", Buckets: firstTokenBuckets,
 		}, []string{labelService}),
@@ -102,7 +104,7 @@
 		CancelTries: counter("cancel_tries_total", "Cancel orders sent."),
 		Orphans:     counter("orphans_cancelled_total", "Streams of dead homes that were cancelled."),
 	}
-	s.Registry.MustRegister(s.requests, s.teams.requests, s.teams.refusals, s.allotments.refusals, s.allotments.returns, s.allotments.starts, s.refusals, s.retries, s.dropped, s.streamEnds, s.continued, s.notReturned, s.storeCalls, s.serverExits, s.serverFailures, s.handOvers, s.memory, s.speedChoices, s.overdueServers, s.withheld, s.requestSeconds, s.FirstToken, s.BetweenTokens,
+	s.Registry.MustRegister(s.requests, s.teams.requests, s.teams.refusals, s.allotments.refusals, s.allotments.returns, s.allotments.starts, s.refusals, s.retries, s.dropped, s.streamEnds, s.continued, s.lookups, s.notReturned, s.storeCalls, s.serverExits, s.serverFailures, s.handOvers, s.memory, s.speedChoices, s.overdueServers, s.withheld, s.requestSeconds, s.FirstToken, s.BetweenTokens,
 		s.CancelsPending, s.CancelTries, s.Orphans)
 	s.Registry.MustRegister(s.slots.decisions, s.slots.waiting, s.slots.waits)
 	for _, info := range reason.All {
--- a/metrics/streams.go
+++ b/metrics/streams.go
@@ -62,15 +62,14 @@
 
 // Values of a ReleaseMatch.
 const (
-	SameRelease    ReleaseMatch = "same"
-	OtherRelease   ReleaseMatch = "other"
-	UnknownRelease ReleaseMatch = "unknown"
+	SameRelease  ReleaseMatch = "same"
+	OtherRelease ReleaseMatch = "other"
 )
 
 func newContinuations() *prometheus.CounterVec {
 	continued := counters("streams_continued_total", "Streams that continued, by how and by whether at the version of the servers' software at which they began.", "how", "version")
 	for _, how := range []Continuation{ContinuedByRerun, ContinuedByMove, ContinuedByCaller} {
-		for _, match := range []ReleaseMatch{SameRelease, OtherRelease, UnknownRelease} {
+		for _, match := range []ReleaseMatch{SameRelease, OtherRelease} {
 			continued.WithLabelValues(string(how), string(match))
 		}
 	}
@@ -81,3 +80,29 @@
 func (s *Set) StreamContinued(how Continuation, match ReleaseMatch) {
 	s.continued.WithLabelValues(string(how), string(match)).Inc()
 }
+
+// OriginSource is how an instance learned at which release a stream began that its caller takes up.
+type OriginSource string
+
+// Sources of an origin.
+const (
+	// OriginRecord is a record of this instance, of its own stream or of a sibling's.
+	OriginRecord OriginSource = "record"
+	// OriginSole means that only one release served while the stream can have begun.
+	OriginSole OriginSource = "sole"
+	// OriginSibling is a sibling's answer.
+	OriginSibling OriginSource = "sibling"
+	// OriginUnknown means that no instance that answered knows.
+	OriginUnknown OriginSource = "unknown"
+)
+
+func newOriginLookups() *prometheus.CounterVec {
+	lookups := counters("origin_lookups_total", "Streams that their callers took up, by how this instance learned at which version of the servers' software they began.", "source")
+	for _, source := range []OriginSource{OriginRecord, OriginSole, OriginSibling, OriginUnknown} {
+		lookups.WithLabelValues(string(source))
+	}
+	return lookups
+}
+
+// OriginFound counts a stream that its caller took up.
+func (s *Set) OriginFound(source OriginSource) { s.lookups.WithLabelValues(string(source)).Inc() }
--- /dev/null
+++ b/origin/releases.go
@@ -0,0 +1,152 @@
+package origin
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Releases tracks which releases served lately. Writers hold a lock and replace an immutable history.
+// Readers load it without a lock.
+type Releases struct {
+	// window is how long ago a stream that its caller takes up may have begun.
+	window  time.Duration
+	mu      sync.Mutex
+	history atomic.Pointer[history]
+}
+
+// history holds the releases that served, as far as known.
+type history struct {
+	// complete is set if the history lacks no release that served since the time since.
+	complete bool
+	since    time.Time
+	// lastListed is when a server of a release was last known to be listed. It is absent for releases
+	// that are listed now.
+	lastListed map[Origin]time.Time
+	listed     map[Origin]bool
+}
+
+// NewReleases returns an empty history for streams that began within a window.
+func NewReleases(window time.Duration) *Releases {
+	r := &Releases{window: window}
+	r.history.Store(&history{})
+	return r
+}
+
+// change replaces the history by a changed copy without the releases that no longer matter.
+func (r *Releases) change(now time.Time, apply func(next *history)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := *r.history.Load()
+	next.lastListed, next.listed = maps.Clone(next.lastListed), maps.Clone(next.listed)
+	if next.lastListed == nil {
+		next.lastListed, next.listed = make(map[Origin]time.Time), make(map[Origin]bool)
+	}
+	apply(&next)
+	maps.DeleteFunc(next.lastListed, func(_ Origin, at time.Time) bool { return now.Sub(at) > r.window })
+	r.history.Store(&next)
+}
+
+// SetListed records the releases of the listed servers. isFull is set if these are all servers.
+func (r *Releases) SetListed(listed map[Origin]bool, isFull bool, now time.Time) {
+	known := r.history.Load()
+	if maps.Equal(listed, known.listed) && (known.complete || !isFull) {
+		return
+	}
+	r.change(now, func(next *history) {
+		if isFull && !next.complete {
+			next.complete, next.since = true, now
+		}
+		for at := range next.listed {
+			if !listed[at] {
+				next.lastListed[at] = now
+			}
+		}
+		for at := range listed {
+			delete(next.lastListed, at)
+		}
+		next.listed = maps.Clone(listed)
+	})
+}
+
+// Listed records that servers of releases were listed, which may be gone again.
+func (r *Releases) Listed(releases map[Origin]bool, now time.Time) {
+	known := r.history.Load()
+	for at := range releases {
+		if !known.listed[at] {
+			r.Extend(now, map[Origin]time.Time{at: now}, now)
+		}
+	}
+}
+
+// Restart records that releases may have served unnoticed before a time.
+func (r *Releases) Restart(since, now time.Time) {
+	r.change(now, func(next *history) { next.complete, next.since = true, since })
+}
+
+// Extend records a history that is known from elsewhere: it is complete since a time, and servers of
+// these releases were last listed at the given times.
+func (r *Releases) Extend(since time.Time, lastListed map[Origin]time.Time, now time.Time) {
+	r.change(now, func(next *history) {
+		if !next.complete || since.Before(next.since) {
+			next.complete, next.since = true, since
+		}
+		for at, listed := range lastListed {
+			if !next.listed[at] && listed.After(next.lastListed[at]) {
+				next.lastListed[at] = listed
+			}
+		}
+	})
+}
+
+// Since returns from when on the history is complete, if it is.
+func (r *Releases) Since() (since time.Time, complete bool) {
+	known := r.history.Load()
+	return known.since, known.complete
+}
+
+// CoversWindow reports whether the history is complete for all streams that callers may take up.
+func (r *Releases) CoversWindow(now time.Time) bool {
+	since, complete := r.Since()
+	return complete && now.Sub(since) >= r.window
+}
+
+// Lately returns when a server of each release of the window was last listed: now for those that are
+// listed.
+func (r *Releases) Lately(now time.Time) map[Origin]time.Time {
+	known := r.history.Load()
+	lately := make(map[Origin]time.Time, len(known.listed)+len(known.lastListed))
+	for at := range known.listed {
+		lately[at] = now
+	}
+	for at, last := range known.lastListed {
+		if now.Sub(last) <= r.window {
+			lately[at] = last
+		}
+	}
+	return lately
+}
+
+// Sole returns the only release of a service at which a stream that callers may take up can have begun.
+// It returns false if there were several, or if that is not known.
+func (r *Releases) Sole(service string, now time.Time) (release string, ok bool) {
+	if !r.CoversWindow(now) {
+		return "", false
+	}
+	known := r.history.Load()
+	found := 0
+	for at := range known.listed {
+		if at.Service == service {
+			release = at.Release
+			found++
+		}
+	}
+	for at, last := range known.lastListed {
+		if at.Service == service && now.Sub(last) <= r.window {
+			release = at.Release
+			found++
+		}
+	}
+	return release, found == 1
+}
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -35,6 +35,9 @@
 	NoFreeSlot     Reason = "no_free_slot"
 	// VersionGone is the reason for a stream of whose release no server is left that could continue it.
 	VersionGone Reason = "version_gone"
+	// VersionUnknown is the reason for a stream that its caller takes up, if no instance that answers
+	// knows its release.
+	VersionUnknown Reason = "version_unknown"
 	// CutOff is the reason of an instance that reaches no server of the request's service.
 	CutOff Reason = "cut_off"
 )
@@ -105,6 +108,7 @@
 	{CutOff, "the instance reaches no server of the service, nor does a sibling that was asked", "none"},
 	{NoFreeSlot, "the service's servers have few slots, all instances together have as many calls there as end in time, and no slot was expected soon enough", "route.ttft_ms"},
 	{VersionGone, "no server of the version that began the stream serves any more, and servers of other versions cannot continue it", "none"},
+	{VersionUnknown, "the caller takes a stream up, and no instance that answered knows the version that began it", "none"},
 	{ServerLeaving, "the server said that it leaves after it had been chosen", "none"},
 	{ReserveRefused, "the steward had no room at the decode engine", "backend.pieces"},
 	{StewardUnreached, "the steward of the decode engine did not answer", "none"},
--- a/sibling/handover.go
+++ b/sibling/handover.go
@@ -22,8 +22,11 @@
 )
 
 const (
-	// handOverPath is the path of requests that are handed over.
+	// handOverPath is the path of requests that are handed over, and continuePath that of those that
+	// take a stream up. Siblings of a version that continues streams at any release do not know the
+	// latter.
 	handOverPath = "/handover"
+	continuePath = "/handover/continued"
 	// headField is the header field with the head of a reply, as base64 of CBOR. The reply's own
 	// fields may have names that belong to the connection between the instances.
 	headField = "Reply-Head"
@@ -148,7 +151,11 @@
 		return upstream.Message{}, errors.New("request is too large to be handed over")
 	}
 	var out bytes.Buffer
-	fmt.Fprintf(&out, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", handOverPath, address, len(body))
+	path := handOverPath
+	if r.LastEvent != "" {
+		path = continuePath
+	}
+	fmt.Fprintf(&out, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", path, address, len(body))
 	out.Write(body)
 	return upstream.Message{Method: http.MethodPost, Bytes: out.Bytes()}, nil
 }
--- a/sibling/sibling.go
+++ b/sibling/sibling.go
@@ -58,7 +58,7 @@
 	switch string(ctx.Path()) {
 	case snapshotPath:
 		s.sendSnapshot(ctx)
-	case handOverPath:
+	case handOverPath, continuePath:
 		s.serveHandedOver(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
--- a/table/routes.go
+++ b/table/routes.go
@@ -122,6 +122,11 @@
 	return ""
 }
 
+// SendsTo reports whether the route sends requests to a service.
+func (r *RouteView) SendsTo(service string) bool {
+	return slices.ContainsFunc(r.Split, func(share Share) bool { return share.Service == service && share.Weight > 0 })
+}
+
 // Route returns the route of the host with the longest path prefix that matches
 // the path, or nil.
 func (v *View) Route(host, path string) *RouteView {
