edge, origin: streams of a server that is back at another version are not guessed

Callers may see: a stream that began at a server which had started again under its id with another version, before the list showed it, is recorded at the version of the former run, and continues there. Cause: the origin of a stream is that of the server's entry when the engine was chosen, and the entry may be older than the server's run.

--- a/edge/origins.go
+++ b/edge/origins.go
@@ -10,6 +10,7 @@
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/origin"
+	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/wait"
 )
 
@@ -91,11 +92,11 @@
 }
 
 // Began records where a stream began that its caller may take up until a time. request is the ID of the
-// request that brought its first event.
-func (o *origins) Began(request string, at origin.Origin, until time.Time) {
+// request that brought its first event, and server the run of the server.
+func (o *origins) Began(request string, at origin.Origin, server string, until time.Time) {
 	now := clock.Now()
 	one := unsentOrigin{origin.KeyOf(request), at, until.Add(originGrace)}
-	o.own.Put(one.key, one.at, one.until, now)
+	o.own.PutOwn(one.key, one.at, server, one.until, now)
 	if _, sole := o.soleRelease(at.Service, now); !sole {
 		o.enqueue(one)
 	}
@@ -157,13 +158,35 @@
 // request that brought its first event, empty if the caller does not name it.
 func (o *origins) Find(ctx context.Context, request, service string) (origin.Origin, metrics.OriginSource) {
 	key := origin.KeyOf(request)
-	if at, source := o.lookUp(key, service, clock.Now()); source != metrics.OriginUnknown {
-		return at, source
+	at, source := o.lookUp(key, service, clock.Now())
+	if source == metrics.OriginUnknown {
+		var known bool
+		if at, known = o.ask(ctx, key, service); known {
+			source = metrics.OriginSibling
+		}
 	}
-	if at, known := o.ask(ctx, key, service); known {
-		return at, metrics.OriginSibling
+	if at == (origin.Origin{}) {
+		return at, metrics.OriginUnknown
+	}
+	return at, source
+}
+
+// doubtRestarted records that nobody can know where the last streams began of servers that are back
+// under their ids at another release. When these streams began, the list may have shown the former run.
+func (o *origins) doubtRestarted(before, after *registry.View, now time.Time) {
+	if before == nil {
+		return
+	}
+	for i := range after.Servers {
+		server := &after.Servers[i]
+		old := before.Find(server.ID)
+		if old == nil || old.Run() == server.Run() || old.Release == server.Release {
+			continue
+		}
+		o.own.Doubt(old.Run(), now.Add(-historyGap), now, func(key origin.Key, until time.Time) {
+			o.enqueue(unsentOrigin{key: key, until: until})
+		})
 	}
-	return origin.Origin{}, metrics.OriginUnknown
 }
 
 // lookUp returns where a stream began, as far as this instance knows.
--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -51,7 +51,32 @@
 
 // begin records a stream at an instance.
 func begin(in *Instance, request string, at origin.Origin) {
-	in.Origins.Began(request, at, time.Now().Add(14*time.Second))
+	in.Origins.Began(request, at, "s0@1", time.Now().Add(14*time.Second))
+}
+
+// TestLastStreamsOfAServerThatIsBackAtAnotherReleaseAreNotGuessed restarts a server under its id. The
+// list shows it later than the server serves.
+func TestLastStreamsOfAServerThatIsBackAtAnotherReleaseAreNotGuessed(t *testing.T) {
+	withReleases(t, originInstances, func(f *fleet) {
+		register := func(id string, born int64, at origin.Origin) {
+			f.store.change(func() {
+				f.store.servers = append(f.store.servers, registry.Change{ID: id, Entry: &registry.Entry{ID: id, Service: at.Service, Release: at.Release, Born: born, Address: "127.0.0.1:1"}})
+			})
+		}
+		register("s0", 1, oldRelease)
+		time.Sleep(time.Second)
+		begin(f.instances[0], "early", oldRelease)
+		time.Sleep(historyGap + time.Second)
+		begin(f.instances[0], "late", oldRelease)
+		time.Sleep(100 * time.Millisecond)
+		register("s0", 36, newRelease)
+		time.Sleep(time.Second)
+		for _, in := range f.instances {
+			if early, late := find(in, "early"), find(in, "late"); early != "v1" || late != string(metrics.OriginUnknown) {
+				t.Errorf("%s: %s, %s", in.config.Name, early, late)
+			}
+		}
+	})
 }
 
 func TestTakeUpWaitsForNoSiblingWhileOneReleaseServes(t *testing.T) {
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -25,6 +25,7 @@
 	}
 	if list != built.from {
 		in.Origins.setListed(list, clock.Now())
+		in.Origins.doubtRestarted(built.from, list, clock.Now())
 	}
 	before := built.list
 	used := usedServers(list, uses)
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -156,7 +156,7 @@
 	sole  *string
 }
 
-func (o *testOrigins) Began(request string, at origin.Origin, _ time.Time) {
+func (o *testOrigins) Began(request string, at origin.Origin, _ string, _ time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.began == nil {
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -20,8 +20,8 @@
 // Origins holds where streams began that their callers may take up, at this instance and at others.
 type Origins interface {
 	// Began records where a stream began that its caller may take up until a time. request is the ID of
-	// the request that brought its first event.
-	Began(request string, at origin.Origin, until time.Time)
+	// the request that brought its first event, and server the run of the server.
+	Began(request string, at origin.Origin, server string, until time.Time)
 	// Find returns where a stream of a service began, and how that is known; metrics.OriginUnknown if it
 	// cannot be learned. request is the ID of the request that brought its first event, empty if the
 	// caller does not name it.
@@ -124,7 +124,7 @@
 		r.continuedBy = ""
 	}
 	if r.events == 0 && r.route.Repeat == table.RepeatResume {
-		r.Origins.Began(cmp.Or(r.request.firstRequest(), r.request.ID), at, r.request.Deadline)
+		r.Origins.Began(cmp.Or(r.request.firstRequest(), r.request.ID), at, r.decode.Name, r.request.Deadline)
 	}
 	if r.continuedBy == "" {
 		return
--- a/origin/records.go
+++ b/origin/records.go
@@ -30,6 +30,10 @@
 type record struct {
 	at    *Origin
 	until time.Time
+	// server is a hash of the run of the server at which the stream began, and began when it did. Records
+	// of siblings have neither.
+	server uint64
+	began  time.Time
 }
 
 // NewRecords returns an empty set for at most the given number of records.
@@ -37,24 +41,55 @@
 	return &Records{most: most, byKey: make(map[Key]record), origins: make(map[Origin]*Origin)}
 }
 
-// Put records where a stream began, until a time.
+// Put records where a stream began, until a time. A zero origin means that nobody can know.
 func (r *Records) Put(key Key, at Origin, until, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.put(key, at, record{until: until}, now)
+}
+
+// PutOwn is like Put, for a stream that began now at a run of a server.
+func (r *Records) PutOwn(key Key, at Origin, server string, until, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.put(key, at, record{until: until, server: xxhash.Sum64String(server), began: now}, now)
+}
+
+// put adds a record. The caller holds the lock.
+func (r *Records) put(key Key, at Origin, next record, now time.Time) {
 	if known, ok := r.byKey[key]; ok {
-		if until.Before(known.until) {
-			until = known.until
+		if next.until.Before(known.until) {
+			next.until = known.until
 		}
 	} else {
 		r.dropOld(now)
 		r.order = append(r.order, key)
 	}
-	shared := r.origins[at]
-	if shared == nil {
-		shared = &at
-		r.origins[at] = shared
+	next.at = r.shared(at)
+	r.byKey[key] = next
+}
+
+// shared returns the copy of an origin that all records use. The caller holds the lock.
+func (r *Records) shared(at Origin) *Origin {
+	if r.origins[at] == nil {
+		r.origins[at] = &at
+	}
+	return r.origins[at]
+}
+
+// Doubt records that nobody can know where the streams began that began at a run of a server since a
+// time. It calls visit for each of them.
+func (r *Records) Doubt(server string, since, now time.Time, visit func(key Key, until time.Time)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hash := xxhash.Sum64String(server)
+	for key, known := range r.byKey {
+		if known.server == hash && known.began.After(since) && now.Before(known.until) {
+			known.at = r.shared(Origin{})
+			r.byKey[key] = known
+			visit(key, known.until)
+		}
 	}
-	r.byKey[key] = record{at: shared, until: until}
 }
 
 // dropOld drops the oldest records that have expired, and one more if there is no room. The caller holds
