edge, origin: versions are remembered for as long as streams may last

Callers may see: a stream of more than a minute, whose version was replaced meanwhile, is taken up at the newer version by an instance without its record. Cause: which versions served was remembered for a minute, while routes may allow more time. Change: it is remembered for three times the longest timeout of a resumable route, a minute at least. When that time grows, what was forgotten before no longer counts as known. Result: TestReleasesAreKnownForAsLongAsStreamsMayLast fails without the change (v1 is guessed) and passes with it.

--- a/edge/origins.go
+++ b/edge/origins.go
@@ -28,9 +28,14 @@
 	// originTimeout bounds the wait for their answers. It allows for a round trip between zones and a
 	// busy sibling, and leaves most of the time in which a caller should be refused.
 	originTimeout = 150 * time.Millisecond
-	// originWindow is how long ago a stream that its caller takes up may have begun. Callers wait for
-	// a minute at most (source: the deadline of callers that state none).
+	// originWindow is how long ago a stream that its caller takes up may have begun, at least: callers
+	// that state no deadline wait for a minute (source: the platform's protocol as implemented). Where
+	// routes allow more time, it is originTries times the longest timeout of a route, because a caller
+	// tries a few times.
 	originWindow = time.Minute
+	originTries  = 3
+	// longAgo is before any stream that may be taken up.
+	longAgo = 24 * time.Hour
 	// originRecords bounds the records of each kind: 56 streams a second of an instance, kept for a
 	// minute for each of three others (source: the size to design for, docs/CAPACITY.md).
 	originRecords = 16_384
@@ -86,7 +91,7 @@
 		waiting: make(map[origin.Key][]chan originAnswer), ambiguous: make(map[string]bool), woken: make(chan struct{}, 1),
 	}
 	if in.config.FirstStart {
-		o.releases.Extend(in.started.Add(-originWindow), nil, in.started)
+		o.releases.Extend(in.started.Add(-longAgo), nil, in.started)
 	}
 	return o
 }
@@ -204,7 +209,8 @@
 
 // ask asks siblings where a stream began. It returns as soon as one knows, or all of them do not.
 func (o *origins) ask(ctx context.Context, key origin.Key, service string) (origin.Origin, bool) {
-	asked := o.keepers(key, originAsked)
+	known := o.directory()
+	asked := known.keepers(key, originAsked)
 	if len(asked) == 0 {
 		return origin.Origin{}, false
 	}
@@ -244,21 +250,27 @@
 	}
 }
 
-// keepers returns the addresses of the siblings that keep the record of a stream, by the siblings that
-// this instance knows.
-func (o *origins) keepers(key origin.Key, most int) []string {
-	addresses := map[string]string{o.config.Name: ""}
-	names := []string{o.config.Name}
+// directory holds the names and addresses of the instances that may keep records. The address of this
+// instance is empty.
+type directory struct{ names, addresses []string }
+
+func (o *origins) directory() directory {
+	d := directory{[]string{o.config.Name}, []string{""}}
 	for _, sibling := range o.members.View().Siblings {
 		if sibling.Serves() {
-			addresses[sibling.Name] = sibling.Peer
-			names = append(names, sibling.Name)
+			d.names = append(d.names, sibling.Name)
+			d.addresses = append(d.addresses, sibling.Peer)
 		}
 	}
+	return d
+}
+
+// keepers returns the addresses of the siblings that keep the record of a stream.
+func (d *directory) keepers(key origin.Key, most int) []string {
 	var selected []string
-	for _, name := range origin.Keepers(key, names, most) {
-		if address := addresses[name]; address != "" {
-			selected = append(selected, address)
+	for _, i := range origin.Keepers(key, d.names, most) {
+		if d.addresses[i] != "" {
+			selected = append(selected, d.addresses[i])
 		}
 	}
 	return selected
@@ -364,9 +376,13 @@
 	unsent := o.unsent
 	o.unsent = nil
 	o.mu.Unlock()
+	if len(unsent) == 0 {
+		return
+	}
+	known := o.directory()
 	messages := make(map[string]*origin.Message)
 	for _, one := range unsent {
-		for _, keeper := range o.keepers(one.key, originKeepers) {
+		for _, keeper := range known.keepers(one.key, originKeepers) {
 			message := messages[keeper]
 			if message == nil {
 				message = new(origin.Message)
--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -11,6 +11,7 @@
 	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/racedetector"
 	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/table"
 )
 
 // originInstances is the number of instances of most tests here.
@@ -274,3 +275,18 @@
 		}
 	})
 }
+
+func TestReleasesAreKnownForAsLongAsStreamsMayLast(t *testing.T) {
+	withReleases(t, 1, func(f *fleet) {
+		in := f.instances[0]
+		long := &table.RouteView{Repeat: table.RepeatResume, Timeout: time.Minute}
+		in.Origins.setWindow(&table.View{Routes: map[string][]*table.RouteView{"h": {long}}})
+		time.Sleep(originTries * time.Minute)
+		f.store.registerRelease("n", newRelease)
+		f.store.remove("n")
+		time.Sleep(2 * time.Minute)
+		if got := find(in, "x"); got != string(metrics.OriginUnknown) {
+			t.Errorf("the instance guesses %s two minutes after another release", got)
+		}
+	})
+}
--- a/edge/releases.go
+++ b/edge/releases.go
@@ -12,6 +12,7 @@
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/table"
 )
 
 // Which releases served lately follows from the list of servers. Instances that have just started get it
@@ -39,6 +40,19 @@
 	o.wake()
 }
 
+// setWindow sets how long ago streams may have begun, from the timeouts of the table's routes.
+func (o *origins) setWindow(view *table.View) {
+	window := originWindow
+	for _, routes := range view.Routes {
+		for _, route := range routes {
+			if route.Repeat == table.RepeatResume {
+				window = max(window, originTries*route.Timeout)
+			}
+		}
+	}
+	o.releases.SetWindow(window)
+}
+
 func originOf(entry *registry.Entry) origin.Origin {
 	return origin.Origin{Service: entry.Service, Release: entry.Release}
 }
@@ -213,6 +227,6 @@
 		lastListed[at] = now
 	}
 	klog.InfoS("Read the releases of the servers that the store keeps", "releases", len(stored))
-	o.releases.Extend(now.Add(-originWindow), lastListed, now)
+	o.releases.Extend(now.Add(-o.releases.Window()), lastListed, now)
 	return stored, nil
 }
--- a/edge/servers.go
+++ b/edge/servers.go
@@ -35,6 +35,7 @@
 	in.servers.Store(next)
 	in.limitColdServers(used, view, clock.Now())
 	if view != nil && view != built.with {
+		in.Origins.setWindow(view)
 		in.applyLimits(view, clock.Now())
 	}
 	*built = viewInputs{from: list, with: view, without: evacuation, uses: uses, list: used}
--- a/origin/records_test.go
+++ b/origin/records_test.go
@@ -51,9 +51,10 @@
 	}
 	for key := range Key(200) {
 		before := Keepers(key, names, 3)
-		left := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == before[1] })
-		if after := Keepers(key, left, 3); after[0] != before[0] || after[1] != before[2] {
-			t.Fatalf("keepers %v, and %v without %s", before, after, before[1])
+		left := slices.Delete(slices.Clone(names), before[1], before[1]+1)
+		after := Keepers(key, left, 3)
+		if len(after) != 3 || left[after[0]] != names[before[0]] || left[after[1]] != names[before[2]] {
+			t.Fatalf("keepers %v, and %v without the second", before, after)
 		}
 	}
 }
@@ -85,6 +86,12 @@
 	check(4*window+time.Second, "v2")
 	r.Extend(start.Add(3*window), map[Origin]time.Time{old: start.Add(5 * window)}, start.Add(5*window))
 	check(5*window, "unknown")
+	// The window grows over the time for which the history is complete.
+	check(8*window, "v2")
+	r.SetListed(map[Origin]bool{next: true, {Service: "b"}: true}, true, start.Add(8*window))
+	r.SetWindow(4 * window)
+	check(8*window, "unknown")
+	r.SetWindow(window)
 	r.Restart(start.Add(9*window), start.Add(9*window))
 	check(9*window, "unknown")
 }
--- a/origin/releases.go
+++ b/origin/releases.go
@@ -10,8 +10,8 @@
 // Releases tracks which releases served lately. Writers hold a lock and replace an immutable history.
 // Readers load it without a lock.
 type Releases struct {
-	// window is how long ago a stream that its caller takes up may have begun.
-	window  time.Duration
+	// window is how long ago a stream that its caller takes up may have begun, in nanoseconds.
+	window  atomic.Int64
 	mu      sync.Mutex
 	history atomic.Pointer[history]
 }
@@ -29,11 +29,18 @@
 
 // NewReleases returns an empty history for streams that began within a window.
 func NewReleases(window time.Duration) *Releases {
-	r := &Releases{window: window}
+	r := new(Releases)
+	r.SetWindow(window)
 	r.history.Store(&history{})
 	return r
 }
 
+// SetWindow sets how long ago a stream that its caller takes up may have begun.
+func (r *Releases) SetWindow(window time.Duration) { r.window.Store(int64(window)) }
+
+// Window returns how long ago a stream that its caller takes up may have begun.
+func (r *Releases) Window() time.Duration { return time.Duration(r.window.Load()) }
+
 // change replaces the history by a changed copy without the releases that no longer matter.
 func (r *Releases) change(now time.Time, apply func(next *history)) {
 	r.mu.Lock()
@@ -44,7 +51,14 @@
 		next.lastListed, next.listed = make(map[Origin]time.Time), make(map[Origin]bool)
 	}
 	apply(&next)
-	maps.DeleteFunc(next.lastListed, func(_ Origin, at time.Time) bool { return now.Sub(at) > r.window })
+	maps.DeleteFunc(next.lastListed, func(_ Origin, at time.Time) bool {
+		old := now.Sub(at) > r.Window()
+		if old && next.complete && at.After(next.since) {
+			// The window may grow, with the timeouts of the routes.
+			next.since = at
+		}
+		return old
+	})
 	r.history.Store(&next)
 }
 
@@ -109,7 +123,7 @@
 // CoversWindow reports whether the history is complete for all streams that callers may take up.
 func (r *Releases) CoversWindow(now time.Time) bool {
 	since, complete := r.Since()
-	return complete && now.Sub(since) >= r.window
+	return complete && now.Sub(since) >= r.Window()
 }
 
 // Lately returns when a server of each release of the window was last listed: now for those that are
@@ -121,7 +135,7 @@
 		lately[at] = now
 	}
 	for at, last := range known.lastListed {
-		if now.Sub(last) <= r.window {
+		if now.Sub(last) <= r.Window() {
 			lately[at] = last
 		}
 	}
@@ -143,7 +157,7 @@
 		}
 	}
 	for at, last := range known.lastListed {
-		if at.Service == service && now.Sub(last) <= r.window {
+		if at.Service == service && now.Sub(last) <= r.Window() {
 			release = at.Release
 			found++
 		}
