--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/racedetector"
@@ -290,3 +291,17 @@
 		}
 	})
 }
+
+func TestOneRecordIsASmallDatagram(t *testing.T) {
+	message := heartbeat.Message{Origins: &origin.Message{
+		Origins: []origin.Origin{{Service: "dining-room-assistant", Release: "v1.2.3"}}, Began: []origin.Began{{Key: 1 << 63, LeftMillis: 19_000}},
+	}}
+	datagram, err := heartbeat.Encode(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes", len(datagram))
+	if len(datagram) > 128 {
+		t.Errorf("%d bytes for one record", len(datagram))
+	}
+}
