--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -305,3 +305,66 @@
 		t.Errorf("%d bytes for one record", len(datagram))
 	}
 }
+
+// TestStreamsAreFoundWhileTheStoreIsAway: no instance knows then whether other releases have come.
+func TestStreamsAreFoundWhileTheStoreIsAway(t *testing.T) {
+	withReleases(t, originInstances, func(f *fleet) {
+		begin(f.instances[0], "before", oldRelease)
+		f.store.change(func() {
+			for _, in := range f.instances {
+				f.store.refused[in.config.Name] = true
+			}
+		})
+		time.Sleep(5 * time.Second)
+		begin(f.instances[1], "meanwhile", oldRelease)
+		time.Sleep(100 * time.Millisecond)
+		f.mu.Lock()
+		f.cut[f.instances[0].config.SiblingAddress] = true
+		f.mu.Unlock()
+		for _, in := range f.instances[1:] {
+			if a, b, c := find(in, "before"), find(in, "meanwhile"), find(in, "x"); a != "v1" || b != "v1" || c != string(metrics.OriginUnknown) {
+				t.Errorf("%s: %s, %s, %s", in.config.Name, a, b, c)
+			}
+		}
+	})
+}
+
+func TestMostStreamsAreFoundAfterTheLossOfHalfOfTheInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 100
+		f := newFleet(t, originInstances, DefaultConfig())
+		f.store.registerRelease("o", oldRelease)
+		f.store.registerRelease("n", newRelease)
+		half := originInstances / 2
+		stopHalf := f.startThese(f.instances[:half])
+		stopOthers := f.startThese(f.instances[half:])
+		time.Sleep(10 * time.Second)
+		for i := range streams {
+			begin(f.instances[i%half], fmt.Sprint(i), newRelease)
+		}
+		time.Sleep(50 * time.Millisecond)
+		stopHalf()
+		for i := range half {
+			f.replace(i)
+		}
+		stopAgain := f.startThese(f.instances[:half])
+		time.Sleep(3 * time.Second)
+		for _, in := range f.instances {
+			found := 0
+			for i := range streams {
+				switch find(in, fmt.Sprint(i)) {
+				case "v2":
+					found++
+				case "v1":
+					t.Errorf("%s: stream %d is found at the wrong release", in.config.Name, i)
+				}
+			}
+			if found < streams/2 {
+				t.Errorf("%s finds %d of %d streams", in.config.Name, found, streams)
+			}
+		}
+		stopAgain()
+		stopOthers()
+		f.running.Wait()
+	})
+}
