--- a/edge/follow.go
+++ b/edge/follow.go
@@ -170,6 +170,7 @@
 			feed.review(now)
 		}
 		in.rebuild()
+		in.Origins.wake()
 		if now.Sub(reviewed) >= in.config.ReviewEvery {
 			reviewed = now
 			in.reviewSubset(now)
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -325,19 +325,17 @@
 }
 
 // run sends the records of streams to their keepers until ctx ends, and the records of all streams of a
-// service once its release is no longer known without them.
+// service once its release is no longer known without them. It is woken when there is something to send,
+// and by each tick of the instance.
 func (o *origins) run(ctx context.Context) {
-	ticker := time.NewTicker(o.config.Members.HeartbeatEvery)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
 		case <-o.woken:
-			if !wait.For(ctx, originBatch) {
-				return
-			}
+		}
+		if !wait.For(ctx, originBatch) {
+			return
 		}
 		now := clock.Now()
 		o.reviewServices(now)
--- a/edge/releases.go
+++ b/edge/releases.go
@@ -166,7 +166,11 @@
 		stored, err = o.keepReleases(ctx, stored)
 		if err == nil {
 			failures = 0
-			o.pause(ctx, o.config.Members.HeartbeatEvery)
+			pause := o.config.IdleCheckEvery
+			if o.registry.View().Position == 0 {
+				pause = o.config.Members.HeartbeatEvery
+			}
+			o.pause(ctx, pause)
 			continue
 		}
 		failures++
