platform, forward: a stream whose engine starts again at once is not complete

Cause: at such an end the engine was asked whether its address refuses connections. A new process does not refuse them.

--- a/edge/slots_test.go
+++ b/edge/slots_test.go
@@ -243,3 +243,6 @@
 func (s *fewSlots) Probe(context.Context, *registry.Entry, string) error { return nil }
 
 func (s *fewSlots) HasExited(context.Context, *registry.Entry) bool { return false }
+
+// RunHasEnded implements forward.Backends.
+func (s *fewSlots) RunHasEnded(context.Context, *registry.Entry) bool { return false }
--- a/forward/crowd_engines_test.go
+++ b/forward/crowd_engines_test.go
@@ -204,7 +204,8 @@
 // HasExited implements Backends. No engine exits.
 func (simBackends) Probe(context.Context, *registry.Entry, string) error { return nil }
 
-func (simBackends) HasExited(context.Context, *registry.Entry) bool { return false }
+func (simBackends) HasExited(context.Context, *registry.Entry) bool   { return false }
+func (simBackends) RunHasEnded(context.Context, *registry.Entry) bool { return false }
 
 // Call implements Backends.
 func (simBackends) Call(context.Context, *registry.Entry, *Request, time.Time) (*Answer, error) {
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -59,6 +59,11 @@
 	return e.crashed[server.ID]
 }
 
+// RunHasEnded implements Backends.
+func (e *engines) RunHasEnded(ctx context.Context, server *registry.Entry) bool {
+	return e.HasExited(ctx, server)
+}
+
 func (e *engines) Probe(_ context.Context, server *registry.Entry, _ string) error {
 	e.record("probe", server.ID)
 	if e.probe != nil {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -117,13 +117,13 @@
 var errExitedAtEnd = errors.New("the engine's process exited as its connection ended")
 
 // exitedAtEnd reports whether a stream that ends with its connection ended because the engine's
-// process exited: the kernel then closes the connection, mostly between two events. A leaving engine
-// exits after its last stream.
+// process exited: the kernel then closes the connection, mostly between two events. Another process may
+// listen at its address at once. A leaving engine exits after its last stream.
 func (r *relay) exitedAtEnd() bool {
 	if !r.stream.EndsWithConnection || !r.stream.hasEvents() || r.isLeaving(r.decode.Name) {
 		return false
 	}
-	return r.Backends.HasExited(r.ctx, r.entry(r.decode))
+	return r.Backends.RunHasEnded(r.ctx, r.entry(r.decode))
 }
 
 // endOfAnswer handles an end of the server's answer without an error.
--- a/forward/relay_search_test.go
+++ b/forward/relay_search_test.go
@@ -253,6 +253,10 @@
 
 func (p *searchPlay) Probe(context.Context, *registry.Entry, string) error { return nil }
 
+func (p *searchPlay) RunHasEnded(ctx context.Context, server *registry.Entry) bool {
+	return p.HasExited(ctx, server)
+}
+
 func (p *searchPlay) HasExited(_ context.Context, server *registry.Entry) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
