edge: an instance that has just appeared gets only the records that it keeps

Cause: each time an instance appeared, all records of the services with several versions were queued again for all their keepers. With 85 instances that start one after the other, that is some hundreds of datagrams from each for every one of them. Change: only the newcomer is sent records, and only those of which it is a keeper, by the loop that sends records and not while its heartbeat is handled.

--- a/edge/origins.go
+++ b/edge/origins.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,10 +30,9 @@
 	// originTimeout bounds the wait for their answers. It allows for a round trip between zones and a
 	// busy sibling, and leaves most of the time in which a caller should be refused.
 	originTimeout = 150 * time.Millisecond
-	// originWindow is how long ago a stream that its caller takes up may have begun, at least: callers
-	// that state no deadline wait for a minute (source: the platform's protocol as implemented). Where
-	// routes allow more time, it is originTries times the longest timeout of a route, because a caller
-	// tries a few times.
+	// originWindow is how long ago a stream that its caller takes up may have begun, at least. Callers
+	// that state no deadline are given a minute. Where routes allow more time, it is originTries times
+	// the longest timeout of a route, because a caller tries a few times.
 	originWindow = time.Minute
 	originTries  = 3
 	// longAgo is before any stream that may be taken up.
@@ -60,6 +61,9 @@
 	mu sync.Mutex
 	// unsent holds the own records that are still to be sent to their keepers.
 	unsent []unsentOrigin
+	// newcomers holds the addresses of instances that have just appeared, until they are sent the records
+	// that they keep.
+	newcomers []string
 	// waiting holds the lookups that wait for answers of siblings.
 	waiting map[origin.Key][]chan originAnswer
 	// ambiguous holds the services whose records were sent to the keepers, because the release of a
@@ -339,10 +343,31 @@
 		}
 		now := clock.Now()
 		o.reviewServices(now)
-		o.sendRecords(now)
+		o.mu.Lock()
+		unsent, newcomers := o.unsent, o.newcomers
+		o.unsent, o.newcomers = nil, nil
+		o.mu.Unlock()
+		o.sendRecords(unsent, nil, now)
+		if len(newcomers) > 0 {
+			o.sendRecords(o.ambiguousRecords(now), newcomers, now)
+		}
 	}
 }
 
+// ambiguousRecords returns the own records of all services whose streams' release is not known without
+// them.
+func (o *origins) ambiguousRecords(now time.Time) (records []unsentOrigin) {
+	o.mu.Lock()
+	ambiguous := maps.Clone(o.ambiguous)
+	o.mu.Unlock()
+	for service, is := range ambiguous {
+		if is {
+			records = append(records, o.ownRecords(service, now)...)
+		}
+	}
+	return records
+}
+
 // reviewServices queues the records of a service's streams when its release is no longer known without
 // them.
 func (o *origins) reviewServices(now time.Time) {
@@ -353,34 +378,32 @@
 		o.ambiguous[service] = !sole
 		o.mu.Unlock()
 		if !sole && !before {
-			o.enqueueAll(service, now)
+			if records := o.ownRecords(service, now); len(records) > 0 {
+				o.enqueue(records...)
+			}
 		}
 	}
 }
 
-func (o *origins) enqueueAll(service string, now time.Time) {
-	var all []unsentOrigin
+func (o *origins) ownRecords(service string, now time.Time) (records []unsentOrigin) {
 	o.own.Each(service, now, func(key origin.Key, at origin.Origin, until time.Time) {
-		all = append(all, unsentOrigin{key, at, until})
+		records = append(records, unsentOrigin{key, at, until})
 	})
-	if len(all) > 0 {
-		o.enqueue(all...)
-	}
+	return records
 }
 
-// sendRecords sends the queued records to their keepers.
-func (o *origins) sendRecords(now time.Time) {
-	o.mu.Lock()
-	unsent := o.unsent
-	o.unsent = nil
-	o.mu.Unlock()
-	if len(unsent) == 0 {
+// sendRecords sends records to their keepers, or only to those of them that have the given addresses.
+func (o *origins) sendRecords(records []unsentOrigin, only []string, now time.Time) {
+	if len(records) == 0 {
 		return
 	}
 	known := o.directory()
 	messages := make(map[string]*origin.Message)
-	for _, one := range unsent {
+	for _, one := range records {
 		for _, keeper := range known.keepers(one.key, originKeepers) {
+			if only != nil && !slices.Contains(only, keeper) {
+				continue
+			}
 			message := messages[keeper]
 			if message == nil {
 				message = new(origin.Message)
--- a/edge/releases.go
+++ b/edge/releases.go
@@ -135,13 +135,9 @@
 		o.send(heartbeat.Message{Origins: history}, to.Peer)
 	}
 	o.mu.Lock()
-	ambiguous := maps.Clone(o.ambiguous)
+	o.newcomers = append(o.newcomers, to.Peer)
 	o.mu.Unlock()
-	for service, is := range ambiguous {
-		if is {
-			o.enqueueAll(service, now)
-		}
-	}
+	o.wake()
 }
 
 // ReleaseStore keeps the releases that served lately in the platform's store.
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -37,8 +37,8 @@
 	return r.Resumes
 }
 
-// findOrigin finds where a stream began that its caller takes up, and reports whether that is known. It
-// is for new streams too, which have no origin.
+// findOrigin finds where a stream began that its caller takes up, and reports whether that is known. For
+// other requests it returns true.
 func (f *flow) findOrigin(ctx context.Context) bool {
 	r := f.request
 	if r.LastEvent == "" || r.Generation == nil || f.origin.Load() != nil {
