edge: the record of a stream is sent at once

Cause: records waited 10 ms for others to the same keepers. Change: a record is sent at once, and the next ones after a pause of 10 ms.

--- a/edge/origins.go
+++ b/edge/origins.go
@@ -45,7 +45,8 @@
 	// listFreshFor is the age up to which the list of servers is relied on for the releases that serve.
 	// Without faults it is confirmed each Config.FreshFor and a few checks, 1.2 s at most.
 	listFreshFor = 1500 * time.Millisecond
-	// originBatch is how long records wait for others to the same keepers.
+	// originBatch is the least pause between two sends of records, so that many share a datagram. A
+	// record that was not sent is lost with its instance.
 	originBatch = 10 * time.Millisecond
 	// originsInMessage bounds the records in one datagram, about 14 bytes each.
 	originsInMessage = 64
@@ -332,15 +333,12 @@
 // service once its release is no longer known without them. It is woken when there is something to send,
 // and by each tick of the instance.
 func (o *origins) run(ctx context.Context) {
-	for {
+	for more := true; more; more = wait.For(ctx, originBatch) {
 		select {
 		case <-ctx.Done():
 			return
 		case <-o.woken:
 		}
-		if !wait.For(ctx, originBatch) {
-			return
-		}
 		now := clock.Now()
 		o.reviewServices(now)
 		o.mu.Lock()
--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -368,3 +368,26 @@
 		f.running.Wait()
 	})
 }
+
+func TestRecordIsSentAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, originInstances, DefaultConfig())
+		f.store.registerRelease("o", oldRelease)
+		f.store.registerRelease("n", newRelease)
+		stopFirst := f.startThese(f.instances[:1])
+		stopOthers := f.startThese(f.instances[1:])
+		// Between two ticks of the instance, each of which wakes the loop that sends records.
+		time.Sleep(10*time.Second + 250*time.Millisecond)
+		begin(f.instances[0], "last", newRelease)
+		time.Sleep(networkLatency)
+		stopFirst()
+		time.Sleep(3 * time.Second)
+		for _, in := range f.instances[1:] {
+			if got := find(in, "last"); got != "v2" {
+				t.Errorf("%s: %s", in.config.Name, got)
+			}
+		}
+		stopOthers()
+		f.running.Wait()
+	})
+}
