--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -107,31 +106,6 @@
 	s.changed = make(chan struct{})
 }
 
-// releaseLog is the ReleaseStore of one instance.
-type releaseLog struct {
-	store *memoryStore
-	name  string
-}
-
-// Load implements ReleaseStore.
-func (l releaseLog) Load(context.Context) (map[origin.Origin]bool, bool, error) {
-	l.store.mu.Lock()
-	defer l.store.mu.Unlock()
-	l.store.calls++
-	l.store.callsBy[l.name]++
-	return maps.Clone(l.store.releases), l.store.releases != nil, nil
-}
-
-// Save implements ReleaseStore.
-func (l releaseLog) Save(_ context.Context, releases map[origin.Origin]bool) error {
-	l.store.mu.Lock()
-	defer l.store.mu.Unlock()
-	l.store.calls++
-	l.store.callsBy[l.name]++
-	l.store.releases = maps.Clone(releases)
-	return nil
-}
-
 // called returns the number of calls so far.
 func (s *memoryStore) called() int {
 	s.mu.Lock()
--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,31 @@
 
 var oldRelease, newRelease = origin.Origin{Service: "a", Release: "v1"}, origin.Origin{Service: "a", Release: "v2"}
 
+// releaseLog is the ReleaseStore of one instance.
+type releaseLog struct {
+	store *memoryStore
+	name  string
+}
+
+// Load implements ReleaseStore.
+func (l releaseLog) Load(context.Context) (map[origin.Origin]bool, bool, error) {
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	l.store.calls++
+	l.store.callsBy[l.name]++
+	return maps.Clone(l.store.releases), l.store.releases != nil, nil
+}
+
+// Save implements ReleaseStore.
+func (l releaseLog) Save(_ context.Context, releases map[origin.Origin]bool) error {
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	l.store.calls++
+	l.store.callsBy[l.name]++
+	l.store.releases = maps.Clone(releases)
+	return nil
+}
+
 // registerRelease appends an entry of a server of a release to the log.
 func (s *memoryStore) registerRelease(id string, at origin.Origin) {
 	s.change(func() {
