platform, upstream: an engine's run has ended whose address resets new connections

Cause: the check whether the run has ended opens a connection. The kernel accepts it for a process that is about to exit, and resets it. A reset after the connection was open counts as broken off and is checked again; one that comes while it is still being opened is ECONNRESET of the dial, which counted as "not opened, so nothing is known", that is, not ended. Ruled out: the engine was not leaving, was in the list, and its answer was known to end with its connection. HasExited is not affected: detectCrash checks three times. Other failed dials still say nothing.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -103,6 +103,9 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return nil, errors.WithMessage(ErrRefused, err.Error())
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			return nil, errors.WithMessage(ErrReset, err.Error())
+		}
 		return nil, errors.WithMessage(ErrNotSent, err.Error())
 	}
 	return &Conn{pool: p, raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: p.config.IdleTimeout}, nil
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,6 +18,9 @@
 	// ErrRefused is the case of ErrNotSent in which no process listens at the server's
 	// address.
 	ErrRefused = errors.WithMessage(ErrNotSent, "connection refused")
+	// ErrReset is the case of ErrNotSent in which a new connection was accepted and reset at
+	// once, as when the process at the server's address exits.
+	ErrReset = errors.WithMessage(ErrNotSent, "connection reset")
 	// ErrBroken means that the request was sent at least in part and that no
 	// complete answer was received. The backend server may have run it.
 	ErrBroken = errors.New("no complete answer from the backend server")
