route: a leaving server is no capacity for a retry that it failed

Cause: a server of few slots that only the exclusion of tried servers drops counts as capacity, and that filter came before the others, so that its name was recorded also where another one applies. Change: for services with few slots the exclusion comes last. Result: TestServerThatTakesNoCallsIsNoCapacityForARetry fails before for both and passes.

--- a/forward/slots_test.go
+++ b/forward/slots_test.go
@@ -265,6 +265,42 @@
 	})
 }
 
+// TestServerThatTakesNoCallsIsNoCapacityForARetry guards against a retry that counts the slots of the server
+// that failed it, though that server is leaving or its breaker is open.
+func TestServerThatTakesNoCallsIsNoCapacityForARetry(t *testing.T) {
+	for name, play := range map[string]struct {
+		spoil func(b *bench)
+		want  int
+	}{
+		"serves on":    {func(*bench) {}, 2},
+		"leaves":       {func(b *bench) { b.drain("s1") }, 1},
+		"breaker open": {func(b *bench) { b.openBreaker("s1") }, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withBench(t, func(b *bench) {
+				b.setSlots(6, 61)
+				play.spoil(b)
+				f := &flow{
+					Gateway: b.Gateway, request: b.plain("a"), service: b.View.Table().Services["web"],
+					entries: make(map[string]*registry.Entry), tried: []string{"s1"},
+				}
+				rated, _ := f.rate(f.query(), f.plainFewSlots, plainPool)
+				if view := f.slotsView(f.slotsOf("web"), rated.Rated); len(view.Servers) != play.want {
+					t.Errorf("%d servers count as capacity, want %d: %+v", len(view.Servers), play.want, view.Servers)
+				}
+			})
+		})
+	}
+}
+
+// openBreaker records failures at a server until its breaker opens.
+func (b *bench) openBreaker(id string) {
+	breaker := &b.Fleet.Server(id).Breaker
+	for breaker.State(time.Now()) != route.BreakerOpen {
+		breaker.Failure(time.Now())
+	}
+}
+
 // A server's answer must not be lost if the instance stops while the retry waits for a slot.
 func TestAnswerIsKeptIfInstanceStopsBeforeRetry(t *testing.T) {
 	withBench(t, func(b *bench) {
--- a/route/forwarding.go
+++ b/route/forwarding.go
@@ -19,8 +19,11 @@
 
 var forwardingFilters = append([]Filter{SilentFilter{Limit: maxNormalSilence}, BackoffFilter{}, LimitFilter{}, RefusingFilter{}}, commonFilters...)
 
-// fewSlotsFilters are the filters for servers whose free capacity package slots tracks.
-var fewSlotsFilters = append([]Filter{SilentFilter{Limit: maxNormalSilence}, BackoffFilter{}, LimitFilter{}, UnreachableFilter{}}, commonFilters...)
+// fewSlotsFilters are the filters for servers whose free capacity package slots tracks. A server
+// that only the ExcludedFilter drops counts as capacity for a retry, so that filter comes last.
+var fewSlotsFilters = []Filter{
+	SilentFilter{Limit: maxNormalSilence}, BackoffFilter{}, LimitFilter{}, UnreachableFilter{}, DrainingFilter{}, BreakerFilter{}, ExcludedFilter{},
+}
 
 // ForwardPrefill returns the profile that selects prefill engines. The zone decides only
 // between engines that finish about equally soon: with more weight, one engine's queue grows to
