forward: a late request that waited for a limit still tries again for memory

Cause: the count of waits included those for other reasons. Change: only waits for memory count, also for the metric of requests that got memory after a wait. Result: TestLateRequestThatWaitedForALimitTriesAgainForMemory fails before (refused after one pause, not two) and passes; package forward passes.

--- a/forward/forecast.go
+++ b/forward/forecast.go
@@ -390,6 +390,8 @@
 func (g *generation) reserveByForecast() *stepError {
 	allowed := time.Duration(g.config.RefuseWithin * float64(g.route.TTFT))
 	until := g.since.Add(allowed)
+	// waits counts the waits for memory alone: one for another reason, such as a rate limit, takes no
+	// try for memory.
 	waits, counted := 0, false
 	for {
 		failed := g.reserveOnce()
@@ -419,6 +421,7 @@
 				return failed
 			}
 			g.record(stepReserve, "wait", "fitsAfterMillis", first.Milliseconds(), "late", late)
+			waits++
 			if !counted && !late {
 				counted = true
 				model := g.memoryModelOf(g.service.Name)
@@ -430,7 +433,6 @@
 		if !wait.For(g.ctx, pause) {
 			return &stepError{why: reason.CallerGone, detail: g.ctx.Err().Error()}
 		}
-		waits++
 		g.tried = g.tried[:0]
 	}
 }
--- a/forward/forecast_test.go
+++ b/forward/forecast_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/forecast"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
@@ -251,6 +252,25 @@
 	})
 }
 
+// TestLateRequestThatWaitedForALimitTriesAgainForMemory guards against a late request that gets no second
+// try for memory because it had waited before for engines that had reached their limit.
+func TestLateRequestThatWaitedForALimitTriesAgainForMemory(t *testing.T) {
+	withBench(t, func(b *bench) {
+		b.forecastMemory()
+		for i := range 4 {
+			b.serve(b.generation(fmt.Sprint("first", i), testPromptTokens))
+		}
+		b.exhaustLimit(40, backpressure.Reserve, "d1", "d2")
+		b.refuseUntil(time.Now().Add(time.Second))
+		late := b.waitingGeneration(context.Background(), "late", 0)
+		late.waited = 2 * testTTFT
+		failed := late.reserveByForecast()
+		if failed == nil || failed.why != reason.NoDecodeMemory || time.Since(late.since) != 2*b.config.ReservePause {
+			t.Errorf("refused with %+v after %v, want two pauses", failed, time.Since(late.since))
+		}
+	})
+}
+
 // Callers who are refused together must not return together, however late memory is expected.
 func TestReturnsAreSpreadAroundForecast(t *testing.T) {
 	withBench(t, func(b *bench) {
