slots: an answer is described by a type of its own

Dispatcher.Answered took six values in a row, of which three are counts and two are durations. No change of behaviour; package slots passes.

--- a/forward/slots.go
+++ b/forward/slots.go
@@ -307,7 +307,9 @@
 	var notRun *NotRunError
 	switch {
 	case err == nil && answer != nil:
-		dispatcher.Answered(send.slots, send.before, after, took, usualWork(send.chosen.Server), now)
+		dispatcher.Answered(slots.Answer{
+			Server: send.chosen.Name, Slots: send.slots, Before: send.before, After: after, Took: took, Usual: usualWork(send.chosen.Server),
+		}, now)
 	case errors.As(err, &notRun) && notRun.Sent && !notRun.Misdirected:
 		dispatcher.Refused(send.chosen.Name, send.slots, send.before, now)
 		if max(send.before, after) <= send.slots {
--- a/slots/dispatcher.go
+++ b/slots/dispatcher.go
@@ -297,17 +297,28 @@
 	}
 }
 
-// Answered records that a server processed a call. before is the number of calls that were known
-// there when it was sent, after the same when it was answered, both with the call itself. usual is the
-// server's usual work time; 0 if it is not known.
-func (d *Dispatcher) Answered(slots, before, after int, took, usual time.Duration, now time.Time) {
+// Answer describes how a server processed a call.
+type Answer struct {
+	Server string
+	Slots  int
+	// Before is the number of calls that were known at the server when the call was sent, After the
+	// same when it was answered, both with the call itself.
+	Before, After int
+	Took          time.Duration
+	// Usual is the server's usual work time; 0 if it is not known.
+	Usual time.Duration
+}
+
+// Answered records that a server processed a call.
+func (d *Dispatcher) Answered(answer Answer, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	work, known := d.work.atServer(usual)
+	took := answer.Took
+	work, known := d.work.atServer(answer.Usual)
 	if !known && d.work.count > 0 {
 		work = d.work.mean(0)
 	}
-	d.work.add(took, usual, slots, max(before, after), now)
+	d.work.add(answer, now)
 	if float64(took) <= shownFrom*float64(work) {
 		took = 0
 	}
--- a/slots/dispatcher_test.go
+++ b/slots/dispatcher_test.go
@@ -18,7 +18,7 @@
 	g := &dispatcherTest{Dispatcher: NewDispatcher(config, func() float64 { return 0.5 }), t: t, now: time.Now()}
 	g.view = View{Instances: 61, InContact: true, Servers: []Server{{Name: "a", Slots: 6}, {Name: "b", Slots: 6}, {Name: "c", Slots: 6}}}
 	for range workSamples {
-		g.Answered(6, 1, 1, 30*time.Millisecond, 0, g.now)
+		g.Answered(Answer{Server: "a", Slots: 6, Before: 1, After: 1, Took: 30 * time.Millisecond}, g.now)
 	}
 	return g
 }
@@ -68,7 +68,7 @@
 	g := newDispatcherTest(t, DefaultConfig())
 	g.setInFlight(1)
 	for range workSamples {
-		g.Answered(6, 1, 1, 100*time.Millisecond, 0, g.now)
+		g.Answered(Answer{Server: "a", Slots: 6, Before: 1, After: 1, Took: 100 * time.Millisecond}, g.now)
 	}
 	made, _ := g.begin(&Waiter{call: g.call(0, 0), since: g.now}, &g.view, g.now)
 	if made.InFlightShown != 0 || made.Chance != 1 {
@@ -87,7 +87,7 @@
 		return made.Chance
 	}
 	for i, want := range []float64{1, 0} {
-		g.Answered(6, 3, 3, 130*time.Millisecond, 0, g.now)
+		g.Answered(Answer{Server: "a", Slots: 6, Before: 3, After: 3, Took: 130 * time.Millisecond}, g.now)
 		if got := chance(); got != want {
 			t.Errorf("after %d slow answers: chance %.2f, want %.0f", i+1, got, want)
 		}
@@ -276,14 +276,14 @@
 func TestWorkTimeIgnoresWaitAtFullServers(t *testing.T) {
 	g := newDispatcherTest(t, DefaultConfig())
 	for range 200 {
-		g.Answered(6, 20, 25, 300*time.Millisecond, 0, g.now)
+		g.Answered(Answer{Server: "a", Slots: 6, Before: 20, After: 25, Took: 300 * time.Millisecond}, g.now)
 	}
 	if got := g.workTime(&g.view.Servers[0], 150*time.Millisecond); got != 30*time.Millisecond {
 		t.Errorf("work time %v, want 30ms", got)
 	}
 	g.now = g.now.Add(idleSamplesFor)
 	for range 200 {
-		g.Answered(6, 30, 30, 200*time.Millisecond, 0, g.now)
+		g.Answered(Answer{Server: "a", Slots: 6, Before: 30, After: 30, Took: 200 * time.Millisecond}, g.now)
 		g.now = g.now.Add(idleSamplesFor)
 	}
 	if got := g.workTime(&g.view.Servers[0], 150*time.Millisecond); got != 40*time.Millisecond {
@@ -303,7 +303,7 @@
 		if known := i >= priorSamples; known != (g.workTime(slow, 150*time.Millisecond) == 75*time.Millisecond) {
 			t.Fatalf("after %d answers: work time %v", i, g.workTime(slow, 150*time.Millisecond))
 		}
-		g.Answered(6, 1, 1, 30*time.Millisecond, fast.Usual, g.now)
+		g.Answered(Answer{Server: "a", Slots: 6, Before: 1, After: 1, Took: 30 * time.Millisecond, Usual: fast.Usual}, g.now)
 	}
 	if got := g.workTime(fast, 150*time.Millisecond); got != 30*time.Millisecond {
 		t.Errorf("work time of the measured server %v, want 30ms", got)
@@ -355,7 +355,7 @@
 func TestSlotsAreUsedIfWorkTimeExceedsTarget(t *testing.T) {
 	g := newDispatcherTest(t, DefaultConfig())
 	for range workSamples {
-		g.Answered(6, 1, 1, 450*time.Millisecond, 0, g.now)
+		g.Answered(Answer{Server: "a", Slots: 6, Before: 1, After: 1, Took: 450 * time.Millisecond}, g.now)
 	}
 	for _, test := range []struct {
 		inFlight int
--- a/slots/rules_test.go
+++ b/slots/rules_test.go
@@ -228,7 +228,7 @@
 	switch status {
 	case 200, 500:
 		at := r.servers[server]
-		dispatcher.Answered(simSlots, before, after, took, at.usual, r.time())
+		dispatcher.Answered(Answer{Server: at.name, Slots: simSlots, Before: before, After: after, Took: took, Usual: at.usual}, r.time())
 		if after <= maxCallsAtOnce && status == 200 {
 			at.measured[instance].Record(took, 1, r.time())
 		}
--- a/slots/work.go
+++ b/slots/work.go
@@ -34,11 +34,11 @@
 // workSample is an answer, with the usual work time of its server; 0 if that was not known.
 type workSample struct{ took, usual time.Duration }
 
-// add records that an answer took so long at a server that had inFlight calls, itself included.
-// usual is the server's usual work time, or 0.
-// Answers of servers with most slots in use are left out if there are others: their time includes
-// a wait in the queue, which is known only roughly because inFlight is known late.
-func (w *work) add(took, usual time.Duration, slots, inFlight int, now time.Time) {
+// add records an answer. Answers of servers with most slots in use are left out if there are
+// others: their time includes a wait in the queue, which is known only roughly because the number
+// of calls there is known late.
+func (w *work) add(answer Answer, now time.Time) {
+	slots, inFlight, took := answer.Slots, max(answer.Before, answer.After), answer.Took
 	if inFlight > (slots+1)/2 && w.count >= priorSamples && now.Sub(w.at) < idleSamplesFor {
 		return
 	}
@@ -49,7 +49,7 @@
 	}
 	w.at = now
 	w.include(w.samples[w.next], -1)
-	w.samples[w.next] = workSample{took: took, usual: usual}
+	w.samples[w.next] = workSample{took: took, usual: answer.Usual}
 	w.include(w.samples[w.next], 1)
 	w.next = (w.next + 1) % workSamples
 	w.count = min(w.count+1, workSamples)
