slots: answers of a server that changes its speed are set against its new one

Cause: an answer is set against the server's usual work time as it was known then, which follows a change of speed late. The ratio of both is multiplied by the usual work time as it is known now, so that the change counts twice. Change: once the usual work time of a server has changed, its answers that are nearer to the new one are set against that.

--- a/slots/dispatcher_test.go
+++ b/slots/dispatcher_test.go
@@ -314,6 +314,35 @@
 	}
 }
 
+// TestServerThatChangesItsSpeedIsNotCountedTwice guards against answers of a server that has turned slow, or
+// fast again, being measured against its former work time and multiplied by the new one.
+func TestServerThatChangesItsSpeedIsNotCountedTwice(t *testing.T) {
+	const fast, slow = 20 * time.Millisecond, 100 * time.Millisecond
+	for name, play := range map[string]struct{ before, after time.Duration }{"turns slow": {fast, slow}, "turns fast": {slow, fast}} {
+		t.Run(name, func(t *testing.T) {
+			g := newDispatcherTest(t, DefaultConfig())
+			answer := func(usual, took time.Duration) {
+				g.Answered(Answer{Server: "a", Slots: 6, Before: 1, After: 1, Took: took, Usual: usual}, g.now)
+			}
+			for range 30 {
+				answer(play.before, play.before*3/2)
+				g.Answered(Answer{Server: "b", Slots: 6, Before: 1, After: 1, Took: fast * 3 / 2, Usual: fast}, g.now)
+			}
+			// The usual work time follows late.
+			for range 10 {
+				answer(play.before, play.after*3/2)
+			}
+			answer(play.after, play.after*3/2)
+			for _, usual := range []time.Duration{fast, slow} {
+				got, want := g.workTime(&Server{Usual: usual}, 150*time.Millisecond), usual*3/2
+				if got < want*9/10 || got > want*11/10 {
+					t.Errorf("work time %v at a server whose usual one is %v, want about %v", got, usual, want)
+				}
+			}
+		})
+	}
+}
+
 // A refusal that shows nothing about the server's queue must not reduce its capacity, and a low
 // observation must not hold until the server's run ends.
 func TestLearnedCapacityRisesAgain(t *testing.T) {
--- a/slots/work.go
+++ b/slots/work.go
@@ -1,6 +1,9 @@
 package slots
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// workSamples is the number of answers over which the work time is averaged. An instance gets
@@ -32,12 +35,16 @@
 }
 
 // workSample is an answer, with the usual work time of its server; 0 if that was not known.
-type workSample struct{ took, usual time.Duration }
+type workSample struct {
+	server      string
+	took, usual time.Duration
+}
 
 // add records an answer. Answers of servers with most slots in use are left out if there are
 // others: their time includes a wait in the queue, which is known only roughly because the number
 // of calls there is known late.
 func (w *work) add(answer Answer, now time.Time) {
+	w.follow(answer.Server, answer.Usual)
 	slots, inFlight, took := answer.Slots, max(answer.Before, answer.After), answer.Took
 	if inFlight > (slots+1)/2 && w.count >= priorSamples && now.Sub(w.at) < idleSamplesFor {
 		return
@@ -49,12 +56,40 @@
 	}
 	w.at = now
 	w.include(w.samples[w.next], -1)
-	w.samples[w.next] = workSample{took: took, usual: answer.Usual}
+	w.samples[w.next] = workSample{server: answer.Server, took: took, usual: answer.Usual}
 	w.include(w.samples[w.next], 1)
 	w.next = (w.next + 1) % workSamples
 	w.count = min(w.count+1, workSamples)
 }
 
+// changedFrom is the factor by which a server's usual work time must differ from that of an earlier
+// answer for the server's speed to have changed. A smaller difference may be noise of the measurement.
+const changedFrom = 1.5
+
+// follow sets earlier answers of a server against its usual work time as it is now, if that has
+// changed and is nearer to the time that the answer took. The usual work time follows a change of
+// the server's speed late, so that the answers in between were set against the former one.
+func (w *work) follow(server string, usual time.Duration) {
+	for i := range w.samples {
+		one := &w.samples[i]
+		if one.server != server || one.usual <= 0 || usual <= 0 {
+			continue
+		}
+		change := float64(usual) / float64(one.usual)
+		if change < changedFrom && change > 1/changedFrom {
+			continue
+		}
+		// Half of the change on a logarithmic scale.
+		middle := math.Sqrt(float64(one.usual) * float64(usual))
+		if (change > 1) != (float64(one.took) > middle) {
+			continue
+		}
+		w.include(*one, -1)
+		one.usual = usual
+		w.include(*one, 1)
+	}
+}
+
 // include adds a sample to the sums, or removes it with sign -1.
 func (w *work) include(one workSample, sign int) {
 	took, usual := time.Duration(sign)*one.took, time.Duration(sign)*one.usual
