trial: an instance that does not start is no difference of tables

Change: readiness is a promise of its own, and the tables are compared only once all instances are ready. Either way it is a violation. Result: TestInstanceThatIsNotReadyIsNoDifferenceOfTables fails with the former promise and passes; package trial passes.

--- a/trial/check.go
+++ b/trial/check.go
@@ -25,6 +25,7 @@
 	promiseLeaving   = "a backend server that is leaving receives no new work after a few seconds"
 	promiseDrain     = "a planned stop cuts off no request in flight"
 	promiseSameTable = "an accepted change is in force everywhere"
+	promiseReady     = "each instance serves and knows the others soon after its start"
 )
 
 // check compares the callers' ledger (which answers they received) with the
@@ -60,7 +61,7 @@
 	if t.onlyPlannedFaults() {
 		t.checkInterrupted(report, note)
 	}
-	t.checkTables(note)
+	t.checkTables(note, startTimeout)
 	return found
 }
 
@@ -130,10 +131,12 @@
 }
 
 // checkTables compares the tables of the instances. An instance that a fault replaced at
-// the end of the trial reads its table first, for as long as any start may take.
-func (t *Trial) checkTables(note func(string, string, ...any)) {
-	if err := t.awaitReady(); err != nil {
-		note(promiseSameTable, "%v", err)
+// the end of the trial reads its table first, for as long as any start may take. One that is
+// not ready by then has no table to compare.
+func (t *Trial) checkTables(note func(string, string, ...any), within time.Duration) {
+	if err := t.awaitReady(within); err != nil {
+		note(promiseReady, "%v", err)
+		return
 	}
 	hashes := make(map[uint64][]string)
 	for _, n := range t.running() {
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -104,7 +104,7 @@
 			return nil, err
 		}
 	}
-	if err := t.awaitReady(); err != nil {
+	if err := t.awaitReady(startTimeout); err != nil {
 		t.Stop()
 		return nil, err
 	}
@@ -167,15 +167,15 @@
 
 // awaitReady waits until every instance has the table and lists the other instances
 // as serving.
-func (t *Trial) awaitReady() error {
-	deadline := time.Now().Add(startTimeout)
+func (t *Trial) awaitReady(within time.Duration) error {
+	deadline := time.Now().Add(within)
 	for time.Now().Before(deadline) {
 		if t.ready() {
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return errors.Errorf("instances were not ready within %s", startTimeout)
+	return errors.Errorf("instances were not ready within %s", within)
 }
 
 func (t *Trial) ready() bool {
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -40,6 +40,22 @@
 	}
 }
 
+// TestInstanceThatIsNotReadyIsNoDifferenceOfTables guards against an instance that does not start being
+// reported as a change of the table that is not in force.
+func TestInstanceThatIsNotReadyIsNoDifferenceOfTables(t *testing.T) {
+	trial, err := Start(Options{Deployment: Deployments["camara"], Instances: 2, Protect: request.AllProtections()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer trial.Stop()
+	instanceKill(trial)
+	var broken []string
+	trial.checkTables(func(promise, _ string, _ ...any) { broken = append(broken, promise) }, 0)
+	if len(broken) != 1 || broken[0] != promiseReady {
+		t.Errorf("broken: %v", broken)
+	}
+}
+
 func runTrial(t *testing.T, options Options) *Summary {
 	t.Helper()
 	trial, err := Start(options)
