roles: the last engine of a role that can be reached keeps it

Roles by load already keep it. Cause: each role kept one engine, whether or not it could be reached. Change: Next counts those that can be reached and are not changing.

--- a/roles/roles.go
+++ b/roles/roles.go
@@ -44,7 +44,8 @@
 
 // Next returns the next change that brings the roles closer to the share of engines that
 // should prefill. An engine that is changing its role counts in its new role. Each role
-// keeps at least one engine.
+// keeps at least one engine that can be reached and is not changing, since one that cannot be
+// reached may have failed.
 func Next(engines []Engine, share float64) (Change, bool) {
 	change := Change{WantPrefill: WantedPrefill(len(engines), share)}
 	for _, engine := range engines {
@@ -65,10 +66,23 @@
 	if change.Prefill < change.WantPrefill {
 		from, change.Role = table.RoleDecode, table.RolePrefill
 	}
+	if availableOf(engines, from) < 2 {
+		return Change{}, false
+	}
 	change.Engine = selectEngine(engines, from)
 	return change, change.Engine != ""
 }
 
+// availableOf returns the number of available engines of a role.
+func availableOf(engines []Engine, role string) (count int) {
+	for _, engine := range engines {
+		if engine.Role == role && engine.available() {
+			count++
+		}
+	}
+	return count
+}
+
 // WantedPrefill returns how many of a number of engines should prefill.
 func WantedPrefill(engines int, share float64) int {
 	want := int(math.Round(float64(engines) * share))
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -48,6 +48,34 @@
 	})
 }
 
+// TestLastReachableEngineOfARoleKeepsIt guards against a fixed share that leaves a role only engines that
+// cannot be reached.
+func TestLastReachableEngineOfARoleKeepsIt(t *testing.T) {
+	for role, share := range map[string]float64{table.RolePrefill: 0, table.RoleDecode: 1} {
+		other := map[string]string{table.RolePrefill: table.RoleDecode, table.RoleDecode: table.RolePrefill}[role]
+		for _, reachable := range []int{1, 2, 3} {
+			engines := []Engine{{Name: "silent", Role: role, Unreachable: true}, {Name: "of the other role", Role: other}}
+			for i := range reachable {
+				engines = append(engines, Engine{Name: fmt.Sprint(i), Role: role})
+			}
+			// One more takes the role, and cannot be reached while it does.
+			engines = append(engines, Engine{Name: "changing", Role: other, PendingRole: role, Unreachable: true})
+			orders := 0
+			for change, ok := Next(engines, share); ok; change, ok = Next(engines, share) {
+				for i := range engines {
+					if engines[i].Name == change.Engine {
+						engines[i].PendingRole = change.Role
+					}
+				}
+				orders++
+			}
+			if orders != reachable-1 {
+				t.Errorf("%s: %d of %d reachable engines are taken", role, orders, reachable)
+			}
+		}
+	}
+}
+
 // carryOut records the order for a change, and carries out a random selection
 // of the orders in progress.
 func carryOut(t *rapid.T, engines []Engine, change Change) {
