--- a/forward/forecast_test.go
+++ b/forward/forecast_test.go
@@ -261,6 +261,12 @@
 			b.serve(b.generation(fmt.Sprint("first", i), testPromptTokens))
 		}
 		b.exhaustLimit(40, backpressure.Reserve, "d1", "d2")
+		// The limit ends during the first pause, whatever part of it the engines had left.
+		time.AfterFunc(b.config.ReservePause/2, func() {
+			for _, engine := range []string{"d1", "d2"} {
+				b.reportStatus(engine, backpressure.StatusReport{Kind: backpressure.Reserve})
+			}
+		})
 		b.refuseUntil(time.Now().Add(time.Second))
 		late := b.waitingGeneration(context.Background(), "late", 0)
 		late.waited = 2 * testTTFT
