--- a/poison/memory.go
+++ b/poison/memory.go
@@ -148,8 +148,8 @@
 	if !known && len(t.cleared) >= t.config.MaxCrashes {
 		dropOldest(t.cleared)
 	}
-	// A report that took another way has a slightly later time, because ages are rounded and datagrams
-	// take time. It must not end the time for which the mark is sent on.
+	// The same completion, reported by another sibling, seems slightly later, because ages are rounded
+	// and datagrams take time. It must not end the time for which the mark is sent on.
 	next := mark{at: at, count: before.count + 1, freshUntil: before.freshUntil}
 	if isNew {
 		next.freshUntil = freshUntil
