forward: the end of a request says how many calls got no answer

A refusal as no_decode_memory can mean that all engines are full, or that no connection to them could be opened. "Request ended" has the key unanswered now, and handedOverBy at the sibling that serves a request, so that both can be told apart without reading each decision.

--- a/forward/decision.go
+++ b/forward/decision.go
@@ -106,6 +106,12 @@
 	if f.team != nil {
 		fields = append(fields, "team", f.team.Name)
 	}
+	if f.unanswered > 0 {
+		fields = append(fields, "unanswered", f.unanswered)
+	}
+	if f.request.HandedOver != "" {
+		fields = append(fields, "handedOverBy", f.request.HandedOver)
+	}
 	if outcome == reason.Unknown {
 		fields = append(fields, "fingerprints", f.fingerprints().String())
 	}
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -59,6 +59,9 @@
 	sentTo []string
 	// sentAt is when the request was sent to the last of them.
 	sentAt time.Time
+	// unanswered counts the calls that got no answer: no connection could be opened, it broke off, or it
+	// stayed silent.
+	unanswered int
 	// mayHaveRun is set once a backend server may have run the request.
 	mayHaveRun bool
 	// unavailable is the reason why the last choice found no server, if healthy servers exist
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -48,9 +48,11 @@
 	case err == nil, errors.As(err, &notRun) && notRun.Sent:
 		f.recordAnswer()
 	case notRun != nil:
+		f.unanswered++
 		f.Metrics.ServerFailed(f.service.Name, metrics.FailedConnect)
 		f.reachOf(f.service.Name).Failed(server, now)
 	default:
+		f.unanswered++
 		f.Metrics.ServerFailed(f.service.Name, metrics.FailedBroken)
 		f.reachOf(f.service.Name).Failed(server, now)
 	}
