forward: a request whose own calls got no answer is handed over

A request that would be refused is handed over if two of its calls got no answer, or the links are suspected or lost, without waiting for memory first. A request from a sibling that ends so is declined, so that another is asked.

--- a/forward/flow.go
+++ b/forward/flow.go
@@ -280,6 +280,10 @@
 			return reply
 		}
 	}
+	if f.request.HandedOver != "" && f.linksMayCause(why) {
+		// The sibling that handed the request over asks another one.
+		why = reason.CutOff
+	}
 	return f.end(&Reply{Status: statusUnavailable, Reason: why, RetryAfter: f.retryAfter(why)}, detail)
 }
 
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -51,17 +51,29 @@
 // mayHandOver reports whether a request that would be refused is handed over instead, because the
 // links of this instance seem to be the cause.
 func (f *flow) mayHandOver(why reason.Reason) bool {
-	if f.request.HandedOver != "" || f.askedSiblings || !clock.Now().Before(f.deadline) {
+	if f.Siblings == nil || f.request.HandedOver != "" || f.askedSiblings || !clock.Now().Before(f.deadline) {
 		return false
 	}
+	if why == reason.VersionGone {
+		// A sibling with another subset of the servers may know one of that version.
+		return f.servers.Subset
+	}
+	return f.linksMayCause(why)
+}
+
+// minUnanswered is how many calls of a request must have got no answer for the links of the instance to be
+// a likely cause of its refusal. One call without an answer says more about its server.
+const minUnanswered = 2
+
+// linksMayCause reports whether lost links of this instance may be the cause of a refusal. The request's own
+// calls show it first: an instance with few requests tries few of many servers.
+func (f *flow) linksMayCause(why reason.Reason) bool {
 	switch why {
 	case reason.ConnectFailed:
 		return true
 	case reason.NoBackend, reason.NoDecodeMemory, reason.NoFreeSlot, reason.DeadlineTooClose, reason.PrefillFailed, reason.PrefillRefused, reason.HandoffRefused:
-		return f.manyUnreached()
-	case reason.VersionGone:
-		// A sibling with another subset of the servers may know one of that version.
-		return f.servers.Subset
+		known := f.reachOf(f.service.Name)
+		return f.unanswered >= minUnanswered || known.IsCutOff() || known.Suspected(len(f.entriesOf(f.service.Name))) || f.manyUnreached()
 	}
 	return false
 }
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -42,8 +42,11 @@
 }
 
 // mayClear reports whether the reason that prevented a reservation may have gone by the given
-// time.
+// time. A request that a sibling can serve does not wait.
 func (g *generation) mayClear(why reason.Reason, by time.Time) bool {
+	if g.mayHandOver(why) {
+		return false
+	}
 	return why == reason.NoDecodeMemory || (why == g.unavailable && !g.availableAt.IsZero() && g.availableAt.Before(by))
 }
 
