reach, forward: only a new connection ends a cut of new connections

Where a partition refuses new connections and open ones live on, each answer over an open one cleared the failures: an instance found itself cut off 0.7 to 11 s late, for a moment, and tried refused connections before each hand-over.

Connections that can't be opened are counted apart, and only a probe, which opens new ones, clears them. Meanwhile all requests are handed over at once; what every sibling declines is tried over open connections. Servers that were out of reach when a probe succeeded are down themselves, and are no evidence for 5 s, so that crashed servers do not cause a probe each.

--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -196,3 +196,18 @@
 		b.checkNothingHeld()
 	})
 }
+
+func TestCutInstanceServesByOpenConnectionsWhatAllSiblingsDecline(t *testing.T) {
+	withBench(t, func(b *bench) {
+		known := b.reachOf("llm")
+		known.ConnectFailed("d1", time.Now())
+		known.ConnectFailed("d2", time.Now())
+		known.Answered()
+		known.ConfirmCutOff()
+		b.Siblings = &fakeSiblings{names: []string{"a", "b"}, serve: func(string) (*Reply, error) { return &Reply{Status: 503, Reason: reason.CutOff}, nil }}
+		if reply := b.serve(b.generation("a", testPromptTokens)); reply.Status != 200 {
+			b.t.Errorf("status %d, %q", reply.Status, reply.Reason)
+		}
+		b.checkNothingHeld()
+	})
+}
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -33,17 +33,21 @@
 // declines within a round trip, and most of a zone may be cut off at once.
 const maxHandOvers = 4
 
-// serveWhenCutOff serves a request of a service whose servers this instance cannot reach: by a
-// sibling, or not at all if the request comes from a sibling or none can serve it either. It returns
-// nil if this instance is to try its own links.
+// serveWhenCutOff serves a request of a service to whose servers this instance can open no connection:
+// by a sibling, or not at all if the request comes from a sibling or none can serve it either. It
+// returns nil if this instance is to try its own links, which includes connections that are open still.
 func (f *flow) serveWhenCutOff() *Reply {
-	if !f.reachOf(f.service.Name).IsCutOff() {
+	known := f.reachOf(f.service.Name)
+	if !known.IsCutOff() {
 		return nil
 	}
 	if f.request.HandedOver == "" {
 		if reply := f.handOver(); reply != nil {
 			return reply
 		}
+		if known.OpenConnectionsWork() {
+			return nil
+		}
 	}
 	return f.refuse(reason.CutOff, "neither this instance nor a sibling that was asked reaches a server of the service")
 }
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -50,7 +50,7 @@
 	case notRun != nil:
 		f.unanswered++
 		f.Metrics.ServerFailed(f.service.Name, metrics.FailedConnect)
-		f.reachOf(f.service.Name).Failed(server, now)
+		f.reachOf(f.service.Name).ConnectFailed(server, now)
 	default:
 		f.unanswered++
 		f.Metrics.ServerFailed(f.service.Name, metrics.FailedBroken)
@@ -62,9 +62,21 @@
 func (f *flow) recordAnswer() { f.Gateway.recordAnswer(f.service.Name) }
 
 func (g *Gateway) recordAnswer(service string) {
-	if !g.reachOf(service).Answered() {
-		return
+	if g.reachOf(service).Answered() {
+		g.recordRestored(service)
 	}
+}
+
+// recordConnected records that a server of a service answered over a new connection, or that the service
+// has no servers.
+func (g *Gateway) recordConnected(service string) {
+	if g.reachOf(service).Connected(clock.Now()) {
+		g.recordRestored(service)
+	}
+}
+
+// recordRestored ends the state in which a service is cut off.
+func (g *Gateway) recordRestored(service string) {
 	klog.InfoS("A server of a service answers again, or the service has none any more", "service", service)
 	// The failures before were those of the links.
 	for _, entry := range g.entriesOf(service) {
@@ -128,7 +140,7 @@
 	servers := g.recordSilence(name, known, clock.Now())
 	if service == nil || servers == 0 {
 		// There is nothing to be cut off from.
-		g.recordAnswer(name)
+		g.recordConnected(name)
 		return
 	}
 	if !known.Suspected(servers) && !known.IsCutOff() || !known.BeginProbe() {
@@ -138,7 +150,7 @@
 	go func() {
 		defer known.EndProbe()
 		if g.probeAny(ctx, service, entries) {
-			g.recordAnswer(service.Name)
+			g.recordConnected(service.Name)
 			return
 		}
 		if ctx.Err() == nil && known.ConfirmCutOff() {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -3,18 +3,24 @@
 package reach
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// minFailed is how many servers must have failed, and none answered since, before the links of the
-// instance are suspected. The failure of one server says more about that server.
-const minFailed = 2
+const (
+	// minFailed is how many servers must have failed, and none answered since, before the links of the
+	// instance are suspected. The failure of one server says more about that server.
+	minFailed = 2
+	// excusedFor is how long the servers that could not be reached before a successful probe are no
+	// evidence of lost links. They are down themselves, and come back after some seconds if at all.
+	excusedFor = 5 * time.Second
+)
 
 // Service tracks one service. The zero value has had no failure.
 type Service struct {
-	// failing is set while failed is not empty, so that an answer costs one load otherwise.
+	// failing is set while failed or unreached is not empty, so that an answer costs one load otherwise.
 	failing atomic.Bool
 	cutOff  atomic.Bool
 	probing atomic.Bool
@@ -23,46 +29,96 @@
 	// failed holds the servers that have failed since the last answer of any server, with the time of
 	// the last failure.
 	failed map[string]time.Time
+	// unreached holds the servers to which no connection could be opened since a probe last opened one.
+	// Answers do not clear it, because open connections may live on where no new one can be opened.
+	unreached map[string]time.Time
+	// excused holds the servers that were in unreached when a probe opened connections to others.
+	excused map[string]time.Time
 	// since is the time of the first of these failures.
 	since time.Time
+	// openWork is set if an answer was the last result over an open connection since then.
+	openWork bool
 }
 
-// Answered records that a server of the service answered. It reports whether the service was cut
-// off until then.
+// Answered records that a server of the service answered, maybe over a connection that had been open
+// for long. It reports whether the service was cut off until then.
 func (s *Service) Answered() (restored bool) {
 	if !s.failing.Load() {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	clear(s.failed)
+	s.openWork = true
+	if len(s.unreached) > 0 {
+		return false
+	}
 	s.failing.Store(false)
+	return s.cutOff.Swap(false)
+}
+
+// Connected records that a probe of the service was answered over a new connection, or that the
+// service has no servers. It reports whether the service was cut off until then.
+func (s *Service) Connected(now time.Time) (restored bool) {
+	if !s.failing.Load() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.excused = maps.Clone(s.unreached)
+	for server := range s.excused {
+		s.excused[server] = now
+	}
 	clear(s.failed)
+	clear(s.unreached)
+	s.openWork = false
+	s.failing.Store(false)
 	return s.cutOff.Swap(false)
 }
 
-// Failed records that a connection to a server could not be opened, broke off or stayed silent.
+// Failed records that a connection to a server broke off or stayed silent.
 func (s *Service) Failed(server string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.fail(server, now)
+	s.openWork = false
+}
+
+// ConnectFailed records that no connection to a server could be opened.
+func (s *Service) ConnectFailed(server string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fail(server, now)
+	if at, excused := s.excused[server]; excused && now.Sub(at) < excusedFor {
+		return
+	}
+	if s.unreached == nil {
+		s.unreached = make(map[string]time.Time)
+	}
+	s.unreached[server] = now
+}
+
+// fail records a failure of a server. The caller holds the lock.
+func (s *Service) fail(server string, now time.Time) {
 	if s.failed == nil {
 		s.failed = make(map[string]time.Time)
 	}
-	if len(s.failed) == 0 {
+	if len(s.failed)+len(s.unreached) == 0 {
 		s.since = now
 	}
 	s.failed[server] = now
 	s.failing.Store(true)
 }
 
-// Suspected reports whether enough of a number of servers have failed since the last answer that the
-// links of this instance may be the cause.
+// Suspected reports whether enough of a number of servers have failed since the last answer, or could
+// not be reached since the last new connection, that the links of this instance may be the cause.
 func (s *Service) Suspected(servers int) bool {
 	if !s.failing.Load() {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.failed) >= max(min(minFailed, servers), 1)
+	return max(len(s.failed), len(s.unreached)) >= max(min(minFailed, servers), 1)
 }
 
 // ConfirmCutOff records that a probe found no server either. It changes nothing if a server has
@@ -71,7 +127,7 @@
 func (s *Service) ConfirmCutOff() (began bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.failed) > 0 && !s.cutOff.Swap(true)
+	return len(s.failed)+len(s.unreached) > 0 && !s.cutOff.Swap(true)
 }
 
 // BeginProbe reports whether a probe may begin, which is if none is under way. EndProbe ends it.
@@ -80,12 +136,21 @@
 // EndProbe ends a probe.
 func (s *Service) EndProbe() { s.probing.Store(false) }
 
-// IsCutOff reports whether no server of the service can be reached from this instance.
+// IsCutOff reports whether this instance can open no connection to a server of the service.
 func (s *Service) IsCutOff() bool { return s.cutOff.Load() }
 
-// State returns how many servers have failed since the last answer, and since when.
+// OpenConnectionsWork reports whether, since the first failure, answers have come over connections
+// that were open, and no failure after them.
+func (s *Service) OpenConnectionsWork() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.openWork
+}
+
+// State returns how many servers have failed since the last answer, or could not be reached since the
+// last new connection, and since when.
 func (s *Service) State() (failed int, since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.failed), s.since
+	return max(len(s.failed), len(s.unreached)), s.since
 }
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -39,3 +39,40 @@
 		t.Fatal("a probe that began before an answer counted")
 	}
 }
+
+func TestAnswersOverOpenConnectionsDoNotEndACutOfNewOnes(t *testing.T) {
+	var s Service
+	s.ConnectFailed("a", time.Now())
+	s.Answered()
+	s.ConnectFailed("b", time.Now())
+	if s.Answered(); !s.Suspected(44) || !s.ConfirmCutOff() || s.Answered() || !s.IsCutOff() || !s.OpenConnectionsWork() {
+		t.Fatal("two servers that could not be reached and a failed probe did not count as a cut")
+	}
+	if !s.Connected(time.Now()) || s.IsCutOff() || s.Suspected(44) {
+		t.Fatal("a new connection did not end the cut")
+	}
+}
+
+func TestServersThatAreDownAreNoEvidenceAfterAProbe(t *testing.T) {
+	var s Service
+	now := time.Now()
+	fail := func(servers ...string) {
+		for _, server := range servers {
+			s.ConnectFailed(server, now)
+		}
+	}
+	fail("a", "b")
+	s.Connected(now)
+	fail("a", "b")
+	if s.Answered(); s.Suspected(44) {
+		t.Fatal("servers that are down were taken for a cut once more")
+	}
+	if fail("c", "d"); !s.Suspected(44) {
+		t.Fatal("other servers that could not be reached were not suspected")
+	}
+	s.Connected(now)
+	now = now.Add(excusedFor)
+	if fail("a", "b"); !s.Suspected(44) {
+		t.Fatal("a later failure of the same servers was not suspected")
+	}
+}
