forward, reach: a request that has not run does not wait for lost links

Where links fall silent, a reservation or a prompt that was under way waited for its timeout, up to 1.5 s, although the cut was found after 0.8 s and a sibling could serve the stream. These steps, and calls that wait for a slot, end once an instance is cut off and its open connections fail too; the request is handed over. Where open connections live on, nothing is ended.

--- a/forward/memory.go
+++ b/forward/memory.go
@@ -149,6 +149,8 @@
 func (g *generation) requestReservation(chosen *route.ScoredCandidate) (Reservation, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, g.config.ReserveTimeout)
 	defer cancel()
+	ctx, stop := g.whileLinked(ctx)
+	defer stop()
 	defer chosen.Server.AwaitAnswer(clock.Now())()
 	reservation, err := g.Backends.Reserve(ctx, g.entry(chosen), g.need, g.service.Engine.Hold)
 	if g.ctx.Err() == nil {
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -58,6 +58,17 @@
 	}
 }
 
+// whileLinked returns a context that also ends once all links to the servers of the request's service are
+// lost. Until a request is sent to run, a sibling can serve it instead.
+func (f *flow) whileLinked(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(f.reachOf(f.service.Name).Linked(), cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
+// linksLost reports whether all links to the servers of the request's service are lost.
+func (f *flow) linksLost() bool { return f.reachOf(f.service.Name).Linked().Err() != nil }
+
 // recordAnswer records that a server of the request's service answered.
 func (f *flow) recordAnswer() { f.Gateway.recordAnswer(f.service.Name) }
 
--- a/forward/read.go
+++ b/forward/read.go
@@ -103,6 +103,9 @@
 // not reached costs other requests nothing, so another engine is tried without taking from the
 // retry budget.
 func (g *generation) mayReadAgain(failed error, try int) bool {
+	if g.linksLost() {
+		return false
+	}
 	var notRun *NotRunError
 	if errors.As(failed, &notRun) && !notRun.Sent {
 		return try < maxUnreached
@@ -126,6 +129,8 @@
 	tokens := g.request.Generation.PromptTokens
 	ctx, cancel := clock.WithDeadline(g.ctx, g.target.Add(g.config.LatePrefillGrace))
 	defer cancel()
+	ctx, stop := g.whileLinked(ctx)
+	defer stop()
 	defer server.RequestSent(tokens)()
 	defer server.AwaitAnswer(clock.Now())()
 	g.sentTo = append(g.sentTo, g.prefill.Name)
--- a/forward/slots.go
+++ b/forward/slots.go
@@ -237,6 +237,8 @@
 		return &NotRunError{Why: reason.CallerGone, Detail: ctx.Err().Error()}
 	case f.stopsTooSoon():
 		return errStopping
+	case f.linksLost():
+		return errNoServer
 	}
 	return nil
 }
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -3,6 +3,7 @@
 package reach
 
 import (
+	"context"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -36,8 +37,12 @@
 	excused map[string]time.Time
 	// since is the time of the first of these failures.
 	since time.Time
-	// openWork is set if an answer was the last result over an open connection since then.
-	openWork bool
+	// openWork is set if an answer was the last result over an open connection since then, and openFail
+	// if a failure was.
+	openWork, openFail bool
+	// linked ends when all links are lost, the open connections too.
+	linked context.Context
+	unlink context.CancelFunc
 }
 
 // Answered records that a server of the service answered, maybe over a connection that had been open
@@ -49,7 +54,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	clear(s.failed)
-	s.openWork = true
+	s.openWork, s.openFail = true, false
+	s.relink()
 	if len(s.unreached) > 0 {
 		return false
 	}
@@ -71,7 +77,8 @@
 	}
 	clear(s.failed)
 	clear(s.unreached)
-	s.openWork = false
+	s.openWork, s.openFail = false, false
+	s.relink()
 	s.failing.Store(false)
 	return s.cutOff.Swap(false)
 }
@@ -81,7 +88,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fail(server, now)
-	s.openWork = false
+	s.openWork, s.openFail = false, true
+	s.unlinkIfLost()
 }
 
 // ConnectFailed records that no connection to a server could be opened.
@@ -127,7 +135,9 @@
 func (s *Service) ConfirmCutOff() (began bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.failed)+len(s.unreached) > 0 && !s.cutOff.Swap(true)
+	began = len(s.failed)+len(s.unreached) > 0 && !s.cutOff.Swap(true)
+	s.unlinkIfLost()
+	return began
 }
 
 // BeginProbe reports whether a probe may begin, which is if none is under way. EndProbe ends it.
@@ -147,6 +157,31 @@
 	return s.openWork
 }
 
+// Linked returns a context that ends once the service is cut off and its open connections fail too.
+func (s *Service) Linked() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.linked == nil {
+		s.linked, s.unlink = context.WithCancel(context.Background())
+		s.unlinkIfLost()
+	}
+	return s.linked
+}
+
+// unlinkIfLost ends the context of Linked if all links are lost. The caller holds the lock.
+func (s *Service) unlinkIfLost() {
+	if s.unlink != nil && s.cutOff.Load() && s.openFail {
+		s.unlink()
+	}
+}
+
+// relink replaces the context of Linked if it has ended. The caller holds the lock.
+func (s *Service) relink() {
+	if s.linked != nil && s.linked.Err() != nil {
+		s.linked, s.unlink = nil, nil
+	}
+}
+
 // State returns how many servers have failed since the last answer, or could not be reached since the
 // last new connection, and since when.
 func (s *Service) State() (failed int, since time.Time) {
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -76,3 +76,20 @@
 		t.Fatal("a later failure of the same servers was not suspected")
 	}
 }
+
+func TestContextOfLinksEndsOnlyIfOpenConnectionsFailToo(t *testing.T) {
+	var s Service
+	linked := s.Linked()
+	s.ConnectFailed("a", time.Now())
+	s.ConnectFailed("b", time.Now())
+	s.ConfirmCutOff()
+	if linked.Err() != nil {
+		t.Fatal("it ended where only new connections fail")
+	}
+	if s.Failed("c", time.Now()); linked.Err() == nil || s.Linked().Err() == nil {
+		t.Fatal("it did not end when an open connection failed")
+	}
+	if s.Connected(time.Now()); s.Linked().Err() != nil {
+		t.Fatal("it is not renewed after the cut")
+	}
+}
