upstream, forward: an instance's own limit of connections is no lost link

Where an instance had as many connections to a server as it may open, the call counted as one that could not be opened, like one behind a partition. Two such servers caused a probe of three, and now also a hand-over.

TestOwnLimitOfConnectionsIsNoLostLink failed before.

--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -211,3 +211,13 @@
 		b.checkNothingHeld()
 	})
 }
+
+func TestOwnLimitOfConnectionsIsNoLostLink(t *testing.T) {
+	withBench(t, func(b *bench) {
+		b.engines.reserve = func(string) error { return &NotRunError{Why: reason.ConnectFailed, AtLimit: true} }
+		b.serve(b.generation("a", testPromptTokens))
+		if failed, _ := b.reachOf("llm").State(); failed > 0 {
+			b.t.Errorf("%d servers count as out of reach", failed)
+		}
+	})
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -95,6 +95,9 @@
 	// Withheld is set if the request was not sent because the limit or drain that the server
 	// reported excludes it now.
 	Withheld bool
+	// AtLimit is set if no connection was opened because this instance has as many to the server as it
+	// may open.
+	AtLimit bool
 	// Misdirected is set if another server answers at the address, or the server now has
 	// another role.
 	Misdirected bool
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -47,6 +47,7 @@
 	switch {
 	case err == nil, errors.As(err, &notRun) && notRun.Sent:
 		f.recordAnswer()
+	case notRun != nil && notRun.AtLimit:
 	case notRun != nil:
 		f.unanswered++
 		f.Metrics.ServerFailed(f.service.Name, metrics.FailedConnect)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -56,7 +56,7 @@
 	for {
 		conn, full := p.takeIdle()
 		if full {
-			return nil, errors.WithMessage(ErrNotSent, "connection limit reached")
+			return nil, ErrLimit
 		}
 		if conn == nil {
 			return p.dial(ctx)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -21,6 +21,9 @@
 	// ErrReset is the case of ErrNotSent in which a new connection was accepted and reset at
 	// once, as when the process at the server's address exits.
 	ErrReset = errors.WithMessage(ErrNotSent, "connection reset")
+	// ErrLimit is the case of ErrNotSent in which this instance may open no more connections to the
+	// server, which says nothing about the server.
+	ErrLimit = errors.WithMessage(ErrNotSent, "connection limit reached")
 	// ErrBroken means that the request was sent at least in part and that no
 	// complete answer was received. The backend server may have run it.
 	ErrBroken = errors.New("no complete answer from the backend server")
