platform, forward: a request of unknown outcome names the shared parts of its prompt

Whether engines crash under one part that many prompts share could not be told from the logs. "Request ended" has the key sharedParts, next to fingerprints.

--- a/forward/decision.go
+++ b/forward/decision.go
@@ -114,6 +114,9 @@
 	}
 	if outcome == reason.Unknown {
 		fields = append(fields, "fingerprints", f.fingerprints().String())
+		if f.request.Generation != nil {
+			fields = append(fields, "sharedParts", f.request.Generation.SharedParts)
+		}
 	}
 	if detail != "" {
 		fields = append(fields, "detail", detail)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -67,8 +67,13 @@
 	PromptTokens int
 	MaxTokens    int
 	LengthHint   int
+	// SharedParts identifies the parts of the prompt that other requests may share, in order.
+	SharedParts []string
 }
 
+// MaxSharedParts bounds the parts of one prompt that are looked at. The users' prompts have up to four.
+const MaxSharedParts = 32
+
 // Answer is a backend server's complete answer.
 type Answer struct {
 	Status int
--- a/sibling/handover_test.go
+++ b/sibling/handover_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -35,7 +36,7 @@
 	return &forward.Request{
 		ID: "a-1", Caller: "10.0.0.1", Method: "POST", Target: "/x?y=%20", Path: "/x", Host: "h", Fields: []forward.Field{{Name: "X", Value: "1"}},
 		Body: []byte("body\x00"), Arrived: time.Now(), Deadline: time.Now().Add(time.Minute), Key: table.DigestOf("key"), HasKey: true,
-		Generation: &forward.Generation{Model: "m", PromptTokens: 7, MaxTokens: 9}, LastEvent: "3",
+		Generation: &forward.Generation{Model: "m", PromptTokens: 7, MaxTokens: 9, SharedParts: []string{"a1", "b2"}}, LastEvent: "3",
 	}
 }
 
@@ -50,7 +51,7 @@
 	if err != nil || reply.Status != 503 || reply.RetryAfter != 300*time.Millisecond || reply.Reason != reason.NoDecodeMemory || string(reply.Body) != "no" || len(reply.Fields) != 1 {
 		t.Fatalf("%+v, %v", reply, err)
 	}
-	if got.HandedOver != "a" || got.ID != sent.ID || got.Target != sent.Target || !bytes.Equal(got.Body, sent.Body) || got.Key != sent.Key || !got.HasKey || *got.Generation != *sent.Generation || got.LastEvent != "3" || got.Caller != sent.Caller || len(got.Fields) != 1 {
+	if got.HandedOver != "a" || got.ID != sent.ID || got.Target != sent.Target || !bytes.Equal(got.Body, sent.Body) || got.Key != sent.Key || !got.HasKey || !reflect.DeepEqual(got.Generation, sent.Generation) || got.LastEvent != "3" || got.Caller != sent.Caller || len(got.Fields) != 1 {
 		t.Fatalf("%+v", got)
 	}
 	if left := got.Deadline.Sub(sent.Deadline).Abs(); left > time.Second {
