forward, edge: tests of parts of prompts that crash engines

All instances, 3 to 120, know a blocked part within 0.7 s of the last crash, and a part that all prompts share stays clear.

--- a/edge/poison_test.go
+++ b/edge/poison_test.go
@@ -58,6 +58,49 @@
 	}
 }
 
+// partsOf returns the fingerprints of a request that is like no other but for the parts of its prompt.
+func partsOf(number int, parts ...string) poison.Fingerprints {
+	return poison.Identity{Target: fmt.Sprint("parts", number), SharedParts: parts}.Fingerprints()
+}
+
+// Each crash is observed by other instances, and under requests that are never alike. A part that all
+// prompts share stays usable.
+func TestCrashesUnderAPartAreKnownToAll(t *testing.T) {
+	for _, size := range []int{3, 8} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) { runFleet(t, size, func(f *fleet) { testAllKnowPart(t, f) }) })
+	}
+	manyInstances(t, testAllKnowPart)
+}
+
+func testAllKnowPart(t *testing.T, f *fleet) {
+	const crashes = 5
+	for i := range crashes {
+		server, now := fmt.Sprint("y", i), time.Now()
+		// Some sound requests at other instances had been running there for longer.
+		for beside := range 3 {
+			in := f.instances[(i*17+5*beside+1)%len(f.instances)]
+			in.Poison.ConnectionBroke(server, partsOf(100*i+beside, "common"), poison.BrokenRun{Sent: now.Add(-time.Second), Writing: now.Add(-time.Second)}, now)
+		}
+		in := f.instances[(i*17)%len(f.instances)]
+		in.Poison.ConnectionBroke(server, partsOf(1000+i, "common", "bad"), poison.BrokenRun{Sent: now.Add(-10 * time.Millisecond)}, now)
+		in.Poison.Crashed(server, now)
+		time.Sleep(300 * time.Millisecond)
+	}
+	bad, sound := partsOf(2000, "bad"), partsOf(2001, "common")
+	if took := f.slowest(knowsBlocked(bad)); took > knownWithin {
+		t.Errorf("all instances know the blocked part after %v", took)
+	}
+	for _, in := range f.instances {
+		if got := in.Poison.State(sound); got != poison.Clear {
+			t.Errorf("at %s the part that all share is %s", in.config.Name, got)
+		}
+	}
+	f.instances[len(f.instances)-1].Poison.Completed(bad, time.Now())
+	if took := f.slowest(func(in *Instance) bool { return in.Poison.State(bad) == poison.Clear }); took > knownWithin {
+		t.Errorf("all instances know the cleared part after %v", took)
+	}
+}
+
 // A restarted instance has lost all that it knew.
 func TestARestartedInstanceReceivesCrashes(t *testing.T) {
 	for _, size := range []int{3, 8, 58} {
