--- a/forward/decision.go
+++ b/forward/decision.go
@@ -115,7 +115,7 @@
 	if outcome == reason.Unknown {
 		fields = append(fields, "fingerprints", f.fingerprints().String())
 		if parts := f.sharedParts(); len(parts) > 0 {
-			fields = append(fields, "sharedParts", parts, "partFingerprints", f.fingerprints().Parts)
+			fields = append(fields, "sharedParts", parts, "partFingerprints", f.fingerprints().PartNames())
 		}
 	}
 	if detail != "" {
--- a/poison/fingerprint.go
+++ b/poison/fingerprint.go
@@ -53,6 +53,15 @@
 // String returns the fingerprints of the whole request as they appear in logs.
 func (f Fingerprints) String() string { return f.OfCaller.String() + " " + f.Content.String() }
 
+// PartNames returns the fingerprints of the parts of the prompt as they appear in logs.
+func (f Fingerprints) PartNames() []string {
+	names := make([]string, 0, len(f.Parts))
+	for _, part := range f.Parts {
+		names = append(names, part.String())
+	}
+	return names
+}
+
 // whole returns the fingerprints of the whole request.
 func (f Fingerprints) whole() []Fingerprint { return []Fingerprint{f.OfCaller, f.Content} }
 
