--- a/forward/forward.go
+++ b/forward/forward.go
@@ -71,7 +71,7 @@
 	SharedParts []string
 }
 
-// MaxSharedParts bounds the parts of one prompt that are looked at. The users' prompts have up to four.
+// MaxSharedParts bounds the parts of one prompt that are considered. A caller's header may list hundreds.
 const MaxSharedParts = 32
 
 // Answer is a backend server's complete answer.
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -174,8 +174,8 @@
 	return false
 }
 
-// declines holds the siblings that declined a request recently. The word that an instance is cut off takes
-// a while to reach the others, and longer through hubs.
+// declines holds the siblings that declined a request recently. The heartbeats that say that an instance is
+// cut off take a while to reach the others, and longer through hubs.
 type declines struct {
 	mu sync.Mutex
 	at map[string]time.Time
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -93,7 +93,7 @@
 
 const (
 	// survivedAfter is how long an engine must have written for a request to show that no part of its prompt
-	// crashes engines. Such an engine ended 0.07 to 0.12 s after it had begun to run the request.
+	// crashes engines, which they do within 0.12 s of when they begin to run it (source: incident 29).
 	survivedAfter = time.Second
 	// survivalInterval is the pause before a stream is recorded as surviving once more. Crashes elsewhere
 	// meanwhile may have put its parts under suspicion.
--- a/poison/blame.go
+++ b/poison/blame.go
@@ -21,8 +21,8 @@
 type crashSet map[serverRun]execution
 
 // harmlessRun is how long a server must have been writing for a request when it crashed to show that no
-// part of its prompt was the cause. A part that crashes servers does so soon after they begin to write:
-// 0.07 to 0.12 s after them in the day on which it was seen first.
+// part of its prompt was the cause. A part that crashes servers does so within 0.12 s of when they begin
+// to run the request (source: incident 29).
 const harmlessRun = 500 * time.Millisecond
 
 // count returns the number of crashes that count against the request with fingerprint
@@ -30,8 +30,8 @@
 // failure, an overload wave or a release can take down all of those servers. For the
 // fingerprint of all callers, a crash therefore counts only if its execution started
 // after the previously counted crash. A part that sound requests share runs on a server
-// before most crashes, so that few count, whatever else crashes servers, and those of requests for which
-// the server had been writing for long do not count at all.
+// before most crashes, so that few count, whatever else crashes servers. For a part, a crash
+// does not count at all if the server had been writing for it for long.
 func (s crashSet) count(of Fingerprint) int {
 	if !of.ofAllCallers() {
 		return len(s)
@@ -179,8 +179,8 @@
 	return left
 }
 
-// weigh returns how many crashes each request explains at best: all of those during it, but only those that
-// count of a part, which sound requests share.
+// weigh returns how many crashes each request explains at best: all of those during it, but of a part
+// only those that count, since sound requests share it.
 func weigh(left map[Fingerprint]crashSet) map[Fingerprint]int {
 	weights := make(map[Fingerprint]int, len(left))
 	for request, servers := range left {
@@ -260,8 +260,8 @@
 }
 
 // sameCrashes returns the request and all others of its scope that were being executed
-// during all of its crashes, and no longer before them if they are parts of prompts. Since the request is the one with the most crashes, the
-// others have no further ones.
+// during all of its crashes. Parts of prompts must also have been running for as long. Since
+// the request is the one with the most crashes, the others have no further ones.
 func sameCrashes(left map[Fingerprint]crashSet, request Fingerprint, sound map[Fingerprint]bool) []Fingerprint {
 	var identical []Fingerprint
 	for other, servers := range left {
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -136,8 +136,9 @@
 
 func serverRunOf(name string) serverRun { return serverRun(xxhash.Sum64String(name)) }
 
-// ConnectionBroke records that the connection of a request broke at a run of a server. It returns whether the caller should check if the server has
-// crashed, which is the case for the first request that breaks there.
+// ConnectionBroke records that the connection of a request broke at a run of a server. It
+// returns whether the caller should check if the server has crashed, which is the case for
+// the first request that breaks there.
 func (t *Tracker) ConnectionBroke(server string, request Fingerprints, execution BrokenRun, now time.Time) (first bool) {
 	run := serverRunOf(server)
 	started := request.startTimes(execution, now)
