--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,11 +93,17 @@
 func TestCutOfNewConnectionsOutlastsAnswersOverOpenOnes(t *testing.T) {
 	withBench(t, func(b *bench) {
 		b.addEngines(40)
-		b.engines.probe = func(string) error { return errConnectionRefused }
-		refused := true
+		var refused atomic.Bool
+		refused.Store(true)
+		b.engines.probe = func(string) error {
+			if refused.Load() {
+				return errConnectionRefused
+			}
+			return nil
+		}
 		open := map[string]bool{"p1": true, "p2": true, "d1": true}
 		connect := func(server string) error {
-			if refused && !open[server] {
+			if refused.Load() && !open[server] {
 				return errConnectionRefused
 			}
 			return nil
@@ -120,7 +127,7 @@
 		if handedOver := send(10); handedOver != 10 || b.CutOffServices() != 1 {
 			b.t.Errorf("%d of 10 requests handed over, %d services cut off", handedOver, b.CutOffServices())
 		}
-		refused, b.engines.probe = false, nil
+		refused.Store(false)
 		time.Sleep(time.Second)
 		if handedOver := send(5); handedOver > 0 || b.CutOffServices() != 0 || !slices.Equal(reports(), []bool{true, false}) {
 			b.t.Errorf("%d handed over after the cut, reports %v", handedOver, reports())
