poison: a crash is sent also where it no longer counts

Since parts of prompts came in, requests against which a crash does not count were left out of updates, so that an instance that knew a crash at an earlier time, before the request completed, did not say so, and others went on counting it. Only parts of prompts are left out now.

--- a/poison/update.go
+++ b/poison/update.go
@@ -126,14 +126,16 @@
 	return room - len(end.Requests)
 }
 
-// requestsToSend returns the requests of a crash that count, with those first that other crashes count
-// against as well, and then those that started last: a request that crashes a server does so soon. Those
-// of a crash that is not recent are left out unless other crashes count. The caller holds the lock.
+// requestsToSend returns the requests of a crash, with those first that other crashes count against as
+// well, and then those that started last: a request that crashes a server does so soon. Those of a crash
+// that is not recent are left out unless other crashes count, and parts of prompts against which the crash
+// does not count. Whole requests are sent all the same, because the crash may be known elsewhere at a later
+// time, by which it counts. The caller holds the lock.
 func (t *Tracker) requestsToSend(crash *crashRecord, recent bool) []Fingerprint {
 	var first, others []Fingerprint
 	for request, running := range crash.requests {
 		switch {
-		case !running.counts:
+		case !running.counts && request.IsPart():
 		case t.candidates[request] != nil:
 			first = append(first, request)
 		case recent:
