forward: a server at this instance's limit of connections is not out of reach

Half of a service's servers at the limit therefore counted as unreached: the request was handed over, and one that a sibling had handed over was declined as cut_off.

Such a server counts as full now. TestOwnLimitOfConnectionsIsNoLostLink also checks the backoff, the breaker and that nothing is handed over; it failed before.

--- a/forward/cut_test.go
+++ b/forward/cut_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
+	"github.com/mastwheel/mastwheel/route"
 	"github.com/mastwheel/mastwheel/table"
 )
 
@@ -222,9 +223,19 @@
 func TestOwnLimitOfConnectionsIsNoLostLink(t *testing.T) {
 	withBench(t, func(b *bench) {
 		b.engines.reserve = func(string) error { return &NotRunError{Why: reason.ConnectFailed, AtLimit: true} }
-		b.serve(b.generation("a", testPromptTokens))
+		siblings := servingSibling()
+		b.Siblings = siblings
+		reply := b.serve(b.generation("a", testPromptTokens))
 		if failed, _ := b.reachOf("llm").State(); failed > 0 {
 			b.t.Errorf("%d servers count as out of reach", failed)
 		}
+		for _, engine := range []string{"d1", "d2"} {
+			if server := b.Fleet.Server(engine); server.IsUnreached(time.Now()) || server.Breaker.State(time.Now()) != route.BreakerClosed {
+				b.t.Errorf("%s counts as one that can't be reached", engine)
+			}
+		}
+		if reply.Reason != reason.NoDecodeMemory || len(siblings.asked) > 0 {
+			b.t.Errorf("status %d, %q, asked %v", reply.Status, reply.Reason, siblings.asked)
+		}
 	})
 }
--- a/forward/learn.go
+++ b/forward/learn.go
@@ -31,6 +31,9 @@
 	case errors.As(err, &notRun) && notRun.Sent:
 		server.RecordContact(now)
 		server.Refused(now)
+	case errors.As(err, &notRun) && notRun.AtLimit:
+		// The server is as full as this instance may make it, and sound.
+		server.Refused(now)
 	case errors.As(err, &notRun):
 		server.Unreached(now)
 		server.Breaker.Failure(now)
