--- a/review/standins/conn.go
+++ b/review/standins/conn.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// gone reports whether the other side has closed the connection.
+func (c *workerConn) gone() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // pause waits. It returns false if the other side closes the connection meanwhile.
 func (c *workerConn) pause(d time.Duration) bool {
 	select {
--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -231,6 +231,11 @@
 // serve implements backend.
 func (e *engine) serve(c *workerConn, r *http.Request, body []byte) {
 	e.awaitAwake()
+	if c.gone() {
+		// A request whose connection has closed is dropped.
+		c.last = true
+		return
+	}
 	attempt := r.Header.Get("Mastwheel-Attempt-Id")
 	fields := map[string]string{}
 	if attempt != "" {
