forward: a refused repetition of a call that stops a run does not say that the run goes on

An engine that is silent for 0.65 s stops a run for a move, and its answer is late. The router gave the call up after 0.4 s and repeated it; the engine answers the second call with 404, since the run has stopped. move.run took this for a run that goes on, and relay.mayBeStopped the end of the connection for the end of the stream. With chunks the stream broke off instead of going on from the memory that was moved.

The first call is now awaited while it is repeated, because only its answer has the handle. The run goes on for certain only if each call was answered and none with a handle. Four related forms, each with a test: - both calls lost, or the first lost and the second refused: the stream has broken off; - a call that was given up takes effect later: until the stream goes on elsewhere, the end of its connection is not taken for its end (before, an event 0.4 s after the call was taken for proof that the run goes on); - an answer without a handle counts as no answer; - a status other than those of the protocol does not say whether the run was stopped.

The line of a move in the log has the result of each call (stops) and mayHaveStopped.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -152,8 +152,9 @@
 	Probe(ctx context.Context, server *registry.Entry, healthPath string) error
 	// Move copies the KV memory of a running stream to another engine, where the stream can
 	// continue. With last set the run is stopped first, and its stream ends without an end
-	// marker. If the error is a *NotRunError the result may be set nevertheless: then the run
-	// has stopped, and its KV memory is kept at the engine where it ran.
+	// marker. If the error is a *NotRunError, the engine has refused the call, and the result may be set
+	// nevertheless: then the run has stopped, and its KV memory is kept at the engine where it ran. After
+	// any other error the run may have stopped too.
 	Move(ctx context.Context, from, to *registry.Entry, r *Request, last bool) (PrefillHandle, error)
 	// Decode runs the request and returns its stream.
 	Decode(ctx context.Context, server *registry.Entry, r *Request, order DecodeRequest, deadline time.Time) (*Stream, error)
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -39,7 +39,9 @@
 	decode  func(server string, order DecodeRequest) error
 	call    func(server string) (*Answer, error)
 	move    func(from, to string, last bool) (PrefillHandle, error)
-	probe   func(server string) error
+	// moving counts the calls of move that go on, which may outlive their requests.
+	moving sync.WaitGroup
+	probe  func(server string) error
 	// statusOf returns the HTTP status of a stream; nil means 200.
 	statusOf func(server string) int
 	// stream returns the body of a stream, which ends with an error or io.EOF.
@@ -123,16 +125,26 @@
 	return PrefillHandle("p-" + server.ID), nil
 }
 
-func (e *engines) Move(_ context.Context, from, to *registry.Entry, r *Request, last bool) (PrefillHandle, error) {
+func (e *engines) Move(ctx context.Context, from, to *registry.Entry, r *Request, last bool) (PrefillHandle, error) {
 	step := "copy"
 	if last {
 		step = "stop"
 	}
 	e.record(step, from.ID+" to "+to.ID)
-	if e.move != nil {
-		return e.move(from.ID, to.ID, last)
+	if e.move == nil {
+		return PrefillHandle("m-" + from.ID), nil
+	}
+	answers := make(chan stopAnswer, 1)
+	e.moving.Go(func() {
+		result, err := e.move(from.ID, to.ID, last)
+		answers <- stopAnswer{result: result, err: err}
+	})
+	select {
+	case answer := <-answers:
+		return answer.result, answer.err
+	case <-ctx.Done():
+		return "", ctx.Err()
 	}
-	return PrefillHandle("m-" + from.ID), nil
 }
 
 func (e *engines) Free(_ context.Context, server *registry.Entry, _ PrefillHandle) error {
@@ -344,6 +356,8 @@
 		// The virtual clock begins in 2000, but package route measures times from
 		// the start of the process.
 		time.Sleep(sinceVirtualStart)
-		test(newBench(t))
+		b := newBench(t)
+		test(b)
+		b.engines.moving.Wait()
 	})
 }
--- a/forward/move.go
+++ b/forward/move.go
@@ -31,15 +31,14 @@
 	// done is closed once the fields below are final.
 	done chan struct{}
 	// result identifies the stream's memory. stopped is set if the run was stopped for the
-	// move, mayHaveStopped if the calls to stop it got no answer, and arrived if the memory is at the
-	// destination.
+	// move, mayHaveStopped if a call to stop it got no answer, and arrived if the memory is at the
+	// destination. stops holds the results of these calls, for the log.
 	result         PrefillHandle
 	stopped        bool
 	mayHaveStopped bool
 	arrived        bool
-	// ended is when the calls of the move were over.
-	ended time.Time
-	err   error
+	stops          []string
+	err            error
 }
 
 const (
@@ -53,14 +52,8 @@
 	// maxMoves bounds how often one stream is moved to another engine, because its memory is
 	// transferred each time.
 	maxMoves = 4
-	// moveCopyTimeout and moveStopTimeout bound the two calls that move a stream: the first
-	// copies while the run continues, the second copies the rest after the run has stopped.
-	// Callers tolerate a pause of 300 ms (source: the reference workload).
+	// moveCopyTimeout bounds the call that copies memory while the run continues.
 	moveCopyTimeout = 500 * time.Millisecond
-	moveStopTimeout = 400 * time.Millisecond
-	// moveStopAttempts is how often the second call is made if it gets no answer, because the
-	// run may have stopped.
-	moveStopAttempts = 2
 	// maxEventsToStay is the number of remaining events, for the longest possible answer, up to
 	// which a stream stays. It would end before it has been moved.
 	maxEventsToStay = 4
@@ -206,7 +199,6 @@
 	from, to, request := r.entry(m.from), r.entry(m.to), r.request
 	go func() {
 		defer close(m.done)
-		defer func() { m.ended = clock.Now() }()
 		m.run(r.ctx, r.Backends, from, to, request)
 	}()
 }
@@ -214,29 +206,17 @@
 // run copies the stream's memory while the run continues, then stops the run and copies the
 // rest.
 func (m *move) run(ctx context.Context, backends Backends, from, to *registry.Entry, request *Request) {
-	if m.result, m.err = moveWithTimeout(ctx, moveCopyTimeout, backends, from, to, request, false); m.err != nil {
+	if m.result, m.err = copyRun(ctx, backends, from, to, request); m.err != nil {
 		return
 	}
-	m.mayHaveStopped = true
-	for range moveStopAttempts {
-		var result PrefillHandle
-		result, m.err = moveWithTimeout(ctx, moveStopTimeout, backends, from, to, request, true)
-		var refused *NotRunError
-		if m.err == nil || errors.As(m.err, &refused) {
-			m.arrived, m.mayHaveStopped = m.err == nil, false
-			m.stopped = result != ""
-			if result != "" {
-				m.result = result
-			}
-			return
-		}
-	}
+	m.stopRun(ctx, func(ctx context.Context) (PrefillHandle, error) { return backends.Move(ctx, from, to, request, true) })
 }
 
-func moveWithTimeout(ctx context.Context, limit time.Duration, backends Backends, from, to *registry.Entry, request *Request, last bool) (PrefillHandle, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+// copyRun copies the memory of a run that continues.
+func copyRun(ctx context.Context, backends Backends, from, to *registry.Entry, request *Request) (PrefillHandle, error) {
+	ctx, cancel := context.WithTimeout(ctx, moveCopyTimeout)
 	defer cancel()
-	return backends.Move(ctx, from, to, request, last)
+	return backends.Move(ctx, from, to, request, false)
 }
 
 // endFailedMove ends a move that has failed while its stream continues.
@@ -246,11 +226,11 @@
 	default:
 		return
 	}
-	// An event that arrives so long after an unanswered call to stop shows that the run continues.
-	unknown := r.move.mayHaveStopped && r.stream.EndsWithConnection && clock.Since(r.move.ended) < moveStopTimeout
-	if r.move.stopped || unknown {
+	if r.move.stopped {
 		return
 	}
+	// A call without an answer may still reach the engine, and stop the run after later events.
+	r.stopPending = r.stopPending || r.move.mayHaveStopped
 	r.abandonMove("failed", r.move.err)
 }
 
@@ -262,7 +242,7 @@
 		r.tracked.to.Store(nil)
 	}
 	r.record(stepMove, outcome, "from", m.from.Name, "to", m.to.Name, "why", m.why, "need", m.need,
-		"tookMillis", clock.Since(m.began).Milliseconds(), "err", resultOf(err))
+		"tookMillis", clock.Since(m.began).Milliseconds(), "stops", m.stops, "mayHaveStopped", m.mayHaveStopped, "err", resultOf(err))
 	if outcome == moveDone {
 		r.Metrics.Retried(m.why)
 	}
@@ -301,11 +281,14 @@
 // mayBeStopped reports whether the end of a stream may be the stop of its run for a move. Where the
 // connection alone marks the end, a stop looks like a proper end.
 func (r *relay) mayBeStopped() bool {
-	if r.move == nil || !r.stream.EndsWithConnection {
+	if !r.stream.EndsWithConnection {
 		return false
 	}
+	if r.move == nil {
+		return r.stopPending
+	}
 	<-r.move.done
-	return r.move.stopped || r.move.mayHaveStopped
+	return r.move.stopped || r.move.mayHaveStopped || r.stopPending
 }
 
 // resumeMoved continues the stream where its memory is, if it broke off because its run was
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -48,6 +48,8 @@
 	move          *move
 	moves         int
 	nextMoveCheck time.Time
+	// stopPending is set if a call to stop the present run for a move got no answer, and was given up.
+	stopPending bool
 	// plannedMemory is the memory above which the stream has outgrown its expected size, in
 	// tokens.
 	plannedMemory int
@@ -206,7 +208,7 @@
 		r.cancelRun()
 		return &statusError{status: next.Status}
 	}
-	r.ended, r.continuedBy, r.unfinished = nil, how, 0
+	r.ended, r.continuedBy, r.unfinished, r.stopPending = nil, how, 0, false
 	return nil
 }
 
