forward: a stream of a leaving engine whose process has exited is not complete

For a stream that ends with its connection the relay asks whether the engine's run has ended, but it did not ask leaving engines, on the assumption that these exit after their last stream. The protocol says that they exit some time after drainMs, whatever still runs there, and spot losses give them 2 s.

Leaving engines are now asked too. A last stream whose engine exits within the round trip of that question breaks off, which cannot be told from a stream that was cut.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -122,9 +122,10 @@
 
 // exitedAtEnd reports whether a stream that ends with its connection ended because the engine's
 // process exited: the kernel then closes the connection, mostly between two events. Another process may
-// listen at its address at once. A leaving engine exits after its last stream.
+// listen at its address at once. An engine that leaves exits at a time of its own, whatever still runs there
+// (source: the platform's protocol).
 func (r *relay) exitedAtEnd() bool {
-	if !r.stream.EndsWithConnection || !r.stream.hasEvents() || r.isLeaving(r.decode.Name) {
+	if !r.stream.EndsWithConnection || !r.stream.hasEvents() {
 		return false
 	}
 	return r.Backends.RunHasEnded(r.ctx, r.entry(r.decode))
