--- a/forward/forward.go
+++ b/forward/forward.go
@@ -144,8 +144,8 @@
 	// refuses connections. It returns false for a server that is silent or whose address
 	// cannot be reached.
 	HasExited(ctx context.Context, server *registry.Entry) bool
-	// RunHasEnded reports whether a run of an engine has ended: its address refuses or resets new
-	// connections, or another run answers there. It returns false for an engine that is silent.
+	// RunHasEnded reports whether a run of a server has ended: its address refuses or resets new
+	// connections, or another run of an engine answers there. It returns false for a server that is silent.
 	RunHasEnded(ctx context.Context, server *registry.Entry) bool
 	// Probe asks a server for a short answer over a new connection. It fails only if there is no
 	// answer. healthPath is the path of the service's health checks, if it has one.
