membudget, platform: bodies of requests are accounted and held once, and refused at once if they do not fit

Nothing bounded the bytes of all requests together, and each body was held three times: in the server's buffer, in a copy of it, and in the message to the backend server.

Package membudget is one account of the bytes that an instance holds for its peers, 0.35 of the memory limit in the settings. The server reads the header only; the body is read into the one buffer that the message to the backend server is written from. A body of known length is accounted before it is read, one in chunks as it grows. Large bodies leave a quarter of the account to others, so that small requests are served beside them. What does not fit gets 503 with Retry-After at once, before any part of it was sent on, with the reason memory_full; the rest of it is read and dropped for a second so that the caller gets the answer. A request's arrival is still the time at which its body was complete; its deadline now counts from its header.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -21,6 +21,7 @@
 	"github.com/mastwheel/mastwheel/edge"
 	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/heartbeat"
+	"github.com/mastwheel/mastwheel/membudget"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/platform"
 	"github.com/mastwheel/mastwheel/poison"
@@ -40,6 +41,8 @@
 	metrics  *metrics.Set
 	handOver *sibling.HandOver
 	store    *platform.Store
+	// budget accounts what the instance holds for its peers.
+	budget *membudget.Budget
 	// rejected counts store records that cannot be used.
 	rejected *platform.Rejected
 	// metricsPort is 0 if metrics are not served.
@@ -78,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{settings: settings, metricsPort: options.MetricsPort, metrics: metrics.New()}
+	p := &Platform{settings: settings, metricsPort: options.MetricsPort, metrics: metrics.New(), budget: membudget.New(settings.MemoryBytes)}
 	p.rejected = new(platform.Rejected)
 	p.store = platform.NewStore(settings.Store, p.metrics.StoreCalled, p.rejected)
 	connections := upstream.DefaultConfig()
@@ -211,6 +214,20 @@
 		return float64(p.backends.Unreadable())
 	})
 	p.metrics.RegisterGauge("zones_evacuated", "Availability zones whose backend servers get nothing more.", func() float64 { return float64(p.edge.Evacuated()) })
+	p.metrics.RegisterGauge("peer_memory_limit_bytes", "Bytes that the instance may hold for its peers.", func() float64 { return float64(p.budget.Limit()) })
+	p.metrics.RegisterGauge("peer_memory_bytes", "Bytes that the instance holds for its peers: connections, bodies and answers.", func() float64 {
+		now, _ := p.budget.Used()
+		return float64(now)
+	})
+	p.metrics.RegisterGauge("peer_memory_peak_bytes", "Most bytes that the instance has held for its peers at a time.", func() float64 {
+		_, peak := p.budget.Used()
+		return float64(peak)
+	})
+	for _, kind := range membudget.Kinds() {
+		p.metrics.RegisterCounter("peer_memory_refused_"+kind.String()+"_total", "Times that bytes for this purpose did not fit into the instance's memory.", func() float64 {
+			return float64(p.budget.Refused(kind))
+		})
+	}
 	p.metrics.RegisterGauge("requests_in_flight", "Requests being forwarded.", func() float64 { return float64(p.gateway.InFlight()) })
 	p.metrics.RegisterGauge("decode_memory_free_tokens", "KV memory of decode engines that nobody has committed.", func() float64 { return float64(p.gateway.FreeMemory()) })
 	p.metrics.RegisterGauge("retry_budget_left", "Retries left over all services.", p.edge.RetriesLeft)
@@ -270,7 +287,7 @@
 func (p *Platform) listeners() []endpoint {
 	directory := platform.NewDirectory(p.edge, p.settings.Bounds.EntryTTL)
 	all := []endpoint{
-		{p.settings.Callers, platform.NewIngress(p.gateway).Serve},
+		{p.settings.Callers, platform.NewIngress(p.gateway, p.budget).Serve},
 		{p.settings.Ready, directory.Serve},
 		{p.settings.Directory, directory.Serve},
 		{p.settings.Siblings, sibling.NewServer(p.edge.SnapshotFor, p.gateway.Serve).Serve},
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -40,6 +40,8 @@
 	VersionUnknown Reason = "version_unknown"
 	// CutOff is the reason of an instance that reaches no server of the request's service.
 	CutOff Reason = "cut_off"
+	// MemoryFull is the reason for a request that does not fit into the instance's memory beside what it holds.
+	MemoryFull Reason = "memory_full"
 )
 
 // Reasons of retries. An attempt was abandoned and another one followed.
@@ -106,6 +108,7 @@
 	{ServersResting, "the servers that could take it have turned this instance away and asked it to leave them alone for a while", "none"},
 	{OutsideRegions, "no backend server is in a region where the route and the team may be served", "route.regions, team.regions"},
 	{CutOff, "the instance reaches no server of the service, nor does a sibling that was asked", "none"},
+	{MemoryFull, "the instance's memory has no room for the request beside what it holds for others; it was not read", "none"},
 	{NoFreeSlot, "the service's servers have few slots, all instances together have as many calls there as end in time, and no slot was expected soon enough", "route.ttft_ms"},
 	{VersionGone, "no server of the version that began the stream serves any more, and servers of other versions cannot continue it", "none"},
 	{VersionUnknown, "the caller takes a stream up, and no instance that answered knows the version that began it", "none"},
--- a/sibling/handover.go
+++ b/sibling/handover.go
@@ -156,8 +156,7 @@
 		path = continuePath
 	}
 	fmt.Fprintf(&out, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", path, address, len(body))
-	out.Write(body)
-	return upstream.Message{Method: http.MethodPost, Bytes: out.Bytes()}, nil
+	return upstream.Message{Method: http.MethodPost, Head: out.Bytes(), Body: body}, nil
 }
 
 // readReply reads a sibling's reply. A stream is read by whoever gets the reply. A sibling of a version
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -52,8 +52,9 @@
 // Message is one request as it is sent.
 type Message struct {
 	Method string
-	// Bytes is the whole request, header and body.
-	Bytes []byte
+	// Head is the request line and the header with the empty line behind it, and Body the body. They are written
+	// one after the other, so that a body need not be copied.
+	Head, Body []byte
 	// Matches reports whether an answer with this header belongs to this request.
 	// If nil, every answer does.
 	Matches func(http.Header) bool
@@ -70,7 +71,7 @@
 func (c *Conn) Do(ctx context.Context, message Message) (*Answer, error) {
 	c.raw.SetDeadline(time.Time{})
 	stop := context.AfterFunc(ctx, func() { c.raw.SetDeadline(pastDeadline) })
-	written := c.write(message.Bytes)
+	written := c.write(message)
 	response, err := c.answer(message)
 	if err != nil {
 		stop()
@@ -86,17 +87,18 @@
 const maxSyncWrite = 8 << 10
 
 // write sends the message. The channel receives the result of the write.
-func (c *Conn) write(message []byte) <-chan error {
+func (c *Conn) write(message Message) <-chan error {
 	written := make(chan error, 1)
-	send := func() {
-		_, err := c.raw.Write(message)
+	if len(message.Head)+len(message.Body) <= maxSyncWrite {
+		_, err := c.raw.Write(append(message.Head, message.Body...))
 		written <- err
+		return written
 	}
-	if len(message) <= maxSyncWrite {
-		send()
-	} else {
-		go send()
-	}
+	go func() {
+		parts := net.Buffers{message.Head, message.Body}
+		_, err := parts.WriteTo(c.raw)
+		written <- err
+	}()
 	return written
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -79,7 +79,7 @@
 
 func messageOf(id string) Message {
 	return Message{
-		Method: http.MethodGet, Bytes: []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
 		Matches: func(header http.Header) bool { return header.Get("Id") == id },
 	}
 }
