upstream: the header of an answer is bounded

A server whose header has no end drove instances over their memory limit: http.ReadResponse keeps all of it.

A connection gives at most 32 KB until the header of an answer is complete; more is ErrBroken, and the connection is closed.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -18,6 +18,7 @@
 type Conn struct {
 	pool   *Pool
 	raw    net.Conn
+	head   *headReader
 	reader *bufio.Reader
 	// idleTimeout is the time for which the connection may stay idle.
 	idleTimeout time.Duration
@@ -105,6 +106,8 @@
 // answer reads answers until one belongs to the request. Any other answer is a
 // late duplicate of an answer to an earlier request and is dropped.
 func (c *Conn) answer(message Message) (*http.Response, error) {
+	c.head.limit(maxHeadBytes)
+	defer c.head.unlimit()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: message.Method})
 		if err != nil {
@@ -116,12 +119,44 @@
 		if message.Matches == nil || message.Matches(response.Header) {
 			return response, nil
 		}
+		c.head.unlimit()
 		if err := discardAnswer(response); err != nil {
 			return nil, err
 		}
+		c.head.limit(maxHeadBytes)
 	}
 }
 
+// maxHeadBytes bounds the bytes that are received until the header of an answer is complete. Headers of servers have
+// some hundred bytes.
+const maxHeadBytes = 32 << 10
+
+// errHeadTooLong is the error of an answer whose header has more than maxHeadBytes.
+var errHeadTooLong = errors.New("the header of the answer is too long")
+
+// headReader reads from a connection, up to a limit while a header is read: http.ReadResponse has none of its own.
+type headReader struct {
+	conn    net.Conn
+	limited bool
+	left    int
+}
+
+func (r *headReader) limit(bytes int) { r.limited, r.left = true, bytes }
+func (r *headReader) unlimit()        { r.limited = false }
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.conn.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.conn.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // keepAlive returns the idle timeout that a server announces, if any.
 func keepAlive(header http.Header) (time.Duration, bool) {
 	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -108,7 +108,8 @@
 		}
 		return nil, errors.WithMessage(ErrNotSent, err.Error())
 	}
-	return &Conn{pool: p, raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: p.config.IdleTimeout}, nil
+	head := &headReader{conn: raw}
+	return &Conn{pool: p, raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferSize), idleTimeout: p.config.IdleTimeout}, nil
 }
 
 // decrementOpen counts a connection as no longer open.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -154,6 +154,48 @@
 	}
 }
 
+// Guards against a server that sends a header without end, which http.ReadResponse keeps in memory.
+func TestHeaderWithoutEndIsBroken(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"fields":      {"HTTP/1.1 200 OK\r\n", "X: " + strings.Repeat("x", 100) + "\r\n"},
+		"one field":   {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"status line": {"HTTP/1.1 200 ", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := parts[0] + strings.Repeat(parts[1], 1+(16<<20)/len(parts[1]))
+			s := newScriptedServer(t, text, answerTo("a", "one"))
+			pool := s.pool()
+			conn, err := pool.Acquire(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			received := &countingConn{Conn: conn.raw}
+			conn.head.conn = received
+			if _, err := conn.Do(t.Context(), messageOf("a")); !errors.Is(err, ErrBroken) {
+				t.Fatal(err)
+			}
+			if received.bytes > maxHeadBytes {
+				t.Errorf("%d bytes of a header were read", received.bytes)
+			}
+			if got, err := exchange(pool, "a"); got != "one" || err != nil {
+				t.Errorf("the next request got %q, %v", got, err)
+			}
+		})
+	}
+}
+
+// countingConn counts the bytes that are read.
+type countingConn struct {
+	net.Conn
+	bytes int
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes += n
+	return n, err
+}
+
 func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
 	s := newScriptedServer(t, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole, then cut", answerTo("b", "two"))
 	pool := s.pool()
