forward: an event without end is broken off

A relay kept all bytes behind the last whole event, so that an engine that sends bytes without an empty line filled the instance's memory, one buffer a stream. More than 64 KB that are no whole event now break the stream off, as an end inside an event does. An answer that is no stream of events (a failure of the engine) is passed on as it comes from that size on, and is then not repeated elsewhere, since its caller has a part of it.

TestEventWithoutEndIsBrokenOff failed before: the relay took all 16 MB that the engine sent. TestLargeAnswerWithoutEventsIsWhole passed before and guards the second half.

--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -170,3 +170,43 @@
 		b.checkNothingHeld()
 	})
 }
+
+// Guards against an engine that sends bytes without end which are no event, and that the relay keeps in memory.
+func TestEventWithoutEndIsBrokenOff(t *testing.T) {
+	withBench(t, func(b *bench) {
+		endless := &endlessText{}
+		b.engines.stream = func(context.Context, string, string) io.ReadCloser { return io.NopCloser(endless) }
+		_, body, err := b.read(b.generation("a", testPromptTokens))
+		if err == nil || body != "" || endless.sent > maxEventBytes+relayRead {
+			b.t.Errorf("the caller got %d bytes, %v, after %d bytes", len(body), err, endless.sent)
+		}
+		b.checkNothingHeld()
+	})
+}
+
+// endlessText is 16 MB of text without an empty line.
+type endlessText struct{ sent int }
+
+func (e *endlessText) Read(p []byte) (int, error) {
+	if e.sent >= 16<<20 {
+		return 0, io.EOF
+	}
+	for i := range p {
+		p[i] = 'x'
+	}
+	e.sent += len(p)
+	return len(p), nil
+}
+
+// Guards against an answer that is no stream of events and larger than what is held of it, and that is cut short.
+func TestLargeAnswerWithoutEventsIsWhole(t *testing.T) {
+	withBench(t, func(b *bench) {
+		whole := strings.Repeat("failure ", maxEventBytes/4)
+		b.engines.statusOf = func(string) int { return 500 }
+		b.engines.stream = func(context.Context, string, string) io.ReadCloser { return io.NopCloser(strings.NewReader(whole)) }
+		if _, body, err := b.read(b.generation("a", testPromptTokens)); err != nil || body != whole {
+			b.t.Errorf("the caller got %d of %d bytes, %v", len(body), len(whole), err)
+		}
+		b.checkNothingHeld()
+	})
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -85,6 +85,12 @@
 	return n, nil
 }
 
+// maxEventBytes bounds the bytes of an incomplete event. Events have some hundred bytes.
+const maxEventBytes = 64 << 10
+
+// errEventTooLong is the error of a stream with more than maxEventBytes that are no whole event.
+var errEventTooLong = errors.New("an event of the stream is too long")
+
 // fill reads once from the server.
 func (r *relay) fill() {
 	n, err := r.stream.Read(r.scratch)
@@ -101,6 +107,9 @@
 			r.considerMove(r.lastEventAt)
 		}
 	}
+	if err == nil && len(r.buffer)-r.ready > maxEventBytes {
+		err = r.passOnUnfinished()
+	}
 	switch {
 	case err == nil:
 	case err == io.EOF:
@@ -110,6 +119,16 @@
 	}
 }
 
+// passOnUnfinished handles more bytes behind the last whole event than are held. An answer that is no stream of events
+// is passed on as it comes, and then cannot be repeated any more.
+func (r *relay) passOnUnfinished() error {
+	if r.stream.hasEvents() {
+		return errEventTooLong
+	}
+	r.noRerun, r.ready = true, len(r.buffer)
+	return nil
+}
+
 // errInsideEvent is the error of a stream that ended inside an event. Its end is no proper one,
 // whatever marks it: an engine that breaks off may close its connection without a reset.
 var errInsideEvent = errors.New("the stream ended inside an event")
