membudget: answers and hand-overs are accounted and held once

Answers of 4 MB to callers that read slowly drove the process over its memory limit: with 300 such callers it was ended 7 times in 4 s at 134 MB, with up to 410 MB held. Each answer was read into a buffer that grew by copies, copied into the server's, and held until its caller had read it; a reply that a sibling handed back, and a request that was handed over, were held up to three times.

The body of an answer is read once the account has room for it, and is written from where it was read. An answer that does not fit waits, since its request has run. One of unknown length takes what it may need at once when it becomes large, so that two of them do not wait for each other. What is handed over is accounted at both instances; a sibling without room declines with memory_full, and the next one is asked. An instance's server for siblings now closes connections without a request after 10 s, and ends reading one after 5 s.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -86,7 +86,7 @@
 	p.store = platform.NewStore(settings.Store, p.metrics.StoreCalled, p.rejected)
 	connections := upstream.DefaultConfig()
 	connections.Dial, connections.SourceAddress = options.DialServer, options.SourceAddress
-	p.backends = platform.NewBackends(connections, p.connectionLimit, p.backpressureOf)
+	p.backends = platform.NewBackends(connections, p.connectionLimit, p.backpressureOf, p.budget)
 	config := edge.DefaultConfig()
 	config.Name, config.Zone, config.Capacity = settings.Name, settings.Zone, settings.Capacity
 	config.FirstStart, config.RolesByLoad = settings.FirstStart, options.RolesByLoad
@@ -110,7 +110,7 @@
 		Random:         rand.Float64,
 		ServersChanged: func(*registry.View) { p.closeUnusedConnections() },
 	})
-	p.handOver = sibling.NewHandOver(settings.Name)
+	p.handOver = sibling.NewHandOver(settings.Name, p.budget)
 	p.gateway = forward.New(forward.Deps{
 		Siblings: siblings{Instance: p.edge, HandOver: p.handOver}, OnCutOff: p.edge.SetCutOff,
 		Zone: settings.Zone, RegionOf: settings.Regions, View: p.edge, Fleet: p.edge.Fleet, Backends: p.backends,
@@ -290,7 +290,7 @@
 		{p.settings.Callers, platform.NewIngress(p.gateway, p.budget).Serve},
 		{p.settings.Ready, directory.Serve},
 		{p.settings.Directory, directory.Serve},
-		{p.settings.Siblings, sibling.NewServer(p.edge.SnapshotFor, p.gateway.Serve).Serve},
+		{p.settings.Siblings, sibling.NewServer(p.edge.SnapshotFor, p.gateway.Serve, p.budget).Serve},
 	}
 	if p.metricsPort > 0 {
 		all = append(all, endpoint{metricsAddress(p.settings.Callers, p.metricsPort), p.serveMetrics})
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -326,7 +326,7 @@
 
 // deliver ends a request with a backend server's own answer.
 func (f *flow) deliver(answer *Answer) *Reply {
-	return f.end(&Reply{Status: answer.Status, Fields: answer.Fields, Body: answer.Body, Reason: answerReason(answer.Status)}, "")
+	return f.end(&Reply{Status: answer.Status, Fields: answer.Fields, Body: answer.Body, Held: answer.Held, Reason: answerReason(answer.Status)}, "")
 }
 
 // answerReason returns the reason that goes with a backend server's own answer: none, unless
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -10,6 +10,7 @@
 	"io"
 	"time"
 
+	"github.com/mastwheel/mastwheel/membudget"
 	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/registry"
@@ -79,6 +80,8 @@
 	Status int
 	Fields []Field
 	Body   []byte
+	// Held accounts the memory of the body; nil if it is not accounted.
+	Held *membudget.Buffer
 }
 
 // Stream is a backend server's streamed answer. Read returns io.EOF only after the stream's
@@ -165,6 +168,9 @@
 	Status int
 	Fields []Field
 	Body   []byte
+	// Held accounts the memory of the body; nil if it is not accounted. Whoever gets the reply releases it once the
+	// body was written.
+	Held *membudget.Buffer
 	// Stream, if set, is the body. Closing it ends the request.
 	Stream io.ReadCloser
 	// RetryAfter is the delay after which the caller may come back; 0 if none is given.
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -155,10 +155,11 @@
 }
 
 // declined reports whether a sibling cannot serve a request either, because it reaches no server, is
-// stopping, has no table yet or an older one, or knows no server of the version that began the stream.
+// stopping, has no table yet or an older one, knows no server of the version that began the stream, or has no memory for
+// the request.
 func declined(reply *Reply) bool {
 	switch reply.Reason {
-	case reason.CutOff, reason.ConnectFailed, reason.NoBackend, reason.Stopping, reason.StaleTable, reason.VersionGone:
+	case reason.CutOff, reason.ConnectFailed, reason.NoBackend, reason.Stopping, reason.StaleTable, reason.VersionGone, reason.MemoryFull:
 		return promisesNotRun(reply.Status)
 	}
 	return false
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -31,6 +31,9 @@
 		}
 		spent = false
 		if answer != nil {
+			if failed != nil {
+				failed.Held.Release()
+			}
 			failed = answer
 		}
 		switch verdict := f.nextStep(ctx, answer, err, attempt); verdict {
@@ -43,7 +46,11 @@
 				// The last try did not run, so the caller gets the answer of the one before.
 				return f.deliver(failed)
 			}
-			return f.conclude(ctx, answer, err)
+			reply := f.conclude(ctx, answer, err)
+			if failed != nil && reply.Held != failed.Held {
+				failed.Held.Release()
+			}
+			return reply
 		}
 	}
 }
--- a/sibling/handover.go
+++ b/sibling/handover.go
@@ -17,6 +17,7 @@
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/connwatch"
 	"github.com/mastwheel/mastwheel/forward"
+	"github.com/mastwheel/mastwheel/membudget"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/upstream"
 )
@@ -62,15 +63,33 @@
 	Streamed   bool            `cbor:"5,keyasint,omitempty"`
 }
 
-// serveHandedOver serves a request that a sibling hands over.
-func (s *Server) serveHandedOver(ctx *fasthttp.RequestCtx) {
+// serveHandedOver serves a request that a sibling hands over. The body of the request that is decoded is a copy, which
+// takes the account of the encoded one over.
+func (s *Server) serveHandedOver(ctx *fasthttp.RequestCtx, encoded *membudget.Buffer) {
 	var handed handedOver
-	if err := cbor.Unmarshal(ctx.PostBody(), &handed); err != nil || handed.From == "" {
+	if err := cbor.Unmarshal(encoded.Bytes, &handed); err != nil || handed.From == "" {
+		encoded.Release()
 		ctx.Error(fmt.Sprintf("decode request that is handed over: %v", err), fasthttp.StatusBadRequest)
 		return
 	}
-	watched, release := connwatch.Context(ctx.Conn())
+	encoded.Bytes = nil
+	watched, stopWatching := connwatch.Context(ctx.Conn())
+	release := func() {
+		stopWatching()
+		encoded.Release()
+	}
 	reply := s.serve(watched, handed.request(clock.Now()))
+	setReply(ctx, reply)
+	if reply.Stream == nil {
+		connwatch.SetBody(ctx, reply.Body, reply.Held.Release)
+		release()
+		return
+	}
+	ctx.SetBodyStream(&connwatch.Body{ReadCloser: reply.Stream, Release: release}, -1)
+}
+
+// setReply sets the head of the answer to a sibling.
+func setReply(ctx *fasthttp.RequestCtx, reply *forward.Reply) {
 	head, err := cbor.Marshal(replyHead{
 		Status: reply.Status, Fields: reply.Fields, RetryAfter: reply.RetryAfter, Reason: reply.Reason, Streamed: reply.Stream != nil,
 	})
@@ -78,25 +97,30 @@
 		panic("sibling: encode the head of a reply: " + err.Error())
 	}
 	ctx.Response.Header.Set(headField, base64.StdEncoding.EncodeToString(head))
-	if reply.Stream == nil {
-		ctx.SetBody(reply.Body)
-		release()
+}
+
+// refuseUnread answers a request that was not read, so that the sibling asks another one.
+func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, membudget.ErrFull) {
+		setReply(ctx, &forward.Reply{Status: fasthttp.StatusServiceUnavailable, Reason: reason.MemoryFull})
 		return
 	}
-	ctx.SetBodyStream(&connwatch.Body{ReadCloser: reply.Stream, Release: release}, -1)
+	ctx.SetStatusCode(fasthttp.StatusBadRequest)
 }
 
 // HandOver hands requests over to siblings. It implements the sending part of forward.Siblings.
 type HandOver struct {
-	name string
+	name   string
+	budget *membudget.Budget
 
 	mu    sync.Mutex
 	pools map[string]*upstream.Pool
 }
 
-// NewHandOver returns a client for the instance of the given name.
-func NewHandOver(name string) *HandOver {
-	return &HandOver{name: name, pools: make(map[string]*upstream.Pool)}
+// NewHandOver returns a client for the instance of the given name. The memory of encoded requests and of replies is
+// accounted in budget.
+func NewHandOver(name string, budget *membudget.Budget) *HandOver {
+	return &HandOver{name: name, budget: budget, pools: make(map[string]*upstream.Pool)}
 }
 
 func (h *HandOver) pool(address string) *upstream.Pool {
@@ -126,6 +150,11 @@
 
 // Serve has a sibling serve a request.
 func (h *HandOver) Serve(ctx context.Context, to forward.Sibling, r *forward.Request, deadline time.Time) (*forward.Reply, error) {
+	encoded := int64(len(r.Body))
+	if err := h.budget.Refusing()(encoded); err != nil {
+		return nil, &forward.NotRunError{Why: reason.MemoryFull, Detail: err.Error()}
+	}
+	defer h.budget.Release(encoded)
 	message, err := h.message(to.Address, r, deadline)
 	if err != nil {
 		return nil, &forward.NotRunError{Why: reason.ConnectFailed, Detail: err.Error()}
@@ -138,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return readReply(answer)
+	return h.readReply(ctx, answer)
 }
 
 func (h *HandOver) message(address string, r *forward.Request, deadline time.Time) (upstream.Message, error) {
@@ -161,7 +190,7 @@
 
 // readReply reads a sibling's reply. A stream is read by whoever gets the reply. A sibling of a version
 // that does not know the path, or cannot decode the request, does not run it.
-func readReply(answer *upstream.Answer) (*forward.Reply, error) {
+func (h *HandOver) readReply(ctx context.Context, answer *upstream.Answer) (*forward.Reply, error) {
 	if answer.StatusCode == http.StatusNotFound || answer.StatusCode == http.StatusBadRequest {
 		answer.Close()
 		return nil, &forward.NotRunError{Why: reason.BackendRefused, Sent: true, Detail: "status " + strconv.Itoa(answer.StatusCode) + " of the sibling"}
@@ -177,8 +206,11 @@
 		return reply, nil
 	}
 	defer answer.Close()
-	reply.Body, err = answer.ReadAll(handOverLimit)
-	return reply, err
+	if reply.Held, err = h.budget.ReadAnswer(ctx, answer, answer.ContentLength, handOverLimit); err != nil {
+		return nil, err
+	}
+	reply.Body = reply.Held.Bytes
+	return reply, nil
 }
 
 func readHead(answer *upstream.Answer) (replyHead, error) {
--- a/sibling/handover_test.go
+++ b/sibling/handover_test.go
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	go NewServer(func(edge.Have) edge.Snapshot { return edge.Snapshot{} }, serve).Serve(listener)
+	go NewServer(func(edge.Have) edge.Snapshot { return edge.Snapshot{} }, serve, nil).Serve(listener)
 	return forward.Sibling{Name: "b", Address: listener.Addr().String()}
 }
 
@@ -47,7 +47,7 @@
 		got = r
 		return &forward.Reply{Status: 503, Fields: []forward.Field{{Name: "Connection-Like", Value: "x"}}, RetryAfter: 300 * time.Millisecond, Reason: reason.NoDecodeMemory, Body: []byte("no")}
 	})
-	reply, err := NewHandOver("a").Serve(t.Context(), to, sent, sent.Deadline)
+	reply, err := NewHandOver("a", nil).Serve(t.Context(), to, sent, sent.Deadline)
 	if err != nil || reply.Status != 503 || reply.RetryAfter != 300*time.Millisecond || reply.Reason != reason.NoDecodeMemory || string(reply.Body) != "no" || len(reply.Fields) != 1 {
 		t.Fatalf("%+v, %v", reply, err)
 	}
@@ -65,7 +65,7 @@
 			to := startServer(t, func(context.Context, *forward.Request) *forward.Reply {
 				return &forward.Reply{Status: 200, Stream: &endingStream{rest: "id: 1\n\n", end: end}}
 			})
-			reply, err := NewHandOver("a").Serve(t.Context(), to, testRequest(), time.Now().Add(time.Minute))
+			reply, err := NewHandOver("a", nil).Serve(t.Context(), to, testRequest(), time.Now().Add(time.Minute))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -104,7 +104,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	if _, err := NewHandOver("a").Serve(ctx, to, testRequest(), time.Now().Add(time.Minute)); !errors.Is(err, upstream.ErrBroken) {
+	if _, err := NewHandOver("a", nil).Serve(ctx, to, testRequest(), time.Now().Add(time.Minute)); !errors.Is(err, upstream.ErrBroken) {
 		t.Fatal(err)
 	}
 	<-ended
@@ -118,7 +118,7 @@
 	listener.Close()
 	var notRun *forward.NotRunError
 	to := forward.Sibling{Name: "b", Address: listener.Addr().String()}
-	if _, err := NewHandOver("a").Serve(t.Context(), to, testRequest(), time.Now().Add(time.Minute)); !errors.As(err, &notRun) || notRun.Sent {
+	if _, err := NewHandOver("a", nil).Serve(t.Context(), to, testRequest(), time.Now().Add(time.Minute)); !errors.As(err, &notRun) || notRun.Sent {
 		t.Fatal(err)
 	}
 }
@@ -132,7 +132,7 @@
 	go fasthttp.Serve(listener, func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNotFound) })
 	var notRun *forward.NotRunError
 	to := forward.Sibling{Name: "b", Address: listener.Addr().String()}
-	if _, err := NewHandOver("a").Serve(t.Context(), to, testRequest(), time.Now().Add(time.Minute)); !errors.As(err, &notRun) {
+	if _, err := NewHandOver("a", nil).Serve(t.Context(), to, testRequest(), time.Now().Add(time.Minute)); !errors.As(err, &notRun) {
 		t.Fatal(err)
 	}
 }
@@ -150,10 +150,11 @@
 				t.Error("a request without a sender was served")
 			}
 			return &forward.Reply{Status: 200}
-		})
+		}, nil)
 		var ctx fasthttp.RequestCtx
 		ctx.Request.SetRequestURI(handOverPath)
-		ctx.Request.SetBody(body)
+		ctx.Request.SetBodyStream(bytes.NewReader(body), len(body))
+		ctx.Request.Header.SetContentLength(len(body))
 		s.handle(&ctx)
 		if served == 0 && ctx.Response.StatusCode() != fasthttp.StatusBadRequest {
 			t.Errorf("status %d", ctx.Response.StatusCode())
--- a/sibling/sibling.go
+++ b/sibling/sibling.go
@@ -17,6 +17,7 @@
 	"github.com/mastwheel/mastwheel/edge"
 	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/logging"
+	"github.com/mastwheel/mastwheel/membudget"
 )
 
 const (
@@ -30,21 +31,27 @@
 	// request. After a longer time the connection may be dead without a reset,
 	// and a request on it would time out.
 	idleTimeout = time.Second
+	// readTimeout limits the time to receive one request of a sibling, and serverIdleTimeout the time for which
+	// a connection without a request is kept.
+	readTimeout       = 5 * time.Second
+	serverIdleTimeout = 10 * time.Second
 )
 
 // Server serves snapshots to siblings.
 type Server struct {
 	snapshot func(edge.Have) edge.Snapshot
 	serve    func(context.Context, *forward.Request) *forward.Reply
+	budget   *membudget.Budget
 	http     *fasthttp.Server
 }
 
 // NewServer returns a server that answers requests for snapshots with the result of snapshot, and
-// requests that are handed over with the result of serve.
-func NewServer(snapshot func(edge.Have) edge.Snapshot, serve func(context.Context, *forward.Request) *forward.Reply) *Server {
-	s := &Server{snapshot: snapshot, serve: serve}
+// requests that are handed over with the result of serve. The memory that these take is accounted in budget.
+func NewServer(snapshot func(edge.Have) edge.Snapshot, serve func(context.Context, *forward.Request) *forward.Reply, budget *membudget.Budget) *Server {
+	s := &Server{snapshot: snapshot, serve: serve, budget: budget}
 	s.http = &fasthttp.Server{
-		Handler: s.handle, NoDefaultServerHeader: true, MaxRequestBodySize: handOverLimit, Logger: logging.Silent{},
+		Handler: s.handle, NoDefaultServerHeader: true, MaxRequestBodySize: handOverLimit, StreamRequestBody: true,
+		ReadTimeout: readTimeout, IdleTimeout: serverIdleTimeout, Logger: logging.Silent{},
 	}
 	return s
 }
@@ -55,19 +62,41 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	body, err := s.readBody(ctx)
+	if err != nil {
+		// What is left of the body is not read.
+		ctx.SetConnectionClose()
+		connwatch.DiscardUnreadOnClose(ctx.Conn())
+		s.refuseUnread(ctx, err)
+		return
+	}
 	switch string(ctx.Path()) {
 	case snapshotPath:
-		s.sendSnapshot(ctx)
+		s.sendSnapshot(ctx, body.Bytes)
+		body.Release()
 	case handOverPath, continuePath:
-		s.serveHandedOver(ctx)
+		s.serveHandedOver(ctx, body)
 	default:
+		body.Release()
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
 }
 
-func (s *Server) sendSnapshot(ctx *fasthttp.RequestCtx) {
+// readBody reads the body of a sibling's request. Siblings send bodies with a length.
+func (s *Server) readBody(ctx *fasthttp.RequestCtx) (*membudget.Buffer, error) {
+	stream, length := ctx.RequestBodyStream(), ctx.Request.Header.ContentLength()
+	switch {
+	case stream == nil || length == 0:
+		return &membudget.Buffer{}, nil
+	case length < 0 || length > handOverLimit:
+		return nil, membudget.ErrTooLarge
+	}
+	return s.budget.Read(stream, length, s.budget.Refusing())
+}
+
+func (s *Server) sendSnapshot(ctx *fasthttp.RequestCtx, request []byte) {
 	var have edge.Have
-	if err := cbor.Unmarshal(ctx.PostBody(), &have); err != nil {
+	if err := cbor.Unmarshal(request, &have); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
