connwatch: connections of callers are accounted, and the longest idle one makes room

What one connection holds times how many may come was not bounded: with the 4,100 descriptors that a process may have, idle connections and unfinished headers take 14 to 28 KB each. Each connection now takes 12 KB from the account, and 28 KB from its first byte on. Where one does not fit, the connection that has been without a whole header for longest is closed; if there is none, the new one gets 503 with Retry-After. From half of the account on, each new connection takes the place of one that was idle for a second. The server keeps no buffers for connections that have sent nothing.

--- a/connwatch/connwatch.go
+++ b/connwatch/connwatch.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,23 +22,40 @@
 
 // Listener accepts each connection as a Conn, so that a disconnect of the caller can
 // be detected while its request is being handled.
-type Listener struct{ net.Listener }
+type Listener struct {
+	net.Listener
+	// Limit bounds the connections; nil if they are not bounded.
+	Limit *Limit
+}
 
 // Accept implements net.Listener.
 func (l Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if admitted := l.Limit.admit(conn); admitted != nil {
+			return admitted, nil
+		}
 	}
-	return &Conn{Conn: conn}, nil
 }
 
 // Conn is a caller's connection. Between two reads, Watch detects a disconnect of the
 // caller.
 type Conn struct {
 	net.Conn
+	limit *Limit
+	// idleSince is when the connection was left without a request, or when the header of one began to come, in
+	// nanoseconds since 1970, or a state.
+	idleSince atomic.Int64
+	// used is set once a request has begun, and reading while its header is received. Only the reader of the
+	// connection uses them.
+	used, reading bool
 
 	mu sync.Mutex
+	// charge is what the connection takes from the budget, in bytes.
+	charge int64
 	// firstByte is a byte that was received while Watch waited for a disconnect. It
 	// is the first byte of a pipelined request.
 	firstByte    byte
@@ -78,6 +96,9 @@
 	if answeredUnread {
 		c.discardUnread()
 	}
+	if c.limit != nil {
+		c.limit.remove(c)
+	}
 	return c.Conn.Close()
 }
 
@@ -101,10 +122,17 @@
 		p[0] = c.firstByte
 		c.hasFirstByte = false
 		c.mu.Unlock()
+		if !c.begin() {
+			return 0, io.EOF
+		}
 		return 1, nil
 	}
 	c.mu.Unlock()
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.begin() {
+		return 0, io.EOF
+	}
+	return n, err
 }
 
 // Write implements net.Conn. It fails after writeTimeout if the caller has
--- /dev/null
+++ b/connwatch/limit.go
@@ -0,0 +1,222 @@
+package connwatch
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/membudget"
+)
+
+const (
+	// newConnBytes is the memory that a connection takes before its first byte: the goroutine's stack and the state of
+	// the connection. usedConnBytes is what it takes from its first byte on, with the buffer for the header.
+	newConnBytes  = 12 << 10
+	usedConnBytes = 28 << 10
+	// receiveBufferBytes bounds what the kernel receives on a connection while it is not read, as long as its request
+	// is served. It is enough for small requests at any distance. A large body gets more.
+	receiveBufferBytes = 32 << 10
+	// idlePart is the inverse of the fraction of the budget from which on each new connection takes the place of one
+	// that has been without a request for minIdle, so that idle connections do not keep bodies and answers out.
+	idlePart = 2
+	minIdle  = time.Second
+	// maxRefusing bounds the connections that are refused at a time and still get an answer.
+	maxRefusing = 64
+)
+
+// Limit bounds the connections of a listener by a budget of memory. Where a connection does not fit, the one that has been
+// without a whole header of a request for longest makes room. If there is none, the new one is answered with 503.
+type Limit struct {
+	budget *membudget.Budget
+	// refused counts and logs a refusal, and returns the delay after which the caller should come back.
+	refused  func() time.Duration
+	refusing atomic.Int64
+
+	mu   sync.Mutex
+	open map[*Conn]struct{}
+}
+
+// NewLimit returns a limit by a budget.
+func NewLimit(budget *membudget.Budget, refused func() time.Duration) *Limit {
+	return &Limit{budget: budget, refused: refused, open: make(map[*Conn]struct{})}
+}
+
+// States of Conn.idleSince other than a time.
+const (
+	connActive  = 0
+	connEvicted = -1
+)
+
+// admit accounts a new connection. It returns nil if the connection was refused.
+func (l *Limit) admit(raw net.Conn) *Conn {
+	c := &Conn{Conn: raw}
+	if l == nil {
+		return c
+	}
+	if used, _ := l.budget.Used(); used > l.budget.Limit()/idlePart {
+		l.evict(minIdle)
+	}
+	if !l.take(membudget.Idle, newConnBytes) {
+		l.refuseNew(raw)
+		return nil
+	}
+	c.limit, c.charge = l, newConnBytes
+	c.idleSince.Store(clock.Now().UnixNano())
+	if buffered, ok := raw.(interface{ SetReadBuffer(bytes int) error }); ok {
+		// Without it the kernel's own limit holds.
+		_ = buffered.SetReadBuffer(receiveBufferBytes)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+	return c
+}
+
+// take takes bytes from the budget, and closes idle connections until they fit.
+func (l *Limit) take(kind membudget.Kind, bytes int64) bool {
+	for !l.budget.Reserve(kind, bytes) {
+		if !l.evict(0) {
+			return false
+		}
+	}
+	return true
+}
+
+// evict closes the connection that has been without a request for longest. It returns false if there is none, or if that
+// is shorter than a duration.
+func (l *Limit) evict(idle time.Duration) bool {
+	for {
+		oldest, since := l.oldestIdle()
+		if oldest == nil || clock.Now().UnixNano()-since < idle.Nanoseconds() {
+			return false
+		}
+		if oldest.idleSince.CompareAndSwap(since, connEvicted) {
+			l.budget.Release(oldest.takeCharge())
+			// The server's read ends, and the server closes the connection.
+			_ = oldest.Conn.Close()
+			return true
+		}
+	}
+}
+
+func (l *Limit) oldestIdle() (oldest *Conn, since int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if at := c.idleSince.Load(); at > connActive && (oldest == nil || at < since) {
+			oldest, since = c, at
+		}
+	}
+	return oldest, since
+}
+
+func (l *Limit) remove(c *Conn) {
+	l.mu.Lock()
+	delete(l.open, c)
+	l.mu.Unlock()
+	l.budget.Release(c.takeCharge())
+}
+
+// refusal is the answer to a connection that does not fit.
+func (l *Limit) refusal() string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.2f\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", l.refused().Seconds())
+}
+
+// refuseNew answers a new connection that does not fit.
+func (l *Limit) refuseNew(raw net.Conn) {
+	answer := l.refusal()
+	if l.refusing.Add(1) > maxRefusing {
+		l.refusing.Add(-1)
+		_ = raw.Close()
+		return
+	}
+	go func() {
+		defer l.refusing.Add(-1)
+		c := &Conn{Conn: raw, answeredUnread: true}
+		_, _ = io.WriteString(c, answer)
+		_ = c.Close()
+	}()
+}
+
+// takeCharge returns what the connection takes from the budget, once.
+func (c *Conn) takeCharge() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	charge := c.charge
+	c.charge = 0
+	return charge
+}
+
+// SetIdle records that the connection has no request.
+func (c *Conn) SetIdle() {
+	if c.limit != nil {
+		c.idleSince.CompareAndSwap(connActive, clock.Now().UnixNano())
+	}
+}
+
+// begin records that bytes of a request have come. It returns false if there is no room for them, and the connection is
+// to be closed. Until its header is complete, the connection still makes room for others.
+func (c *Conn) begin() bool {
+	if c.limit == nil {
+		return true
+	}
+	since := c.idleSince.Load()
+	if since == connActive || (since != connEvicted && c.reading) {
+		return true
+	}
+	// The connection must not make room for itself.
+	if since == connEvicted || !c.idleSince.CompareAndSwap(since, connActive) {
+		return false
+	}
+	if c.use() {
+		c.reading = true
+		c.idleSince.Store(clock.Now().UnixNano())
+		return true
+	}
+	c.mu.Lock()
+	c.answeredUnread = true
+	c.mu.Unlock()
+	_, _ = io.WriteString(c, c.limit.refusal())
+	return false
+}
+
+// use accounts what a connection takes from its first request on.
+func (c *Conn) use() bool {
+	if c.used {
+		return true
+	}
+	if !c.limit.take(membudget.Request, usedConnBytes-newConnBytes) {
+		return false
+	}
+	c.used = true
+	c.mu.Lock()
+	c.charge += usedConnBytes - newConnBytes
+	c.mu.Unlock()
+	return true
+}
+
+// SetActive records that the header of a request is complete. It returns false if the connection was closed to make room.
+func SetActive(conn net.Conn) bool {
+	c, ok := conn.(*Conn)
+	if !ok || c.limit == nil {
+		return true
+	}
+	c.reading = false
+	since := c.idleSince.Load()
+	return since != connEvicted && c.idleSince.CompareAndSwap(since, connActive)
+}
+
+// ExpectLargeBody lets the kernel receive more at a time on a connection whose request has a large body.
+func ExpectLargeBody(conn net.Conn, bytes int) {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	if buffered, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = buffered.SetReadBuffer(bytes)
+	}
+}
--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -21,8 +21,6 @@
 	// smallPart is the inverse of the fraction of the budget that large things leave to others. Small requests
 	// are then served beside any number of large ones.
 	smallPart = 4
-	// idlePart is the inverse of the fraction that connections without a request leave to requests.
-	idlePart = 2
 )
 
 // Kind is what bytes are held for. It decides how much of the budget they leave to others.
@@ -82,11 +80,8 @@
 
 // most returns how many bytes may be held in all after bytes of a kind are added.
 func (b *Budget) most(kind Kind) int64 {
-	switch kind {
-	case Large:
+	if kind == Large {
 		return b.limit - b.limit/smallPart
-	case Idle:
-		return b.limit - b.limit/idlePart
 	}
 	return b.limit
 }
