connwatch: a connection that made room for others is not answered with 400

Two of 74,000 proper requests with slow bodies got 400 at 88 MB: between the choice of a connection to make room and its close, the server read the end of its header as cut short and answered. The reader now closes the connection itself.

TestConnectionThatMadeRoomCannotBeAnswered failed before.

--- a/connwatch/limit.go
+++ b/connwatch/limit.go
@@ -170,6 +170,8 @@
 	}
 	// The connection must not make room for itself.
 	if since == connEvicted || !c.idleSince.CompareAndSwap(since, connActive) {
+		// The server must not answer it as a request that was cut short.
+		_ = c.Conn.Close()
 		return false
 	}
 	if c.use() {
--- a/connwatch/limit_test.go
+++ b/connwatch/limit_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// Guards against a proper request that gets 400 because its connection was closed to make room while its header came.
+func TestConnectionThatMadeRoomCannotBeAnswered(t *testing.T) {
+	b := newLimitBench(t, 2*usedConnBytes)
+	conn, caller := b.open()
+	if _, err := io.WriteString(caller, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	// The connection has been chosen to make room, and is not closed yet.
+	conn.idleSince.Store(connEvicted)
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("its server read on: %v", err)
+	}
+	if _, err := io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\n\r\n"); err == nil {
+		t.Error("its server can answer it")
+	}
+}
+
 // Guards against connections that are closed or left without an answer because there is no memory for them: they get
 // 503 with a time to come back.
 func TestConnectionThatDoesNotFitIsAnswered(t *testing.T) {
