membudget, connwatch: idle connections make room for bodies and answers too

Only a new connection, or the first request on one, closed idle connections. Where these filled the account, a body of more than 4 KB got 503 and an answer of more than 4 KB waited until its caller gave up, for up to 30 s. The budget now reclaims idle connections for whatever does not fit. The rule that replaced them one by one from half of the account on is gone with its two constants.

Tests: connwatch.TestIdleConnectionsMakeRoomForBodiesAndAnswers.

--- a/connwatch/limit.go
+++ b/connwatch/limit.go
@@ -20,10 +20,6 @@
 	// receiveBufferBytes bounds what the kernel receives on a connection while it is not read, as long as its request
 	// is served. It is enough for small requests at any distance. A large body gets more.
 	receiveBufferBytes = 32 << 10
-	// idlePart is the inverse of the fraction of the budget from which on each new connection takes the place of one
-	// that has been without a request for minIdle, so that idle connections do not keep bodies and answers out.
-	idlePart = 2
-	minIdle  = time.Second
 	// maxRefusing bounds the connections that are refused at a time and still get an answer.
 	maxRefusing = 64
 )
@@ -40,9 +36,11 @@
 	open map[*Conn]struct{}
 }
 
-// NewLimit returns a limit by a budget.
+// NewLimit returns a limit by a budget, for which idle connections also make room for all else that it accounts.
 func NewLimit(budget *membudget.Budget, refused func() time.Duration) *Limit {
-	return &Limit{budget: budget, refused: refused, open: make(map[*Conn]struct{})}
+	l := &Limit{budget: budget, refused: refused, open: make(map[*Conn]struct{})}
+	budget.SetReclaim(l.evict)
+	return l
 }
 
 // States of Conn.idleSince other than a time.
@@ -57,10 +55,7 @@
 	if l == nil {
 		return c
 	}
-	if used, _ := l.budget.Used(); used > l.budget.Limit()/idlePart {
-		l.evict(minIdle)
-	}
-	if !l.take(membudget.Idle, newConnBytes) {
+	if !l.budget.Reserve(membudget.Idle, newConnBytes) {
 		l.refuseNew(raw)
 		return nil
 	}
@@ -76,22 +71,11 @@
 	return c
 }
 
-// take takes bytes from the budget, and closes idle connections until they fit.
-func (l *Limit) take(kind membudget.Kind, bytes int64) bool {
-	for !l.budget.Reserve(kind, bytes) {
-		if !l.evict(0) {
-			return false
-		}
-	}
-	return true
-}
-
-// evict closes the connection that has been without a request for longest. It returns false if there is none, or if that
-// is shorter than a duration.
-func (l *Limit) evict(idle time.Duration) bool {
+// evict closes the connection that has been without a whole header for longest. It returns false if there is none.
+func (l *Limit) evict() bool {
 	for {
 		oldest, since := l.oldestIdle()
-		if oldest == nil || clock.Now().UnixNano()-since < idle.Nanoseconds() {
+		if oldest == nil {
 			return false
 		}
 		if oldest.idleSince.CompareAndSwap(since, connEvicted) {
@@ -191,7 +175,7 @@
 	if c.used {
 		return true
 	}
-	if !c.limit.take(membudget.Request, usedConnBytes-newConnBytes) {
+	if !c.limit.budget.Reserve(membudget.Request, usedConnBytes-newConnBytes) {
 		return false
 	}
 	c.used = true
--- a/connwatch/limit_test.go
+++ b/connwatch/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -105,6 +106,28 @@
 	}
 }
 
+// Guards against idle connections that keep bodies and answers out: a body is refused, or an answer that has been made
+// waits until its caller gives up, although nothing else is held.
+func TestIdleConnectionsMakeRoomForBodiesAndAnswers(t *testing.T) {
+	for _, kind := range []membudget.Kind{membudget.Request, membudget.Large, membudget.Answer} {
+		b := newLimitBench(t, 8*newConnBytes)
+		for range 8 {
+			b.open()
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		fits := b.budget.Reserve(kind, 3*newConnBytes)
+		if kind == membudget.Answer {
+			b.budget.Release(3 * newConnBytes)
+			b.open()
+			fits = b.budget.Await(ctx, kind, 3*newConnBytes) == nil
+		}
+		if !fits {
+			t.Errorf("kind %v does not fit beside idle connections", kind)
+		}
+	}
+}
+
 // Guards against headers that never end, which keep small requests out.
 func TestUnfinishedHeaderMakesRoom(t *testing.T) {
 	b := newLimitBench(t, 2*usedConnBytes)
--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -54,6 +54,9 @@
 	peak    atomic.Int64
 	refused [kinds]atomic.Uint64
 
+	// reclaim, if set, makes room by giving up something that can be had again. It returns false if there is nothing.
+	reclaim atomic.Pointer[func() bool]
+
 	mu sync.Mutex
 	// released is closed and replaced when bytes are released while something waits for them.
 	released chan struct{}
@@ -86,18 +89,32 @@
 	return b.limit
 }
 
+// SetReclaim sets what makes room where bytes do not fit. It is called until they do, or it returns false.
+func (b *Budget) SetReclaim(reclaim func() bool) { b.reclaim.Store(&reclaim) }
+
 // Reserve takes bytes, and reports whether they fit.
 func (b *Budget) Reserve(kind Kind, bytes int64) bool {
 	if b == nil {
 		return true
 	}
-	if !b.take(kind, bytes) {
+	if !b.makeRoom(kind, bytes) {
 		b.refused[kind].Add(1)
 		return false
 	}
 	return true
 }
 
+// makeRoom takes bytes, and reclaims others for them as far as it has to.
+func (b *Budget) makeRoom(kind Kind, bytes int64) bool {
+	for !b.take(kind, bytes) {
+		reclaim := b.reclaim.Load()
+		if reclaim == nil || bytes > b.most(kind) || !(*reclaim)() {
+			return false
+		}
+	}
+	return true
+}
+
 func (b *Budget) take(kind Kind, bytes int64) bool {
 	for {
 		before := b.used.Load()
@@ -119,7 +136,7 @@
 
 // Await takes bytes as soon as they fit. The error is that of the context.
 func (b *Budget) Await(ctx context.Context, kind Kind, bytes int64) error {
-	if b == nil || b.take(kind, bytes) {
+	if b == nil || b.makeRoom(kind, bytes) {
 		return nil
 	}
 	b.waiting.Add(1)
@@ -128,7 +145,7 @@
 		b.mu.Lock()
 		released := b.released
 		b.mu.Unlock()
-		if b.take(kind, bytes) {
+		if b.makeRoom(kind, bytes) {
 			return nil
 		}
 		select {
