connwatch, membudget: bytes are released after nothing refers to them any more

A heap profile showed 88 MB of answers with an account of 47 MB, and nine goroutines that waited for the budget's lock in Release, behind the wakened waiters: the bytes had been given back, and the answer was still referred to.

The body of an answer, and a buffer, drop their memory before they release its bytes. TestBodyIsGoneWhenItsBytesAreReleased failed before. The method Buffer.Held, which nothing used, is gone.

--- a/connwatch/body.go
+++ b/connwatch/body.go
@@ -25,6 +25,7 @@
 
 // Close implements io.Closer.
 func (b *wholeBody) Close() error {
+	b.Reader.Reset(nil)
 	b.release()
 	return nil
 }
--- a/membudget/buffer.go
+++ b/membudget/buffer.go
@@ -125,9 +125,7 @@
 	if b == nil {
 		return
 	}
-	b.budget.Release(b.held)
+	held := b.held
 	b.held, b.Bytes = 0, nil
+	b.budget.Release(held)
 }
-
-// Held reports whether the buffer takes bytes from the budget.
-func (b *Buffer) Held() bool { return b != nil && b.held > 0 }
