membudget, connwatch: what waits is served in turn, and idle connections are closed only if that makes enough room

Each release woke all that waited for bytes, some 280 answers, and each of them scanned the connections; a small answer could pass large ones for good. What waits now gets its bytes in turn, and a release wakes only those whose bytes it gives.

Idle connections now make room only if they hold what is missing, and for large bodies and answers only after a second without a whole header.

--- a/connwatch/limit.go
+++ b/connwatch/limit.go
@@ -1,9 +1,11 @@
 package connwatch
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,9 @@
 	// receiveBufferBytes bounds what the kernel receives on a connection while it is not read, as long as its request
 	// is served. It is enough for small requests at any distance. A large body gets more.
 	receiveBufferBytes = 32 << 10
+	// minIdle is how long a connection must have been without a whole header to make room for a large body or an answer.
+	// A caller whose request is about to come is not disturbed for these.
+	minIdle = time.Second
 	// maxRefusing bounds the connections that are refused at a time and still get an answer.
 	maxRefusing = 64
 )
@@ -39,7 +44,7 @@
 // NewLimit returns a limit by a budget, for which idle connections also make room for all else that it accounts.
 func NewLimit(budget *membudget.Budget, refused func() time.Duration) *Limit {
 	l := &Limit{budget: budget, refused: refused, open: make(map[*Conn]struct{})}
-	budget.SetReclaim(l.evict)
+	budget.SetReclaim(l.reclaim)
 	return l
 }
 
@@ -71,31 +76,63 @@
 	return c
 }
 
-// evict closes the connection that has been without a whole header for longest. It returns false if there is none.
-func (l *Limit) evict() bool {
-	for {
-		oldest, since := l.oldestIdle()
-		if oldest == nil {
-			return false
-		}
-		if oldest.idleSince.CompareAndSwap(since, connEvicted) {
-			l.budget.Release(oldest.takeCharge())
-			// The server's read ends, and the server closes the connection.
-			_ = oldest.Conn.Close()
-			return true
+// reclaim implements membudget.Reclaim. It closes connections without a whole header, the oldest ones first.
+func (l *Limit) reclaim(kind membudget.Kind, missing int64) bool {
+	shortest := time.Duration(0)
+	if kind == membudget.Large || kind == membudget.Answer {
+		shortest = minIdle
+	}
+	idle := l.idleFor(shortest)
+	held := int64(0)
+	for _, one := range idle {
+		held += one.charge
+	}
+	if held < missing {
+		return false
+	}
+	for _, one := range idle {
+		if missing <= 0 {
+			break
 		}
+		missing -= l.evict(one)
+	}
+	// Connections that have become active meanwhile are found again, if there are any left.
+	return true
+}
+
+// evict closes an idle connection, and returns what it took from the budget; 0 if it is idle no more.
+func (l *Limit) evict(one idleConn) int64 {
+	if !one.conn.idleSince.CompareAndSwap(one.since, connEvicted) {
+		return 0
 	}
+	charge := one.conn.takeCharge()
+	// The server's read ends, and the server closes the connection.
+	_ = one.conn.Conn.Close()
+	l.budget.Release(charge)
+	return charge
+}
+
+// idleConn is a connection without a whole header.
+type idleConn struct {
+	conn          *Conn
+	since, charge int64
 }
 
-func (l *Limit) oldestIdle() (oldest *Conn, since int64) {
+// idleFor returns the connections that have been without a whole header for a duration, the oldest first.
+func (l *Limit) idleFor(shortest time.Duration) []idleConn {
+	before := clock.Now().Add(-shortest).UnixNano()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var idle []idleConn
 	for c := range l.open {
-		if at := c.idleSince.Load(); at > connActive && (oldest == nil || at < since) {
-			oldest, since = c, at
+		if since := c.idleSince.Load(); since > connActive && since <= before {
+			c.mu.Lock()
+			idle = append(idle, idleConn{conn: c, since: since, charge: c.charge})
+			c.mu.Unlock()
 		}
 	}
-	return oldest, since
+	slices.SortFunc(idle, func(a, b idleConn) int { return cmp.Compare(a.since, b.since) })
+	return idle
 }
 
 func (l *Limit) remove(c *Conn) {
--- a/connwatch/limit_test.go
+++ b/connwatch/limit_test.go
@@ -107,24 +107,37 @@
 }
 
 // Guards against idle connections that keep bodies and answers out: a body is refused, or an answer that has been made
-// waits until its caller gives up, although nothing else is held.
+// waits until its caller gives up, although nothing else is held. A connection whose request is about to come stays.
 func TestIdleConnectionsMakeRoomForBodiesAndAnswers(t *testing.T) {
 	for _, kind := range []membudget.Kind{membudget.Request, membudget.Large, membudget.Answer} {
 		b := newLimitBench(t, 8*newConnBytes)
 		for range 8 {
-			b.open()
+			conn, _ := b.open()
+			conn.idleSince.Add(-minIdle.Nanoseconds())
 		}
+		newest, caller := b.open()
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		fits := b.budget.Reserve(kind, 3*newConnBytes)
-		if kind == membudget.Answer {
-			b.budget.Release(3 * newConnBytes)
-			b.open()
-			fits = b.budget.Await(ctx, kind, 3*newConnBytes) == nil
-		}
-		if !fits {
+		if err := b.budget.Await(ctx, kind, 3*newConnBytes); err != nil {
 			t.Errorf("kind %v does not fit beside idle connections", kind)
 		}
+		if err := b.begin(newest, caller); err != nil {
+			t.Errorf("kind %v: the newest connection: %v", kind, err)
+		}
+	}
+}
+
+// Guards against large bodies that do not fit in any case, and for which callers lose their connections.
+func TestIdleConnectionsAreKeptIfTheyWouldNotMakeEnoughRoom(t *testing.T) {
+	b := newLimitBench(t, 8*newConnBytes)
+	conn, caller := b.open()
+	conn.idleSince.Add(-minIdle.Nanoseconds())
+	if !b.budget.Reserve(membudget.Request, 6*newConnBytes) || b.budget.Reserve(membudget.Large, 2*newConnBytes) {
+		t.Error("the budget is not as large as expected")
+	}
+	b.budget.Release(6 * newConnBytes)
+	if err := b.begin(conn, caller); err != nil {
+		t.Errorf("the connection was closed: %v", err)
 	}
 }
 
--- a/membudget/budget.go
+++ b/membudget/budget.go
@@ -4,9 +4,11 @@
 package membudget
 
 import (
+	"container/list"
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -54,13 +56,27 @@
 	peak    atomic.Int64
 	refused [kinds]atomic.Uint64
 
-	// reclaim, if set, makes room by giving up something that can be had again. It returns false if there is nothing.
-	reclaim atomic.Pointer[func() bool]
+	reclaim atomic.Pointer[Reclaim]
 
 	mu sync.Mutex
-	// released is closed and replaced when bytes are released while something waits for them.
-	released chan struct{}
-	waiting  atomic.Int64
+	// waiters holds what waits for bytes, in the order in which it came. waiting is its length.
+	waiters list.List
+	waiting atomic.Int64
+}
+
+// Reclaim makes room by giving up what can be had again, at least as many bytes as are missing. If there is less, it gives
+// up nothing and returns false.
+type Reclaim func(kind Kind, missing int64) bool
+
+// reclaimInterval is the pause between two attempts to reclaim bytes for something that waits. What can be given up
+// changes without a release.
+const reclaimInterval = 100 * time.Millisecond
+
+// waiter waits for bytes. granted is closed once they were taken for it.
+type waiter struct {
+	kind    Kind
+	bytes   int64
+	granted chan struct{}
 }
 
 // New returns a budget for a process with a memory limit in bytes. 0 means that none is stated.
@@ -69,7 +85,7 @@
 	if memory > 0 {
 		limit = int64(float64(memory) * Share)
 	}
-	return &Budget{limit: limit, released: make(chan struct{})}
+	return &Budget{limit: limit}
 }
 
 // Limit returns the limit in bytes.
@@ -89,8 +105,8 @@
 	return b.limit
 }
 
-// SetReclaim sets what makes room where bytes do not fit. It is called until they do, or it returns false.
-func (b *Budget) SetReclaim(reclaim func() bool) { b.reclaim.Store(&reclaim) }
+// SetReclaim sets what makes room where bytes do not fit.
+func (b *Budget) SetReclaim(reclaim Reclaim) { b.reclaim.Store(&reclaim) }
 
 // Reserve takes bytes, and reports whether they fit.
 func (b *Budget) Reserve(kind Kind, bytes int64) bool {
@@ -107,14 +123,23 @@
 // makeRoom takes bytes, and reclaims others for them as far as it has to.
 func (b *Budget) makeRoom(kind Kind, bytes int64) bool {
 	for !b.take(kind, bytes) {
-		reclaim := b.reclaim.Load()
-		if reclaim == nil || bytes > b.most(kind) || !(*reclaim)() {
+		if !b.reclaimFor(kind, bytes) {
 			return false
 		}
 	}
 	return true
 }
 
+// reclaimFor reclaims what is missing for bytes. It returns false if that is not possible.
+func (b *Budget) reclaimFor(kind Kind, bytes int64) bool {
+	reclaim := b.reclaim.Load()
+	if reclaim == nil || bytes > b.most(kind) {
+		return false
+	}
+	missing := b.used.Load() + bytes - b.most(kind)
+	return missing <= 0 || (*reclaim)(kind, missing)
+}
+
 func (b *Budget) take(kind Kind, bytes int64) bool {
 	for {
 		before := b.used.Load()
@@ -134,30 +159,62 @@
 	}
 }
 
-// Await takes bytes as soon as they fit. The error is that of the context.
+// Await takes bytes as soon as they fit. What waits gets them in turn. The error is that of the context.
 func (b *Budget) Await(ctx context.Context, kind Kind, bytes int64) error {
-	if b == nil || b.makeRoom(kind, bytes) {
+	if b == nil || (b.waiting.Load() == 0 && b.makeRoom(kind, bytes)) {
 		return nil
 	}
+	w := &waiter{kind: kind, bytes: bytes, granted: make(chan struct{})}
+	b.mu.Lock()
+	place := b.waiters.PushBack(w)
 	b.waiting.Add(1)
-	defer b.waiting.Add(-1)
+	b.grant()
+	b.mu.Unlock()
+	retry := time.NewTicker(reclaimInterval)
+	defer retry.Stop()
 	for {
-		b.mu.Lock()
-		released := b.released
-		b.mu.Unlock()
-		if b.makeRoom(kind, bytes) {
-			return nil
-		}
 		select {
-		case <-released:
+		case <-w.granted:
+			return nil
+		case <-retry.C:
+			b.reclaimFor(kind, bytes)
 		case <-ctx.Done():
-			b.refused[kind].Add(1)
-			return ctx.Err()
+			return b.leave(ctx, place)
+		}
+	}
+}
+
+// leave ends the wait of a waiter whose context has ended.
+func (b *Budget) leave(ctx context.Context, place *list.Element) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := place.Value.(*waiter)
+	select {
+	case <-w.granted:
+		return nil
+	default:
+	}
+	b.waiters.Remove(place)
+	b.waiting.Add(-1)
+	b.refused[w.kind].Add(1)
+	b.grant()
+	return ctx.Err()
+}
+
+// grant takes bytes for those that wait, as far as they fit. The caller holds the lock.
+func (b *Budget) grant() {
+	for place := b.waiters.Front(); place != nil; place = b.waiters.Front() {
+		w := place.Value.(*waiter)
+		if !b.take(w.kind, w.bytes) {
+			return
 		}
+		b.waiters.Remove(place)
+		b.waiting.Add(-1)
+		close(w.granted)
 	}
 }
 
-// Release returns bytes that were taken.
+// Release returns bytes that were taken. Nothing may refer to the memory that they stand for any more.
 func (b *Budget) Release(bytes int64) {
 	if b == nil {
 		return
@@ -170,6 +227,5 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	close(b.released)
-	b.released = make(chan struct{})
+	b.grant()
 }
--- a/membudget/budget_test.go
+++ b/membudget/budget_test.go
@@ -1,7 +1,9 @@
 package membudget
 
 import (
+	"bytes"
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -58,3 +60,55 @@
 		}
 	})
 }
+
+// Guards against an answer that waits while later, smaller ones are read before it.
+func TestAnswersAreReadInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(1000)
+		b.Reserve(Answer, b.Limit())
+		var order []int64
+		var mu sync.Mutex
+		var waiting sync.WaitGroup
+		for _, bytes := range []int64{300, 10, 20} {
+			waiting.Go(func() {
+				if err := b.Await(t.Context(), Answer, bytes); err != nil {
+					t.Error(err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				order = append(order, bytes)
+			})
+			synctest.Wait()
+		}
+		for range b.Limit() {
+			b.Release(1)
+			synctest.Wait()
+		}
+		waiting.Wait()
+		if !slices.Equal(order, []int64{300, 10, 20}) {
+			t.Errorf("read in the order %v", order)
+		}
+	})
+}
+
+// Guards against bytes that are given to others while the buffer that they stand for is still there.
+func TestBufferIsGoneWhenItsBytesAreReleased(t *testing.T) {
+	b := New(1 << 20)
+	buffer, err := b.Read(bytes.NewReader(make([]byte, 10_000)), 10_000, b.Refusing())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Reserve(Answer, b.Limit()-10_000)
+	waiting := make(chan struct{})
+	released := make(chan struct{})
+	go func() {
+		close(waiting)
+		if b.Await(context.Background(), Answer, 10_000) == nil && buffer.Bytes != nil {
+			t.Error("the buffer is still there")
+		}
+		close(released)
+	}()
+	<-waiting
+	buffer.Release()
+	<-released
+}
