connwatch: the oldest idle connection is found without sorting all

For each connection that had to make room, all idle ones were collected and sorted under the listener's lock.

--- a/connwatch/connwatch.go
+++ b/connwatch/connwatch.go
@@ -52,10 +52,10 @@
 	// used is set once a request has begun, and reading while its header is received. Only the reader of the
 	// connection uses them.
 	used, reading bool
+	// charge is what the connection takes from the budget, in bytes.
+	charge atomic.Int64
 
 	mu sync.Mutex
-	// charge is what the connection takes from the budget, in bytes.
-	charge int64
 	// firstByte is a byte that was received while Watch waited for a disconnect. It
 	// is the first byte of a pipelined request.
 	firstByte    byte
--- a/connwatch/limit.go
+++ b/connwatch/limit.go
@@ -1,11 +1,9 @@
 package connwatch
 
 import (
-	"cmp"
 	"fmt"
 	"io"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,7 +62,8 @@
 		l.refuseNew(raw)
 		return nil
 	}
-	c.limit, c.charge = l, newConnBytes
+	c.limit = l
+	c.charge.Store(newConnBytes)
 	c.idleSince.Store(clock.Now().UnixNano())
 	if buffered, ok := raw.(interface{ SetReadBuffer(bytes int) error }); ok {
 		// Without it the kernel's own limit holds.
@@ -82,64 +81,52 @@
 	if kind == membudget.Large || kind == membudget.Answer {
 		shortest = minIdle
 	}
-	idle := l.idleFor(shortest)
-	held := int64(0)
-	for _, one := range idle {
-		held += one.charge
-	}
-	if held < missing {
-		return false
-	}
-	for _, one := range idle {
-		if missing <= 0 {
-			break
+	before := clock.Now().Add(-shortest).UnixNano()
+	for missing > 0 {
+		oldest, since, held := l.oldestIdle(before)
+		if held < missing {
+			return false
 		}
-		missing -= l.evict(one)
+		missing -= l.evict(oldest, since)
 	}
-	// Connections that have become active meanwhile are found again, if there are any left.
 	return true
 }
 
 // evict closes an idle connection, and returns what it took from the budget; 0 if it is idle no more.
-func (l *Limit) evict(one idleConn) int64 {
-	if !one.conn.idleSince.CompareAndSwap(one.since, connEvicted) {
+func (l *Limit) evict(c *Conn, since int64) int64 {
+	if !c.idleSince.CompareAndSwap(since, connEvicted) {
 		return 0
 	}
-	charge := one.conn.takeCharge()
+	charge := c.charge.Swap(0)
 	// The server's read ends, and the server closes the connection.
-	_ = one.conn.Conn.Close()
+	_ = c.Conn.Close()
 	l.budget.Release(charge)
 	return charge
 }
 
-// idleConn is a connection without a whole header.
-type idleConn struct {
-	conn          *Conn
-	since, charge int64
-}
-
-// idleFor returns the connections that have been without a whole header for a duration, the oldest first.
-func (l *Limit) idleFor(shortest time.Duration) []idleConn {
-	before := clock.Now().Add(-shortest).UnixNano()
+// oldestIdle returns the connection that has been without a whole header for longest, and what all of those take from
+// the budget that have been without one since before a time.
+func (l *Limit) oldestIdle(before int64) (oldest *Conn, since, held int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var idle []idleConn
 	for c := range l.open {
-		if since := c.idleSince.Load(); since > connActive && since <= before {
-			c.mu.Lock()
-			idle = append(idle, idleConn{conn: c, since: since, charge: c.charge})
-			c.mu.Unlock()
+		at := c.idleSince.Load()
+		if at <= connActive || at > before {
+			continue
+		}
+		held += c.charge.Load()
+		if oldest == nil || at < since {
+			oldest, since = c, at
 		}
 	}
-	slices.SortFunc(idle, func(a, b idleConn) int { return cmp.Compare(a.since, b.since) })
-	return idle
+	return oldest, since, held
 }
 
 func (l *Limit) remove(c *Conn) {
 	l.mu.Lock()
 	delete(l.open, c)
 	l.mu.Unlock()
-	l.budget.Release(c.takeCharge())
+	l.budget.Release(c.charge.Swap(0))
 }
 
 // refusal is the answer to a connection that does not fit.
@@ -163,15 +150,6 @@
 	}()
 }
 
-// takeCharge returns what the connection takes from the budget, once.
-func (c *Conn) takeCharge() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	charge := c.charge
-	c.charge = 0
-	return charge
-}
-
 // SetIdle records that the connection has no request.
 func (c *Conn) SetIdle() {
 	if c.limit != nil {
@@ -216,9 +194,7 @@
 		return false
 	}
 	c.used = true
-	c.mu.Lock()
-	c.charge += usedConnBytes - newConnBytes
-	c.mu.Unlock()
+	c.charge.Add(usedConnBytes - newConnBytes)
 	return true
 }
 
