edge, origin, forward: streams begin at a new release once it is stored and every instance can know of it

What callers saw: streams joined from two versions after a loss of all instances, and at an instance whose list of servers was a little old.

Cause: streams began at a release as soon as one instance had it on its list, while the store's record of releases followed seconds later, by one instance, and other instances answered from lists of up to 1.5 s ago.

Change: resumable streams begin at a release only when the store has it (a conditional append, so that no writer loses another's release) and AnnounceWait has passed since it was first listed; releases that the store or a sibling names as open are used at once. A history is not extended across a gap, and a list that was replaced after more than AnnounceWait counts as a gap.

--- /dev/null
+++ b/edge/announce_test.go
@@ -0,0 +1,293 @@
+package edge
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mastwheel/mastwheel/origin"
+)
+
+var announceSeeds = flag.Int("announce-seeds", 6, "seeds of the search over releases, losses of instances and outages")
+
+// mayBegin reports whether a stream that its caller may take up may begin at a release.
+func mayBegin(in *Instance, at origin.Origin) bool {
+	_, ok := in.Origins.MayBegin(at)
+	return ok
+}
+
+func TestNewReleaseIsNotUsedBeforeAllInstancesCanKnowIt(t *testing.T) {
+	withReleases(t, originInstances, func(f *fleet) {
+		f.store.registerRelease("n", newRelease)
+		time.Sleep(origin.AnnounceWait - 10*time.Millisecond)
+		for _, in := range f.instances {
+			if mayBegin(in, newRelease) {
+				t.Errorf("%s begins streams at a release that has just been listed", in.config.Name)
+			}
+			if !mayBegin(in, oldRelease) {
+				t.Errorf("%s begins no streams at the release that has served all the time", in.config.Name)
+			}
+		}
+		time.Sleep(time.Second)
+		for _, in := range f.instances {
+			if !mayBegin(in, newRelease) {
+				t.Errorf("%s does not begin streams at a release that has been listed for long", in.config.Name)
+			}
+		}
+	})
+}
+
+func TestNewReleaseIsNotUsedWhileItCannotBeStored(t *testing.T) {
+	withReleases(t, originInstances, func(f *fleet) {
+		f.store.change(func() { f.store.savesRefused = true })
+		f.store.registerRelease("n", newRelease)
+		time.Sleep(20 * time.Second)
+		for _, in := range f.instances {
+			if mayBegin(in, newRelease) || !mayBegin(in, oldRelease) {
+				t.Errorf("%s: new release %v, old release %v", in.config.Name, mayBegin(in, newRelease), mayBegin(in, oldRelease))
+			}
+		}
+		f.store.change(func() { f.store.savesRefused = false })
+		time.Sleep(2 * time.Second)
+		for _, in := range f.instances {
+			if !mayBegin(in, newRelease) {
+				t.Errorf("%s does not begin streams at a release that is stored", in.config.Name)
+			}
+		}
+	})
+}
+
+func TestNewReleaseOfFullListIsStoredWithFewCalls(t *testing.T) {
+	withReleases(t, 30, func(f *fleet) {
+		before := f.store.releaseCalls()
+		f.store.registerRelease("n", newRelease)
+		time.Sleep(10 * time.Second)
+		if calls := f.store.releaseCalls() - before; calls > 4 {
+			t.Errorf("%d calls to the store for one release", calls)
+		}
+	})
+}
+
+func TestKnownReleasesAreUsedRightAfterALossOfAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, originInstances, DefaultConfig())
+		f.store.registerRelease("o", oldRelease)
+		f.store.registerRelease("n", newRelease)
+		end := f.start()
+		time.Sleep(10 * time.Second)
+		end()
+		end = f.startNew()
+		for _, in := range f.instances {
+			f.await("the list is known", func() bool { return in.registry.View().Position > 0 })
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, in := range f.instances {
+			if !mayBegin(in, oldRelease) || !mayBegin(in, newRelease) {
+				t.Errorf("%s: old release %v, new release %v", in.config.Name, mayBegin(in, oldRelease), mayBegin(in, newRelease))
+			}
+		}
+		end()
+	})
+}
+
+// releaseSearch plays drawn releases, losses of instances, cuts and outages, and remembers at which
+// releases streams may have begun.
+type releaseSearch struct {
+	*fleet
+	random *rand.Rand
+	stops  []func()
+	// began is when a stream may last have begun at a release, by the time of the test's start.
+	began map[origin.Origin]time.Time
+	// listed holds the releases with a server on the list, and removed when others last had one.
+	listed  map[origin.Origin]bool
+	removed map[origin.Origin]time.Time
+	// allowed and guessed count the checks at which a stream might begin at a new release, and at which an
+	// instance named the only release.
+	allowed, guessed int
+}
+
+// searchWindow is the window of the search. Releases are forgotten sooner than outside of tests.
+const searchWindow = 12 * time.Second
+
+// setWindows shortens the windows of all instances.
+func (s *releaseSearch) setWindows() {
+	for _, in := range s.instances {
+		in.Origins.leastWindow = searchWindow
+		in.Origins.releases.SetWindow(searchWindow)
+	}
+}
+
+// restart ends some instances at once and starts new ones in their place.
+func (s *releaseSearch) restart(which []int, pause time.Duration) {
+	for _, i := range which {
+		s.stops[i]()
+	}
+	time.Sleep(pause)
+	for _, i := range which {
+		s.replace(i)
+	}
+	s.setWindows()
+	for _, i := range which {
+		s.stops[i] = s.startThese(s.instances[i : i+1])
+	}
+}
+
+func (s *releaseSearch) some(share float64) (which []int) {
+	for i := range s.instances {
+		if s.random.Float64() < share {
+			which = append(which, i)
+		}
+	}
+	return which
+}
+
+// step plays one drawn event.
+func (s *releaseSearch) step() {
+	release := origin.Origin{Service: "a", Release: fmt.Sprint("v", 1+s.random.IntN(3))}
+	name := s.instances[s.random.IntN(len(s.instances))].config.Name
+	address := s.instances[s.random.IntN(len(s.instances))].config.SiblingAddress
+	switch s.random.IntN(11) {
+	case 0, 1:
+		s.store.registerRelease("n"+release.Release, release)
+		s.listed[release] = true
+	case 2, 3, 4:
+		s.store.registerRelease("n"+release.Release, release)
+		s.listed[release] = true
+		for other := range s.listed {
+			if other != release {
+				s.store.remove("n" + other.Release)
+				delete(s.listed, other)
+				s.removed[other] = time.Now()
+			}
+		}
+	case 5:
+		s.restart(s.some(1), time.Duration(s.random.IntN(1500))*time.Millisecond)
+	case 6:
+		s.restart(s.some(0.4), time.Duration(s.random.IntN(500))*time.Millisecond)
+	case 7:
+		s.store.change(func() { s.store.refused[name] = !s.store.refused[name] })
+	case 8:
+		s.mu.Lock()
+		s.cut[address] = !s.cut[address]
+		s.mu.Unlock()
+	case 9:
+		s.store.change(func() { s.store.savesRefused = !s.store.savesRefused })
+	case 10:
+		s.store.change(func() { clear(s.store.refused) })
+		s.mu.Lock()
+		clear(s.cut)
+		s.mu.Unlock()
+	}
+}
+
+// servesUnlisted is how long servers serve at most that are not listed any more.
+const servesUnlisted = 8 * time.Second
+
+// serves reports whether servers of a release may still run.
+func (s *releaseSearch) serves(at origin.Origin) bool {
+	return s.listed[at] || time.Since(s.removed[at]) < servesUnlisted
+}
+
+// check compares what each instance would answer with the releases at which streams may have begun.
+func (s *releaseSearch) check(seed int) {
+	now := time.Now()
+	for _, in := range s.instances {
+		for _, entry := range in.Servers().ByRun {
+			if at := originOf(entry); s.serves(at) && mayBegin(in, at) {
+				s.began[at] = now
+				if at != oldRelease {
+					s.allowed++
+				}
+			}
+		}
+	}
+	for _, in := range s.instances {
+		sole, ok := in.Origins.soleRelease("a", now)
+		if !ok {
+			continue
+		}
+		s.guessed++
+		for at, last := range s.began {
+			if at.Release != sole && now.Sub(last) < searchWindow-time.Second {
+				s.t.Errorf("seed %d: %s takes %s for the only release %v after a stream may have begun at %s", seed, in.config.Name, sole, now.Sub(last), at.Release)
+			}
+		}
+	}
+}
+
+// TestNoInstanceGuessesAReleaseWhileStreamsMayHaveBegunAtAnother searches over drawn events.
+func TestNoInstanceGuessesAReleaseWhileStreamsMayHaveBegunAtAnother(t *testing.T) {
+	for seed := range *announceSeeds {
+		synctest.Test(t, func(t *testing.T) {
+			s := &releaseSearch{fleet: newFleet(t, originInstances, DefaultConfig()), random: rand.New(rand.NewPCG(uint64(seed), 1)), began: make(map[origin.Origin]time.Time), listed: map[origin.Origin]bool{oldRelease: true}, removed: make(map[origin.Origin]time.Time)}
+			for i := range 10 {
+				s.store.remove(fmt.Sprint("s", i))
+			}
+			s.store.registerRelease("nv1", oldRelease)
+			s.setWindows()
+			for i := range s.instances {
+				s.stops = append(s.stops, s.startThese(s.instances[i:i+1]))
+			}
+			time.Sleep(2*searchWindow + 5*time.Second)
+			next := time.Now()
+			for end := time.Now().Add(150 * time.Second); time.Now().Before(end) && !t.Failed(); time.Sleep(50 * time.Millisecond) {
+				for !time.Now().Before(next) {
+					s.step()
+					next = time.Now().Add(time.Duration(s.random.ExpFloat64() * float64(2500*time.Millisecond)))
+				}
+				s.check(seed)
+			}
+			t.Logf("seed %d: %d checks with a new release in use, %d with a release known to be the only one", seed, s.allowed, s.guessed)
+			for _, stop := range s.stops {
+				stop()
+			}
+			s.running.Wait()
+		})
+	}
+}
+
+// TestReleasesAreKnownAfterTwoLossesOfAllInARow has a release come between the two.
+func TestReleasesAreKnownAfterTwoLossesOfAllInARow(t *testing.T) {
+	for _, joins := range []time.Duration{300 * time.Millisecond, time.Second, 1800 * time.Millisecond, 2500 * time.Millisecond, 3 * time.Second} {
+		for _, lasts := range []time.Duration{400 * time.Millisecond, origin.AnnounceWait + 400*time.Millisecond} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, originInstances, DefaultConfig())
+				for i := range 10 {
+					f.store.registerRelease(fmt.Sprint("s", i), oldRelease)
+				}
+				end := f.start()
+				time.Sleep(originWindow + 5*time.Second)
+				end()
+				end = f.startNew()
+				time.Sleep(joins)
+				f.store.registerRelease("n", newRelease)
+				time.Sleep(lasts)
+				began := false
+				for _, in := range f.instances {
+					began = began || mayBegin(in, newRelease)
+				}
+				f.store.remove("n")
+				end()
+				end = f.startNew()
+				time.Sleep(2 * time.Second)
+				for _, in := range f.instances {
+					if got := find(in, "x"); began && got == "v1" {
+						t.Errorf("%s guesses %s, joined %v after the first loss, used %v", in.config.Name, got, joins, lasts)
+					}
+				}
+				end()
+			})
+		}
+	}
+}
+
+// startNew replaces all instances, which are stopped, by new ones and starts these.
+func (f *fleet) startNew() (end func()) {
+	for i := range f.instances {
+		f.replace(i)
+	}
+	return f.start()
+}
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/oplog"
-	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/table"
 	"github.com/mastwheel/mastwheel/wait"
@@ -87,8 +86,12 @@
 	extraPages int
 	// pageLatency is the duration of a call for an extra page.
 	pageLatency time.Duration
-	// releases holds the releases that were saved; nil if none ever were.
-	releases map[origin.Origin]bool
+	// releases holds the releases that were saved last, and releasesEnd the end of their topic.
+	releases    StoredReleases
+	releasesEnd oplog.Position
+	// releasesCalls counts the calls for them. savesRefused makes all calls fail that change them.
+	releasesCalls int
+	savesRefused  bool
 }
 
 func newMemoryStore() *memoryStore {
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -58,6 +58,8 @@
 	// own holds the streams that began at this instance, kept those of siblings.
 	own, kept *origin.Records
 	releases  *origin.Releases
+	// leastWindow is originWindow, but for tests.
+	leastWindow time.Duration
 
 	mu sync.Mutex
 	// unsent holds the own records that are still to be sent to their keepers.
@@ -73,10 +75,12 @@
 	// historyAt is when the releases that serve were last known to be complete from a sibling's list,
 	// and historyReceivedAt when that sibling's message arrived.
 	historyAt, historyReceivedAt time.Time
-	// servedHistory holds the releases that this instance last sent to those that it serves as a hub.
+	// servedHistory holds the announcements that this instance last sent to those that it serves as a hub.
 	// Only the heartbeat loop uses it.
-	servedHistory map[origin.Origin]bool
+	servedHistory origin.Announced
 	woken         chan struct{}
+	// announcerWoken wakes the announcer.
+	announcerWoken chan struct{}
 }
 
 type unsentOrigin struct {
@@ -92,8 +96,9 @@
 
 func newOrigins(in *Instance) *origins {
 	o := &origins{
-		Instance: in, own: origin.NewRecords(originRecords), kept: origin.NewRecords(originRecords), releases: origin.NewReleases(originWindow),
+		Instance: in, own: origin.NewRecords(originRecords), kept: origin.NewRecords(originRecords), releases: origin.NewReleases(originWindow), leastWindow: originWindow,
 		waiting: make(map[origin.Key][]chan originAnswer), ambiguous: make(map[string]bool), woken: make(chan struct{}, 1),
+		announcerWoken: make(chan struct{}, 1),
 	}
 	if in.config.FirstStart {
 		o.releases.Extend(in.started.Add(-longAgo), nil, in.started)
@@ -193,7 +198,7 @@
 		if old == nil || old.Run() == server.Run() || old.Release == server.Release {
 			continue
 		}
-		o.own.Doubt(old.Run(), now.Add(-historyGap), now, func(key origin.Key, until time.Time) {
+		o.own.Doubt(old.Run(), now.Add(-doubtFor), now, func(key origin.Key, until time.Time) {
 			o.enqueue(unsentOrigin{key: key, until: until})
 		})
 	}
--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/racedetector"
 	"github.com/mastwheel/mastwheel/registry"
@@ -28,22 +29,44 @@
 }
 
 // Load implements ReleaseStore.
-func (l releaseLog) Load(context.Context) (map[origin.Origin]bool, bool, error) {
+func (l releaseLog) Load(context.Context) (StoredReleases, oplog.Position, error) {
 	l.store.mu.Lock()
 	defer l.store.mu.Unlock()
 	l.store.calls++
 	l.store.callsBy[l.name]++
-	return maps.Clone(l.store.releases), l.store.releases != nil, nil
+	l.store.releasesCalls++
+	if l.store.refused[l.name] {
+		return StoredReleases{}, 0, oplog.ErrUnavailable
+	}
+	stored := l.store.releases
+	stored.Releases = maps.Clone(stored.Releases)
+	return stored, l.store.releasesEnd, nil
 }
 
 // Save implements ReleaseStore.
-func (l releaseLog) Save(_ context.Context, releases map[origin.Origin]bool) error {
+func (l releaseLog) Save(_ context.Context, releases StoredReleases, condition oplog.Position) (oplog.Position, bool, error) {
 	l.store.mu.Lock()
 	defer l.store.mu.Unlock()
 	l.store.calls++
 	l.store.callsBy[l.name]++
-	l.store.releases = maps.Clone(releases)
-	return nil
+	l.store.releasesCalls++
+	if l.store.refused[l.name] || l.store.savesRefused {
+		return 0, false, oplog.ErrUnavailable
+	}
+	if condition != l.store.releasesEnd {
+		return 0, false, nil
+	}
+	releases.Releases = maps.Clone(releases.Releases)
+	l.store.releases = releases
+	l.store.releasesEnd = l.store.releasesEnd.Add(1)
+	return l.store.releasesEnd, true, nil
+}
+
+// releaseCalls returns the number of calls for the stored releases so far.
+func (s *memoryStore) releaseCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.releasesCalls
 }
 
 // registerRelease appends an entry of a server of a release to the log.
@@ -94,7 +117,7 @@
 		register("s0", 1, oldRelease)
 		time.Sleep(time.Second)
 		begin(f.instances[0], "early", oldRelease)
-		time.Sleep(historyGap + time.Second)
+		time.Sleep(doubtFor + time.Second)
 		begin(f.instances[0], "late", oldRelease)
 		time.Sleep(100 * time.Millisecond)
 		register("s0", 36, newRelease)
--- a/edge/releases.go
+++ b/edge/releases.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"maps"
 	"time"
 
@@ -16,15 +15,16 @@
 )
 
 // Which releases served lately follows from the list of servers. Instances that have just started get it
-// from their siblings, and after a loss of all instances from the store, where one instance keeps it.
+// from their siblings, and after a loss of all instances from the store. A release is stored before streams
+// begin at it (origin.AnnounceWait).
 
 const (
-	// historyWait is how long an instance that starts waits for the history of a sibling before it reads
-	// the stored releases. Siblings send it when they receive the first heartbeat.
-	historyWait = 800 * time.Millisecond
-	// historyGap is how long the list of servers may be unconfirmed before it is replaced without the
-	// changes in between. No server starts, serves streams and is gone again in that time.
-	historyGap = 5 * time.Second
+	// doubtFor is how long before the list shows a server's later run the server may have been that run.
+	doubtFor = 5 * time.Second
+	// announcers is how many instances store a new release, one after another, if those before them do
+	// not, and announceTurn the pause between two of them.
+	announcers   = 4
+	announceTurn = 100 * time.Millisecond
 )
 
 // setListed records the releases of the servers on a new list.
@@ -32,17 +32,29 @@
 	if list.Position == 0 {
 		return
 	}
+	if confirmed := o.list.confirmed(); !confirmed.IsZero() && now.Sub(confirmed) >= o.releases.ForgottenAfter() {
+		o.releases.Reannounce(now)
+	}
 	listed := make(map[origin.Origin]bool)
 	for i := range list.Servers {
 		listed[originOf(&list.Servers[i].Entry)] = true
 	}
 	o.releases.SetListed(listed, !list.IsSubset, now)
 	o.wake()
+	if o.releases.Unopened() || !o.releases.CoversWindow(now) {
+		o.wakeAnnouncer()
+	}
+}
+
+// MayBegin reports whether a stream that its caller may take up may begin at a release. If not, it returns
+// the time until it may.
+func (o *origins) MayBegin(at origin.Origin) (after time.Duration, ok bool) {
+	return o.releases.MayBegin(at, clock.Now())
 }
 
 // setWindow sets how long ago streams may have begun, from the timeouts of the table's routes.
 func (o *origins) setWindow(view *table.View) {
-	window := originWindow
+	window := o.leastWindow
 	for _, routes := range view.Routes {
 		for _, route := range routes {
 			if route.Repeat == table.RepeatResume {
@@ -74,11 +86,12 @@
 	o.mu.Lock()
 	informed := o.historyReceivedAt.After(confirmed)
 	o.mu.Unlock()
-	if confirmed.IsZero() || informed || now.Sub(confirmed) <= historyGap {
+	if confirmed.IsZero() || informed || now.Sub(confirmed) <= origin.AnnounceWait {
 		return
 	}
 	klog.InfoS("Releases of the servers before now are not known, because the list was out of date for long", "ageMillis", now.Sub(confirmed).Milliseconds())
 	o.releases.Restart(now, now)
+	o.wakeAnnouncer()
 }
 
 // applyHistory applies a sibling's history of the releases.
@@ -89,7 +102,7 @@
 	}
 	confirmed := now.Add(-message.ListAge())
 	o.mu.Lock()
-	missed := o.registry.View().IsSubset && confirmed.Sub(o.historyAt) > historyGap
+	missed := o.registry.View().IsSubset && confirmed.Sub(o.historyAt) > origin.AnnounceWait
 	if confirmed.After(o.historyAt) {
 		o.historyAt, o.historyReceivedAt = confirmed, now
 	}
@@ -97,7 +110,10 @@
 	if missed {
 		o.releases.Restart(since, now)
 	}
-	o.releases.Extend(since, lastListed, now)
+	o.releases.ExtendFrom(since, confirmed, lastListed, now)
+	stored, open := message.Announced()
+	o.releases.SetStored(stored, now)
+	o.releases.SetOpen(open, now)
 }
 
 // historyMessage returns the releases that served lately, for siblings; nil if this instance does not
@@ -111,20 +127,14 @@
 }
 
 // historyForSubscribers returns the history for the instances that this one serves as a hub, and whether
-// other releases are listed than the last time. Only the heartbeat loop calls it.
+// it names other releases than the last time, or other announcements. Only the heartbeat loop calls it.
 func (o *origins) historyForSubscribers(now time.Time) (message *origin.Message, changed bool) {
 	if message = o.historyMessage(now); message == nil {
 		return nil, false
 	}
-	lately := o.releases.Lately(now)
-	changed = len(lately) != len(o.servedHistory)
-	for at := range lately {
-		changed = changed || !o.servedHistory[at]
-	}
-	o.servedHistory = make(map[origin.Origin]bool, len(lately))
-	for at := range lately {
-		o.servedHistory[at] = true
-	}
+	served := o.releases.Announcements(now)
+	changed = !maps.Equal(served, o.servedHistory)
+	o.servedHistory = served
 	return message, changed
 }
 
@@ -139,94 +149,3 @@
 	o.mu.Unlock()
 	o.wake()
 }
-
-// ReleaseStore keeps the releases that served lately in the platform's store.
-type ReleaseStore interface {
-	// Load returns the releases that were saved last. It returns false if none ever were.
-	Load(ctx context.Context) (releases map[origin.Origin]bool, saved bool, err error)
-	Save(ctx context.Context, releases map[origin.Origin]bool) error
-}
-
-// followReleases reads the stored releases where no sibling knows the history. The instance of the
-// lowest rank stores them when they change.
-func (o *origins) followReleases(ctx context.Context) {
-	var stored map[origin.Origin]bool
-	era, failures := o.era(), 0
-	o.pause(ctx, historyWait)
-	for ctx.Err() == nil {
-		if current := o.era(); current != era {
-			// The store may have lost the last record.
-			era, stored = current, nil
-		}
-		var err error
-		stored, err = o.keepReleases(ctx, stored)
-		if err == nil {
-			failures = 0
-			pause := o.config.IdleCheckEvery
-			if o.registry.View().Position == 0 {
-				pause = o.config.Members.HeartbeatEvery
-			}
-			o.pause(ctx, pause)
-			continue
-		}
-		failures++
-		o.pause(ctx, o.backoff(failures))
-	}
-}
-
-// keepReleases reads or stores the releases if that is due. It returns what is stored, or nil if this
-// instance does not know.
-func (o *origins) keepReleases(ctx context.Context, stored map[origin.Origin]bool) (map[origin.Origin]bool, error) {
-	now, list := clock.Now(), o.registry.View()
-	if list.IsSubset || list.Position == 0 || o.stopping.Load() {
-		return nil, nil
-	}
-	covered := o.releases.CoversWindow(now)
-	// An instance that has just started does not know its rank yet.
-	keeps := o.orders.rank() == 0 && clock.Since(o.started) >= o.config.HubGrace
-	switch {
-	case stored == nil && (keeps || !covered):
-		return o.loadReleases(ctx, now)
-	case !keeps && covered:
-		return nil, nil
-	case !keeps:
-		return stored, nil
-	}
-	releases := make(map[origin.Origin]bool)
-	for at := range o.releases.Lately(now) {
-		releases[at] = true
-	}
-	if !covered {
-		maps.Copy(releases, stored)
-	}
-	if maps.Equal(releases, stored) {
-		return stored, nil
-	}
-	if err := o.deps.Releases.Save(ctx, releases); err != nil {
-		logStore("Failed to store the releases of the servers", err)
-		return stored, err
-	}
-	return releases, nil
-}
-
-// loadReleases reads the stored releases and adds them to the history, which covers all streams then.
-func (o *origins) loadReleases(ctx context.Context, now time.Time) (map[origin.Origin]bool, error) {
-	stored, saved, err := o.deps.Releases.Load(ctx)
-	if err != nil {
-		logStore("Failed to read the stored releases of the servers", err)
-		return nil, err
-	}
-	if !saved {
-		return make(map[origin.Origin]bool), nil
-	}
-	if o.releases.CoversWindow(now) {
-		return stored, nil
-	}
-	lastListed := make(map[origin.Origin]time.Time, len(stored))
-	for at := range stored {
-		lastListed[at] = now
-	}
-	klog.InfoS("Read the releases of the servers that the store keeps", "releases", len(stored))
-	o.releases.Extend(now.Add(-o.releases.Window()), lastListed, now)
-	return stored, nil
-}
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -187,11 +187,27 @@
 		f.record(stepChoose, "none", "why", f.unavailable, "version", f.origin.Load().Release)
 		return route.Decision{}, false
 	}
+	if from.work == decodePool.work {
+		if fitting = f.withoutNewReleases(query, fitting); len(fitting) == 0 && len(within) > 0 {
+			return route.Decision{}, false
+		}
+	}
 	made = profile.Decide(query, f.Fleet, fitting)
 	f.countSpeedChoice(profile, made.Rated)
 	return made, true
 }
 
+// withoutNewReleases returns the engines at which the stream may begin. If there are none, it records when
+// there will be.
+func (f *flow) withoutNewReleases(query *route.Query, engines []*table.BackendView) []*table.BackendView {
+	fitting, after := f.beginsAt(f.servers, engines)
+	if len(fitting) == 0 && len(engines) > 0 {
+		f.unavailable, f.availableAt = reason.VersionNew, query.Now.Add(after)
+		f.record(stepChoose, "none", "why", f.unavailable, "availableMillis", after.Milliseconds())
+	}
+	return fitting
+}
+
 // recordChoice records a choice and returns the selected server; nil if there is none.
 func (f *flow) recordChoice(query *route.Query, made *route.Decision) *route.ScoredCandidate {
 	outcome := made.Pick
--- a/forward/forecast.go
+++ b/forward/forecast.go
@@ -455,7 +455,8 @@
 	query.Exclude = g.brokenAt
 	profile := g.decodeProfile().Without(route.RoomFilter{}.Name()).Without(route.RefusingFilter{}.Name())
 	first = forecast.Horizon
-	rated := profile.Decide(query, g.Fleet, g.atOrigin(g.servers, g.regions.filter(decodePool.servers(g.servers, g.service.Name), g.RegionOf))).Rated
+	engines, _ := g.beginsAt(g.servers, g.atOrigin(g.servers, g.regions.filter(decodePool.servers(g.servers, g.service.Name), g.RegionOf)))
+	rated := profile.Decide(query, g.Fleet, engines).Rated
 	rated = slices.DeleteFunc(rated, func(one route.ScoredCandidate) bool { return one.DroppedBy != "" })
 	for _, i := range route.MostFree(g.request.ID, rated, route.MaxForecasts) {
 		engine, stream := expected.engine(rated[i].Candidate), expected.stream
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -171,6 +171,15 @@
 	mu    sync.Mutex
 	began map[string]origin.Origin
 	sole  *string
+	// opensAt is when streams may begin at a release that is not announced yet.
+	opensAt map[string]time.Time
+}
+
+func (o *testOrigins) MayBegin(at origin.Origin) (time.Duration, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	after := time.Until(o.opensAt[at.Release])
+	return max(after, 0), after <= 0
 }
 
 func (o *testOrigins) Began(request string, at origin.Origin, _ string, _ time.Time) {
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -26,6 +26,9 @@
 	// cannot be learned. request is the ID of the request that brought its first event, empty if the
 	// caller does not name it.
 	Find(ctx context.Context, request, service string) (origin.Origin, metrics.OriginSource)
+	// MayBegin reports whether a stream that its caller may take up may begin at a release. If not, it
+	// returns the time until it may. The instance that the caller comes to may not know of a new release.
+	MayBegin(at origin.Origin) (after time.Duration, ok bool)
 }
 
 // firstRequest returns the ID of the request that brought the stream's first event; empty if the caller
@@ -86,10 +89,41 @@
 	return slices.DeleteFunc(slices.Clone(backends), func(b *table.BackendView) bool { return !servers.isAt(b, began) })
 }
 
+// beginsAt returns the servers at which a stream may begin that its caller may take up, and the time until
+// it may begin at another one. It returns all servers for a stream that has begun, and for other requests.
+func (f *flow) beginsAt(servers *Servers, backends []*table.BackendView) (fitting []*table.BackendView, after time.Duration) {
+	if f.request.Generation == nil || f.route.Repeat != table.RepeatResume || f.origin.Load() != nil {
+		return backends, 0
+	}
+	may := make(map[origin.Origin]bool, 1)
+	for _, backend := range backends {
+		at, known := servers.originOf(backend)
+		if _, checked := may[at]; known && !checked {
+			wait, open := f.Origins.MayBegin(at)
+			if may[at] = open; !open && (after == 0 || wait < after) {
+				after = wait
+			}
+		}
+		if may[at] {
+			fitting = append(fitting, backend)
+		}
+	}
+	return fitting, after
+}
+
+// originOf returns the origin of streams that begin at a server.
+func (s *Servers) originOf(backend *table.BackendView) (at origin.Origin, known bool) {
+	entry := s.ByRun[backend.Name]
+	if entry == nil {
+		return origin.Origin{}, false
+	}
+	return origin.Origin{Service: entry.Service, Release: entry.Release}, true
+}
+
 // isAt reports whether a server runs the release at which a stream began.
 func (s *Servers) isAt(backend *table.BackendView, began *origin.Origin) bool {
-	entry := s.ByRun[backend.Name]
-	return entry != nil && entry.Service == began.Service && entry.Release == began.Release
+	at, known := s.originOf(backend)
+	return known && at == *began
 }
 
 // isOriginClear reports whether it is certain at which release the stream began. It is not if the server
--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -118,7 +118,7 @@
 	}
 	servers := g.View.Servers()
 	for _, backend := range servers.Decode[service] {
-		if began != nil && !servers.isAt(backend, began) {
+		if !g.mayRunAt(servers, backend, began) {
 			continue
 		}
 		server := g.Fleet.Server(backend.Name)
@@ -132,6 +132,20 @@
 	return false
 }
 
+// mayRunAt reports whether a stream that its caller may take up may run at an engine. began is nil before
+// the stream's first event.
+func (g *Gateway) mayRunAt(servers *Servers, engine *table.BackendView, began *origin.Origin) bool {
+	if began != nil {
+		return servers.isAt(engine, began)
+	}
+	at, known := servers.originOf(engine)
+	if !known {
+		return false
+	}
+	_, open := g.Origins.MayBegin(at)
+	return open
+}
+
 // resetStallTimer restarts the stall timer after an event of the run.
 func (g *generation) resetStallTimer(events int) {
 	if g.stallTimer != nil {
--- a/origin/message.go
+++ b/origin/message.go
@@ -14,7 +14,7 @@
 	// Questions asks where streams began, and Answers answers.
 	Questions []Question `cbor:"3,keyasint,omitempty"`
 	Answers   []Answer   `cbor:"4,keyasint,omitempty"`
-	// History holds the releases that served lately.
+	// History holds the releases that matter and their announcements.
 	History *History `cbor:"5,keyasint,omitempty"`
 }
 
@@ -46,7 +46,7 @@
 // Unknown is the index of an answer that names no origin.
 const Unknown = -1
 
-// History holds the releases that served lately, as the sender knows them.
+// History holds the releases that matter, as the sender knows them.
 type History struct {
 	// CompleteMillis is for how long the history has been complete.
 	CompleteMillis int64 `cbor:"1,keyasint"`
@@ -54,6 +54,10 @@
 	ListAgeMillis int64 `cbor:"2,keyasint"`
 	// Listed holds the time since a server of a release was last listed.
 	Listed []Listed `cbor:"3,keyasint,omitempty"`
+	// Stored and Open hold the releases that the store has, and those at which streams may begin, as
+	// indexes of Message.Origins. All open releases are stored.
+	Stored []int `cbor:"4,keyasint,omitempty"`
+	Open   []int `cbor:"5,keyasint,omitempty"`
 }
 
 // Listed is the time since a server of a release was last listed, or 0 if one is listed now.
@@ -86,21 +90,45 @@
 // not sent.
 const mostListed = 256
 
-// HistoryMessage returns a message with the releases that served lately. It returns nil if the history
+// HistoryMessage returns a message with the releases that matter and their announcements. It returns nil if the history
 // is not complete for any time or is too long. listAge is the age of the sender's list of servers.
 func (r *Releases) HistoryMessage(listAge time.Duration, now time.Time) *Message {
 	since, complete := r.Since()
-	lately := r.Lately(now)
-	if !complete || len(lately) > mostListed {
+	retained := r.Retained(now)
+	if !complete || len(retained) > mostListed {
 		return nil
 	}
 	message := &Message{History: &History{CompleteMillis: now.Sub(since).Milliseconds(), ListAgeMillis: listAge.Milliseconds()}}
-	for at, last := range lately {
-		message.History.Listed = append(message.History.Listed, Listed{At: message.Index(at), AgeMillis: now.Sub(last).Milliseconds()})
+	for at, last := range retained {
+		index := message.Index(at)
+		message.History.Listed = append(message.History.Listed, Listed{At: index, AgeMillis: now.Sub(last).Milliseconds()})
+		if r.IsStored(at) {
+			message.History.Stored = append(message.History.Stored, index)
+		}
+	}
+	for _, at := range r.Open(now) {
+		message.History.Open = append(message.History.Open, message.Index(at))
 	}
 	return message
 }
 
+// Announced returns the releases that the store has according to the sender of a history, and those at which
+// streams may begin. Indexes that no instance sends are left out.
+func (m *Message) Announced() (stored Announced, open []Origin) {
+	stored = make(Announced)
+	for _, index := range m.History.Stored {
+		if at, known := m.Origin(index); known {
+			stored[at] = false
+		}
+	}
+	for _, index := range m.History.Open {
+		if at, known := m.Origin(index); known {
+			open = append(open, at)
+		}
+	}
+	return stored, open
+}
+
 // ListAge returns the age of the list of servers that a history was made from.
 func (m *Message) ListAge() time.Duration { return millis(m.History.ListAgeMillis) }
 
--- a/origin/releases.go
+++ b/origin/releases.go
@@ -25,6 +25,8 @@
 	// that are listed now.
 	lastListed map[Origin]time.Time
 	listed     map[Origin]bool
+	// announcements holds the announcements of the releases that are listed or were lately.
+	announcements map[Origin]announcement
 }
 
 // NewReleases returns an empty history for streams that began within a window.
@@ -41,27 +43,41 @@
 // Window returns how long ago a stream that its caller takes up may have begun.
 func (r *Releases) Window() time.Duration { return time.Duration(r.window.Load()) }
 
+// Retention returns how long a release is remembered that is no longer listed. It is longer than the
+// window, so that instances that noticed its end at different times agree on whether it still matters.
+func (r *Releases) Retention() time.Duration { return retainedWindows * r.Window() }
+
+// retainedWindows is the retention of releases in windows.
+const retainedWindows = 2
+
 // change replaces the history by a changed copy without the releases that no longer matter.
 func (r *Releases) change(now time.Time, apply func(next *history)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := *r.history.Load()
-	next.lastListed, next.listed = maps.Clone(next.lastListed), maps.Clone(next.listed)
+	next.lastListed, next.listed, next.announcements = maps.Clone(next.lastListed), maps.Clone(next.listed), maps.Clone(next.announcements)
 	if next.lastListed == nil {
-		next.lastListed, next.listed = make(map[Origin]time.Time), make(map[Origin]bool)
+		next.lastListed, next.listed, next.announcements = make(map[Origin]time.Time), make(map[Origin]bool), make(map[Origin]announcement)
 	}
 	apply(&next)
 	maps.DeleteFunc(next.lastListed, func(_ Origin, at time.Time) bool {
-		old := now.Sub(at) > r.Window()
+		old := now.Sub(at) > r.Retention()
 		if old && next.complete && at.After(next.since) {
 			// The window may grow, with the timeouts of the routes.
 			next.since = at
 		}
 		return old
 	})
+	maps.DeleteFunc(next.announcements, func(at Origin, _ announcement) bool { return !next.remembers(at) })
 	r.history.Store(&next)
 }
 
+// remembers reports whether a release is listed, or was within the retention.
+func (h *history) remembers(at Origin) bool {
+	_, lately := h.lastListed[at]
+	return lately || h.listed[at]
+}
+
 // SetListed records the releases of the listed servers. isFull is set if these are all servers.
 func (r *Releases) SetListed(listed map[Origin]bool, isFull bool, now time.Time) {
 	known := r.history.Load()
@@ -69,6 +85,7 @@
 		return
 	}
 	r.change(now, func(next *history) {
+		joined := next.complete
 		if isFull && !next.complete {
 			next.complete, next.since = true, now
 		}
@@ -78,6 +95,9 @@
 			}
 		}
 		for at := range listed {
+			if !next.listed[at] {
+				next.begin(at, joined, r.ForgottenAfter(), now)
+			}
 			delete(next.lastListed, at)
 		}
 		next.listed = maps.Clone(listed)
@@ -114,32 +134,47 @@
 	})
 }
 
+// ExtendFrom is like Extend, for a history that another instance made from a list of servers that was current
+// at a time. It does not extend the history across a gap in which a release can have served unnoticed.
+func (r *Releases) ExtendFrom(since, confirmed time.Time, lastListed map[Origin]time.Time, now time.Time) {
+	if own, complete := r.Since(); complete && confirmed.Before(own.Add(-AnnounceWait)) {
+		since = own
+	}
+	r.Extend(since, lastListed, now)
+}
+
 // Since returns from when on the history is complete, if it is.
 func (r *Releases) Since() (since time.Time, complete bool) {
 	known := r.history.Load()
 	return known.since, known.complete
 }
 
+// CoversRetention reports whether the history is complete for as long as releases are remembered.
+func (r *Releases) CoversRetention(now time.Time) bool {
+	since, complete := r.Since()
+	return complete && now.Sub(since) >= r.Retention()
+}
+
 // CoversWindow reports whether the history is complete for all streams that callers may take up.
 func (r *Releases) CoversWindow(now time.Time) bool {
 	since, complete := r.Since()
 	return complete && now.Sub(since) >= r.Window()
 }
 
-// Lately returns when a server of each release of the window was last listed: now for those that are
+// Retained returns when a server of each release that matters was last listed: now for those that are
 // listed.
-func (r *Releases) Lately(now time.Time) map[Origin]time.Time {
+func (r *Releases) Retained(now time.Time) map[Origin]time.Time {
 	known := r.history.Load()
-	lately := make(map[Origin]time.Time, len(known.listed)+len(known.lastListed))
+	retained := make(map[Origin]time.Time, len(known.listed)+len(known.lastListed))
 	for at := range known.listed {
-		lately[at] = now
+		retained[at] = now
 	}
 	for at, last := range known.lastListed {
-		if now.Sub(last) <= r.Window() {
-			lately[at] = last
+		if now.Sub(last) <= r.Retention() {
+			retained[at] = last
 		}
 	}
-	return lately
+	return retained
 }
 
 // Sole returns the only release of a service at which a stream that callers may take up can have begun.
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -38,6 +38,9 @@
 	// VersionUnknown is the reason for a stream that its caller takes up, if no instance that answers
 	// knows its release.
 	VersionUnknown Reason = "version_unknown"
+	// VersionNew is the reason for a new stream for which only servers of a release are left that has just
+	// been registered, so that other instances may not know of it.
+	VersionNew Reason = "version_new"
 	// CutOff is the reason of an instance that reaches no server of the request's service.
 	CutOff Reason = "cut_off"
 	// MemoryFull is the reason for a request that does not fit into the instance's memory beside what it holds.
@@ -112,6 +115,7 @@
 	{NoFreeSlot, "the service's servers have few slots, all instances together have as many calls there as end in time, and no slot was expected soon enough", "route.ttft_ms"},
 	{VersionGone, "no server of the version that began the stream serves any more, and servers of other versions cannot continue it", "none"},
 	{VersionUnknown, "the caller takes a stream up, and no instance that answered knows the version that began it", "none"},
+	{VersionNew, "only servers of a version that has just been registered are left; new streams begin there once all instances can know of it", "none"},
 	{ServerLeaving, "the server said that it leaves after it had been chosen", "none"},
 	{ReserveRefused, "the steward had no room at the decode engine", "backend.pieces"},
 	{StewardUnreached, "the steward of the decode engine did not answer", "none"},
