origin, edge: a release that was gone for long is announced anew

What callers saw: nothing yet; found by the search over drawn releases, losses, cuts and outages. With the list out of date for almost a window, or no change for so long that old releases were not dropped, an instance used a release that was back at once, while others had forgotten it and took another release for the only one.

Change: Extend drops the announcement of a release that is listed again after almost a window, and an instance whose list was not current for so long starts all anew. The search regards releases of which servers may still run, with a window of 20 s.

--- a/origin/announcements.go
+++ b/origin/announcements.go
@@ -25,8 +25,8 @@
 // begin starts the announcement of a release that appears on the list, unless it is open and was listed a
 // short time ago. After almost a window other instances may have forgotten the release.
 func (h *history) begin(at Origin, joined bool, forgottenAfter time.Duration, now time.Time) {
-	known := h.announcements[at]
-	if last, lately := h.lastListed[at]; !lately || now.Sub(last) >= forgottenAfter {
+	known, announced := h.announcements[at]
+	if last, lately := h.lastListed[at]; !announced || !lately || now.Sub(last) >= forgottenAfter {
 		known = announcement{joined: joined}
 	}
 	if !known.open {
--- a/origin/releases.go
+++ b/origin/releases.go
@@ -127,9 +127,14 @@
 			next.complete, next.since = true, since
 		}
 		for at, listed := range lastListed {
-			if !next.listed[at] && listed.After(next.lastListed[at]) {
-				next.lastListed[at] = listed
+			before, lately := next.lastListed[at]
+			if next.listed[at] || !listed.After(before) {
+				continue
 			}
+			if lately && listed.Sub(before) >= r.ForgottenAfter() {
+				delete(next.announcements, at)
+			}
+			next.lastListed[at] = listed
 		}
 	})
 }
