--- a/edge/announce_test.go
+++ b/edge/announce_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mastwheel/mastwheel/origin"
+	"github.com/mastwheel/mastwheel/racedetector"
 )
 
 var announceSeeds = flag.Int("announce-seeds", 6, "seeds of the search over releases, losses of instances and outages")
@@ -291,3 +292,65 @@
 	}
 	return f.start()
 }
+
+func TestMembersOfHubsBeginStreamsAtANewReleaseOnceItIsAnnounced(t *testing.T) {
+	if racedetector.Enabled {
+		t.Skip("too many goroutines for the race detector")
+	}
+	withManyServers(t, func(f *fleet) {
+		time.Sleep(originWindow)
+		before := f.store.releaseCalls()
+		f.store.registerRelease("new", newRelease)
+		time.Sleep(origin.AnnounceWait - 10*time.Millisecond)
+		for _, in := range f.instances {
+			if mayBegin(in, newRelease) {
+				t.Errorf("%s begins streams at a release that has just been listed", in.config.Name)
+			}
+		}
+		time.Sleep(1500 * time.Millisecond)
+		late := 0
+		for _, in := range f.instances {
+			if known := in.Origins.releases.Retained(time.Now()); !known[newRelease].IsZero() && !mayBegin(in, newRelease) {
+				late++
+			}
+		}
+		if calls := f.store.releaseCalls() - before; late > 0 || calls > 20 {
+			t.Errorf("%d instances do not begin streams at the release, %d calls to the store", late, calls)
+		}
+		t.Logf("%d instances, %d calls", len(f.instances), f.store.releaseCalls()-before)
+	})
+}
+
+func TestMembersOfHubsBeginStreamsSoonAfterALossOfAll(t *testing.T) {
+	if racedetector.Enabled {
+		t.Skip("too many goroutines for the race detector")
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, someInstances, manyServersConfig())
+		f.store.pageSize = 50
+		for i := range manyServers {
+			f.store.registerIn(manyID(i), fmt.Sprint("z", i%3))
+		}
+		f.store.registerRelease("new", newRelease)
+		end := f.start()
+		time.Sleep(20 * time.Second)
+		end()
+		end = f.startNew()
+		began := time.Now()
+		listed := f.slowest(func(in *Instance) bool { return len(in.Servers().ByRun) > 0 })
+		before := f.store.releaseCalls()
+		f.slowest(func(in *Instance) bool {
+			for _, entry := range in.Servers().ByRun {
+				if !mayBegin(in, originOf(entry)) {
+					return false
+				}
+			}
+			return true
+		})
+		if took := time.Since(began); took > listed+time.Second {
+			t.Errorf("all have the list after %v, and all begin streams after %v", listed, took)
+		}
+		t.Logf("all have the list after %v, and begin streams after %v, %d calls", listed, time.Since(began), f.store.releaseCalls()-before)
+		end()
+	})
+}
