edge: a release that opens is stored as open at once

Change: the instance that keeps the record writes it as soon as the release opens; a conflict is retried after the usual pause of a failure.

Result: TestOpenReleaseIsStoredAsOpenAtOnce failed before.

--- a/edge/announce.go
+++ b/edge/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/clock"
@@ -92,12 +93,18 @@
 		a.known = false
 	} else if err := a.update(ctx, clock.Now()); err != nil {
 		a.failures++
-		logStore("Failed to read or store the releases of the servers", err)
+		if !errors.Is(err, errOthersStored) {
+			logStore("Failed to read or store the releases of the servers", err)
+		}
 		return a.backoff(a.failures)
 	}
 	a.failures = 0
-	a.openReleases(clock.Now())
-	if a.releases.Unopened() {
+	opened := a.openReleases(clock.Now())
+	switch {
+	case opened && a.isKeeper():
+		// Who starts after a loss of all instances does not have to wait for these releases again.
+		return 0
+	case a.releases.Unopened():
 		return announceTurn
 	}
 	return a.config.IdleCheckEvery
@@ -198,10 +205,17 @@
 	return !a.unstoredSince.IsZero() && rank < announcers && now.Sub(a.unstoredSince) >= time.Duration(rank)*announceTurn
 }
 
+// errOthersStored means that another instance changed the stored releases in the meantime.
+var errOthersStored = errors.New("another instance has stored releases")
+
 // write replaces what the store has, unless another instance did.
 func (a *announcer) write(ctx context.Context, next StoredReleases) error {
 	after, saved, err := a.deps.Releases.Save(ctx, next, a.condition)
-	if err != nil || !saved {
+	if err == nil && !saved {
+		err = errOthersStored
+	}
+	if err != nil {
+		// A call without an answer may have taken effect.
 		a.known, a.readAt = false, time.Time{}
 		return err
 	}
@@ -211,21 +225,18 @@
 		}
 	}
 	a.stored, a.condition = next, after
-	a.unstoredSince = time.Time{}
 	a.releases.SetStored(next.Releases, clock.Now())
 	a.sendHistory()
 	return nil
 }
 
-// openReleases opens the releases whose wait is over.
-func (a *announcer) openReleases(now time.Time) {
+// openReleases opens the releases whose wait is over, and returns whether there were any.
+func (a *announcer) openReleases(now time.Time) bool {
 	opened := a.releases.Opened(now)
 	for _, at := range opened {
 		klog.InfoS("Streams that callers may take up may begin at a release", "service", at.Service, "version", at.Release)
 	}
-	if len(opened) > 0 && a.isKeeper() {
-		a.sendHistory()
-	}
+	return len(opened) > 0
 }
 
 // sendHistory sends the history to the siblings, or to the hubs where there are many. Hubs send it to the
--- a/edge/announce_test.go
+++ b/edge/announce_test.go
@@ -354,3 +354,18 @@
 		end()
 	})
 }
+
+func TestOpenReleaseIsStoredAsOpenAtOnce(t *testing.T) {
+	withReleases(t, originInstances, func(f *fleet) {
+		f.store.registerRelease("n", newRelease)
+		for _, in := range f.instances {
+			f.await("streams begin at the release", func() bool { return mayBegin(in, newRelease) })
+		}
+		time.Sleep(2 * announceTurn)
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		if !f.store.releases.Releases[newRelease] {
+			t.Error("an instance that starts now would wait before it uses the release")
+		}
+	})
+}
