--- a/edge/announce_test.go
+++ b/edge/announce_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/racedetector"
+	"github.com/mastwheel/mastwheel/registry"
 )
 
 var announceSeeds = flag.Int("announce-seeds", 6, "seeds of the search over releases, losses of instances and outages")
@@ -100,6 +101,8 @@
 	*fleet
 	random *rand.Rand
 	stops  []func()
+	// perRelease is the number of servers of a release.
+	perRelease int
 	// began is when a stream may last have begun at a release, by the time of the test's start.
 	began map[origin.Origin]time.Time
 	// listed holds the releases with a server on the list, and removed when others last had one.
@@ -145,23 +148,44 @@
 	return which
 }
 
+// searchService is the service of the search. There are servers of another one too.
+const searchService = "b"
+
+// join lists servers of a release, and leave removes them.
+func (s *releaseSearch) join(release origin.Origin) {
+	s.listed[release] = true
+	s.changeServers(release, func(id, zone string) registry.Change {
+		return registry.Change{ID: id, Entry: &registry.Entry{ID: id, Service: release.Service, Release: release.Release, Address: "127.0.0.1:1", Zone: zone}}
+	})
+}
+
+func (s *releaseSearch) leave(release origin.Origin) {
+	delete(s.listed, release)
+	s.removed[release] = time.Now()
+	s.changeServers(release, func(id, _ string) registry.Change { return registry.Change{ID: id} })
+}
+
+func (s *releaseSearch) changeServers(release origin.Origin, change func(id, zone string) registry.Change) {
+	s.store.change(func() {
+		for i := range s.perRelease {
+			s.store.servers = append(s.store.servers, change(fmt.Sprint("n", release.Release, "-", i), fmt.Sprint("z", i%3)))
+		}
+	})
+}
+
 // step plays one drawn event.
 func (s *releaseSearch) step() {
-	release := origin.Origin{Service: "a", Release: fmt.Sprint("v", 1+s.random.IntN(3))}
+	release := origin.Origin{Service: searchService, Release: fmt.Sprint("v", 1+s.random.IntN(3))}
 	name := s.instances[s.random.IntN(len(s.instances))].config.Name
 	address := s.instances[s.random.IntN(len(s.instances))].config.SiblingAddress
 	switch s.random.IntN(11) {
 	case 0, 1:
-		s.store.registerRelease("n"+release.Release, release)
-		s.listed[release] = true
+		s.join(release)
 	case 2, 3, 4:
-		s.store.registerRelease("n"+release.Release, release)
-		s.listed[release] = true
+		s.join(release)
 		for other := range s.listed {
 			if other != release {
-				s.store.remove("n" + other.Release)
-				delete(s.listed, other)
-				s.removed[other] = time.Now()
+				s.leave(other)
 			}
 		}
 	case 5:
@@ -197,16 +221,18 @@
 	now := time.Now()
 	for _, in := range s.instances {
 		for _, entry := range in.Servers().ByRun {
-			if at := originOf(entry); s.serves(at) && mayBegin(in, at) {
-				s.began[at] = now
-				if at != oldRelease {
-					s.allowed++
-				}
+			at := originOf(entry)
+			if _, counted := s.began[at]; at.Service != searchService || !s.serves(at) || (counted && s.began[at] == now) || !mayBegin(in, at) {
+				continue
+			}
+			s.began[at] = now
+			if at.Release != "v1" {
+				s.allowed++
 			}
 		}
 	}
 	for _, in := range s.instances {
-		sole, ok := in.Origins.soleRelease("a", now)
+		sole, ok := in.Origins.soleRelease(searchService, now)
 		if !ok {
 			continue
 		}
@@ -219,33 +245,54 @@
 	}
 }
 
+// play plays one seed, and checks all instances at intervals.
+func (s *releaseSearch) play(seed int, lasts, check time.Duration) {
+	s.random = rand.New(rand.NewPCG(uint64(seed), 1))
+	s.began, s.removed, s.listed = make(map[origin.Origin]time.Time), make(map[origin.Origin]time.Time), make(map[origin.Origin]bool)
+	s.join(origin.Origin{Service: searchService, Release: "v1"})
+	s.setWindows()
+	for i := range s.instances {
+		s.stops = append(s.stops, s.startThese(s.instances[i:i+1]))
+	}
+	time.Sleep(2*searchWindow + 5*time.Second)
+	next := time.Now()
+	for end := time.Now().Add(lasts); time.Now().Before(end) && !s.t.Failed(); time.Sleep(check) {
+		for !time.Now().Before(next) {
+			s.step()
+			next = time.Now().Add(time.Duration(s.random.ExpFloat64() * float64(2500*time.Millisecond)))
+		}
+		s.check(seed)
+	}
+	s.t.Logf("seed %d: %d checks with a new release in use, %d with a release known to be the only one", seed, s.allowed, s.guessed)
+	for _, stop := range s.stops {
+		stop()
+	}
+	s.running.Wait()
+}
+
 // TestNoInstanceGuessesAReleaseWhileStreamsMayHaveBegunAtAnother searches over drawn events.
 func TestNoInstanceGuessesAReleaseWhileStreamsMayHaveBegunAtAnother(t *testing.T) {
 	for seed := range *announceSeeds {
 		synctest.Test(t, func(t *testing.T) {
-			s := &releaseSearch{fleet: newFleet(t, originInstances, DefaultConfig()), random: rand.New(rand.NewPCG(uint64(seed), 1)), began: make(map[origin.Origin]time.Time), listed: map[origin.Origin]bool{oldRelease: true}, removed: make(map[origin.Origin]time.Time)}
-			for i := range 10 {
-				s.store.remove(fmt.Sprint("s", i))
-			}
-			s.store.registerRelease("nv1", oldRelease)
-			s.setWindows()
-			for i := range s.instances {
-				s.stops = append(s.stops, s.startThese(s.instances[i:i+1]))
-			}
-			time.Sleep(2*searchWindow + 5*time.Second)
-			next := time.Now()
-			for end := time.Now().Add(150 * time.Second); time.Now().Before(end) && !t.Failed(); time.Sleep(50 * time.Millisecond) {
-				for !time.Now().Before(next) {
-					s.step()
-					next = time.Now().Add(time.Duration(s.random.ExpFloat64() * float64(2500*time.Millisecond)))
-				}
-				s.check(seed)
-			}
-			t.Logf("seed %d: %d checks with a new release in use, %d with a release known to be the only one", seed, s.allowed, s.guessed)
-			for _, stop := range s.stops {
-				stop()
+			s := &releaseSearch{fleet: newFleet(t, originInstances, DefaultConfig()), perRelease: 1}
+			s.play(seed, 150*time.Second, 50*time.Millisecond)
+		})
+	}
+}
+
+// TestNoMemberOfAHubGuessesAReleaseWhileStreamsMayHaveBegunAtAnother is the same with subsets of the servers.
+func TestNoMemberOfAHubGuessesAReleaseWhileStreamsMayHaveBegunAtAnother(t *testing.T) {
+	if racedetector.Enabled {
+		t.Skip("too many goroutines for the race detector")
+	}
+	for seed := range (*announceSeeds + 5) / 6 {
+		synctest.Test(t, func(t *testing.T) {
+			s := &releaseSearch{fleet: newFleet(t, someInstances, manyServersConfig()), perRelease: 24}
+			s.store.pageSize = 50
+			for i := range manyServers {
+				s.store.registerIn(manyID(i), fmt.Sprint("z", i%3))
 			}
-			s.running.Wait()
+			s.play(seed, time.Minute, 200*time.Millisecond)
 		})
 	}
 }
