origin, edge: a release counts as open by what this instance knows, and is stored again after a restore of the store

What callers saw: nothing yet; found by the search over drawn events with restores of the store from an older copy. An instance took a release for one that is open because it had read of it in the store, or in another instance's history, though the release had been gone for longer than others remember. After a restore, an instance that had stored a release that the keeper of the record did not know would not store it again. Instances of a high rank did not store releases at all, which in a fleet with instances of an older version may be all that can.

After a restore all releases are stored again, by turns. Each instance has its turn.

--- a/edge/announce.go
+++ b/edge/announce.go
@@ -50,7 +50,9 @@
 	stored    StoredReleases
 	condition oplog.Position
 	known     bool
-	era       uint64
+	// era is the era of the store to which stored belongs. It is 0 before the store's first answer.
+	era      uint64
+	eraKnown bool
 	// readAt is when the stored releases were last read, and unstoredSince since when a listed release is
 	// not known to be stored.
 	readAt, unstoredSince time.Time
@@ -112,11 +114,13 @@
 
 // update reads or changes the stored releases if that is due.
 func (a *announcer) update(ctx context.Context, now time.Time) error {
-	if era := a.origins.era(); era != a.era {
-		// The store may have lost the last change.
-		a.era, a.known = era, false
+	if era := a.origins.era(); era != a.era || !a.eraKnown {
+		if a.eraKnown {
+			a.releases.ForgetStored(now)
+		}
+		a.era, a.eraKnown, a.known = era, true, false
 	}
-	if !a.releases.Unstored() {
+	if !a.releases.Unstored(now) {
 		a.unstoredSince = time.Time{}
 	} else if a.unstoredSince.IsZero() {
 		a.unstoredSince = now
@@ -138,9 +142,8 @@
 	switch {
 	case !a.releases.CoversWindow(now):
 		return a.readAt.IsZero() || now.Sub(a.readAt) >= a.config.IdleCheckEvery
-	case !a.unstoredSince.IsZero():
-		rank := min(a.orders.rank(), announcers)
-		return now.Sub(a.unstoredSince) >= time.Duration(rank)*announceTurn
+	case a.isAnnounceTurn(now):
+		return true
 	}
 	return a.isKeeper()
 }
@@ -201,8 +204,13 @@
 	if a.isKeeper() {
 		return true
 	}
-	rank := a.orders.rank()
-	return !a.unstoredSince.IsZero() && rank < announcers && now.Sub(a.unstoredSince) >= time.Duration(rank)*announceTurn
+	return a.isAnnounceTurn(now)
+}
+
+// isAnnounceTurn reports whether a listed release is not known to be stored, though the instances of lower
+// ranks have had the time to store it.
+func (a *announcer) isAnnounceTurn(now time.Time) bool {
+	return !a.unstoredSince.IsZero() && now.Sub(a.unstoredSince) >= time.Duration(a.orders.rank())*announceTurn
 }
 
 // errOthersStored means that another instance changed the stored releases in the meantime.
--- a/edge/announce_test.go
+++ b/edge/announce_test.go
@@ -103,11 +103,14 @@
 	stops  []func()
 	// perRelease is the number of servers of a release.
 	perRelease int
+	// copied is the record of the releases in an older copy of the store.
+	copied StoredReleases
 	// began is when a stream may last have begun at a release, by the time of the test's start.
 	began map[origin.Origin]time.Time
-	// listed holds the releases with a server on the list, and removed when others last had one.
-	listed  map[origin.Origin]bool
-	removed map[origin.Origin]time.Time
+	// started counts the servers. listed holds those on the list by release, and removed when others left it.
+	started int
+	listed  map[origin.Origin][]string
+	removed map[string]time.Time
 	// allowed and guessed count the checks at which a stream might begin at a new release, and at which an
 	// instance named the only release.
 	allowed, guessed int
@@ -151,26 +154,28 @@
 // searchService is the service of the search. There are servers of another one too.
 const searchService = "b"
 
-// join lists servers of a release, and leave removes them.
+// join lists new servers of a release, and leave removes all.
 func (s *releaseSearch) join(release origin.Origin) {
-	s.listed[release] = true
-	s.changeServers(release, func(id, zone string) registry.Change {
-		return registry.Change{ID: id, Entry: &registry.Entry{ID: id, Service: release.Service, Release: release.Release, Address: "127.0.0.1:1", Zone: zone}}
+	s.store.change(func() {
+		for i := range s.perRelease {
+			s.started++
+			id := fmt.Sprint("n", s.started)
+			s.listed[release] = append(s.listed[release], id)
+			s.store.servers = append(s.store.servers, registry.Change{ID: id, Entry: &registry.Entry{
+				ID: id, Service: release.Service, Release: release.Release, Address: "127.0.0.1:1", Zone: fmt.Sprint("z", i%3),
+			}})
+		}
 	})
 }
 
 func (s *releaseSearch) leave(release origin.Origin) {
-	delete(s.listed, release)
-	s.removed[release] = time.Now()
-	s.changeServers(release, func(id, _ string) registry.Change { return registry.Change{ID: id} })
-}
-
-func (s *releaseSearch) changeServers(release origin.Origin, change func(id, zone string) registry.Change) {
 	s.store.change(func() {
-		for i := range s.perRelease {
-			s.store.servers = append(s.store.servers, change(fmt.Sprint("n", release.Release, "-", i), fmt.Sprint("z", i%3)))
+		for _, id := range s.listed[release] {
+			s.store.servers = append(s.store.servers, registry.Change{ID: id})
+			s.removed[id] = time.Now()
 		}
 	})
+	delete(s.listed, release)
 }
 
 // step plays one drawn event.
@@ -178,7 +183,7 @@
 	release := origin.Origin{Service: searchService, Release: fmt.Sprint("v", 1+s.random.IntN(3))}
 	name := s.instances[s.random.IntN(len(s.instances))].config.Name
 	address := s.instances[s.random.IntN(len(s.instances))].config.SiblingAddress
-	switch s.random.IntN(11) {
+	switch s.random.IntN(12) {
 	case 0, 1:
 		s.join(release)
 	case 2, 3, 4:
@@ -201,6 +206,8 @@
 	case 9:
 		s.store.change(func() { s.store.savesRefused = !s.store.savesRefused })
 	case 10:
+		s.store.restore(s.copied)
+	case 11:
 		s.store.change(func() { clear(s.store.refused) })
 		s.mu.Lock()
 		clear(s.cut)
@@ -211,9 +218,10 @@
 // servesUnlisted is how long servers serve at most that are not listed any more.
 const servesUnlisted = 8 * time.Second
 
-// serves reports whether servers of a release may still run.
-func (s *releaseSearch) serves(at origin.Origin) bool {
-	return s.listed[at] || time.Since(s.removed[at]) < servesUnlisted
+// serves reports whether a server may still run.
+func (s *releaseSearch) serves(id string) bool {
+	removed := s.removed[id]
+	return removed.IsZero() || time.Since(removed) < servesUnlisted
 }
 
 // check compares what each instance would answer with the releases at which streams may have begun.
@@ -222,7 +230,7 @@
 	for _, in := range s.instances {
 		for _, entry := range in.Servers().ByRun {
 			at := originOf(entry)
-			if _, counted := s.began[at]; at.Service != searchService || !s.serves(at) || (counted && s.began[at] == now) || !mayBegin(in, at) {
+			if _, counted := s.began[at]; at.Service != searchService || !s.serves(entry.ID) || (counted && s.began[at] == now) || !mayBegin(in, at) {
 				continue
 			}
 			s.began[at] = now
@@ -248,7 +256,7 @@
 // play plays one seed, and checks all instances at intervals.
 func (s *releaseSearch) play(seed int, lasts, check time.Duration) {
 	s.random = rand.New(rand.NewPCG(uint64(seed), 1))
-	s.began, s.removed, s.listed = make(map[origin.Origin]time.Time), make(map[origin.Origin]time.Time), make(map[origin.Origin]bool)
+	s.began, s.removed, s.listed = make(map[origin.Origin]time.Time), make(map[string]time.Time), make(map[origin.Origin][]string)
 	s.join(origin.Origin{Service: searchService, Release: "v1"})
 	s.setWindows()
 	for i := range s.instances {
@@ -257,6 +265,9 @@
 	time.Sleep(2*searchWindow + 5*time.Second)
 	next := time.Now()
 	for end := time.Now().Add(lasts); time.Now().Before(end) && !s.t.Failed(); time.Sleep(check) {
+		if s.random.IntN(60) == 0 {
+			s.copied = s.store.storedReleases()
+		}
 		for !time.Now().Before(next) {
 			s.step()
 			next = time.Now().Add(time.Duration(s.random.ExpFloat64() * float64(2500*time.Millisecond)))
@@ -273,9 +284,12 @@
 // TestNoInstanceGuessesAReleaseWhileStreamsMayHaveBegunAtAnother searches over drawn events.
 func TestNoInstanceGuessesAReleaseWhileStreamsMayHaveBegunAtAnother(t *testing.T) {
 	for seed := range *announceSeeds {
-		synctest.Test(t, func(t *testing.T) {
-			s := &releaseSearch{fleet: newFleet(t, originInstances, DefaultConfig()), perRelease: 1}
-			s.play(seed, 150*time.Second, 50*time.Millisecond)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := &releaseSearch{fleet: newFleet(t, originInstances, DefaultConfig()), perRelease: 1}
+				s.play(seed, 150*time.Second, 50*time.Millisecond)
+			})
 		})
 	}
 }
@@ -416,3 +430,19 @@
 		}
 	})
 }
+
+// TestReleaseIsStoredAgainAfterARestoreOfTheStore has the instance that keeps the record know no more than an
+// older copy of the store.
+func TestReleaseIsStoredAgainAfterARestoreOfTheStore(t *testing.T) {
+	withReleases(t, originInstances, func(f *fleet) {
+		copied := f.store.storedReleases()
+		late := f.instances[originInstances-1].Origins
+		late.releases.Listed(map[origin.Origin]bool{newRelease: true}, time.Now())
+		late.releases.SetStored(origin.Announced{newRelease: false}, time.Now())
+		f.store.restore(copied)
+		time.Sleep(5 * time.Second)
+		if stored := f.store.storedReleases(); len(stored.Releases) < 2 || !stored.Complete {
+			t.Errorf("the store has %v", stored)
+		}
+	})
+}
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -89,6 +89,8 @@
 	// releases holds the releases that were saved last, and releasesEnd the end of their topic.
 	releases    StoredReleases
 	releasesEnd oplog.Position
+	// era increases with each restore of the store from an older copy.
+	era uint64
 	// releasesCalls counts the calls for them. savesRefused makes all calls fail that change them.
 	releasesCalls int
 	savesRefused  bool
@@ -221,7 +223,7 @@
 			newest[change.ID] = *change.Entry
 		}
 	}
-	snapshot := registry.Snapshot{Position: oplog.Position(len(l.servers))}
+	snapshot := registry.Snapshot{Position: oplog.NewPosition(l.era, uint64(len(l.servers)))}
 	for _, entry := range newest {
 		snapshot.Entries = append(snapshot.Entries, entry)
 	}
@@ -243,12 +245,15 @@
 }
 
 func (l serverLog) Since(ctx context.Context, position oplog.Position, wait time.Duration) ([]registry.Change, oplog.Position, error) {
-	if err := l.poll(ctx, l.name, topicServers, int(position), wait); err != nil {
+	if err := l.poll(ctx, l.name, topicServers, int(position.Offset()), wait); err != nil {
 		return nil, position, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]registry.Change(nil), l.servers[position:]...), oplog.Position(len(l.servers)), nil
+	if position.Era() != l.era {
+		return nil, position, oplog.ErrTruncated
+	}
+	return append([]registry.Change(nil), l.servers[position.Offset():]...), oplog.NewPosition(l.era, uint64(len(l.servers))), nil
 }
 
 func (s tableLog) Newest(ctx context.Context) (OperatorChanges, oplog.Position, error) {
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -79,6 +79,8 @@
 	// Only the heartbeat loop uses it.
 	servedHistory origin.Announced
 	woken         chan struct{}
+	// listedEra is the era of the store of the last list of servers. Only setListed uses it.
+	listedEra uint64
 	// announcerWoken wakes the announcer.
 	announcerWoken chan struct{}
 }
--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -62,6 +62,22 @@
 	return l.store.releasesEnd, true, nil
 }
 
+// storedReleases returns a copy of the stored releases.
+func (s *memoryStore) storedReleases() StoredReleases {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoredReleases{Releases: maps.Clone(s.releases.Releases), Complete: s.releases.Complete}
+}
+
+// restore restores the store from a copy that has older releases.
+func (s *memoryStore) restore(copied StoredReleases) {
+	s.change(func() {
+		s.era++
+		s.releases = StoredReleases{Releases: maps.Clone(copied.Releases)}
+		s.releasesEnd = oplog.NewPosition(s.era, s.releasesEnd.Offset())
+	})
+}
+
 // releaseCalls returns the number of calls for the stored releases so far.
 func (s *memoryStore) releaseCalls() int {
 	s.mu.Lock()
--- a/edge/releases.go
+++ b/edge/releases.go
@@ -21,9 +21,8 @@
 const (
 	// doubtFor is how long before the list shows a server's later run the server may have been that run.
 	doubtFor = 5 * time.Second
-	// announcers is how many instances store a new release, one after another, if those before them do
-	// not, and announceTurn the pause between two of them.
-	announcers   = 4
+	// announceTurn is the pause between the attempts of two instances to store a new release. Each waits for
+	// those of lower rank.
 	announceTurn = 100 * time.Millisecond
 )
 
@@ -41,7 +40,9 @@
 	}
 	o.releases.SetListed(listed, !list.IsSubset, now)
 	o.wake()
-	if o.releases.Unopened() || !o.releases.CoversWindow(now) {
+	restored := list.Position.Era() != o.listedEra
+	o.listedEra = list.Position.Era()
+	if restored || o.releases.Unopened() || !o.releases.CoversWindow(now) {
 		o.wakeAnnouncer()
 	}
 }
--- a/origin/announcements.go
+++ b/origin/announcements.go
@@ -13,8 +13,11 @@
 
 // announcement is the state of one release's announcement.
 type announcement struct {
-	// firstListed is when a server of the release was first known to be listed.
-	firstListed time.Time
+	// firstListed is when a server of the release appeared on this instance's list, and goneAt when the last
+	// one left it. They are zero if that has not happened.
+	firstListed, goneAt time.Time
+	// openElsewhere is when another instance last reported that streams may begin at the release.
+	openElsewhere time.Time
 	// joined is set if the release was not listed before, as far as is known. It is not set for releases
 	// that an instance finds listed when it starts.
 	joined bool
@@ -22,16 +25,21 @@
 	stored, open bool
 }
 
-// begin starts the announcement of a release that appears on the list, unless it is open and was listed a
+// list starts the announcement of a release that appears on the list, unless it is open and was listed a
 // short time ago. After almost a window other instances may have forgotten the release.
-func (h *history) begin(at Origin, joined bool, forgottenAfter time.Duration, now time.Time) {
-	known, announced := h.announcements[at]
-	if last, lately := h.lastListed[at]; !announced || !lately || now.Sub(last) >= forgottenAfter {
-		known = announcement{joined: joined}
-	}
-	if !known.open {
-		known.firstListed = now
+func (h *history) list(at Origin, joined bool, forgottenAfter time.Duration, now time.Time) {
+	known := h.announcements[at]
+	wasOpen := known.open && now.Sub(known.goneAt) < forgottenAfter
+	isOpen := now.Sub(known.openElsewhere) < AnnounceWait/2
+	h.announcements[at] = announcement{
+		firstListed: now, joined: joined || known.joined, stored: known.stored || isOpen, open: wasOpen || isOpen,
 	}
+}
+
+// unlist records that the last server of a release has left the list.
+func (h *history) unlist(at Origin, now time.Time) {
+	known := h.announcements[at]
+	known.goneAt = now
 	h.announcements[at] = known
 }
 
@@ -51,11 +59,12 @@
 // Announced holds releases that the store has. The value tells whether streams may begin at the release.
 type Announced map[Origin]bool
 
-// SetStored records what the store has. Releases that joined later than the record was written open by
-// their own wait.
+// SetStored records what the store has. A release that joins the list later than the record was read opens
+// by its own wait: the record may be of the time when the release served before.
 func (r *Releases) SetStored(stored Announced, now time.Time) {
-	r.setAnnounced(stored, now, func(known announcement, open bool) announcement {
+	r.setAnnounced(stored, now, func(known announcement, listed, open bool) announcement {
 		known.stored = true
+		known.joined = known.joined || !listed
 		known.open = known.open || (open && !known.joined)
 		return known
 	})
@@ -67,17 +76,22 @@
 	for _, at := range open {
 		releases[at] = true
 	}
-	r.setAnnounced(releases, now, func(known announcement, _ bool) announcement {
-		known.stored, known.open = true, true
+	r.setAnnounced(releases, now, func(known announcement, listed, _ bool) announcement {
+		known.stored = true
+		if listed {
+			known.open = true
+		} else {
+			known.openElsewhere = now
+		}
 		return known
 	})
 }
 
-func (r *Releases) setAnnounced(releases Announced, now time.Time, apply func(known announcement, open bool) announcement) {
+func (r *Releases) setAnnounced(releases Announced, now time.Time, apply func(known announcement, listed, open bool) announcement) {
 	known := r.history.Load()
 	changes := false
 	for at, open := range releases {
-		changes = changes || (known.remembers(at) && apply(known.announcements[at], open) != known.announcements[at])
+		changes = changes || (known.remembers(at) && apply(known.announcements[at], known.listed[at], open) != known.announcements[at])
 	}
 	if !changes {
 		return
@@ -85,20 +99,36 @@
 	r.change(now, func(next *history) {
 		for at, open := range releases {
 			if next.remembers(at) {
-				next.announcements[at] = apply(next.announcements[at], open)
+				next.announcements[at] = apply(next.announcements[at], next.listed[at], open)
 			}
 		}
 	})
 }
 
-// Unstored reports whether a listed release is not known to be stored.
-func (r *Releases) Unstored() bool {
+// ForgetStored records that the store may have lost all releases. Streams go on to begin at those that are
+// open, since the other instances know them.
+func (r *Releases) ForgetStored(now time.Time) {
+	r.change(now, func(next *history) {
+		for at, known := range next.announcements {
+			known.stored = false
+			next.announcements[at] = known
+		}
+	})
+}
+
+// Unstored reports whether a release at which streams may begin, or may have begun, is not known to be stored.
+func (r *Releases) Unstored(now time.Time) bool {
 	known := r.history.Load()
 	for at := range known.listed {
 		if !known.announcements[at].stored {
 			return true
 		}
 	}
+	for at, last := range known.lastListed {
+		if one, announced := known.announcements[at]; announced && !one.stored && now.Sub(last) <= r.Window() {
+			return true
+		}
+	}
 	return false
 }
 
@@ -191,8 +221,7 @@
 func (r *Releases) Open(now time.Time) (open []Origin) {
 	known := r.history.Load()
 	for at, one := range known.announcements {
-		last, gone := known.lastListed[at]
-		if one.open && (!gone || now.Sub(last) < r.ForgottenAfter()) {
+		if one.open && (known.listed[at] || now.Sub(one.goneAt) < r.ForgottenAfter()) {
 			open = append(open, at)
 		}
 	}
--- a/origin/releases.go
+++ b/origin/releases.go
@@ -92,11 +92,12 @@
 		for at := range next.listed {
 			if !listed[at] {
 				next.lastListed[at] = now
+				next.unlist(at, now)
 			}
 		}
 		for at := range listed {
 			if !next.listed[at] {
-				next.begin(at, joined, r.ForgottenAfter(), now)
+				next.list(at, joined, r.ForgottenAfter(), now)
 			}
 			delete(next.lastListed, at)
 		}
@@ -127,14 +128,9 @@
 			next.complete, next.since = true, since
 		}
 		for at, listed := range lastListed {
-			before, lately := next.lastListed[at]
-			if next.listed[at] || !listed.After(before) {
-				continue
+			if !next.listed[at] && listed.After(next.lastListed[at]) {
+				next.lastListed[at] = listed
 			}
-			if lately && listed.Sub(before) >= r.ForgottenAfter() {
-				delete(next.announcements, at)
-			}
-			next.lastListed[at] = listed
 		}
 	})
 }
