edge, heartbeat: messages without loads do not wipe the known loads of their sender

What callers saw: after a sibling's question where a stream began, new streams went to engines that the sibling had just filled, until its next heartbeat.

Cause: an instance replaces the loads of a sibling by those of each message with a sender and without a digest or updates. Questions about origins have a sender and report no loads, and so have the messages that bring a new instance all suspect requests and all reports of servers.

Change: messages that report no loads say so. Questions are also marked as sent by an instance that uses hubs where it does, because each was answered with the names of hubs.

--- a/edge/beat.go
+++ b/edge/beat.go
@@ -131,7 +131,7 @@
 	return false
 }
 
-// message returns the content that all heartbeats share.
+// message returns the content that all messages with a sender share. It reports no loads.
 func (in *Instance) message(now time.Time) heartbeat.Message {
 	// The ages are read before the data that they belong to. Otherwise an update in between
 	// would make older data look as new as the update.
@@ -139,7 +139,7 @@
 	return heartbeat.Message{
 		From: in.info(), Changing: in.peers.ownUnderWay(now), TableContactAge: table, ServersContactAge: servers,
 		Poison: in.Poison.Update(now), Pressure: in.Fleet.Backpressure.Update(now),
-		Evacuation: in.evacuation.Load(),
+		Evacuation: in.evacuation.Load(), NoLoads: true,
 	}
 }
 
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -106,7 +106,7 @@
 func (in *Instance) sendToHubs(now time.Time, self member.Info, chosen map[string][]member.Info, hub, settled bool, loads []heartbeat.Load) {
 	requested := make(map[string]bool)
 	message := in.message(now)
-	message.Hubs, message.Loads = true, loads
+	message.Hubs, message.Loads, message.NoLoads = true, loads, false
 	message.Spent = in.Allotments.Spent(now)
 	message.Speeds = in.dueOwnSpeeds(now)
 	in.hubs.recordSent(message.From.Uptime, loads)
@@ -162,7 +162,7 @@
 		return
 	}
 	message := in.message(now)
-	message.Hubs, message.RequestHub, message.Loads = true, true, loads
+	message.Hubs, message.RequestHub, message.Loads, message.NoLoads = true, true, loads, false
 	in.send(message, in.sample(unknown, in.config.DiscoveryAtOnce)...)
 }
 
--- a/edge/mesh.go
+++ b/edge/mesh.go
@@ -74,7 +74,7 @@
 	now := clock.Now()
 	message := in.message(now)
 	message.Spent = in.Allotments.Spent(now)
-	message.Loads, message.Peers = loads, in.sample(known, in.config.PeersNamed)
+	message.Loads, message.NoLoads, message.Peers = loads, false, in.sample(known, in.config.PeersNamed)
 	message.Speeds = speeds
 	in.send(message, addresses...)
 }
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -229,7 +229,7 @@
 	o.waiting[key] = append(o.waiting[key], answers)
 	o.mu.Unlock()
 	defer o.stopWaiting(key, answers)
-	message := heartbeat.Message{From: o.info(), Origins: &origin.Message{Questions: []origin.Question{{Key: key, Service: service}}}}
+	message := heartbeat.Message{From: o.info(), NoLoads: true, Hubs: o.usesHubs(), Origins: &origin.Message{Questions: []origin.Question{{Key: key, Service: service}}}}
 	o.send(message, asked...)
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -55,12 +55,12 @@
 	}
 }
 
-// record records the address and the loads of a sibling's message.
+// record records the address of a sibling's message, and the loads if it reports them.
 func (p *peers) record(message heartbeat.Message, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastContact[message.From.Peer] = now
-	if message.Digest == nil && message.Updates == nil {
+	if message.Digest == nil && message.Updates == nil && !message.NoLoads {
 		p.loads[message.From.Name] = message.Loads
 	}
 }
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -203,7 +203,7 @@
 // sendKnownIncarnation sends a sibling that restarted with its clock set back the incarnation
 // under which this instance knows it.
 func (in *Instance) sendKnownIncarnation(sibling member.Info, known operation.Incarnation) {
-	datagram, err := heartbeat.Encode(heartbeat.Message{From: in.info(), Known: known})
+	datagram, err := heartbeat.Encode(heartbeat.Message{From: in.info(), NoLoads: true, Known: known})
 	if err == nil {
 		err = in.deps.Socket.Send(sibling.Peer, datagram)
 	}
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -44,6 +44,9 @@
 type Message struct {
 	From  member.Info `cbor:"1,keyasint"`
 	Loads []Load      `cbor:"2,keyasint,omitempty"`
+	// NoLoads is set if the message does not report the sender's loads, so that the receiver keeps those
+	// that it knows.
+	NoLoads bool `cbor:"23,keyasint,omitempty"`
 	// Peers lists the addresses of some other siblings.
 	Peers []string `cbor:"3,keyasint,omitempty"`
 	// Changing lists the servers, by route.ServerID, that the sender has ordered to
