edge, heartbeat: an answer of the store confirms the list as of its request

Cause: the answer to a long poll counted from the time at which it was read. It may have waited during a standstill of the process, or on a link, so that a list without a new release counted as current.

Change: only the time at which a request was sent counts for the age of the table and of the list. Updates that siblings forward carry it too. Extra polls follow the certain time, so that the list stays current where answers to long polls are older. The time of the last answer still tells when the store is back. An answer that this instance has overtaken meanwhile confirms its list too, as of its request.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -9,9 +9,13 @@
 // servers) last answered requests for one kind of data, whichever instance sent the request.
 type storeContact struct {
 	mu sync.Mutex
-	// last is the time of the latest answer. It is zero before the first.
+	// last is the time of the latest answer, as far as known. It is zero before the first. An answer that
+	// waited on its way, or in this instance, is older.
 	last time.Time
-	// confirmedAt is when this instance's data was last known to be all that the store had.
+	// certainAt is a time up to which the store certainly answered an instance: the latest time at which a
+	// request was sent that the store answered.
+	certainAt time.Time
+	// confirmedAt is a time at which this instance's data certainly was all that the store had.
 	confirmedAt time.Time
 }
 
@@ -21,19 +25,36 @@
 // the first of which may just have been due.
 const unavailableAfter = 2 * time.Second
 
+// confirmationSlack is how much later than listFreshFor after a release was listed an instance may still rely
+// on a list without it. It allows for the pauses and the way of the messages by which instances with a subset
+// of the servers learn the age of their hub's list.
+const confirmationSlack = 500 * time.Millisecond
+
+// storeAnswer is an answer of the store to any instance.
+type storeAnswer struct {
+	// at is the time of the answer, as far as known. It is zero if that does not matter.
+	at time.Time
+	// requested is a time at or before which the answered request was sent. The answer has all that the
+	// store had then. It is zero if unknown.
+	requested time.Time
+}
+
 // observe records an answer. complete is set if this instance's data includes everything that
 // the answer covers. It returns whether the store had been unavailable before.
-func (a *storeContact) observe(at time.Time, complete bool) (recovered bool) {
+func (a *storeContact) observe(answer storeAnswer, complete bool) (recovered bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if complete && at.After(a.confirmedAt) {
-		a.confirmedAt = at
+	if answer.requested.After(a.certainAt) {
+		a.certainAt = answer.requested
+	}
+	if complete && answer.requested.After(a.confirmedAt) {
+		a.confirmedAt = answer.requested
 	}
-	if !at.After(a.last) {
+	if !answer.at.After(a.last) {
 		return false
 	}
-	recovered = !a.last.IsZero() && at.Sub(a.last) >= unavailableAfter
-	a.last = at
+	recovered = !a.last.IsZero() && answer.at.Sub(a.last) >= unavailableAfter
+	a.last = answer.at
 	return recovered
 }
 
@@ -44,6 +65,14 @@
 	return a.last
 }
 
+// certain returns the latest time up to which the store certainly answered an instance. It is zero if
+// there is none.
+func (a *storeContact) certain() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.certainAt
+}
+
 // confirmed returns when the data was last known to be current. It is zero if it never was.
 func (a *storeContact) confirmed() time.Time {
 	a.mu.Lock()
@@ -59,6 +88,6 @@
 	if confirmed.IsZero() {
 		return nil
 	}
-	age := now.Sub(confirmed)
+	age := max(now.Sub(confirmed), 0)
 	return &age
 }
--- a/edge/answers_test.go
+++ b/edge/answers_test.go
@@ -20,7 +20,7 @@
 	} {
 		var known storeContact
 		for i, at := range one.at {
-			if got := known.observe(start.Add(at), true); got != one.recovered[i] {
+			if got := known.observe(storeAnswer{start.Add(at), start.Add(at)}, true); got != one.recovered[i] {
 				t.Errorf("%s, answer %d: recovered %t", one.name, i, got)
 			}
 		}
@@ -30,8 +30,8 @@
 func TestAnAnswerWithUnknownUpdatesDoesNotConfirmTheList(t *testing.T) {
 	start := time.Unix(1_000, 0)
 	var known storeContact
-	known.observe(start, true)
-	known.observe(start.Add(time.Second), false)
+	known.observe(storeAnswer{start, start}, true)
+	known.observe(storeAnswer{start.Add(time.Second), start.Add(time.Second)}, false)
 	if got := known.confirmed(); !got.Equal(start) {
 		t.Errorf("confirmed at %v", got)
 	}
@@ -42,3 +42,13 @@
 		t.Errorf("age reported to siblings is %v", age)
 	}
 }
+
+func TestAnAnswerConfirmsNothingAfterItsRequest(t *testing.T) {
+	start := time.Unix(1_000, 0)
+	var known storeContact
+	known.observe(storeAnswer{start.Add(time.Second), start}, true)
+	known.observe(storeAnswer{at: start.Add(2 * time.Second)}, true)
+	if confirmed, certain := known.confirmed(), known.certain(); !confirmed.Equal(start) || !certain.Equal(start) {
+		t.Errorf("confirmed at %v, certain at %v", confirmed, certain)
+	}
+}
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -119,7 +119,7 @@
 	switch {
 	case err == nil:
 		f.succeeded(q.known)
-		f.answered(at)
+		f.answered(storeAnswer{at, q.sentAt})
 		return f.pollPause()
 	case ctx.Err() != nil || givenUp:
 		return 0
@@ -183,16 +183,15 @@
 	}
 }
 
-// answered records that the store answered this instance, and the time at which the store had no
-// more data than the answer.
-func (f *feed) answered(at time.Time) {
+// answered records that the store answered this instance.
+func (f *feed) answered(answer storeAnswer) {
 	f.store.ok(clock.Now())
-	f.noteAnswer(at, true)
+	f.noteAnswer(answer, true)
 }
 
-// answeredAt returns the time at which the store had no more than its answer. A poll that waited
-// for updates is answered as soon as the store gets them. An immediate answer is only known to be
-// later than the poll's start.
+// answeredAt returns the time of the store's answer, as far as known. A poll that waited for updates is
+// answered as soon as the store gets them, but the answer may have waited on its way or in this instance.
+// An immediate answer is only known to be later than the poll's start.
 func answeredAt(sentAt time.Time, wait time.Duration) time.Time {
 	if wait > 0 {
 		return clock.Now()
@@ -202,10 +201,10 @@
 
 // noteAnswer records an answer to any instance, and whether this instance has all the data of
 // that answer.
-func (f *feed) noteAnswer(at time.Time, complete bool) {
-	if f.storeContact.observe(at, complete) {
-		klog.InfoS("Store answers again", "dependency", f.store.name, "atMillisAgo", clock.Since(at).Milliseconds())
-		f.onRecovery(at)
+func (f *feed) noteAnswer(answer storeAnswer, complete bool) {
+	if f.storeContact.observe(answer, complete) {
+		klog.InfoS("Store answers again", "dependency", f.store.name, "atMillisAgo", clock.Since(answer.at).Milliseconds())
+		f.onRecovery(answer.at)
 	}
 }
 
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -36,8 +36,9 @@
 	// isolatedZone is a zone that is cut off from all others.
 	isolatedZone string
 	zones        map[string]string // by address
-	// lag delays each datagram.
-	lag time.Duration
+	// lag delays each datagram, and lagTo those to an address.
+	lag   time.Duration
+	lagTo map[string]time.Duration
 	// sent and bytes count the datagrams that were sent and their bytes.
 	sent  int
 	bytes int
@@ -77,7 +78,9 @@
 	// refused names the instances whose calls fail.
 	refused map[string]bool
 	changed chan struct{}
-	calls   int
+	// still holds the instances, by name, that stand still. The channel is closed when they go on.
+	still map[string]chan struct{}
+	calls int
 	// callsBy counts the calls of each instance.
 	callsBy map[string]int
 	// pageSize is how many servers a call for the full list returns. 0 means all. extraPages counts
@@ -97,6 +100,31 @@
 func newMemoryStore() *memoryStore {
 	return &memoryStore{
 		callsBy: make(map[string]int), silent: make(map[string]bool), silences: make(map[string]int), refused: make(map[string]bool), changed: make(chan struct{}),
+		still: make(map[string]chan struct{}),
+	}
+}
+
+// standStill makes an instance handle nothing that it receives until the returned function is called.
+func (s *memoryStore) standStill(name string) (goOn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ends := make(chan struct{})
+	s.still[name] = ends
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.still, name)
+		close(ends)
+	}
+}
+
+// awaitRunning waits until an instance does not stand still.
+func (s *memoryStore) awaitRunning(name string) {
+	s.mu.Lock()
+	ends := s.still[name]
+	s.mu.Unlock()
+	if ends != nil {
+		<-ends
 	}
 }
 
@@ -158,6 +186,7 @@
 // poll waits until a topic has more than the given number of records. It fails as the store's client
 // does.
 func (s *memoryStore) poll(ctx context.Context, name, topic string, from int, wait time.Duration) error {
+	s.awaitRunning(name)
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	time.Sleep(storeLatency)
@@ -212,6 +241,7 @@
 	if err := l.poll(ctx, l.name, topicServers, -1, 0); err != nil {
 		return registry.Snapshot{}, err
 	}
+	defer l.awaitRunning(l.name)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	newest := make(map[string]registry.Entry)
@@ -246,6 +276,7 @@
 	if err := l.poll(ctx, l.name, topicServers, int(position), wait); err != nil {
 		return nil, position, err
 	}
+	defer l.awaitRunning(l.name)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return append([]registry.Change(nil), l.servers[position:]...), oplog.Position(len(l.servers)), nil
@@ -261,6 +292,7 @@
 	if err := s.poll(ctx, s.name, topicTable, int(position), wait); err != nil {
 		return OperatorChanges{}, position, err
 	}
+	defer s.awaitRunning(s.name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changes := OperatorChanges{Evacuated: make(map[string]bool)}
@@ -295,6 +327,7 @@
 // memorySocket is the socket of one instance.
 type memorySocket struct {
 	*fleet
+	name    string
 	address string
 	in      <-chan []byte
 }
@@ -305,7 +338,7 @@
 	s.sent++
 	s.bytes += len(datagram)
 	cut := s.cut[address] || s.cut[s.address] || (s.zones[address] == s.isolatedZone) != (s.zones[s.address] == s.isolatedZone)
-	lag := s.lag
+	lag := max(s.lag, s.lagTo[address])
 	s.mu.Unlock()
 	if cut {
 		return nil
@@ -329,6 +362,7 @@
 			return nil
 		case datagram := <-s.in:
 			time.Sleep(networkLatency)
+			s.store.awaitRunning(s.name)
 			var message heartbeat.Message
 			if err := cbor.Unmarshal(datagram, &message); err != nil {
 				bad(err)
@@ -371,7 +405,7 @@
 
 // newFleet returns instances whose store has a table and ten servers. It does not start them.
 func newFleet(t *testing.T, instances int, config Config) *fleet {
-	f := &fleet{t: t, config: config, store: newMemoryStore(), inbox: make(map[string]chan []byte), cut: make(map[string]bool), zones: make(map[string]string)}
+	f := &fleet{t: t, config: config, store: newMemoryStore(), inbox: make(map[string]chan []byte), cut: make(map[string]bool), zones: make(map[string]string), lagTo: make(map[string]time.Duration)}
 	f.store.configure()
 	for i := range 10 {
 		f.store.register(fmt.Sprintf("s%d", i), false)
@@ -439,7 +473,7 @@
 		Releases: releaseLog{f.store, config.Name},
 		Engines:  enginesOf(0, 0),
 		Siblings: f,
-		Socket:   memorySocket{f, config.SiblingAddress, inbox},
+		Socket:   memorySocket{f, config.Name, config.SiblingAddress, inbox},
 		Random: func() float64 {
 			mu.Lock()
 			defer mu.Unlock()
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -116,7 +116,7 @@
 		if err != nil {
 			return time.Time{}, err
 		}
-		in.list.noteAnswer(sentAt, false)
+		in.list.noteAnswer(storeAnswer{sentAt, sentAt}, false)
 		in.Origins.noteReplaced(in.list.confirmed(), clock.Now())
 		in.registry.ResetWithFilter(snapshot, nil, clock.Now())
 		in.rebuild()
@@ -131,12 +131,13 @@
 	at := answeredAt(sentAt, wait)
 	before := in.registry.View()
 	// The registry must know that the store was unavailable before it judges a removal.
-	in.list.noteAnswer(at, false)
+	answer := storeAnswer{at, sentAt}
+	in.list.noteAnswer(answer, false)
 	in.Origins.noteChanges(changes, clock.Now())
 	in.registry.Apply(changes, next, clock.Now())
 	in.rebuild()
 	if next > before.Position {
-		in.sendUpdates(updatesOf(from, next, changes, at), before, "")
+		in.sendUpdates(updatesOf(from, next, changes, answer), before, "")
 	}
 	return in.confirmedUpTo(at, next), nil
 }
--- a/edge/listupdates.go
+++ b/edge/listupdates.go
@@ -136,14 +136,14 @@
 	if updates.SubsetFingerprint != 0 && (!before.IsSubset || updates.SubsetFingerprint != in.uses.Load().Fingerprint()) {
 		return
 	}
-	at := now.Add(-updates.Age)
+	answer := answerOf(updates, now)
 	// The registry must know that the store was unavailable before it judges the removal of a
 	// server.
-	in.list.noteAnswer(at, false)
+	in.list.noteAnswer(answer, false)
 	in.Origins.noteChanges(updates.Changes, now)
 	in.registry.Apply(updates.Changes, updates.To, now)
 	in.rebuild()
-	in.list.noteAnswer(at, updates.To == in.registry.View().Position)
+	in.list.noteAnswer(answer, updates.To == in.registry.View().Position)
 	in.list.noteProgress(uint64(have))
 	if updates.SubsetFingerprint == 0 {
 		in.sendUpdates(*updates, before, message.From.Name)
@@ -151,6 +151,18 @@
 }
 
 // updatesOf returns the updates that a poll of the store brought.
-func updatesOf(from, to oplog.Position, changes []registry.Change, at time.Time) heartbeat.Updates {
-	return heartbeat.Updates{From: from, To: to, Changes: changes, Age: max(clock.Since(at), 0)}
+func updatesOf(from, to oplog.Position, changes []registry.Change, answer storeAnswer) heartbeat.Updates {
+	now := clock.Now()
+	return heartbeat.Updates{
+		From: from, To: to, Changes: changes, Age: max(now.Sub(answer.at), 0), RequestAge: max(now.Sub(answer.requested), 0),
+	}
+}
+
+// answerOf returns the store's answer that brought updates of a sibling.
+func answerOf(updates *heartbeat.Updates, now time.Time) storeAnswer {
+	answer := storeAnswer{at: now.Add(-updates.Age)}
+	if updates.RequestAge > 0 {
+		answer.requested = now.Add(-updates.RequestAge)
+	}
+	return answer
 }
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -11,8 +11,8 @@
 	"github.com/mastwheel/mastwheel/wait"
 )
 
-// keepFresh sends extra polls to the store, besides the open long polls, when no instance has
-// received an answer for a while.
+// keepFresh sends extra polls to the store, besides the open long polls, when no instance is certain of
+// an answer for a while. The answer to a long poll may be as old as the poll.
 func (in *Instance) keepFresh(ctx context.Context) {
 	var asking sync.WaitGroup
 	defer asking.Wait()
@@ -26,17 +26,21 @@
 	}
 }
 
+// certainSince returns the time up to which the store certainly answered an instance, or the start of this
+// instance if there is none.
+func (f *feed) certainSince() time.Time {
+	if certain := f.certain(); certain.After(f.started) {
+		return certain
+	}
+	return f.started
+}
+
 // probePause returns the pause until the next check. No check is needed before the last answers
 // may be stale. A random part keeps the instances from checking at the same time.
 func (in *Instance) probePause() time.Duration {
 	due := in.config.FreshFor
 	for _, feed := range in.feeds() {
-		last := feed.latest()
-		if last.IsZero() {
-			due = 0
-			continue
-		}
-		due = min(due, in.config.FreshFor-clock.Since(last))
+		due = min(due, in.config.FreshFor-clock.Since(feed.certainSince()))
 	}
 	spread := in.deps.Random()
 	if due <= 0 {
@@ -68,9 +72,8 @@
 // others still polls itself, 0.9 s later with 62 instances. While many instances are in contact
 // and none receives an answer, about probesAtMost of them poll at each check.
 func (f *feed) probeDue(now time.Time) bool {
-	last := f.latest()
-	over := now.Sub(last) - f.config.FreshFor
-	if last.IsZero() || over < 0 || f.failing(now) {
+	over := now.Sub(f.certainSince()) - f.config.FreshFor
+	if f.latest().IsZero() || over < 0 || f.failing(now) {
 		return false
 	}
 	doubled := float64(uint64(1) << min(over/f.config.ProbeEvery, maxDoublings))
@@ -125,7 +128,7 @@
 		return
 	}
 	f.succeeded(known)
-	f.answered(at)
+	f.answered(storeAnswer{at, requested})
 	f.noteProgress(before)
 	f.sendHeartbeats()
 }
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -186,9 +186,10 @@
 	if age == nil || *age < 0 {
 		return false
 	}
-	before := f.latest()
-	f.noteAnswer(now.Add(-*age), progress <= f.progress())
-	return f.latest().Sub(before) >= f.config.FreshFor/2
+	before := f.certain()
+	at := now.Add(-*age)
+	f.noteAnswer(storeAnswer{at, at}, progress <= f.progress())
+	return f.certain().Sub(before) >= f.config.FreshFor/2
 }
 
 // logSibling logs when a sibling appears or changes its state.
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -52,9 +52,9 @@
 	// Changing lists the servers, by route.ServerID, that the sender has ordered to
 	// change their role.
 	Changing []RoleChange `cbor:"5,keyasint,omitempty"`
-	// TableContactAge and ServersContactAge are the times since any instance last received
+	// TableContactAge and ServersContactAge are the times since any instance last requested
 	// from the platform's store everything that the store had of the table and of the list
-	// of backend servers, as far as the sender knows. Nil means never.
+	// of backend servers, and received it, as far as the sender knows. Nil means never.
 	TableContactAge   *time.Duration `cbor:"6,keyasint,omitempty"`
 	ServersContactAge *time.Duration `cbor:"7,keyasint,omitempty"`
 	// Hubs is set by senders that use hubs. RequestHub requests that the receiver act as the
@@ -154,8 +154,10 @@
 	From    oplog.Position    `cbor:"1,keyasint"`
 	To      oplog.Position    `cbor:"2,keyasint"`
 	Changes []registry.Change `cbor:"3,keyasint"`
-	// Age is the time since the store returned the changes.
-	Age time.Duration `cbor:"4,keyasint"`
+	// Age is the time since the store returned the changes, and RequestAge the time since the request for
+	// them was sent, which is 0 if unknown.
+	Age        time.Duration `cbor:"4,keyasint"`
+	RequestAge time.Duration `cbor:"6,keyasint,omitempty"`
 	// SubsetFingerprint, if not 0, is the fingerprint of the subset of servers to which the
 	// changes are limited.
 	SubsetFingerprint uint64 `cbor:"5,keyasint,omitempty"`
