edge, heartbeat: ages in siblings' messages count from the time at which they were certainly sent

Cause: the ages of the table, the list, updates and histories in a datagram were subtracted from the time at which it was handled. It may have waited for seconds in the socket's buffer or in a queue on its way, so that an old list counted as current.

Change: package edge bounds from below when each message was sent (type transit). A message echoes the uptime of a message of its receiver that its sender handled before, which bounds the start of the sender's run; all messages of the run are dated by that and their uptime, less a drift of 500 ppm. The bound assumes no least delay: it holds after a restart in a standstill and for a link that is slow all the time. Messages of a run without an echo confirm nothing. Digests and the history for a new instance carry one, and it is requested where a message may be news (once a run where datagrams arrive within 50 ms). Ages are taken at the uptime that the message states, so that a standstill of the sender does not make them less, and a hub that forwards updates adds the time for which it had them. A history has a sender now. Histories from instances without this change are ignored.

A process that stands still after it has read the clock for a lookup: the stream was requested before, so it began before; a list that was current then, or a later one, has its release. The same holds for a sibling's answer, which counts from its own reading after the question, and so for one that is late.

The search with 59 instances, hubs and subsets passes before and after.

--- a/edge/announce.go
+++ b/edge/announce.go
@@ -7,7 +7,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/clock"
-	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/origin"
 )
@@ -232,10 +231,6 @@
 // instances that they serve.
 func (a *announcer) sendHistory() {
 	now := clock.Now()
-	history := a.historyMessage(now)
-	if history == nil {
-		return
-	}
 	addresses := a.peers.addresses(now)
 	if a.usesHubs() {
 		addresses = nil
@@ -247,5 +242,5 @@
 			}
 		}
 	}
-	a.send(heartbeat.Message{Origins: history}, addresses...)
+	a.origins.sendHistory(nil, addresses...)
 }
--- a/edge/answers.go
+++ b/edge/answers.go
@@ -39,6 +39,16 @@
 	requested time.Time
 }
 
+// answerAt returns an answer by its ages in a message. sentAt is a time at or before which the message was
+// not sent, zero if unknown.
+func answerAt(age, requestAge time.Duration, sentAt, now time.Time) storeAnswer {
+	answer := storeAnswer{at: now.Add(-age)}
+	if !sentAt.IsZero() {
+		answer.requested = sentAt.Add(-requestAge)
+	}
+	return answer
+}
+
 // observe records an answer. complete is set if this instance's data includes everything that
 // the answer covers. It returns whether the store had been unavailable before.
 func (a *storeContact) observe(answer storeAnswer, complete bool) (recovered bool) {
--- a/edge/beat.go
+++ b/edge/beat.go
@@ -134,10 +134,11 @@
 // message returns the content that all messages with a sender share. It reports no loads.
 func (in *Instance) message(now time.Time) heartbeat.Message {
 	// The ages are read before the data that they belong to. Otherwise an update in between
-	// would make older data look as new as the update.
-	table, servers := in.tableFeed.age(now), in.list.age(now)
+	// would make older data look as new as the update. They count from the uptime of the message.
+	sentAt := clock.Now()
+	table, servers := in.tableFeed.age(sentAt), in.list.age(sentAt)
 	return heartbeat.Message{
-		From: in.info(), Changing: in.peers.ownUnderWay(now), TableContactAge: table, ServersContactAge: servers,
+		From: in.infoAt(sentAt), Changing: in.peers.ownUnderWay(now), TableContactAge: table, ServersContactAge: servers,
 		Poison: in.Poison.Update(now), Pressure: in.Fleet.Backpressure.Update(now),
 		Evacuation: in.evacuation.Load(), NoLoads: true,
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -39,6 +39,7 @@
 	Fleet       *route.Fleet
 	members     *member.Members
 	peers       *peers
+	transit     *transit
 	budgets     *budgets
 	// tableFeed keeps table up to date, and list keeps registry up to date.
 	tableFeed *feed
@@ -119,6 +120,7 @@
 	in.hubs = newHubs(in.config)
 	in.speeds = newSpeeds()
 	in.Origins = newOrigins(in)
+	in.transit = newTransit()
 	in.loadsReceived = make(chan struct{}, 1)
 	begins := make(chan struct{})
 	in.longPollsBegin.Store(&begins)
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -382,6 +382,7 @@
 
 // Snapshot implements Siblings.
 func (f *fleet) Snapshot(_ context.Context, address string, have Have) (Snapshot, error) {
+	defer f.store.awaitRunning(have.Name)
 	time.Sleep(networkLatency)
 	for _, in := range f.all() {
 		if in.config.SiblingAddress == address && !f.isCut(address) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/wait"
 )
@@ -137,7 +138,7 @@
 	in.registry.Apply(changes, next, clock.Now())
 	in.rebuild()
 	if next > before.Position {
-		in.sendUpdates(updatesOf(from, next, changes, answer), before, "")
+		in.sendUpdates(heartbeat.Updates{From: from, To: next, Changes: changes}, answer, before, "")
 	}
 	return in.confirmedUpTo(at, next), nil
 }
@@ -180,6 +181,7 @@
 		in.sumLoads()
 		in.budgets.setInstances(in.budgetInstances(now))
 		in.forgetSiblings()
+		in.transit.Forget(now)
 		if now.Sub(shared) >= in.config.ReviewEvery || in.Fleet.Backpressure.AnyRestricted() {
 			shared = now
 			in.updateLimitSharing(now)
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -207,7 +207,7 @@
 	instances := in.Instances()
 	teams := in.Allotments.Balances(in.config.TeamsAtOnce, now)
 	speeds := in.dueHubSpeeds(now)
-	history, changed := in.Origins.historyForSubscribers(now)
+	history, changed := in.Origins.historyForSubscribers(in.started.Add(message.From.Uptime))
 	news := urgent || changed || message.Poison != nil || message.Pressure != nil || len(message.Changing) > 0 || len(teams) > 0
 	repeat := newRepetition(view, in.config.Zone, in.config.RepeatedAtOnce, now)
 	for _, to := range subscribers {
@@ -227,7 +227,7 @@
 			digest.Observations = append(digest.Observations, repeat.next(digest.Zone, &to.turn)...)
 		}
 		in.hubs.recordDigest(to.name, to.turn, now)
-		message.Digest, message.Origins = digest, nil
+		message.Digest, message.Origins, message.Echo = digest, nil, &heartbeat.Echo{Run: to.run, Uptime: to.uptime}
 		if to.part {
 			message.Origins = history
 		}
--- a/edge/listupdates.go
+++ b/edge/listupdates.go
@@ -15,15 +15,20 @@
 
 // sendUpdates forwards changes of the list of servers. Where there are hubs, it sends them to the
 // hubs of the own zone, and a hub sends them to its subscribers. Otherwise it sends them to all
-// siblings. The sibling from which the changes came does not receive them again. before is the
-// list before the changes.
-func (in *Instance) sendUpdates(updates heartbeat.Updates, before *registry.View, from string) {
+// siblings. The sibling from which the changes came does not receive them again. answer is the store's
+// answer with the changes, and before the list before the changes.
+func (in *Instance) sendUpdates(updates heartbeat.Updates, answer storeAnswer, before *registry.View, from string) {
 	if len(updates.Changes) == 0 {
 		return
 	}
 	now := clock.Now()
-	all := split(updates, allIndexes(updates.Changes), in.config.UpdatesAtMost)
 	message := in.message(now)
+	sentAt := in.started.Add(message.From.Uptime)
+	updates.Age, updates.RequestAge = max(sentAt.Sub(answer.at), 0), 0
+	if !answer.requested.IsZero() {
+		updates.RequestAge = max(sentAt.Sub(answer.requested), 1)
+	}
+	all := split(updates, allIndexes(updates.Changes), in.config.UpdatesAtMost)
 	if !in.usesHubs() {
 		if from == "" {
 			in.sendPieces(message, all, in.peers.addresses(now)...)
@@ -123,7 +128,7 @@
 
 // applyUpdates applies changes of the list of servers that a sibling forwards, if no change is
 // missing before or among them. It then forwards them in turn.
-func (in *Instance) applyUpdates(message heartbeat.Message, now time.Time) {
+func (in *Instance) applyUpdates(message heartbeat.Message, sentAt, now time.Time) {
 	updates := message.Updates
 	if updates == nil || updates.Age < 0 {
 		return
@@ -136,7 +141,10 @@
 	if updates.SubsetFingerprint != 0 && (!before.IsSubset || updates.SubsetFingerprint != in.uses.Load().Fingerprint()) {
 		return
 	}
-	answer := answerOf(updates, now)
+	if updates.RequestAge <= 0 {
+		sentAt = time.Time{}
+	}
+	answer := answerAt(updates.Age, updates.RequestAge, sentAt, now)
 	// The registry must know that the store was unavailable before it judges the removal of a
 	// server.
 	in.list.noteAnswer(answer, false)
@@ -146,23 +154,6 @@
 	in.list.noteAnswer(answer, updates.To == in.registry.View().Position)
 	in.list.noteProgress(uint64(have))
 	if updates.SubsetFingerprint == 0 {
-		in.sendUpdates(*updates, before, message.From.Name)
-	}
-}
-
-// updatesOf returns the updates that a poll of the store brought.
-func updatesOf(from, to oplog.Position, changes []registry.Change, answer storeAnswer) heartbeat.Updates {
-	now := clock.Now()
-	return heartbeat.Updates{
-		From: from, To: to, Changes: changes, Age: max(now.Sub(answer.at), 0), RequestAge: max(now.Sub(answer.requested), 0),
-	}
-}
-
-// answerOf returns the store's answer that brought updates of a sibling.
-func answerOf(updates *heartbeat.Updates, now time.Time) storeAnswer {
-	answer := storeAnswer{at: now.Add(-updates.Age)}
-	if updates.RequestAge > 0 {
-		answer.requested = now.Add(-updates.RequestAge)
+		in.sendUpdates(*updates, answer, before, message.From.Name)
 	}
-	return answer
 }
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -286,8 +286,9 @@
 	return selected
 }
 
-// apply applies what a sibling sends about where streams began.
-func (o *origins) apply(message heartbeat.Message, now time.Time) {
+// apply applies what a sibling sends about where streams began. sentAt is a time at or before which the
+// message was not sent, zero if unknown.
+func (o *origins) apply(message heartbeat.Message, sentAt, now time.Time) {
 	origins := message.Origins
 	if origins == nil {
 		return
@@ -304,7 +305,7 @@
 		at, known := origins.Origin(answer.At)
 		o.answered(answer.Key, originAnswer{at, known})
 	}
-	o.applyHistory(origins, now)
+	o.applyHistory(origins, sentAt, now)
 	if len(origins.Questions) > 0 && message.From.Peer != "" {
 		o.answer(origins.Questions, message.From, now)
 	}
--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -30,6 +30,7 @@
 
 // Load implements ReleaseStore.
 func (l releaseLog) Load(context.Context) (StoredReleases, oplog.Position, error) {
+	defer l.store.awaitRunning(l.name)
 	l.store.mu.Lock()
 	defer l.store.mu.Unlock()
 	l.store.calls++
@@ -45,6 +46,7 @@
 
 // Save implements ReleaseStore.
 func (l releaseLog) Save(_ context.Context, releases StoredReleases, condition oplog.Position) (oplog.Position, bool, error) {
+	defer l.store.awaitRunning(l.name)
 	l.store.mu.Lock()
 	defer l.store.mu.Unlock()
 	l.store.calls++
--- a/edge/releases.go
+++ b/edge/releases.go
@@ -94,13 +94,14 @@
 	o.wakeAnnouncer()
 }
 
-// applyHistory applies a sibling's history of the releases.
-func (o *origins) applyHistory(message *origin.Message, now time.Time) {
+// applyHistory applies a sibling's history of the releases, unless its age is unknown. The list that it was
+// made from counts from the time at which it was certainly current, and the rest from now, which is later.
+func (o *origins) applyHistory(message *origin.Message, sentAt, now time.Time) {
 	since, lastListed, ok := message.Times(now)
-	if !ok {
+	if !ok || sentAt.IsZero() {
 		return
 	}
-	confirmed := now.Add(-message.ListAge())
+	confirmed := sentAt.Add(-message.ListAge())
 	o.mu.Lock()
 	missed := o.registry.View().IsSubset && confirmed.Sub(o.historyAt) > origin.AnnounceWait
 	if confirmed.After(o.historyAt) {
@@ -123,7 +124,7 @@
 	if o.registry.View().IsSubset || confirmed.IsZero() {
 		return nil
 	}
-	return o.releases.HistoryMessage(now.Sub(confirmed), now)
+	return o.releases.HistoryMessage(max(now.Sub(confirmed), 0), now)
 }
 
 // historyForSubscribers returns the history for the instances that this one serves as a hub, and whether
@@ -138,12 +139,18 @@
 	return message, changed
 }
 
+// sendHistory sends the history to siblings, with an echo of a message of theirs if there is one.
+func (o *origins) sendHistory(echo *heartbeat.Echo, addresses ...string) {
+	sentAt := clock.Now()
+	if history := o.historyMessage(sentAt); history != nil {
+		o.send(heartbeat.Message{From: o.infoAt(sentAt), NoLoads: true, Hubs: o.usesHubs(), Echo: echo, Origins: history}, addresses...)
+	}
+}
+
 // introduce sends an instance that has just appeared the releases that served lately, and the records
 // that it keeps. It may have restarted without any, or have been cut off.
 func (o *origins) introduce(to member.Info, now time.Time) {
-	if history := o.historyMessage(now); history != nil {
-		o.send(heartbeat.Message{Origins: history}, to.Peer)
-	}
+	o.sendHistory(heartbeat.EchoOf(to), to.Peer)
 	o.mu.Lock()
 	o.newcomers = append(o.newcomers, to.Peer)
 	o.mu.Unlock()
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -70,7 +70,10 @@
 }
 
 // info returns what this instance reports about itself.
-func (in *Instance) info() member.Info {
+func (in *Instance) info() member.Info { return in.infoAt(clock.Now()) }
+
+// infoAt is like info, with the uptime at a time. Receivers date the ages in a message by its uptime.
+func (in *Instance) infoAt(now time.Time) member.Info {
 	info := member.Info{
 		Name:        in.config.Name,
 		Incarnation: operation.Incarnation(in.incarnation.Load()),
@@ -78,7 +81,7 @@
 		Caller:      in.config.CallerAddress,
 		Peer:        in.config.SiblingAddress,
 		Draining:    !in.Ready(),
-		Uptime:      clock.Since(in.started),
+		Uptime:      now.Sub(in.started),
 		Capacity:    in.config.Capacity,
 		CutOff:      in.cutOff.Load(),
 	}
@@ -114,7 +117,8 @@
 		klog.InfoS("Raised the incarnation of this instance because a sibling knows it under a later one", "incarnation", in.incarnation.Load(), "sibling", message.From.Name)
 	}
 	now := clock.Now()
-	in.Origins.apply(message, now)
+	sentAt := in.dateMessage(message, now)
+	in.Origins.apply(message, sentAt, now)
 	for _, peer := range message.Peers {
 		in.peers.addAddress(peer, now)
 	}
@@ -123,7 +127,7 @@
 	}
 	before, known := in.members.Find(message.From.Name)
 	if in.members.ApplyHeartbeat(message.From, now) {
-		in.applyMessage(message, now)
+		in.applyMessage(message, sentAt, now)
 		in.logSibling(before, known, message.From)
 		if !known || before.Incarnation != message.From.Incarnation || before.Draining != message.From.Draining {
 			in.hurryHub()
@@ -141,7 +145,7 @@
 }
 
 // applyMessage applies the contents of a message that is accepted from a sibling.
-func (in *Instance) applyMessage(message heartbeat.Message, now time.Time) {
+func (in *Instance) applyMessage(message heartbeat.Message, sentAt, now time.Time) {
 	in.peers.record(message, now)
 	if message.Digest == nil || !in.followsHub() {
 		in.requestLoadSum()
@@ -157,10 +161,10 @@
 	in.mergeBackpressure(message, now)
 	in.applySpent(message, now)
 	in.speeds.apply(message, now)
-	in.applyUpdates(message, now)
+	in.applyUpdates(message, sentAt, now)
 	in.mergeEvacuation(message)
-	table := applyStoreAge(in.tableFeed, message.TableContactAge, message.From.Revision, now)
-	list := applyStoreAge(in.list, message.ServersContactAge, message.From.Next, now)
+	table := applyStoreAge(in.tableFeed, message.TableContactAge, message.From.Revision, sentAt, now)
+	list := applyStoreAge(in.list, message.ServersContactAge, message.From.Next, sentAt, now)
 	if table || list || message.From.Revision > in.Revision() {
 		in.hurryHub()
 	}
@@ -181,14 +185,13 @@
 // applyStoreAge applies how long ago the store answered a sibling, directly or through other
 // instances, and up to which position of the log. It returns whether that is an update that other
 // instances wait for. An age in the future would keep all instances from polling until then, so
-// it is ignored.
-func applyStoreAge(f *feed, age *time.Duration, progress uint64, now time.Time) bool {
+// it is ignored. sentAt is when the age was sent, zero if unknown.
+func applyStoreAge(f *feed, age *time.Duration, progress uint64, sentAt, now time.Time) bool {
 	if age == nil || *age < 0 {
 		return false
 	}
 	before := f.certain()
-	at := now.Add(-*age)
-	f.noteAnswer(storeAnswer{at, at}, progress <= f.progress())
+	f.noteAnswer(answerAt(*age, *age, sentAt, now), progress <= f.progress())
 	return f.certain().Sub(before) >= f.config.FreshFor/2
 }
 
--- a/edge/subscribers.go
+++ b/edge/subscribers.go
@@ -17,8 +17,9 @@
 	zone        string
 	seen        uint64
 	lastContact time.Time
-	// uptime is how long the instance had been running when its last request was sent.
+	// uptime is how long the instance had been running when its last request was sent, and run its run.
 	uptime time.Duration
+	run    operation.Incarnation
 	// part is set if the instance receives only the servers of a subset, which is uses. outgrown
 	// is set if it should use another subset by now.
 	part     bool
@@ -38,7 +39,7 @@
 	if message.SeenRun != self {
 		seen = 0
 	}
-	next := &subscriber{peer: message.From.Peer, zone: message.From.Zone, seen: seen, lastContact: now, uptime: message.From.Uptime, part: message.From.UsesSubset}
+	next := &subscriber{peer: message.From.Peer, zone: message.From.Zone, seen: seen, lastContact: now, uptime: message.From.Uptime, run: message.From.Incarnation, part: message.From.UsesSubset}
 	before := h.subscribers[message.From.Name]
 	if before == nil {
 		before = new(subscriber)
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -84,14 +84,28 @@
 	// speed.Encode encodes them.
 	Speeds []byte `cbor:"21,keyasint,omitempty"`
 	// Origins holds at which releases streams began and which releases served lately. A message with
-	// nothing else has no sender, unless it asks a question.
+	// nothing else has no sender, unless it asks a question or holds a history.
 	Origins *origin.Message `cbor:"22,keyasint,omitempty"`
+	// Echo names a message of the receiver that the sender handled before it sent this one. RequestEcho
+	// requests a message with one.
+	Echo        *Echo `cbor:"24,keyasint,omitempty"`
+	RequestEcho bool  `cbor:"25,keyasint,omitempty"`
 	// Known, if not 0, is the receiver's incarnation as the sender knows it. A receiver
 	// that restarted with a lower incarnation, because its clock was set back, adopts a
 	// higher one.
 	Known operation.Incarnation `cbor:"4,keyasint,omitempty"`
 }
 
+// Echo names a message by its sender's run and uptime.
+type Echo struct {
+	_      struct{} `cbor:",toarray"`
+	Run    operation.Incarnation
+	Uptime time.Duration
+}
+
+// EchoOf returns the echo of a message from an instance.
+func EchoOf(from member.Info) *Echo { return &Echo{Run: from.Incarnation, Uptime: from.Uptime} }
+
 // EncodedLoads is a list of loads encoded as CBOR.
 type EncodedLoads = cbor.RawMessage
 
