edge: a history that waited does not hide a gap in the list

What callers saw: an instance that had just started and then stood still named the only release, though another had come and gone in the meantime.

Cause: a list that was replaced counts as complete if a sibling's history arrived after the list was last confirmed. The history may have waited during the standstill, and know nothing of that time.

Change: what counts is the time of the list that the history was made from.

Result: TestHistoryThatWaitedDoesNotHideAGap, on the code before: "the history counts as complete though nothing is known of five seconds"; now it passes.

--- a/edge/freshness_test.go
+++ b/edge/freshness_test.go
@@ -93,6 +93,19 @@
 	}
 }
 
+// TestHistoryThatWaitedDoesNotHideAGap replaces the list after a standstill in which a history waited.
+func TestHistoryThatWaitedDoesNotHideAGap(t *testing.T) {
+	withReleases(t, 1, func(f *fleet) {
+		o, sentAt := f.instances[0].Origins, time.Now()
+		goesOn := sentAt.Add(5 * time.Second)
+		o.applyHistory(o.historyMessage(sentAt), sentAt, goesOn)
+		o.noteReplaced(sentAt.Add(-time.Second), goesOn)
+		if o.releases.CoversWindow(goesOn) {
+			t.Error("the history counts as complete though nothing is known of five seconds")
+		}
+	})
+}
+
 // TestListIsCurrentInABusyTime guards against confirmations that count from the time of a question being too
 // old for continuations where the list changes often.
 func TestListIsCurrentInABusyTime(t *testing.T) {
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -72,9 +72,8 @@
 	// ambiguous holds the services whose records were sent to the keepers, because the release of a
 	// stream is not known without them.
 	ambiguous map[string]bool
-	// historyAt is when the releases that serve were last known to be complete from a sibling's list,
-	// and historyReceivedAt when that sibling's message arrived.
-	historyAt, historyReceivedAt time.Time
+	// historyAt is when the releases that serve were last known to be complete from a sibling's list.
+	historyAt time.Time
 	// servedHistory holds the announcements that this instance last sent to those that it serves as a hub.
 	// Only the heartbeat loop uses it.
 	servedHistory origin.Announced
--- a/edge/releases.go
+++ b/edge/releases.go
@@ -81,12 +81,19 @@
 	o.releases.Listed(named, now)
 }
 
-// noteReplaced records that the list was replaced without the changes since it was last confirmed.
+// noteReplaced records that the list was replaced without the changes since it was last confirmed. A
+// sibling's history has the releases of the changes up to the time of the list that it was made from.
 func (o *origins) noteReplaced(confirmed, now time.Time) {
 	o.mu.Lock()
-	informed := o.historyReceivedAt.After(confirmed)
+	known := o.historyAt
 	o.mu.Unlock()
-	if confirmed.IsZero() || informed || now.Sub(confirmed) <= origin.AnnounceWait {
+	if confirmed.IsZero() {
+		return
+	}
+	if confirmed.After(known) {
+		known = confirmed
+	}
+	if now.Sub(known) <= origin.AnnounceWait {
 		return
 	}
 	klog.InfoS("Releases of the servers before now are not known, because the list was out of date for long", "ageMillis", now.Sub(confirmed).Milliseconds())
@@ -105,7 +112,7 @@
 	o.mu.Lock()
 	missed := o.registry.View().IsSubset && confirmed.Sub(o.historyAt) > origin.AnnounceWait
 	if confirmed.After(o.historyAt) {
-		o.historyAt, o.historyReceivedAt = confirmed, now
+		o.historyAt = confirmed
 	}
 	o.mu.Unlock()
 	if missed {
