edge: no release counts as the only one while the list is being applied

Cause: a list that replaces another is in the registry before the history of releases follows from it. If the instance stands still in between, a message that waited may confirm the new list first, and a lookup names a release from the old history.

Change: a release counts as the only one only if the history follows from the list in the registry.

Result: TestListThatIsBeingAppliedNamesNoRelease, on the code before: "v1 counts as the only release while the list has another"; now it passes.

--- a/edge/freshness_test.go
+++ b/edge/freshness_test.go
@@ -12,6 +12,7 @@
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/racedetector"
+	"github.com/mastwheel/mastwheel/registry"
 )
 
 var (
@@ -93,6 +94,23 @@
 	}
 }
 
+// TestListThatIsBeingAppliedNamesNoRelease has the instance stand still between the list and the history of
+// releases that follows from it. A sibling's message of an age is handled first afterwards.
+func TestListThatIsBeingAppliedNamesNoRelease(t *testing.T) {
+	withReleases(t, 1, func(f *fleet) {
+		in, now := f.instances[0], time.Now()
+		snapshot := in.registry.View().Snapshot()
+		snapshot.Position++
+		snapshot.Entries = append(snapshot.Entries, registry.Entry{ID: "n", Service: "a", Release: newRelease.Release})
+		in.registry.ResetWithFilter(snapshot, nil, now)
+		in.list.noteAnswer(storeAnswer{now, now}, true)
+		if got, ok := in.Origins.soleRelease("a", now); ok {
+			t.Errorf("%s counts as the only release while the list has another", got)
+		}
+		in.rebuild()
+	})
+}
+
 // TestHistoryThatWaitedDoesNotHideAGap replaces the list after a standstill in which a history waited.
 func TestHistoryThatWaitedDoesNotHideAGap(t *testing.T) {
 	withReleases(t, 1, func(f *fleet) {
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mastwheel/mastwheel/clock"
@@ -58,6 +59,8 @@
 	// own holds the streams that began at this instance, kept those of siblings.
 	own, kept *origin.Records
 	releases  *origin.Releases
+	// listedUpTo is the position of the list of servers that releases follows from.
+	listedUpTo atomic.Uint64
 	// leastWindow is originWindow, but for tests.
 	leastWindow time.Duration
 
@@ -137,7 +140,7 @@
 // soleRelease returns the only release of a service at which a stream that callers may take up can have
 // begun, if this instance knows that there is just one.
 func (o *origins) soleRelease(service string, now time.Time) (string, bool) {
-	if !o.isCurrent(now) || o.isBehind() {
+	if !o.isCurrent(now) || o.isBehind() || o.listedUpTo.Load() != uint64(o.registry.View().Position) {
 		return "", false
 	}
 	return o.releases.Sole(service, now)
--- a/edge/releases.go
+++ b/edge/releases.go
@@ -40,6 +40,7 @@
 		listed[originOf(&list.Servers[i].Entry)] = true
 	}
 	o.releases.SetListed(listed, !list.IsSubset, now)
+	o.listedUpTo.Store(uint64(list.Position))
 	o.wake()
 	if o.releases.Unopened() || !o.releases.CoversWindow(now) {
 		o.wakeAnnouncer()
