--- a/edge/follow.go
+++ b/edge/follow.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/wait"
 )
@@ -116,7 +117,7 @@
 		if err != nil {
 			return time.Time{}, err
 		}
-		in.list.noteAnswer(sentAt, false)
+		in.list.noteAnswer(storeAnswer{sentAt, sentAt}, false)
 		in.Origins.noteReplaced(in.list.confirmed(), clock.Now())
 		in.registry.ResetWithFilter(snapshot, nil, clock.Now())
 		in.rebuild()
@@ -131,12 +132,13 @@
 	at := answeredAt(sentAt, wait)
 	before := in.registry.View()
 	// The registry must know that the store was unavailable before it judges a removal.
-	in.list.noteAnswer(at, false)
+	answer := storeAnswer{at, sentAt}
+	in.list.noteAnswer(answer, false)
 	in.Origins.noteChanges(changes, clock.Now())
 	in.registry.Apply(changes, next, clock.Now())
 	in.rebuild()
 	if next > before.Position {
-		in.sendUpdates(updatesOf(from, next, changes, at), before, "")
+		in.sendUpdates(heartbeat.Updates{From: from, To: next, Changes: changes}, answer, before, "")
 	}
 	return in.confirmedUpTo(at, next), nil
 }
@@ -179,6 +181,7 @@
 		in.sumLoads()
 		in.budgets.setInstances(in.budgetInstances(now))
 		in.forgetSiblings()
+		in.transit.Forget(now)
 		if now.Sub(shared) >= in.config.ReviewEvery || in.Fleet.Backpressure.AnyRestricted() {
 			shared = now
 			in.updateLimitSharing(now)
--- a/edge/hubbeat.go
+++ b/edge/hubbeat.go
@@ -106,7 +106,7 @@
 func (in *Instance) sendToHubs(now time.Time, self member.Info, chosen map[string][]member.Info, hub, settled bool, loads []heartbeat.Load) {
 	requested := make(map[string]bool)
 	message := in.message(now)
-	message.Hubs, message.Loads = true, loads
+	message.Hubs, message.Loads, message.NoLoads = true, loads, false
 	message.Spent = in.Allotments.Spent(now)
 	message.Speeds = in.dueOwnSpeeds(now)
 	in.hubs.recordSent(message.From.Uptime, loads)
@@ -162,7 +162,7 @@
 		return
 	}
 	message := in.message(now)
-	message.Hubs, message.RequestHub, message.Loads = true, true, loads
+	message.Hubs, message.RequestHub, message.Loads, message.NoLoads = true, true, loads, false
 	in.send(message, in.sample(unknown, in.config.DiscoveryAtOnce)...)
 }
 
@@ -207,7 +207,7 @@
 	instances := in.Instances()
 	teams := in.Allotments.Balances(in.config.TeamsAtOnce, now)
 	speeds := in.dueHubSpeeds(now)
-	history, changed := in.Origins.historyForSubscribers(now)
+	history, changed := in.Origins.historyForSubscribers(in.started.Add(message.From.Uptime))
 	news := urgent || changed || message.Poison != nil || message.Pressure != nil || len(message.Changing) > 0 || len(teams) > 0
 	repeat := newRepetition(view, in.config.Zone, in.config.RepeatedAtOnce, now)
 	for _, to := range subscribers {
@@ -227,7 +227,7 @@
 			digest.Observations = append(digest.Observations, repeat.next(digest.Zone, &to.turn)...)
 		}
 		in.hubs.recordDigest(to.name, to.turn, now)
-		message.Digest, message.Origins = digest, nil
+		message.Digest, message.Origins, message.Echo = digest, nil, &heartbeat.Echo{Run: to.run, Uptime: to.uptime}
 		if to.part {
 			message.Origins = history
 		}
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mastwheel/mastwheel/clock"
@@ -58,6 +59,8 @@
 	// own holds the streams that began at this instance, kept those of siblings.
 	own, kept *origin.Records
 	releases  *origin.Releases
+	// listedUpTo is the position of the list of servers that releases follows from.
+	listedUpTo atomic.Uint64
 	// leastWindow is originWindow, but for tests.
 	leastWindow time.Duration
 
@@ -72,9 +75,8 @@
 	// ambiguous holds the services whose records were sent to the keepers, because the release of a
 	// stream is not known without them.
 	ambiguous map[string]bool
-	// historyAt is when the releases that serve were last known to be complete from a sibling's list,
-	// and historyReceivedAt when that sibling's message arrived.
-	historyAt, historyReceivedAt time.Time
+	// historyAt is when the releases that serve were last known to be complete from a sibling's list.
+	historyAt time.Time
 	// servedHistory holds the announcements that this instance last sent to those that it serves as a hub.
 	// Only the heartbeat loop uses it.
 	servedHistory origin.Announced
@@ -140,7 +142,7 @@
 // soleRelease returns the only release of a service at which a stream that callers may take up can have
 // begun, if this instance knows that there is just one.
 func (o *origins) soleRelease(service string, now time.Time) (string, bool) {
-	if !o.isCurrent(now) || o.isBehind() {
+	if !o.isCurrent(now) || o.isBehind() || o.listedUpTo.Load() != uint64(o.registry.View().Position) {
 		return "", false
 	}
 	return o.releases.Sole(service, now)
@@ -231,7 +233,7 @@
 	o.waiting[key] = append(o.waiting[key], answers)
 	o.mu.Unlock()
 	defer o.stopWaiting(key, answers)
-	message := heartbeat.Message{From: o.info(), Origins: &origin.Message{Questions: []origin.Question{{Key: key, Service: service}}}}
+	message := heartbeat.Message{From: o.info(), NoLoads: true, Hubs: o.usesHubs(), Origins: &origin.Message{Questions: []origin.Question{{Key: key, Service: service}}}}
 	o.send(message, asked...)
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
@@ -288,8 +290,9 @@
 	return selected
 }
 
-// apply applies what a sibling sends about where streams began.
-func (o *origins) apply(message heartbeat.Message, now time.Time) {
+// apply applies what a sibling sends about where streams began. sentAt is a time at or before which the
+// message was not sent, zero if unknown.
+func (o *origins) apply(message heartbeat.Message, sentAt, now time.Time) {
 	origins := message.Origins
 	if origins == nil {
 		return
@@ -306,7 +309,7 @@
 		at, known := origins.Origin(answer.At)
 		o.answered(answer.Key, originAnswer{at, known})
 	}
-	o.applyHistory(origins, now)
+	o.applyHistory(origins, sentAt, now)
 	if len(origins.Questions) > 0 && message.From.Peer != "" {
 		o.answer(origins.Questions, message.From, now)
 	}
--- a/edge/releases.go
+++ b/edge/releases.go
@@ -39,6 +39,7 @@
 		listed[originOf(&list.Servers[i].Entry)] = true
 	}
 	o.releases.SetListed(listed, !list.IsSubset, now)
+	o.listedUpTo.Store(uint64(list.Position))
 	o.wake()
 	restored := list.Position.Era() != o.listedEra
 	o.listedEra = list.Position.Era()
@@ -82,12 +83,19 @@
 	o.releases.Listed(named, now)
 }
 
-// noteReplaced records that the list was replaced without the changes since it was last confirmed.
+// noteReplaced records that the list was replaced without the changes since it was last confirmed. A
+// sibling's history has the releases of the changes up to the time of the list that it was made from.
 func (o *origins) noteReplaced(confirmed, now time.Time) {
 	o.mu.Lock()
-	informed := o.historyReceivedAt.After(confirmed)
+	known := o.historyAt
 	o.mu.Unlock()
-	if confirmed.IsZero() || informed || now.Sub(confirmed) <= origin.AnnounceWait {
+	if confirmed.IsZero() {
+		return
+	}
+	if confirmed.After(known) {
+		known = confirmed
+	}
+	if now.Sub(known) <= origin.AnnounceWait {
 		return
 	}
 	klog.InfoS("Releases of the servers before now are not known, because the list was out of date for long", "ageMillis", now.Sub(confirmed).Milliseconds())
@@ -95,17 +103,18 @@
 	o.wakeAnnouncer()
 }
 
-// applyHistory applies a sibling's history of the releases.
-func (o *origins) applyHistory(message *origin.Message, now time.Time) {
+// applyHistory applies a sibling's history of the releases, unless its age is unknown. The list that it was
+// made from counts from the time at which it was certainly current, and the rest from now, which is later.
+func (o *origins) applyHistory(message *origin.Message, sentAt, now time.Time) {
 	since, lastListed, ok := message.Times(now)
-	if !ok {
+	if !ok || sentAt.IsZero() {
 		return
 	}
-	confirmed := now.Add(-message.ListAge())
+	confirmed := sentAt.Add(-message.ListAge())
 	o.mu.Lock()
 	missed := o.registry.View().IsSubset && confirmed.Sub(o.historyAt) > origin.AnnounceWait
 	if confirmed.After(o.historyAt) {
-		o.historyAt, o.historyReceivedAt = confirmed, now
+		o.historyAt = confirmed
 	}
 	o.mu.Unlock()
 	if missed {
@@ -124,7 +133,7 @@
 	if o.registry.View().IsSubset || confirmed.IsZero() {
 		return nil
 	}
-	return o.releases.HistoryMessage(now.Sub(confirmed), now)
+	return o.releases.HistoryMessage(max(now.Sub(confirmed), 0), now)
 }
 
 // historyForSubscribers returns the history for the instances that this one serves as a hub, and whether
@@ -139,12 +148,18 @@
 	return message, changed
 }
 
+// sendHistory sends the history to siblings, with an echo of a message of theirs if there is one.
+func (o *origins) sendHistory(echo *heartbeat.Echo, addresses ...string) {
+	sentAt := clock.Now()
+	if history := o.historyMessage(sentAt); history != nil {
+		o.send(heartbeat.Message{From: o.infoAt(sentAt), NoLoads: true, Hubs: o.usesHubs(), Echo: echo, Origins: history}, addresses...)
+	}
+}
+
 // introduce sends an instance that has just appeared the releases that served lately, and the records
 // that it keeps. It may have restarted without any, or have been cut off.
 func (o *origins) introduce(to member.Info, now time.Time) {
-	if history := o.historyMessage(now); history != nil {
-		o.send(heartbeat.Message{Origins: history}, to.Peer)
-	}
+	o.sendHistory(heartbeat.EchoOf(to), to.Peer)
 	o.mu.Lock()
 	o.newcomers = append(o.newcomers, to.Peer)
 	o.mu.Unlock()
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -44,14 +44,17 @@
 type Message struct {
 	From  member.Info `cbor:"1,keyasint"`
 	Loads []Load      `cbor:"2,keyasint,omitempty"`
+	// NoLoads is set if the message does not report the sender's loads, so that the receiver keeps those
+	// that it knows.
+	NoLoads bool `cbor:"23,keyasint,omitempty"`
 	// Peers lists the addresses of some other siblings.
 	Peers []string `cbor:"3,keyasint,omitempty"`
 	// Changing lists the servers, by route.ServerID, that the sender has ordered to
 	// change their role.
 	Changing []RoleChange `cbor:"5,keyasint,omitempty"`
-	// TableContactAge and ServersContactAge are the times since any instance last received
+	// TableContactAge and ServersContactAge are the times since any instance last requested
 	// from the platform's store everything that the store had of the table and of the list
-	// of backend servers, as far as the sender knows. Nil means never.
+	// of backend servers, and received it, as far as the sender knows. Nil means never.
 	TableContactAge   *time.Duration `cbor:"6,keyasint,omitempty"`
 	ServersContactAge *time.Duration `cbor:"7,keyasint,omitempty"`
 	// Hubs is set by senders that use hubs. RequestHub requests that the receiver act as the
@@ -81,14 +84,28 @@
 	// speed.Encode encodes them.
 	Speeds []byte `cbor:"21,keyasint,omitempty"`
 	// Origins holds at which releases streams began and which releases served lately. A message with
-	// nothing else has no sender, unless it asks a question.
+	// nothing else has no sender, unless it asks a question or holds a history.
 	Origins *origin.Message `cbor:"22,keyasint,omitempty"`
+	// Echo names a message of the receiver that the sender handled before it sent this one. RequestEcho
+	// requests a message with one.
+	Echo        *Echo `cbor:"24,keyasint,omitempty"`
+	RequestEcho bool  `cbor:"25,keyasint,omitempty"`
 	// Known, if not 0, is the receiver's incarnation as the sender knows it. A receiver
 	// that restarted with a lower incarnation, because its clock was set back, adopts a
 	// higher one.
 	Known operation.Incarnation `cbor:"4,keyasint,omitempty"`
 }
 
+// Echo names a message by its sender's run and uptime.
+type Echo struct {
+	_      struct{} `cbor:",toarray"`
+	Run    operation.Incarnation
+	Uptime time.Duration
+}
+
+// EchoOf returns the echo of a message from an instance.
+func EchoOf(from member.Info) *Echo { return &Echo{Run: from.Incarnation, Uptime: from.Uptime} }
+
 // EncodedLoads is a list of loads encoded as CBOR.
 type EncodedLoads = cbor.RawMessage
 
@@ -151,8 +168,10 @@
 	From    oplog.Position    `cbor:"1,keyasint"`
 	To      oplog.Position    `cbor:"2,keyasint"`
 	Changes []registry.Change `cbor:"3,keyasint"`
-	// Age is the time since the store returned the changes.
-	Age time.Duration `cbor:"4,keyasint"`
+	// Age is the time since the store returned the changes, and RequestAge the time since the request for
+	// them was sent, which is 0 if unknown.
+	Age        time.Duration `cbor:"4,keyasint"`
+	RequestAge time.Duration `cbor:"6,keyasint,omitempty"`
 	// SubsetFingerprint, if not 0, is the fingerprint of the subset of servers to which the
 	// changes are limited.
 	SubsetFingerprint uint64 `cbor:"5,keyasint,omitempty"`
