--- a/table/routes.go
+++ b/table/routes.go
@@ -76,6 +76,9 @@
 	return t, nil
 }
 
+// maxWeight bounds the weight of one service in a split, so that the sum of the weights does not overflow.
+const maxWeight = 1_000_000_000
+
 // ParseSplit parses a list of services with weights, such as "a:90,b:10".
 func ParseSplit(text string) ([]Share, error) {
 	var shares []Share
@@ -85,8 +88,8 @@
 			return nil, errors.Errorf("%q is not a service with a share, as in a:90", part)
 		}
 		weight, err := strconv.Atoi(part[colon+1:])
-		if err != nil || weight < 0 {
-			return nil, errors.Errorf("%q has no share that is a whole number", part)
+		if err != nil || weight < 0 || weight > maxWeight {
+			return nil, errors.Errorf("%q has no share that is a whole number up to %d", part, maxWeight)
 		}
 		shares = append(shares, Share{Service: part[:colon], Weight: weight})
 	}
