edge, heartbeat, origin, backpressure, allotment: values that no instance sends are left out of siblings' messages

What could be seen: an instance of an older build passes on entries that this one refuses, and they become servers here. One datagram with an odd value changed what an instance decides: until its next restart (a position beyond the store's, after which changes and lists are ignored; a team's debt of 2^63 units), or for as long as such messages come.

Cause: only ages were checked. Names, addresses, numbers and positions were taken as they came, and kept.

Change: a message is checked before it is applied (edge/received.go). Its sender and each observation have bounded names and an address that can be parsed; entries pass registry.Entry.Check and else name no server; positions advance within an era, by no more than one read of the store can; loads, rates, totals of teams and the number of instances are bounded, as are the addresses that are kept. A hub that is asked for changes after a version that it does not have begins anew. What is left out is counted (mastwheel_sibling_values_refused_total) and logged, at most every 10 s after the first 10. The wire format is unchanged.

Left: a total of a team within 2^53, and a position within one read, are still taken from any sender.

--- a/allotment/gossip.go
+++ b/allotment/gossip.go
@@ -70,6 +70,14 @@
 	Started time.Time
 }
 
+// maxUnits bounds the totals and balances that are accepted, in units. It is exact as a float64, and the difference of
+// two of them does not overflow.
+const maxUnits = 1 << 53
+
+func isBounded(units ...int64) bool {
+	return !slices.ContainsFunc(units, func(n int64) bool { return n < -maxUnits || n > maxUnits })
+}
+
 // ApplySpent applies the totals that a sibling has spent.
 func (l *Ledger) ApplySpent(sibling Sender, spent []Spent, now time.Time) {
 	l.mu.Lock()
@@ -77,7 +85,7 @@
 	l.lastContact = now
 	from := l.sourceOf(sourceKey{sibling: sibling.Name}, sibling.Incarnation)
 	for _, entry := range spent {
-		if len(l.byID[entry.Team]) == 0 {
+		if len(l.byID[entry.Team]) == 0 || !isBounded(entry.Total, entry.Recent) {
 			// Once the table names the team, its first total counts by what was spent recently.
 			continue
 		}
@@ -107,6 +115,9 @@
 	from := l.sourceOf(sourceKey{sibling: hub.Name, zone: true}, hub.Incarnation)
 	young := l.bounds.enabled() && now.Sub(hub.Started) <= l.config.RepeatFor
 	for _, entry := range balances {
+		if !isBounded(entry.Total, entry.Units) {
+			continue
+		}
 		added, known := from.advance(entry.Team, entry.Total)
 		for _, a := range l.byID[entry.Team] {
 			spent := added
@@ -145,6 +156,9 @@
 	l.nextUpdateDue = update.Due
 	for _, entry := range update.Levels {
 		for _, a := range l.byID[entry.Team] {
+			if !isBounded(entry.Units) {
+				continue
+			}
 			a.balance = float64(entry.Units) - (a.ownTotal - a.ownTotalAt(update.Known))
 			a.at, a.lastSpent, a.reduced, a.adoptedAt = now, now, false, now
 			// The hub's balance includes what other instances had at their disposal.
--- a/backpressure/update.go
+++ b/backpressure/update.go
@@ -47,6 +47,8 @@
 	repeatsPerUpdate = 2
 	// maxReportAge is the age beyond which the report of a limit is not accepted.
 	maxReportAge = 2 * time.Minute
+	// maxReportedRate is above the number of requests a second that any server takes.
+	maxReportedRate = 1e9
 	// maxServers bounds the number of servers whose state is kept.
 	maxServers = 20_000
 )
@@ -164,7 +166,7 @@
 
 func (t *Tracker) mergeLimit(report LimitReport, by string, relay bool, now time.Time) (changed bool) {
 	age := time.Duration(report.AgeMillis) * time.Millisecond
-	if report.AgeMillis < 0 || report.AgeMillis > maxReportAge.Milliseconds() || !(report.Rate >= 0) {
+	if report.AgeMillis < 0 || report.AgeMillis > maxReportAge.Milliseconds() || !(report.Rate >= 0 && report.Rate <= maxReportedRate) {
 		return false
 	}
 	server := t.reportedServer(report.Server, now)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -182,6 +182,9 @@
 		_, silence := p.edge.HubState()
 		return silence.Seconds()
 	})
+	p.metrics.RegisterCounter("sibling_values_refused_total", "Values of siblings' messages that were left out since no instance sends them.", func() float64 {
+		return float64(p.edge.RefusedValues())
+	})
 	p.metrics.RegisterCounter("sibling_states_outdated_total", "Reports that a sibling serves which were refused because another hub had reported otherwise later.", func() float64 {
 		outdated, _ := p.edge.UnusedStates()
 		return float64(outdated)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -33,13 +33,16 @@
 	deps        Deps
 	started     time.Time
 	incarnation atomic.Uint64
-	table       atomic.Pointer[Revision]
-	registry    *registry.Registry
-	servers     atomic.Pointer[forward.Servers]
-	Fleet       *route.Fleet
-	members     *member.Members
-	peers       *peers
-	budgets     *budgets
+	// refused counts the values of siblings' messages that no instance sends.
+	refused         atomic.Uint64
+	refusedLogLimit *logging.Limit
+	table           atomic.Pointer[Revision]
+	registry        *registry.Registry
+	servers         atomic.Pointer[forward.Servers]
+	Fleet           *route.Fleet
+	members         *member.Members
+	peers           *peers
+	budgets         *budgets
 	// tableFeed keeps table up to date, and list keeps registry up to date.
 	tableFeed *feed
 	list      *feed
@@ -126,6 +129,7 @@
 	in.inMesh.Store(true)
 	in.woken = make(chan struct{}, 1)
 	in.statusLogLimit = newLogLimit()
+	in.refusedLogLimit = logging.NewLimit(refusedPerSecond, refusedBurst, in.started)
 	in.Allotments = allotment.New(allotment.DefaultConfig(), in.deps.Random)
 	in.Allotments.SetSlack(in.config.AllotmentSlack * slackUsed)
 	in.Allotments.SetBounds(allotment.Bounds{
--- a/edge/ledger.go
+++ b/edge/ledger.go
@@ -60,6 +60,10 @@
 // since returns at most the given number of states that changed after a version, and the version
 // that they lead to. Siblings for which keep returns false are skipped.
 func (l *changeLog) since(version uint64, view *member.View, keep func(member.Sibling) bool, limit int, now time.Time) (states []heartbeat.Observation, upto uint64) {
+	if version > l.version {
+		// No digest of this run led there, so what the subscriber has is not known.
+		version = 0
+	}
 	first, _ := slices.BinarySearchFunc(l.changes, version+1, func(c stateChange, v uint64) int { return int(c.version) - int(v) })
 	upto = version
 	for _, change := range l.changes[first:] {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -50,7 +50,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, known := p.lastContact[address]; !known {
+	if _, known := p.lastContact[address]; !known && len(p.lastContact) < maxAddresses {
 		p.lastContact[address] = now
 	}
 }
--- a/edge/siblings.go
+++ b/edge/siblings.go
@@ -109,6 +109,9 @@
 
 // handleMessage handles a sibling's heartbeat.
 func (in *Instance) handleMessage(message heartbeat.Message) {
+	if !in.accept(&message) {
+		return
+	}
 	if message.Known > operation.Incarnation(in.incarnation.Load()) {
 		in.incarnation.Store(uint64(message.Known) + 1)
 		klog.InfoS("Raised the incarnation of this instance because a sibling knows it under a later one", "incarnation", in.incarnation.Load(), "sibling", message.From.Name)
--- a/edge/uses.go
+++ b/edge/uses.go
@@ -108,7 +108,7 @@
 		uses = subset.New(in.config.Name, in.config.Zone, snapshot.Shares)
 	}
 	in.Origins.noteReplaced(in.list.confirmed(), clock.Now())
-	if !in.registry.ResetWithFilter(*snapshot.Servers, subsetFilter(uses), clock.Now()) {
+	if !in.registry.ResetWithFilter(in.acceptSnapshot(*snapshot.Servers), subsetFilter(uses), clock.Now()) {
 		return
 	}
 	in.outgrown.Store(nil)
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -35,9 +35,14 @@
 	Memory   int `cbor:"4,keyasint,omitempty"`
 }
 
-// Commitment returns the load as a route.Commitment.
+// maxCommitment bounds what is accepted of one instance's commitment at a server, in requests or tokens. An engine
+// has up to a billion tokens of memory (table.ColMemory), and sums for all instances must not overflow.
+const maxCommitment = 1 << 40
+
+// Commitment returns the load as a route.Commitment. Values that no instance sends are cut off.
 func (l Load) Commitment() route.Commitment {
-	return route.Commitment{InFlight: l.InFlight, Unread: l.Unread, Memory: l.Memory}
+	bounded := func(value int) int { return min(max(value, 0), maxCommitment) }
+	return route.Commitment{InFlight: bounded(l.InFlight), Unread: bounded(l.Unread), Memory: bounded(l.Memory)}
 }
 
 // Message is one heartbeat.
--- a/origin/message.go
+++ b/origin/message.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/mastwheel/mastwheel/registry"
 )
 
 // Message is what instances send each other about where streams began.
@@ -77,15 +79,18 @@
 	return len(m.Origins) - 1
 }
 
-// Origin returns the origin of an index. It returns false for Unknown and for an index that the message
-// does not have.
+// Origin returns the origin of an index. It returns false for Unknown, for an index that the message does not
+// have, and for an origin that no instance sends.
 func (m *Message) Origin(index int) (Origin, bool) {
-	if index < 0 || index >= len(m.Origins) {
+	if index < 0 || index >= len(m.Origins) || m.Origins[index].isLong() {
 		return Origin{}, false
 	}
 	return m.Origins[index], true
 }
 
+// isLong reports whether an origin has a name that no server of the list has. Thousands of origins are kept.
+func (o Origin) isLong() bool { return max(len(o.Service), len(o.Release)) > registry.MaxNameBytes }
+
 // mostListed bounds the releases in one history, so that it fits into a datagram. A longer history is
 // not sent.
 const mostListed = 256
