edge, heartbeat: a message to siblings that does not fit into a datagram is sent without its largest parts

What could be seen: an instance whose heartbeat exceeds 65,507 bytes sends none, and its siblings take it for dead. A version of 60 KB in an entry was enough, also in the changes of the list and the history of releases.

Cause: nothing compared the size of a message with that of a datagram. The kernel refused it, and only a debug line said so.

Change: the largest parts are left out until the rest fits, counted (mastwheel_sibling_parts_left_out_total) and logged.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -182,6 +182,9 @@
 		_, silence := p.edge.HubState()
 		return silence.Seconds()
 	})
+	p.metrics.RegisterCounter("sibling_parts_left_out_total", "Parts of messages to siblings that did not fit into a datagram.", func() float64 {
+		return float64(p.edge.PartsLeftOut())
+	})
 	p.metrics.RegisterCounter("sibling_values_refused_total", "Values of siblings' messages that were left out since no instance sends them.", func() float64 {
 		return float64(p.edge.RefusedValues())
 	})
--- a/edge/beat.go
+++ b/edge/beat.go
@@ -145,11 +145,15 @@
 
 // send sends a message to addresses and returns the size of its datagram in bytes.
 func (in *Instance) send(message heartbeat.Message, addresses ...string) int {
-	datagram, err := heartbeat.Encode(message)
+	datagram, leftOut, err := heartbeat.EncodeToFit(message)
 	if err != nil {
 		klog.ErrorS(err, "Failed to encode heartbeat")
 		return 0
 	}
+	in.partsLeftOut.Add(uint64(leftOut))
+	if leftOut > 0 && in.refusedLogLimit.Allow(clock.Now()) {
+		klog.InfoS("Left out parts of a heartbeat that did not fit into a datagram", "parts", leftOut, "bytes", len(datagram))
+	}
 	for _, address := range addresses {
 		if err := in.deps.Socket.Send(address, datagram); err != nil {
 			klog.V(1).InfoS("Failed to send heartbeat", "sibling", address, "err", err.Error())
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -36,13 +36,15 @@
 	// refused counts the values of siblings' messages that no instance sends.
 	refused         atomic.Uint64
 	refusedLogLimit *logging.Limit
-	table           atomic.Pointer[Revision]
-	registry        *registry.Registry
-	servers         atomic.Pointer[forward.Servers]
-	Fleet           *route.Fleet
-	members         *member.Members
-	peers           *peers
-	budgets         *budgets
+	// partsLeftOut counts the parts of messages that did not fit into a datagram.
+	partsLeftOut atomic.Uint64
+	table        atomic.Pointer[Revision]
+	registry     *registry.Registry
+	servers      atomic.Pointer[forward.Servers]
+	Fleet        *route.Fleet
+	members      *member.Members
+	peers        *peers
+	budgets      *budgets
 	// tableFeed keeps table up to date, and list keeps registry up to date.
 	tableFeed *feed
 	list      *feed
--- a/edge/received.go
+++ b/edge/received.go
@@ -149,5 +149,8 @@
 	return accepted
 }
 
+// PartsLeftOut returns how many parts of messages to siblings were left out because they did not fit into a datagram.
+func (in *Instance) PartsLeftOut() uint64 { return in.partsLeftOut.Load() }
+
 // RefusedValues returns how many values of siblings' messages were left out because no instance sends them.
 func (in *Instance) RefusedValues() uint64 { return in.refused.Load() }
--- a/edge/received_test.go
+++ b/edge/received_test.go
@@ -172,3 +172,31 @@
 		t.Errorf("%d states up to %d", len(states), upto)
 	}
 }
+
+// keepingSocket keeps the last datagram that is sent.
+type keepingSocket struct {
+	droppingSocket
+	sent []byte
+}
+
+// Send implements Socket.
+func (s *keepingSocket) Send(_ string, datagram []byte) error {
+	s.sent = datagram
+	return nil
+}
+
+// Guards against a heartbeat that the kernel refuses for its size, after which siblings take this instance for dead.
+func TestLargeHeartbeatIsSentInPart(t *testing.T) {
+	in, _, _ := receiver(t)
+	socket := new(keepingSocket)
+	in.deps.Socket = socket
+	message := in.message(time.Now())
+	for i := range 10_000 {
+		message.Loads = append(message.Loads, heartbeat.Load{Server: uint32(i), InFlight: 1, Memory: 9})
+	}
+	in.send(message, "127.0.0.1:1")
+	const largest = 65507 // of a datagram over IPv4
+	if len(socket.sent) > largest || len(socket.sent) == 0 {
+		t.Errorf("a datagram of %d bytes is sent", len(socket.sent))
+	}
+}
