edge: a test's list of a sibling has an entry with an address

TestASiblingThatIsAheadIsQueried failed since entries from siblings are checked: its server had no address, which no build ever took from the store. The entry has one now; what the test asks for is unchanged.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -408,7 +408,7 @@
 func TestASiblingThatIsAheadIsQueried(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		in := bareInstance("a", new(claims), enginesOf(0, 0))
-		sibling := &fixedSibling{snapshot: Snapshot{Servers: &registry.Snapshot{Entries: []registry.Entry{{ID: "x", Service: "s"}}, Position: 9}}}
+		sibling := &fixedSibling{snapshot: Snapshot{Servers: &registry.Snapshot{Entries: []registry.Entry{{ID: "x", Service: "s", Address: "127.0.0.1:1"}}, Position: 9}}}
 		in.deps.Siblings = sibling
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
