--- a/edge/edge.go
+++ b/edge/edge.go
@@ -33,14 +33,19 @@
 	deps        Deps
 	started     time.Time
 	incarnation atomic.Uint64
-	table       atomic.Pointer[Revision]
-	registry    *registry.Registry
-	servers     atomic.Pointer[forward.Servers]
-	Fleet       *route.Fleet
-	members     *member.Members
-	peers       *peers
-	transit     *transit
-	budgets     *budgets
+	// refused counts the values of siblings' messages that no instance sends.
+	refused         atomic.Uint64
+	refusedLogLimit *logging.Limit
+	// partsLeftOut counts the parts of messages that did not fit into a datagram.
+	partsLeftOut atomic.Uint64
+	table        atomic.Pointer[Revision]
+	registry     *registry.Registry
+	servers      atomic.Pointer[forward.Servers]
+	Fleet        *route.Fleet
+	members      *member.Members
+	peers        *peers
+	transit      *transit
+	budgets      *budgets
 	// tableFeed keeps table up to date, and list keeps registry up to date.
 	tableFeed *feed
 	list      *feed
@@ -128,6 +133,7 @@
 	in.inMesh.Store(true)
 	in.woken = make(chan struct{}, 1)
 	in.statusLogLimit = newLogLimit()
+	in.refusedLogLimit = logging.NewLimit(refusedPerSecond, refusedBurst, in.started)
 	in.Allotments = allotment.New(allotment.DefaultConfig(), in.deps.Random)
 	in.Allotments.SetSlack(in.config.AllotmentSlack * slackUsed)
 	in.Allotments.SetBounds(allotment.Bounds{
