origin: a record that nobody can know where a stream began is not replaced by an older one

Callers saw: nothing yet. Records of a stream come from several instances by datagram, and will come from the store too, so that an older record can arrive after the doubt that replaced it. The stream was then continued at a release that may not be its own.

Cause: Records.put kept whatever came last. Change: a zero origin stays until it expires. Measured: go test ./origin -run Doubt. Before: "v2true after a doubt and older records, expected an unknown release". After: passes.

--- a/origin/records.go
+++ b/origin/records.go
@@ -55,9 +55,13 @@
 	r.put(key, at, record{until: until, server: xxhash.Sum64String(server), began: now}, now)
 }
 
-// put adds a record. The caller holds the lock.
+// put adds a record. A record that nobody can know where a stream began stays until it expires: records of
+// the stream that were sent or stored earlier may arrive later. The caller holds the lock.
 func (r *Records) put(key Key, at Origin, next record, now time.Time) {
 	if known, ok := r.byKey[key]; ok {
+		if *known.at == (Origin{}) && now.Before(known.until) {
+			at = Origin{}
+		}
 		if next.until.Before(known.until) {
 			next.until = known.until
 		}
--- a/origin/records_test.go
+++ b/origin/records_test.go
@@ -44,6 +44,30 @@
 	}
 }
 
+// The records of a stream reach a keeper, or are read from the store, in any order and more than once.
+func TestOlderRecordDoesNotReplaceADoubt(t *testing.T) {
+	records, now := NewRecords(10), time.Now()
+	find := func(after time.Duration) string {
+		at, known := records.Find(1, now.Add(after))
+		return fmt.Sprint(at.Release, known)
+	}
+	records.Put(1, old, now.Add(10*time.Second), now)
+	records.Put(1, Origin{}, now.Add(5*time.Second), now)
+	if got := find(7 * time.Second); got != "true" {
+		t.Errorf("%s after a doubt, expected an unknown release", got)
+	}
+	records.Put(1, old, now.Add(20*time.Second), now)
+	records.PutOwn(1, next, "s@1", now.Add(20*time.Second), now)
+	if got := find(15 * time.Second); got != "true" {
+		t.Errorf("%s after a doubt and older records, expected an unknown release", got)
+	}
+	later := now.Add(30 * time.Second)
+	records.Put(1, old, later.Add(10*time.Second), later)
+	if got := find(35 * time.Second); got != "v1true" {
+		t.Errorf("%s long after the doubt expired", got)
+	}
+}
+
 func TestKeepersStayWhenOthersLeave(t *testing.T) {
 	var names []string
 	for i := range 20 {
