--- a/edge/answers.go
+++ b/edge/answers.go
@@ -25,11 +25,6 @@
 // the first of which may just have been due.
 const unavailableAfter = 2 * time.Second
 
-// confirmationSlack is how much later than listFreshFor after a release was listed an instance may still rely
-// on a list without it. It allows for the pauses and the way of the messages by which instances with a subset
-// of the servers learn the age of their hub's list.
-const confirmationSlack = 500 * time.Millisecond
-
 // storeAnswer is an answer of the store to any instance.
 type storeAnswer struct {
 	// at is the time of the answer, as far as known. It is zero if that does not matter.
--- a/edge/freshness_test.go
+++ b/edge/freshness_test.go
@@ -22,7 +22,7 @@
 
 // knownEverywhereAfter is how long after a release was first listed no instance names another one as the only
 // release.
-const knownEverywhereAfter = listFreshFor + confirmationSlack
+const knownEverywhereAfter = origin.AnnounceWait
 
 var standstills = []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second}
 
--- a/origin/announcements.go
+++ b/origin/announcements.go
@@ -8,8 +8,8 @@
 
 // AnnounceWait is how long after a release was first listed streams may begin at it. By then no instance
 // relies on a list of servers without the release: a list counts as current for 1.5 s, instances that get
-// their list from a hub add the 0.3 s between two of its messages, and the rest is the delay of a datagram.
-const AnnounceWait = 2300 * time.Millisecond
+// their list from a hub add the 0.3 s between two of its messages, and the rest is a margin.
+const AnnounceWait = 2 * time.Second
 
 // announcement is the state of one release's announcement.
 type announcement struct {
--- a/origin/message.go
+++ b/origin/message.go
@@ -108,7 +108,7 @@
 	message := &Message{History: &History{CompleteMillis: now.Sub(since).Milliseconds(), ListAgeMillis: listAge.Milliseconds()}}
 	for at, last := range retained {
 		index := message.Index(at)
-		message.History.Listed = append(message.History.Listed, Listed{At: index, AgeMillis: now.Sub(last).Milliseconds()})
+		message.History.Listed = append(message.History.Listed, Listed{At: index, AgeMillis: max(now.Sub(last), 0).Milliseconds()})
 		if r.IsStored(at) {
 			message.History.Stored = append(message.History.Stored, index)
 		}
