edge: a release that another instance stored first is not dropped from the store

What callers saw: nothing yet; found by reading. The instance that keeps the record, with a list that is a little older, lost a conditional append, read the record again, did not know the release that another instance had just stored, and removed it.

Cause: what was read was remembered only while the history did not cover the window.

Change: stored releases that an instance does not remember count as listed when they are read.

Result: TestReleaseThatAnotherInstanceStoredFirstIsNotDropped failed before.

--- a/edge/announce.go
+++ b/edge/announce.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -161,25 +162,31 @@
 	}
 	now := clock.Now()
 	a.stored, a.condition, a.known, a.readAt = stored, condition, true, now
-	lastListed := make(map[origin.Origin]time.Time, len(stored.Releases))
-	for at := range stored.Releases {
-		lastListed[at] = now
-	}
-	since := now
-	if stored.Complete {
-		since = now.Add(-a.releases.Retention())
-	}
-	if own, complete := a.releases.Since(); complete && own.Before(since) {
-		since = own
-	}
-	if covered := a.releases.CoversWindow(now); !covered {
+	since, covered := a.releases.Since()
+	if covered = covered && a.releases.CoversWindow(now); !covered {
 		klog.InfoS("Read the releases of the servers that the store keeps", "releases", len(stored.Releases), "complete", stored.Complete)
-		a.releases.Extend(since, lastListed, now)
+		if complete := now.Add(-a.releases.Retention()); stored.Complete && (since.IsZero() || complete.Before(since)) {
+			since = complete
+		}
 	}
+	a.releases.Extend(cmp.Or(since, now), a.lastListed(stored.Releases, covered, now), now)
 	a.releases.SetStored(stored.Releases, now)
 	return nil
 }
 
+// lastListed returns when servers of stored releases may last have been listed. An instance whose history is
+// complete knows that of the releases that it remembers. Others were stored by an instance with a newer list.
+func (a *announcer) lastListed(stored origin.Announced, covered bool, now time.Time) map[origin.Origin]time.Time {
+	remembered := a.releases.Retained(now)
+	lastListed := make(map[origin.Origin]time.Time, len(stored))
+	for at := range stored {
+		if _, known := remembered[at]; !known || !covered {
+			lastListed[at] = now
+		}
+	}
+	return lastListed
+}
+
 // next returns what the store should have. A release is removed only by an instance that knows that it
 // has not served for as long as releases are remembered.
 func (a *announcer) next(now time.Time) StoredReleases {
--- a/edge/announce_test.go
+++ b/edge/announce_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -463,3 +464,20 @@
 		}
 	})
 }
+
+func TestReleaseThatAnotherInstanceStoredFirstIsNotDropped(t *testing.T) {
+	withReleases(t, originInstances, func(f *fleet) {
+		time.Sleep(originWindow)
+		other := origin.Origin{Service: "a", Release: "v3"}
+		f.store.change(func() {
+			f.store.releases.Releases = maps.Clone(f.store.releases.Releases)
+			f.store.releases.Releases[other] = false
+			f.store.releasesEnd = f.store.releasesEnd.Add(1)
+		})
+		f.store.registerRelease("n", newRelease)
+		time.Sleep(10 * time.Second)
+		if stored := f.store.storedReleases().Releases; !stored[newRelease] || len(stored) < 3 {
+			t.Errorf("the store has %v", stored)
+		}
+	})
+}
