origin, edge, platform: findings of a review of announced releases

What callers saw: nothing yet; found by a review that had not seen the work. - A release that others have forgotten counted as open for two windows, so that an instance that started as the release came back used it at once. - An instance that noticed the end of a release late took its absence for shorter. - A history that was made from an old list hid a gap if it came before the first list. - Instances with an old list could mark a stored record complete, or remove a release. - After a loss of all, each instance tried to store a new release at once: 83 calls of 30 instances. - A message that waited could open a release; the stored record could have any number of releases; an instance of a high rank waited for many seconds.

Change: open means listed, or gone for less than others remember, counted from when the list was last current. Only an instance with a current list removes releases or calls a record complete. Instances that do not know their rank draw their turn; a turn is 2 s at most.

--- a/edge/announce.go
+++ b/edge/announce.go
@@ -56,7 +56,9 @@
 	// readAt is when the stored releases were last read, and unstoredSince since when a listed release is
 	// not known to be stored.
 	readAt, unstoredSince time.Time
-	failures              int
+	// firstTurn is the turn of this instance while it does not know its rank.
+	firstTurn time.Duration
+	failures  int
 }
 
 // wakeAnnouncer makes the announcer check the releases now.
@@ -70,7 +72,7 @@
 // followReleases announces new releases, and reads the stored ones where this instance does not know
 // which releases matter.
 func (o *origins) followReleases(ctx context.Context) {
-	a := &announcer{origins: o}
+	a := &announcer{origins: o, firstTurn: time.Duration(o.deps.Random() * float64(announceSpread))}
 	for ctx.Err() == nil {
 		timer := time.NewTimer(a.step(ctx))
 		select {
@@ -190,8 +192,10 @@
 // next returns what the store should have. A release is removed only by an instance that knows that it
 // has not served for as long as releases are remembered.
 func (a *announcer) next(now time.Time) StoredReleases {
-	next := StoredReleases{Releases: a.releases.Announcements(now), Complete: a.stored.Complete || a.releases.CoversWindow(now)}
-	if a.releases.CoversRetention(now) {
+	// An older list may lack releases that others have stored since.
+	current := a.isCurrent(now) && !a.isBehind() && a.list.confirmed().After(a.readAt)
+	next := StoredReleases{Releases: a.releases.Announcements(now), Complete: a.stored.Complete || (current && a.releases.CoversWindow(now))}
+	if current && a.releases.CoversRetention(now) {
 		return next
 	}
 	for at, open := range a.stored.Releases {
@@ -216,7 +220,14 @@
 // isAnnounceTurn reports whether a listed release is not known to be stored, though the instances of lower
 // ranks have had the time to store it.
 func (a *announcer) isAnnounceTurn(now time.Time) bool {
-	return !a.unstoredSince.IsZero() && now.Sub(a.unstoredSince) >= time.Duration(a.orders.rank())*announceTurn
+	if a.unstoredSince.IsZero() {
+		return false
+	}
+	turn := min(time.Duration(a.orders.rank())*announceTurn, announceTurnMax)
+	if clock.Since(a.started) < a.config.HubGrace {
+		turn = a.firstTurn
+	}
+	return now.Sub(a.unstoredSince) >= turn
 }
 
 // errOthersStored means that another instance changed the stored releases in the meantime.
--- a/edge/announce_test.go
+++ b/edge/announce_test.go
@@ -481,3 +481,77 @@
 		}
 	})
 }
+
+func TestOldHistoryBeforeTheFirstListDoesNotHideAGap(t *testing.T) {
+	withReleases(t, 1, func(f *fleet) {
+		sentAt := time.Now()
+		message := f.instances[0].Origins.historyMessage(sentAt)
+		message.History.ListAgeMillis = 20_000
+		f.add(1)
+		in := f.instances[1]
+		in.Origins.applyHistory(message, sentAt, time.Now())
+		now := time.Now()
+		in.Origins.noteReplaced(in.list.confirmed(), now)
+		in.registry.ResetWithFilter(f.instances[0].registry.View().Snapshot(), nil, now)
+		in.rebuild()
+		in.list.noteAnswer(storeAnswer{now, now}, true)
+		if got, ok := in.Origins.soleRelease("a", time.Now()); ok {
+			t.Errorf("%s counts as the only release, though nothing is known of 20 s", got)
+		}
+	})
+}
+
+// TestInstanceWithAnOldListDoesNotRemoveAStoredRelease draws cuts of an instance that counts itself as the keeper.
+func TestInstanceWithAnOldListDoesNotRemoveAStoredRelease(t *testing.T) {
+	for _, seed := range []uint64{3, 7, 8, 17, 29} {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			between := func(a, b int) time.Duration { return time.Duration(a+random.IntN(b-a)) * time.Millisecond }
+			join, stay, rest, apart := between(100, 6000), between(2600, 6000), between(10, 15000), between(0, 300)
+			f := newFleet(t, 3, DefaultConfig())
+			for i := range 10 {
+				f.store.registerRelease(fmt.Sprint("s", i), oldRelease)
+			}
+			late := f.instances[2]
+			end := f.start()
+			time.Sleep(2*originWindow + 10*time.Second)
+			f.setCut(late, true)
+			f.store.change(func() { f.store.refused[late.config.Name] = true })
+			time.Sleep(join)
+			f.store.registerRelease("n", newRelease)
+			time.Sleep(stay)
+			f.store.remove("n")
+			time.Sleep(rest)
+			f.store.change(func() { delete(f.store.refused, late.config.Name) })
+			time.Sleep(apart)
+			f.setCut(late, false)
+			for range 300 {
+				time.Sleep(10 * time.Millisecond)
+				if stored := f.store.storedReleases(); len(stored.Releases) < 2 {
+					t.Fatalf("seed %d: the store has %v", seed, stored)
+				}
+			}
+			end()
+		})
+	}
+}
+
+func TestFewInstancesStoreAReleaseAfterALossOfAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 30, DefaultConfig())
+		for i := range 10 {
+			f.store.registerRelease(fmt.Sprint("s", i), oldRelease)
+		}
+		end := f.start()
+		time.Sleep(originWindow + 5*time.Second)
+		end()
+		f.store.registerRelease("n", newRelease)
+		before := f.store.releaseCalls()
+		end = f.startNew()
+		time.Sleep(5 * time.Second)
+		if calls := f.store.releaseCalls() - before; calls > 2*30 {
+			t.Errorf("%d calls for the releases", calls)
+		}
+		end()
+	})
+}
--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -31,6 +31,7 @@
 // Load implements ReleaseStore.
 func (l releaseLog) Load(context.Context) (StoredReleases, oplog.Position, error) {
 	defer l.store.awaitRunning(l.name)
+	time.Sleep(storeLatency)
 	l.store.mu.Lock()
 	defer l.store.mu.Unlock()
 	l.store.calls++
@@ -47,6 +48,7 @@
 // Save implements ReleaseStore.
 func (l releaseLog) Save(_ context.Context, releases StoredReleases, condition oplog.Position) (oplog.Position, bool, error) {
 	defer l.store.awaitRunning(l.name)
+	time.Sleep(storeLatency)
 	l.store.mu.Lock()
 	defer l.store.mu.Unlock()
 	l.store.calls++
--- a/edge/releases.go
+++ b/edge/releases.go
@@ -22,8 +22,11 @@
 	// doubtFor is how long before the list shows a server's later run the server may have been that run.
 	doubtFor = 5 * time.Second
 	// announceTurn is the pause between the attempts of two instances to store a new release. Each waits for
-	// those of lower rank.
-	announceTurn = 100 * time.Millisecond
+	// those of lower rank, at most for announceTurnMax.
+	announceTurn    = 100 * time.Millisecond
+	announceTurnMax = 2 * time.Second
+	// announceSpread is the time over which instances that do not know their rank yet spread their attempts.
+	announceSpread = 1500 * time.Millisecond
 )
 
 // setListed records the releases of the servers on a new list.
@@ -31,14 +34,18 @@
 	if list.Position == 0 {
 		return
 	}
-	if confirmed := o.list.confirmed(); !confirmed.IsZero() && now.Sub(confirmed) >= o.releases.ForgottenAfter() {
+	current := o.list.confirmed()
+	if current.IsZero() {
+		current = now
+	}
+	if now.Sub(current) >= o.releases.ForgottenAfter() {
 		o.releases.Reannounce(now)
 	}
 	listed := make(map[origin.Origin]bool)
 	for i := range list.Servers {
 		listed[originOf(&list.Servers[i].Entry)] = true
 	}
-	o.releases.SetListed(listed, !list.IsSubset, now)
+	o.releases.SetListedSince(listed, !list.IsSubset, current, now)
 	o.listedUpTo.Store(uint64(list.Position))
 	o.wake()
 	restored := list.Position.Era() != o.listedEra
@@ -89,7 +96,7 @@
 	o.mu.Lock()
 	known := o.historyAt
 	o.mu.Unlock()
-	if confirmed.IsZero() {
+	if confirmed.IsZero() && known.IsZero() {
 		return
 	}
 	if confirmed.After(known) {
@@ -123,7 +130,10 @@
 	o.releases.ExtendFrom(since, confirmed, lastListed, now)
 	stored, open := message.Announced()
 	o.releases.SetStored(stored, now)
-	o.releases.SetOpen(open, now)
+	if now.Sub(sentAt) < origin.AnnounceWait/2 {
+		// A message that waited may be of the time before a release left and joined again.
+		o.releases.SetOpen(open, sentAt)
+	}
 }
 
 // historyMessage returns the releases that served lately, for siblings; nil if this instance does not
--- a/origin/announcements.go
+++ b/origin/announcements.go
@@ -13,8 +13,8 @@
 
 // announcement is the state of one release's announcement.
 type announcement struct {
-	// firstListed is when a server of the release appeared on this instance's list, and goneAt when the last
-	// one left it. They are zero if that has not happened.
+	// firstListed is when a server of the release appeared on this instance's list, and goneAt a time after
+	// which the last one left it. They are zero if that has not happened.
 	firstListed, goneAt time.Time
 	// openElsewhere is when another instance last reported that streams may begin at the release.
 	openElsewhere time.Time
@@ -36,10 +36,10 @@
 	}
 }
 
-// unlist records that the last server of a release has left the list.
-func (h *history) unlist(at Origin, now time.Time) {
+// unlist records that the last server of a release has left the list after a time.
+func (h *history) unlist(at Origin, after time.Time) {
 	known := h.announcements[at]
-	known.goneAt = now
+	known.goneAt = after
 	h.announcements[at] = known
 }
 
@@ -148,7 +148,7 @@
 	known := r.history.Load()
 	all := make(Announced)
 	for at := range r.Retained(now) {
-		all[at] = known.announcements[at].open
+		all[at] = r.isOpen(known, at, now)
 	}
 	return all
 }
@@ -161,11 +161,11 @@
 func (r *Releases) MayBegin(at Origin, now time.Time) (after time.Duration, ok bool) {
 	known := r.history.Load()
 	one := known.announcements[at]
-	if one.open {
+	if r.isOpen(known, at, now) {
 		return 0, true
 	}
 	left := AnnounceWait
-	if !one.firstListed.IsZero() {
+	if known.listed[at] {
 		left = one.firstListed.Add(AnnounceWait).Sub(now)
 	}
 	if r.isAlone(known, at, now) {
@@ -220,10 +220,16 @@
 // are listed, or were until a short time ago.
 func (r *Releases) Open(now time.Time) (open []Origin) {
 	known := r.history.Load()
-	for at, one := range known.announcements {
-		if one.open && (known.listed[at] || now.Sub(one.goneAt) < r.ForgottenAfter()) {
+	for at := range known.announcements {
+		if r.isOpen(known, at, now) {
 			open = append(open, at)
 		}
 	}
 	return open
 }
+
+// isOpen reports whether streams may begin at a release that is listed, or was until a short time ago.
+func (r *Releases) isOpen(known *history, at Origin, now time.Time) bool {
+	one := known.announcements[at]
+	return one.open && (known.listed[at] || now.Sub(one.goneAt) < r.ForgottenAfter())
+}
--- a/origin/message.go
+++ b/origin/message.go
@@ -93,16 +93,16 @@
 // isLong reports whether an origin has a name that no server of the list has. Thousands of origins are kept.
 func (o Origin) isLong() bool { return max(len(o.Service), len(o.Release)) > registry.MaxNameBytes }
 
-// mostListed bounds the releases in one history, so that it fits into a datagram. A longer history is
-// not sent.
-const mostListed = 256
+// MaxReleases bounds the releases in one history, so that it fits into a datagram. A longer history is not
+// sent.
+const MaxReleases = 256
 
 // HistoryMessage returns a message with the releases that matter and their announcements. It returns nil if the history
 // is not complete for any time or is too long. listAge is the age of the sender's list of servers.
 func (r *Releases) HistoryMessage(listAge time.Duration, now time.Time) *Message {
 	since, complete := r.Since()
 	retained := r.Retained(now)
-	if !complete || len(retained) > mostListed {
+	if !complete || len(retained) > MaxReleases {
 		return nil
 	}
 	message := &Message{History: &History{CompleteMillis: now.Sub(since).Milliseconds(), ListAgeMillis: listAge.Milliseconds()}}
--- a/origin/releases.go
+++ b/origin/releases.go
@@ -80,6 +80,12 @@
 
 // SetListed records the releases of the listed servers. isFull is set if these are all servers.
 func (r *Releases) SetListed(listed map[Origin]bool, isFull bool, now time.Time) {
+	r.SetListedSince(listed, isFull, now, now)
+}
+
+// SetListedSince is like SetListed, for a list that follows one that was last known to be current at a time.
+// Releases that are not listed any more may have left since then.
+func (r *Releases) SetListedSince(listed map[Origin]bool, isFull bool, current, now time.Time) {
 	known := r.history.Load()
 	if maps.Equal(listed, known.listed) && (known.complete || !isFull) {
 		return
@@ -92,7 +98,7 @@
 		for at := range next.listed {
 			if !listed[at] {
 				next.lastListed[at] = now
-				next.unlist(at, now)
+				next.unlist(at, current)
 			}
 		}
 		for at := range listed {
