--- a/edge/announce_test.go
+++ b/edge/announce_test.go
@@ -296,7 +296,9 @@
 func TestNoInstanceGuessesAReleaseWhileStreamsMayHaveBegunAtAnother(t *testing.T) {
 	for seed := range *announceSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
+			if !racedetector.Enabled {
+				t.Parallel()
+			}
 			synctest.Test(t, func(t *testing.T) {
 				s := &releaseSearch{fleet: newFleet(t, originInstances, DefaultConfig()), perRelease: 1}
 				s.play(seed, 150*time.Second, 50*time.Millisecond)
