edge: the stored releases are complete again soon after a restore of the store

Cause: who keeps the record reads it once in a new era of the store, and completes it from a list that was confirmed after that. It looked again only after IdleCheckEvery (2 s), and if another instance had stored a release in the meantime, 2 s later once more. Until then, who starts after a loss of all instances knows no release for the only one, and continues no stream without a record.

Change: while the record is not complete, the instance that keeps it checks again after FreshFor, which is how often the list is confirmed.

--- a/edge/announce.go
+++ b/edge/announce.go
@@ -110,6 +110,10 @@
 		return 0
 	case a.releases.Unopened():
 		return announceTurn
+	case a.isKeeper() && !a.stored.Complete && a.releases.CoversWindow(clock.Now()):
+		// The record is completed from a list that was confirmed after the record was read. Until then, who
+		// starts after a loss of all instances knows no release for the only one.
+		return a.config.FreshFor
 	}
 	return a.config.IdleCheckEvery
 }
