edge: a test of instances whose positions are ahead of a restored store

TestInstancesAheadOfARestoredStoreFollowIt shows it for the list of servers and the evacuations with 1, 8 and 59 instances, 20 servers, an evacuation and a configuration ahead of the copy: all follow the new era within 2 s.

The stand-in store of these tests keeps eras for the operators' log too, and answers positions beyond its end as truncated, as the platform's store does. Before, it answered them as if nothing had changed.

--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -92,8 +92,8 @@
 	// releases holds the releases that were saved last, and releasesEnd the end of their topic.
 	releases    StoredReleases
 	releasesEnd oplog.Position
-	// era increases with each restore of the store from an older copy.
-	era uint64
+	// era increases with each restore of the store from an older copy. tablesEra is that of the operators' log.
+	era, tablesEra uint64
 	// releasesCalls counts the calls for them. savesRefused makes all calls fail that change them.
 	releasesCalls int
 	savesRefused  bool
@@ -290,27 +290,43 @@
 }
 
 func (s tableLog) Newest(ctx context.Context) (OperatorChanges, oplog.Position, error) {
-	all, next, err := s.Since(ctx, 0, 0)
+	if err := s.poll(ctx, s.name, topicTable, 0, 0); err != nil {
+		return OperatorChanges{}, 0, err
+	}
+	defer s.awaitRunning(s.name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all, next := s.changesFrom(0)
 	all.Full = true
-	return all, next, err
+	return all, next, nil
 }
 
 func (s tableLog) Since(ctx context.Context, position oplog.Position, wait time.Duration) (OperatorChanges, oplog.Position, error) {
-	if err := s.poll(ctx, s.name, topicTable, int(position), wait); err != nil {
+	if err := s.poll(ctx, s.name, topicTable, int(position.Offset()), wait); err != nil {
 		return OperatorChanges{}, position, err
 	}
 	defer s.awaitRunning(s.name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if position.Era() != s.tablesEra || position.Offset() > uint64(len(s.tables)) {
+		return OperatorChanges{}, position, oplog.ErrTruncated
+	}
+	changes, next := s.changesFrom(int(position.Offset()))
+	return changes, next, nil
+}
+
+// changesFrom returns the changes from an offset of the operators' log on, and the position after them. The caller holds
+// the lock.
+func (s *memoryStore) changesFrom(offset int) (OperatorChanges, oplog.Position) {
 	changes := OperatorChanges{Evacuated: make(map[string]bool)}
-	for _, change := range s.tables[min(int(position), len(s.tables)):] {
+	for _, change := range s.tables[offset:] {
 		if change.configuration > 0 {
 			changes.Table = strconv.AppendInt(nil, int64(change.configuration), 10)
 		} else {
 			changes.Evacuated[change.zone] = change.evacuated
 		}
 	}
-	return changes, max(position, oplog.Position(len(s.tables))), nil
+	return changes, oplog.NewPosition(s.tablesEra, uint64(len(s.tables)))
 }
 
 func (s tableLog) Decode(raw []byte) (*Revision, error) {
--- /dev/null
+++ b/edge/older_test.go
@@ -0,0 +1,69 @@
+package edge
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mastwheel/mastwheel/racedetector"
+)
+
+// storeCopy is a copy of the list of servers and of the operators' log.
+type storeCopy struct{ servers, tables int }
+
+func (s *memoryStore) copied() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{len(s.servers), len(s.tables)}
+}
+
+// restoreLogs restores the list of servers and the operators' log from a copy, in the next era.
+func (s *memoryStore) restoreLogs(from storeCopy) {
+	s.change(func() {
+		s.era, s.tablesEra = s.era+1, s.tablesEra+1
+		s.servers, s.tables = slices.Clone(s.servers[:from.servers]), slices.Clone(s.tables[:from.tables])
+	})
+}
+
+// An instance has read further than a store that was restored from an older copy reaches. It must follow the list of
+// servers and the evacuations of the new era all the same, though their offsets are lower.
+func TestInstancesAheadOfARestoredStoreFollowIt(t *testing.T) {
+	for _, instances := range []int{1, 8, 59} {
+		if racedetector.Enabled && instances*goroutinesOfInstance > racedetector.MaxGoroutines {
+			continue
+		}
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			runFleet(t, instances, func(f *fleet) {
+				f.store.registerIn("far", "z1")
+				older := f.store.copied()
+				for i := range 20 {
+					f.store.registerIn(fmt.Sprint("lost", i), "z0")
+				}
+				f.store.evacuate("z1", true)
+				f.store.configure()
+				if took := f.slowest(func(in *Instance) bool { return treatsAsDraining(in, "far") && in.Servers().ByRun["lost19"] != nil }); took > evacuatedWithin {
+					t.Errorf("some instance knew the evacuation or the servers after %v", took)
+				}
+				f.store.restoreLogs(older)
+				f.store.registerIn("back", "z0")
+				if took := f.slowest(func(in *Instance) bool {
+					return in.Servers().ByRun["back"] != nil && in.registry.View().Position.Era() == 1
+				}); took > evacuatedWithin {
+					t.Errorf("some instance did not know the servers of the new era for %v", took)
+				}
+				if took := f.slowest(func(in *Instance) bool { return !treatsAsDraining(in, "far") }); took > evacuatedWithin {
+					t.Errorf("some instance avoided a zone for %v that the store no longer says is evacuated", took)
+				}
+				f.store.evacuate("z1", true)
+				if took := f.slowest(func(in *Instance) bool { return treatsAsDraining(in, "far") }); took > evacuatedWithin {
+					t.Errorf("some instance used the evacuated zone of the new era for %v", took)
+				}
+				// Entries that the copy lacks, and that nobody writes again, lapse.
+				if took := f.slowest(func(in *Instance) bool { return in.Servers().ByRun["lost0"] == nil }); took > 10*time.Second {
+					t.Errorf("some instance kept a server that the store lacks for %v", took)
+				}
+			})
+		})
+	}
+}
--- a/edge/originlog_test.go
+++ b/edge/originlog_test.go
@@ -247,6 +247,7 @@
 	f.store.change(func() {
 		topic := &f.store.streams
 		topic.batches, topic.era = slices.Clone(topic.batches[:batches]), topic.era+1
+		f.store.tablesEra = topic.era
 	})
 	for _, in := range f.instances {
 		in.tablePosition.Store(uint64(oplog.NewPosition(f.store.streams.era, oplog.Position(in.tablePosition.Load()).Offset())))
