edge: the end of an evacuation reaches an instance that alone knows of the evacuation

An instance that has never known an evacuation sends no state of evacuations. If an evacuation ends, or the store is restored from a copy without it, while one instance is out of contact, and all others are replaced before it is back, nobody tells it: those that read the operators' log find no zone evacuated and stay silent, and it does not read the log itself where others do, or the store refuses its calls. It avoided the zone for good, and the new instances that do not read the log took the evacuation from it.

An instance that has read the log further than the state that a sibling sends, and has none itself, now records that no zone is evacuated, which all its heartbeats carry from then on.

--- a/edge/evacuation.go
+++ b/edge/evacuation.go
@@ -50,6 +50,7 @@
 // mergeEvacuation applies the evacuated zones that a sibling sends, unless this instance has
 // itself read the log at least as far.
 func (in *Instance) mergeEvacuation(message heartbeat.Message) {
+	in.contradictEvacuation(message)
 	for message.Evacuation != nil && uint64(message.Evacuation.Position) > in.tablePosition.Load() {
 		if in.replaceEvacuation(in.evacuation.Load(), message.Evacuation, message.From.Name) {
 			return
@@ -57,6 +58,18 @@
 	}
 }
 
+// contradictEvacuation makes this instance send that no zone is evacuated, if a sibling has an older state and this
+// instance has never sent one, because it started after the end of the evacuation. The sibling may not read the log.
+func (in *Instance) contradictEvacuation(message heartbeat.Message) {
+	read := oplog.Position(in.tablePosition.Load())
+	if message.Evacuation == nil || message.Evacuation.Position >= read {
+		return
+	}
+	if in.evacuation.CompareAndSwap(nil, &heartbeat.Evacuation{Position: read}) {
+		in.requestUrgentBeat()
+	}
+}
+
 // replaceEvacuation replaces the state before by a newer one. It returns false if the state has
 // changed in the meantime.
 func (in *Instance) replaceEvacuation(before, after *heartbeat.Evacuation, from string) bool {
