origin, edge: records of a stream in the store that differ give an unknown release

The last record that was read counted, so that the order of appends decided. A call that was not answered may take effect late, and two instances may append for one stream. Records of one stream that name different releases now tell that nobody can know where it began, in any order. TestStoredRecordsThatDifferGiveAnUnknownRelease failed before: all 8 instances named the last record's release.

--- a/edge/originlog_test.go
+++ b/edge/originlog_test.go
@@ -373,6 +373,26 @@
 	})
 }
 
+// TestStoredRecordsThatDifferGiveAnUnknownRelease guards against a guess from records that were appended in another
+// order than they were made.
+func TestStoredRecordsThatDifferGiveAnUnknownRelease(t *testing.T) {
+	withTwoReleases(t, originInstances, func(f *fleet, end func()) func() {
+		f.store.change(func() {
+			for _, at := range []origin.Origin{oldRelease, newRelease, oldRelease} {
+				stored := &origin.Message{Origins: []origin.Origin{at}, Began: []origin.Began{{Key: origin.KeyOf("x"), LeftMillis: 20_000}}}
+				f.store.streams.batches = append(f.store.streams.batches, stored)
+			}
+		})
+		end = f.lossOfAll(end)
+		for _, in := range f.instances {
+			if got := find(in, "x"); got != "unknown" {
+				t.Errorf("%s guesses %s", in.config.Name, got)
+			}
+		}
+		return end
+	})
+}
+
 func TestFewCallsStoreAllStreams(t *testing.T) {
 	const lasts = 10 * time.Second
 	for _, instances := range []int{originInstances, 120} {
--- a/edge/originreads.go
+++ b/edge/originreads.go
@@ -218,7 +218,7 @@
 	now := clock.Now()
 	for _, batch := range batches {
 		batch.EachRecord(batch.Began, now, func(key origin.Key, at origin.Origin, until time.Time) {
-			r.records.Put(key, at, until, now)
+			r.records.Merge(key, at, until, now)
 		})
 	}
 	r.next = next
--- a/origin/records.go
+++ b/origin/records.go
@@ -48,6 +48,17 @@
 	r.put(key, at, record{until: until}, now)
 }
 
+// Merge is like Put, for records that may come in another order than they were made. If two of them differ,
+// nobody can know where the stream began.
+func (r *Records) Merge(key Key, at Origin, until, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, ok := r.byKey[key]; ok && *known.at != at && now.Before(known.until) {
+		at = Origin{}
+	}
+	r.put(key, at, record{until: until}, now)
+}
+
 // PutOwn is like Put, for a stream that began now at a run of a server.
 func (r *Records) PutOwn(key Key, at Origin, server string, until, now time.Time) {
 	r.mu.Lock()
