edge: records of streams do not wait for the answer to an earlier append

An instance had one append at a time under way. While a call was not answered (1.5 s, and up to 6.9 s on a machine at load 50) all later records waited, and were lost with the instances. A call may now begin each originAppendEvery while up to four wait for an answer; the pause after a failure stays. TestUnansweredAppendDelaysNoOtherRecord failed before: with one instance, 0 of 50 streams were found where one call was not answered.

--- a/edge/originlog.go
+++ b/edge/originlog.go
@@ -39,6 +39,8 @@
 	// originAppendedBy is how many of them append the record of a stream, so that it does not depend on one
 	// datagram or one call.
 	originAppendedBy = 2
+	// originAppendCalls bounds the calls of an instance that wait for an answer.
+	originAppendCalls = 4
 	// originAppendTries is how often a record is appended. With the pauses of Instance.backoff that takes
 	// some seconds, as long as the store may be away for a moment.
 	originAppendTries = 8
@@ -58,6 +60,10 @@
 
 	mu    sync.Mutex
 	queue []queuedOrigin
+	// appendAt is the earliest time of the next append, and appendFailures the number of those that failed
+	// since one succeeded.
+	appendAt       time.Time
+	appendFailures int
 	// isRead is closed and replaced at the end of each read. readAt is when the last one began that
 	// succeeded.
 	isRead chan struct{}
@@ -177,32 +183,80 @@
 	return excess
 }
 
-// appendLoop appends what is queued, one batch at a time, until ctx ends.
+// appendLoop appends what is queued until ctx ends, one batch each originAppendEvery. It does not wait for the
+// answer to a call before the next one: records that wait are lost with this instance.
 func (s *storedOrigins) appendLoop(ctx context.Context) {
-	failures := 0
-	for pause := time.Duration(0); wait.For(ctx, pause); pause = originAppendEvery {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	slots := make(chan struct{}, originAppendCalls)
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.appendWoken:
 		}
+		select {
+		case <-ctx.Done():
+			return
+		case slots <- struct{}{}:
+		}
+		if !s.awaitAppend(ctx) {
+			return
+		}
 		batch := s.takeBatch(clock.Now())
 		if len(batch) == 0 {
+			<-slots
 			continue
 		}
-		if err := s.deps.Streams.Append(ctx, batchOf(batch, clock.Now())); err != nil {
-			failures++
-			s.requeue(batch)
-			klog.V(1).InfoS("Failed to append records of streams to the store", "records", len(batch), "err", err.Error())
-			wait.For(ctx, s.backoff(failures))
-			continue
-		}
-		failures = 0
-		s.deps.OriginLog.Records(metrics.OriginAppended, len(batch))
+		calls.Go(func() {
+			defer func() { <-slots }()
+			s.append(ctx, batch)
+		})
 		s.wakeAppend()
 	}
 }
 
+// awaitAppend waits until the next call may be made. It returns false if ctx ended first.
+func (s *storedOrigins) awaitAppend(ctx context.Context) bool {
+	for {
+		now := clock.Now()
+		s.mu.Lock()
+		left := s.appendAt.Sub(now)
+		if left <= 0 {
+			s.appendAt = now.Add(originAppendEvery)
+		}
+		s.mu.Unlock()
+		if left <= 0 {
+			return true
+		}
+		if !wait.For(ctx, left) {
+			return false
+		}
+	}
+}
+
+// append appends a batch, or queues it again.
+func (s *storedOrigins) append(ctx context.Context, batch []queuedOrigin) {
+	err := s.deps.Streams.Append(ctx, batchOf(batch, clock.Now()))
+	now := clock.Now()
+	s.mu.Lock()
+	if err == nil {
+		s.appendFailures = 0
+	} else {
+		s.appendFailures++
+		if next := now.Add(s.backoff(s.appendFailures)); next.After(s.appendAt) {
+			s.appendAt = next
+		}
+	}
+	s.mu.Unlock()
+	if err != nil {
+		klog.V(1).InfoS("Failed to append records of streams to the store", "records", len(batch), "err", err.Error())
+		s.requeue(batch)
+		return
+	}
+	s.deps.OriginLog.Records(metrics.OriginAppended, len(batch))
+}
+
 // takeBatch removes the next batch from the queue.
 func (s *storedOrigins) takeBatch(now time.Time) []queuedOrigin {
 	s.mu.Lock()
--- a/edge/originlog_test.go
+++ b/edge/originlog_test.go
@@ -24,6 +24,8 @@
 	// refused makes all calls fail, and answersLost makes appends take effect without an answer. latency delays each call.
 	refused, answersLost bool
 	latency              time.Duration
+	// unanswered is the number of appends that have no effect and are not answered. It decreases with each.
+	unanswered int
 }
 
 func (s *streamTopic) end() uint64 { return s.first + uint64(len(s.batches)) }
@@ -57,7 +59,19 @@
 	if err := batch.CheckBatch(); err != nil {
 		panic(err)
 	}
-	l.store.change(func() { l.store.streams.appends++ })
+	unanswered := false
+	l.store.change(func() {
+		l.store.streams.appends++
+		if unanswered = l.store.streams.unanswered > 0; unanswered {
+			l.store.streams.unanswered--
+		}
+	})
+	if unanswered {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return oplog.ErrUnavailable
+	}
 	return l.call(ctx, func(topic *streamTopic) error {
 		topic.batches = append(topic.batches, batch)
 		if topic.answersLost {
@@ -208,6 +222,23 @@
 	}
 }
 
+// TestUnansweredAppendDelaysNoOtherRecord guards against records that wait for the answer of an earlier call and
+// are lost with all instances.
+func TestUnansweredAppendDelaysNoOtherRecord(t *testing.T) {
+	for _, instances := range []int{1, 2, originInstances} {
+		withTwoReleases(t, instances, func(f *fleet, end func()) func() {
+			f.store.change(func() { f.store.streams.unanswered = 1 })
+			first := f.beginStreams("first", 2*streamInterval)
+			began := f.beginStreams("x", time.Second)
+			time.Sleep(100 * time.Millisecond)
+			end = f.lossOfAll(end)
+			f.checkFound(fmt.Sprint(instances, " instances, after the unanswered call"), began, len(began)*4/5, len(began))
+			t.Logf("%d instances: an instance finds %d of %d streams of the unanswered call", instances, f.found(first), len(first))
+			return end
+		})
+	}
+}
+
 // TestStreamsAreFoundThoughAnArchiverDoesNotReachTheStore guards against records that only one instance was
 // asked to append.
 func TestStreamsAreFoundThoughAnArchiverDoesNotReachTheStore(t *testing.T) {
