edge: records of streams are appended each 125 ms

A record that waits for the next append is lost with all instances. With a batch each 125 ms the four instances that append make 315 appends in 10 s with 8 instances and 316 with 120 (160 and 157 before; the store allows 400 a second). The first read gets twice as many batches, those of two minutes as before. TestStreamsThatBeganShortlyBeforeALossOfAllAreFound failed before: one instance had not appended one or two of 52 streams that began 160 ms or more before the loss.

--- a/edge/originlog.go
+++ b/edge/originlog.go
@@ -33,9 +33,9 @@
 
 const (
 	// originArchivers is how many instances append records to the store. With a batch each
-	// originAppendEvery they make 16 calls a second together, at any number of instances.
+	// originAppendEvery they make 32 calls a second together, at any number of instances.
 	originArchivers   = 4
-	originAppendEvery = 250 * time.Millisecond
+	originAppendEvery = 125 * time.Millisecond
 	// originAppendedBy is how many of them append the record of a stream, so that it does not depend on one
 	// datagram or one call.
 	originAppendedBy = 2
--- a/edge/originlog_test.go
+++ b/edge/originlog_test.go
@@ -254,6 +254,23 @@
 	})
 }
 
+// TestStreamsThatBeganShortlyBeforeALossOfAllAreFound guards against records that wait for long before they are
+// appended. The losses come at different times after the last append.
+func TestStreamsThatBeganShortlyBeforeALossOfAllAreFound(t *testing.T) {
+	const before = 160 * time.Millisecond
+	for _, instances := range []int{1, originInstances} {
+		for later := time.Duration(0); later < 250*time.Millisecond; later += 2 * streamInterval {
+			withTwoReleases(t, instances, func(f *fleet, end func()) func() {
+				began := f.beginStreams("x", time.Second+later)
+				time.Sleep(before)
+				end = f.lossOfAll(end)
+				f.checkFound(fmt.Sprint(instances, " instances"), began, len(began), len(began))
+				return end
+			})
+		}
+	}
+}
+
 func TestStoreThatDoesNotAnswerDelaysNoTakeUpForLong(t *testing.T) {
 	withTwoReleases(t, originInstances, func(f *fleet, end func()) func() {
 		began := f.beginStreams("x", 2*time.Second)
--- a/edge/originreads.go
+++ b/edge/originreads.go
@@ -25,7 +25,7 @@
 	originReadEvery = 500 * time.Millisecond
 	// originBatchesRead is how many of the newest batches the first read gets: those of two minutes, at a
 	// batch of each of originArchivers each originAppendEvery.
-	originBatchesRead = 2048
+	originBatchesRead = 4096
 	// originReadCalls bounds the calls of one read.
 	originReadCalls = 16
 	// originUnanswered bounds the questions of siblings that wait for a read.
