--- a/edge/originlog_test.go
+++ b/edge/originlog_test.go
@@ -24,6 +24,8 @@
 	// refused makes all calls fail, and answersLost makes appends take effect without an answer. latency delays each call.
 	refused, answersLost bool
 	latency              time.Duration
+	// unanswered is the number of appends that have no effect and are not answered. It decreases with each.
+	unanswered int
 }
 
 func (s *streamTopic) end() uint64 { return s.first + uint64(len(s.batches)) }
@@ -57,7 +59,19 @@
 	if err := batch.CheckBatch(); err != nil {
 		panic(err)
 	}
-	l.store.change(func() { l.store.streams.appends++ })
+	unanswered := false
+	l.store.change(func() {
+		l.store.streams.appends++
+		if unanswered = l.store.streams.unanswered > 0; unanswered {
+			l.store.streams.unanswered--
+		}
+	})
+	if unanswered {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return oplog.ErrUnavailable
+	}
 	return l.call(ctx, func(topic *streamTopic) error {
 		topic.batches = append(topic.batches, batch)
 		if topic.answersLost {
@@ -208,6 +222,55 @@
 	}
 }
 
+// TestUnansweredAppendDelaysNoOtherRecord guards against records that wait for the answer of an earlier call and
+// are lost with all instances.
+func TestUnansweredAppendDelaysNoOtherRecord(t *testing.T) {
+	for _, instances := range []int{1, 2, originInstances} {
+		withTwoReleases(t, instances, func(f *fleet, end func()) func() {
+			f.store.change(func() { f.store.streams.unanswered = 1 })
+			first := f.beginStreams("first", 2*streamInterval)
+			began := f.beginStreams("x", time.Second)
+			time.Sleep(100 * time.Millisecond)
+			end = f.lossOfAll(end)
+			f.checkFound(fmt.Sprint(instances, " instances, after the unanswered call"), began, len(began)*4/5, len(began))
+			t.Logf("%d instances: an instance finds %d of %d streams of the unanswered call", instances, f.found(first), len(first))
+			return end
+		})
+	}
+}
+
+// TestStreamsAreFoundThoughAnArchiverDoesNotReachTheStore guards against records that only one instance was
+// asked to append.
+func TestStreamsAreFoundThoughAnArchiverDoesNotReachTheStore(t *testing.T) {
+	withTwoReleases(t, originInstances, func(f *fleet, end func()) func() {
+		refused := f.instances[0].Origins.archivers().names[0]
+		f.store.change(func() { f.store.refused[refused] = true })
+		began := f.beginStreams("x", 2*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		f.store.change(func() { f.store.refused[refused] = false })
+		end = f.lossOfAll(end)
+		f.checkFound("an archiver without the store", began, len(began)*9/10, len(began))
+		return end
+	})
+}
+
+// TestStreamsThatBeganShortlyBeforeALossOfAllAreFound guards against records that wait for long before they are
+// appended. The losses come at different times after the last append.
+func TestStreamsThatBeganShortlyBeforeALossOfAllAreFound(t *testing.T) {
+	const before = 160 * time.Millisecond
+	for _, instances := range []int{1, originInstances} {
+		for later := time.Duration(0); later < 250*time.Millisecond; later += 2 * streamInterval {
+			withTwoReleases(t, instances, func(f *fleet, end func()) func() {
+				began := f.beginStreams("x", time.Second+later)
+				time.Sleep(before)
+				end = f.lossOfAll(end)
+				f.checkFound(fmt.Sprint(instances, " instances"), began, len(began), len(began))
+				return end
+			})
+		}
+	}
+}
+
 func TestStoreThatDoesNotAnswerDelaysNoTakeUpForLong(t *testing.T) {
 	withTwoReleases(t, originInstances, func(f *fleet, end func()) func() {
 		began := f.beginStreams("x", 2*time.Second)
@@ -374,6 +437,26 @@
 	})
 }
 
+// TestStoredRecordsThatDifferGiveAnUnknownRelease guards against a guess from records that were appended in another
+// order than they were made.
+func TestStoredRecordsThatDifferGiveAnUnknownRelease(t *testing.T) {
+	withTwoReleases(t, originInstances, func(f *fleet, end func()) func() {
+		f.store.change(func() {
+			for _, at := range []origin.Origin{oldRelease, newRelease, oldRelease} {
+				stored := &origin.Message{Origins: []origin.Origin{at}, Began: []origin.Began{{Key: origin.KeyOf("x"), LeftMillis: 20_000}}}
+				f.store.streams.batches = append(f.store.streams.batches, stored)
+			}
+		})
+		end = f.lossOfAll(end)
+		for _, in := range f.instances {
+			if got := find(in, "x"); got != "unknown" {
+				t.Errorf("%s guesses %s", in.config.Name, got)
+			}
+		}
+		return end
+	})
+}
+
 func TestFewCallsStoreAllStreams(t *testing.T) {
 	const lasts = 10 * time.Second
 	for _, instances := range []int{originInstances, 120} {
