edge: a doubt wins over the older records and the sole releases that siblings name

A lookup of where a stream began took the first sibling's answer that named a release. A sibling with an older record, or with a list of servers that lacked a release, could answer before one that knew that nobody can know where the stream began. Doubts went to the three keepers only, once, while eight instances are asked; an own record hid a sibling's doubt.

- A lookup waits until all siblings have answered, and 50 ms at most after the first that names a release, so that a silent sibling does not cost 150 ms.
A doubt, or two different releases, end it without a release.
Lookups of one stream at an instance share the question: answers name no sender, and would count twice.
- Doubts go to all eight instances that may be asked, and again five times in the second after; a sibling out of reach for longer is introduced.
- A doubt counts more than any other record of the same instance, also one that it has read from the store or that came during the lookup.
- The only release is no answer to a sibling whose list is newer.

Messages keep their format: answers that tell which kind they are would not help beside instances that send none, and a keeper's record can be older than a doubt too.

--- /dev/null
+++ b/edge/doubts_test.go
@@ -0,0 +1,153 @@
+package edge
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/origin"
+)
+
+// withBothReleases runs a test on instances that have just started while servers of two releases serve, so
+// that none knows the only release.
+func withBothReleases(t *testing.T, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, originInstances, DefaultConfig())
+		f.store.registerRelease("o", oldRelease)
+		f.store.registerRelease("n", newRelease)
+		end := f.start()
+		time.Sleep(5 * time.Second)
+		test(f)
+		end()
+	})
+}
+
+// keep adds the record of a stream to those that an instance keeps for siblings.
+func keep(in *Instance, request string, at origin.Origin) {
+	now := time.Now()
+	in.Origins.kept.Put(origin.KeyOf(request), at, now.Add(20*time.Second), now)
+}
+
+// doubtStreams makes an instance doubt the streams that it began.
+func doubtStreams(in *Instance) {
+	o, now := in.Origins, time.Now()
+	o.own.Doubt("s0@1", now.Add(-doubtFor), now, func(key origin.Key, until time.Time) {
+		o.enqueue(unsentOrigin{key: key, until: until})
+	})
+}
+
+// checkUnknown checks that an instance does not name a release for a stream.
+func checkUnknown(t *testing.T, what string, in *Instance, request string) {
+	t.Helper()
+	if got := find(in, request); got != "unknown" {
+		t.Errorf("%s: %s guesses %s", what, in.config.Name, got)
+	}
+}
+
+// TestDoubtWinsOverAnswersThatArriveEarlier has one sibling answer last that knows that nobody can know where the
+// stream began.
+func TestDoubtWinsOverAnswersThatArriveEarlier(t *testing.T) {
+	withBothReleases(t, func(f *fleet) {
+		last := f.instances[originInstances-1]
+		for _, request := range []string{"x", "y"} {
+			for _, in := range f.instances[1:] {
+				keep(in, request, oldRelease)
+			}
+			keep(last, request, origin.Origin{})
+		}
+		f.mu.Lock()
+		f.lagTo[last.config.SiblingAddress] = 10 * time.Millisecond
+		f.mu.Unlock()
+		checkUnknown(t, "one lookup", f.instances[0], "x")
+		// The answers to one lookup must not count for the siblings that another one waits for.
+		var running sync.WaitGroup
+		for range 2 {
+			running.Go(func() { checkUnknown(t, "two lookups at once", f.instances[0], "y") })
+		}
+		running.Wait()
+	})
+}
+
+func TestAnswersThatContradictEachOtherNameNoRelease(t *testing.T) {
+	withBothReleases(t, func(f *fleet) {
+		keep(f.instances[1], "x", oldRelease)
+		keep(f.instances[2], "x", newRelease)
+		checkUnknown(t, "two answers", f.instances[0], "x")
+	})
+}
+
+func TestSilentSiblingDelaysAKnownAnswerForAShortTime(t *testing.T) {
+	withBothReleases(t, func(f *fleet) {
+		keep(f.instances[1], "x", oldRelease)
+		asked := time.Now()
+		if got, took := find(f.instances[0], "x"), time.Since(asked); got != "v1" || took > 2*originAsked*networkLatency {
+			t.Errorf("%s after %v, expected v1 once all have answered", got, took)
+		}
+		f.setCut(f.instances[2], true)
+		asked = time.Now()
+		if got, took := find(f.instances[0], "x"), time.Since(asked); got != "v1" || took > originTimeout/2 {
+			t.Errorf("%s after %v beside a silent sibling, expected v1 in half of the time for lookups", got, took)
+		}
+	})
+}
+
+// TestDoubtWinsOverOtherRecordsOfAnInstance: a stream that was taken up is recorded at each instance that it
+// came to, and only the first one doubts it.
+func TestDoubtWinsOverOtherRecordsOfAnInstance(t *testing.T) {
+	withBothReleases(t, func(f *fleet) {
+		in, now := f.instances[0], time.Now()
+		begin(in, "x", oldRelease)
+		keep(in, "x", origin.Origin{})
+		checkUnknown(t, "a doubt of a sibling", in, "x")
+		begin(in, "y", oldRelease)
+		in.Origins.stored.records.Put(origin.KeyOf("y"), origin.Origin{}, now.Add(20*time.Second), now)
+		checkUnknown(t, "a doubt of the store", in, "y")
+	})
+}
+
+// TestDoubtReachesAllThatMayHaveAnOlderRecord has all siblings have records, which they got when other instances
+// kept them, and one be out of reach while the doubt is sent.
+func TestDoubtReachesAllThatMayHaveAnOlderRecord(t *testing.T) {
+	withBothReleases(t, func(f *fleet) {
+		const streams = 5
+		for i := range streams {
+			begin(f.instances[0], fmt.Sprint(i), oldRelease)
+			for _, in := range f.instances[1:] {
+				keep(in, fmt.Sprint(i), oldRelease)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.setCut(f.instances[1], true)
+		doubtStreams(f.instances[0])
+		time.Sleep(100 * time.Millisecond)
+		f.setCut(f.instances[1], false)
+		for i := range streams {
+			for _, in := range f.instances[2:] {
+				checkUnknown(t, "at once", in, fmt.Sprint(i))
+			}
+		}
+		time.Sleep(missedAfter)
+		for i := range streams {
+			checkUnknown(t, "after a short cut", f.instances[1], fmt.Sprint(i))
+		}
+	})
+}
+
+// TestSoleReleaseIsNoAnswerToAnInstanceWithANewerList: the newer list may have a release that this one lacks.
+func TestSoleReleaseIsNoAnswerToAnInstanceWithANewerList(t *testing.T) {
+	withReleases(t, 2, func(f *fleet) {
+		o := f.instances[0].Origins
+		next := uint64(o.registry.View().Position)
+		question := origin.Question{Key: origin.KeyOf("x"), Service: "a"}
+		if at, known := o.answerFor(question, member.Info{Next: next}, time.Now()); !known || at != oldRelease {
+			t.Errorf("%v, %v", at, known)
+		}
+		if at, known := o.answerFor(question, member.Info{Next: next + 1}, time.Now()); known {
+			t.Errorf("%v is named for the only release", at)
+		}
+	})
+}
--- a/edge/originreads.go
+++ b/edge/originreads.go
@@ -132,7 +132,11 @@
 			replies[question.address] = reply
 		}
 		answer := origin.Answer{Key: question.key, At: origin.Unknown}
-		if at, known := s.records.Find(question.key, now); known {
+		at, known := s.records.Find(question.key, now)
+		if known && s.Origins.isDoubted(question.key, now) {
+			at = origin.Origin{}
+		}
+		if known {
 			answer.At = reply.Index(at)
 		}
 		if reply.Answers = append(reply.Answers, answer); len(reply.Answers) == originsInMessage {
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -4,10 +4,13 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
@@ -32,6 +35,14 @@
 	// originTimeout bounds the wait for their answers. It allows for a round trip between zones and a
 	// busy sibling, and leaves most of the time in which a caller should be refused.
 	originTimeout = 150 * time.Millisecond
+	// originDoubtWait is how long a lookup waits for the other siblings once one has named a release, because
+	// one of them may know that nobody can know it. It allows for a round trip between zones; without a
+	// silent sibling all have answered sooner.
+	originDoubtWait = 50 * time.Millisecond
+	// Doubts are sent doubtRepeats more times, at least doubtRepeatEvery apart, since an older record counts where
+	// one is lost. A sibling that is out of reach for longer is introduced again (missedAfter).
+	doubtRepeats     = 5
+	doubtRepeatEvery = 200 * time.Millisecond
 	// originWindow is how long ago a stream that its caller takes up may have begun, at least. Callers
 	// that state no deadline are given a minute. Where routes allow more time, it is originTries times
 	// the longest timeout of a route, because a caller tries a few times.
@@ -71,8 +82,12 @@
 	// newcomers holds the addresses of instances that have just appeared, until they are sent the records
 	// that they keep.
 	newcomers []string
-	// waiting holds the lookups that wait for answers of siblings.
-	waiting map[origin.Key][]chan originAnswer
+	// waiting holds the lookups that wait for answers of siblings. Those of one stream ask together (asking),
+	// because answers do not name their sender and would count for each of them.
+	waiting map[origin.Key]chan originAnswer
+	asking  singleflight.Group
+	// doubts holds the own doubts that are to be sent again. Only run uses it.
+	doubts []repeatedDoubt
 	// ambiguous holds the services whose records were sent to the keepers, because the release of a
 	// stream is not known without them.
 	ambiguous map[string]bool
@@ -96,6 +111,16 @@
 	until time.Time
 }
 
+// repeatedDoubt is a doubt that is sent so many more times, next at a time.
+type repeatedDoubt struct {
+	unsentOrigin
+	left int
+	next time.Time
+}
+
+// isDoubt reports whether nobody can know where the stream began.
+func (u unsentOrigin) isDoubt() bool { return u.at == origin.Origin{} }
+
 type originAnswer struct {
 	at    origin.Origin
 	known bool
@@ -104,7 +129,7 @@
 func newOrigins(in *Instance) *origins {
 	o := &origins{
 		Instance: in, own: origin.NewRecords(originRecords), kept: origin.NewRecords(originRecords), releases: origin.NewReleases(originWindow), leastWindow: originWindow,
-		waiting: make(map[origin.Key][]chan originAnswer), ambiguous: make(map[string]bool), woken: make(chan struct{}, 1),
+		waiting: make(map[origin.Key]chan originAnswer), ambiguous: make(map[string]bool), woken: make(chan struct{}, 1),
 		announcerWoken: make(chan struct{}, 1), stored: newStoredOrigins(in),
 	}
 	if in.config.FirstStart {
@@ -184,8 +209,9 @@
 	if source == metrics.OriginUnknown {
 		at, source = o.findElsewhere(ctx, key, service)
 	}
-	if at == (origin.Origin{}) {
-		return at, metrics.OriginUnknown
+	// A doubt may have arrived in the meantime.
+	if at == (origin.Origin{}) || o.isDoubted(key, clock.Now()) {
+		return origin.Origin{}, metrics.OriginUnknown
 	}
 	return at, source
 }
@@ -226,6 +252,9 @@
 
 // lookUp returns where a stream began, as far as this instance knows.
 func (o *origins) lookUp(key origin.Key, service string, now time.Time) (origin.Origin, metrics.OriginSource) {
+	if o.isDoubted(key, now) {
+		return origin.Origin{}, metrics.OriginRecord
+	}
 	for _, records := range []*origin.Records{o.own, o.kept} {
 		if at, known := records.Find(key, now); known {
 			return at, metrics.OriginRecord
@@ -237,45 +266,70 @@
 	return origin.Origin{}, metrics.OriginUnknown
 }
 
-// ask asks siblings where a stream began. It returns as soon as one knows, or all of them do not, or ctx ends.
+// isDoubted reports whether any record says that nobody can know where a stream began. An instance may have
+// older records of the stream too: each kind of them gets the stream from elsewhere.
+func (o *origins) isDoubted(key origin.Key, now time.Time) bool {
+	for _, records := range []*origin.Records{o.own, o.kept, o.stored.records} {
+		if at, known := records.Find(key, now); known && at == (origin.Origin{}) {
+			return true
+		}
+	}
+	return false
+}
+
+// ask asks siblings where a stream began. The origin is zero if one of them knows that nobody can know.
 func (o *origins) ask(ctx context.Context, key origin.Key, service string) (origin.Origin, bool) {
+	// The result is shared, so the end of one request must not end the lookup of another one.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), originTimeout)
+	defer cancel()
+	answer, _, _ := o.asking.Do(strconv.FormatUint(uint64(key), 36), func() (any, error) {
+		return o.askSiblings(ctx, key, service), nil
+	})
+	return answer.(originAnswer).at, answer.(originAnswer).known
+}
+
+// askSiblings returns what the siblings know until all have answered, originDoubtWait after one has named a
+// release, or until ctx ends. If one knows that nobody can know, or two name different releases, nobody can know.
+func (o *origins) askSiblings(ctx context.Context, key origin.Key, service string) (found originAnswer) {
 	known := o.directory()
 	asked := o.withHubs(known.keepers(key, originAsked))
 	if len(asked) == 0 {
-		return origin.Origin{}, false
+		return originAnswer{}
 	}
 	answers := make(chan originAnswer, len(asked))
 	o.mu.Lock()
-	o.waiting[key] = append(o.waiting[key], answers)
+	o.waiting[key] = answers
 	o.mu.Unlock()
-	defer o.stopWaiting(key, answers)
+	defer o.stopWaiting(key)
 	message := heartbeat.Message{From: o.info(), NoLoads: true, Hubs: o.usesHubs(), Origins: &origin.Message{Questions: []origin.Question{{Key: key, Service: service}}}}
 	o.send(message, asked...)
+	var waited <-chan time.Time
 	for range asked {
 		select {
 		case answer := <-answers:
-			if answer.known {
-				return answer.at, true
+			switch {
+			case !answer.known:
+			case answer.at == (origin.Origin{}) || (found.known && answer.at != found.at):
+				return originAnswer{known: true}
+			case !found.known:
+				found = answer
+				timer := time.NewTimer(originDoubtWait)
+				defer timer.Stop()
+				waited = timer.C
 			}
+		case <-waited:
+			return found
 		case <-ctx.Done():
-			return origin.Origin{}, false
+			return found
 		}
 	}
-	return origin.Origin{}, false
+	return found
 }
 
-func (o *origins) stopWaiting(key origin.Key, answers chan originAnswer) {
+func (o *origins) stopWaiting(key origin.Key) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	rest := o.waiting[key][:0]
-	for _, one := range o.waiting[key] {
-		if one != answers {
-			rest = append(rest, one)
-		}
-	}
-	if o.waiting[key] = rest; len(rest) == 0 {
-		delete(o.waiting, key)
-	}
+	delete(o.waiting, key)
 }
 
 // directory holds the names and addresses of the instances that may keep records. The address of this
@@ -331,11 +385,9 @@
 func (o *origins) answered(key origin.Key, answer originAnswer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, waiting := range o.waiting[key] {
-		select {
-		case waiting <- answer:
-		default:
-		}
+	select {
+	case o.waiting[key] <- answer:
+	default:
 	}
 }
 
@@ -345,7 +397,7 @@
 	reply := new(origin.Message)
 	for _, question := range questions[:min(len(questions), originsInMessage)] {
 		answer := origin.Answer{Key: question.Key, At: origin.Unknown}
-		if at, source := o.lookUp(question.Key, question.Service, now); source != metrics.OriginUnknown {
+		if at, known := o.answerFor(question, to, now); known {
 			answer.At = reply.Index(at)
 		} else if to.UsesSubset && o.stored.answerLater(question.Key, to.Peer) {
 			continue
@@ -358,6 +410,16 @@
 	o.send(heartbeat.Message{Origins: reply}, to.Peer)
 }
 
+// answerFor returns where the stream of a sibling's question began, as far as this instance knows. The only
+// release in its list is none to a sibling with a newer list, which may have another.
+func (o *origins) answerFor(question origin.Question, to member.Info, now time.Time) (origin.Origin, bool) {
+	at, source := o.lookUp(question.Key, question.Service, now)
+	if source == metrics.OriginSole && !to.UsesSubset && to.Next > uint64(o.registry.View().Position) {
+		return origin.Origin{}, false
+	}
+	return at, source != metrics.OriginUnknown
+}
+
 // run sends the records of streams to their keepers until ctx ends, and the records of all streams of a
 // service once its release is no longer known without them. It is woken when there is something to send,
 // and by each tick of the instance.
@@ -375,9 +437,34 @@
 		unsent, newcomers := o.unsent, o.newcomers
 		o.unsent, o.newcomers = nil, nil
 		o.mu.Unlock()
-		o.sendRecords(unsent, nil, now)
+		o.sendRecords(unsent, now)
+		o.repeatDoubts(unsent, now)
 		if len(newcomers) > 0 {
-			o.sendRecords(o.ambiguousRecords(now), newcomers, now)
+			o.sendToKeepers(o.ambiguousRecords(now), newcomers, now)
+		}
+	}
+}
+
+// repeatDoubts sends again the doubts that are due, and has those among the records that were just sent be sent
+// again. They expire with the time that the callers of their streams have.
+func (o *origins) repeatDoubts(sent []unsentOrigin, now time.Time) {
+	var due []unsentOrigin
+	kept := o.doubts[:0]
+	for _, one := range o.doubts {
+		if !now.Before(one.next) {
+			due = append(due, one.unsentOrigin)
+			one.left--
+			one.next = now.Add(doubtRepeatEvery)
+		}
+		if one.left > 0 && now.Before(one.until) {
+			kept = append(kept, one)
+		}
+	}
+	o.doubts = kept
+	o.sendToKeepers(due, nil, now)
+	for _, one := range sent {
+		if one.isDoubt() && len(o.doubts) < originRecords {
+			o.doubts = append(o.doubts, repeatedDoubt{one, doubtRepeats, now.Add(doubtRepeatEvery)})
 		}
 	}
 }
@@ -420,24 +507,24 @@
 	return records
 }
 
-// sendRecords sends records to their keepers and to the instances that append them to the store, or, if only
-// is not nil, to those keepers that have the given addresses.
-func (o *origins) sendRecords(records []unsentOrigin, only []string, now time.Time) {
+// sendRecords sends records to their keepers and to the instances that append them to the store.
+func (o *origins) sendRecords(records []unsentOrigin, now time.Time) {
 	if len(records) == 0 {
 		return
 	}
-	known := o.directory()
 	messages := recordMessages{origins: o, now: now, to: make(map[string]*origin.Message)}
-	for _, one := range records {
-		for _, keeper := range known.keepers(one.key, originKeepers) {
-			if only == nil || slices.Contains(only, keeper) {
-				messages.add(keeper, one, false)
-			}
-		}
-	}
-	if only == nil {
-		o.sendToStore(records, &messages)
+	messages.addForKeepers(records, nil)
+	o.sendToStore(records, &messages)
+	messages.flush()
+}
+
+// sendToKeepers sends records to their keepers or, if only is not nil, to those that have the given addresses.
+func (o *origins) sendToKeepers(records []unsentOrigin, only []string, now time.Time) {
+	if len(records) == 0 {
+		return
 	}
+	messages := recordMessages{origins: o, now: now, to: make(map[string]*origin.Message)}
+	messages.addForKeepers(records, only)
 	messages.flush()
 }
 
@@ -448,6 +535,23 @@
 	to  map[string]*origin.Message
 }
 
+// addForKeepers adds each record for its keepers, if they have one of the given addresses or only is nil. A
+// doubt goes to all instances that may be asked: any of them may have an older record.
+func (m *recordMessages) addForKeepers(records []unsentOrigin, only []string) {
+	known := m.directory()
+	for _, one := range records {
+		keepers := originKeepers
+		if one.isDoubt() {
+			keepers = originAsked
+		}
+		for _, keeper := range known.keepers(one.key, keepers) {
+			if only == nil || slices.Contains(only, keeper) {
+				m.add(keeper, one, false)
+			}
+		}
+	}
+}
+
 // add adds a record for an instance, which is to keep it or to append it to the store.
 func (m *recordMessages) add(address string, one unsentOrigin, toStore bool) {
 	message := m.to[address]
