edge: an instance that appears is sent the doubts of siblings that have ended

An instance that was out of reach while a doubt was sent got it from the instance that doubted, when it appeared again. That one may have ended: siblings kept the doubt, but sent newcomers their own records only, and the instance went on with its older record. Newcomers are sent the doubts that a sibling keeps as well.

The own doubts were among the records of newcomers by accident: their empty service counted as one whose release is not known. They are added explicitly now, and no longer appended twice after a restore of the store.

TestDoubtReachesAnInstanceThatWasOutOfReach failed before where the doubting instance had ended (5 of 5 streams guessed) and passed where it still served. TestDoubtsAreAppendedAgainAfterARestoreOfTheStore saw 2 appends instead of 1.

--- a/edge/doubts_test.go
+++ b/edge/doubts_test.go
@@ -151,3 +151,66 @@
 		}
 	})
 }
+
+// TestDoubtReachesAnInstanceThatWasOutOfReach has an instance be out of reach while a doubt is sent, and lose touch with
+// the one that doubted: as an instance that has just appeared to it and to the others, it is sent the doubts.
+func TestDoubtReachesAnInstanceThatWasOutOfReach(t *testing.T) {
+	for name, endsFirst := range map[string]bool{"the doubting instance serves": false, "the doubting instance has ended": true} {
+		synctest.Test(t, func(t *testing.T) {
+			const streams = 5
+			f := newFleet(t, originInstances, DefaultConfig())
+			f.store.registerRelease("o", oldRelease)
+			f.store.registerRelease("n", newRelease)
+			stopFirst := f.startThese(f.instances[:1])
+			stopOthers := f.startThese(f.instances[1:])
+			time.Sleep(5 * time.Second)
+			away := f.instances[1]
+			for i := range streams {
+				begin(f.instances[0], fmt.Sprint(i), oldRelease)
+				keep(away, fmt.Sprint(i), oldRelease)
+			}
+			f.setCut(away, true)
+			doubtStreams(f.instances[0])
+			time.Sleep(3 * time.Second)
+			if endsFirst {
+				stopFirst()
+			}
+			f.setCut(away, false)
+			time.Sleep(time.Second)
+			for i := range streams {
+				checkUnknown(t, name, away, fmt.Sprint(i))
+			}
+			stopFirst()
+			stopOthers()
+			f.running.Wait()
+		})
+	}
+}
+
+// TestDoubtsAreAppendedAgainAfterARestoreOfTheStore: without them, older records that the store still has would count.
+func TestDoubtsAreAppendedAgainAfterARestoreOfTheStore(t *testing.T) {
+	withBothReleases(t, func(f *fleet) {
+		begin(f.instances[0], "x", oldRelease)
+		time.Sleep(time.Second)
+		f.store.mu.Lock()
+		copied := len(f.store.streams.batches)
+		f.store.mu.Unlock()
+		doubtStreams(f.instances[0])
+		time.Sleep(time.Second)
+		f.restore(copied)
+		time.Sleep(2 * time.Second)
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		doubts := 0
+		for _, batch := range f.store.streams.batches[copied:] {
+			batch.EachRecord(batch.Began, time.Now(), func(_ origin.Key, at origin.Origin, _ time.Time) {
+				if at == (origin.Origin{}) {
+					doubts++
+				}
+			})
+		}
+		if doubts != 1 {
+			t.Errorf("the doubt is appended %d times, expected once", doubts)
+		}
+	})
+}
--- a/edge/originlog.go
+++ b/edge/originlog.go
@@ -128,8 +128,6 @@
 	if len(records) == 0 {
 		return
 	}
-	// The records that nobody can know where a stream began have no service.
-	records = append(records, o.ownRecords("", now)...)
 	klog.InfoS("Records of streams are appended again in a new era of the store", "era", era, "records", len(records))
 	messages := recordMessages{origins: o, now: now, to: make(map[string]*origin.Message)}
 	o.sendToStore(records, &messages)
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -440,7 +440,8 @@
 		o.sendRecords(unsent, now)
 		o.repeatDoubts(unsent, now)
 		if len(newcomers) > 0 {
-			o.sendToKeepers(o.ambiguousRecords(now), newcomers, now)
+			// Doubts of siblings are sent too: the siblings may have ended.
+			o.sendToKeepers(append(o.ambiguousRecords(now), recordsOf(o.kept, noService, now)...), newcomers, now)
 		}
 	}
 }
@@ -469,39 +470,47 @@
 	}
 }
 
-// ambiguousRecords returns the own records of all services whose streams' release is not known without
-// them.
-func (o *origins) ambiguousRecords(now time.Time) (records []unsentOrigin) {
+// ambiguousRecords returns the own doubts, and the own records of all services whose streams' release is not known
+// without them.
+func (o *origins) ambiguousRecords(now time.Time) []unsentOrigin {
 	o.mu.Lock()
 	ambiguous := maps.Clone(o.ambiguous)
 	o.mu.Unlock()
+	records := recordsOf(o.own, noService, now)
 	for service, is := range ambiguous {
 		if is {
-			records = append(records, o.ownRecords(service, now)...)
+			records = append(records, recordsOf(o.own, service, now)...)
 		}
 	}
 	return records
 }
 
+// noService is the service of doubts: nobody can know where the stream began.
+const noService = ""
+
 // reviewServices queues the records of a service's streams when its release is no longer known without
 // them.
 func (o *origins) reviewServices(now time.Time) {
 	for service := range o.own.Services() {
+		if service == noService {
+			continue
+		}
 		_, sole := o.soleRelease(service, now)
 		o.mu.Lock()
 		before := o.ambiguous[service]
 		o.ambiguous[service] = !sole
 		o.mu.Unlock()
 		if !sole && !before {
-			if records := o.ownRecords(service, now); len(records) > 0 {
+			if records := recordsOf(o.own, service, now); len(records) > 0 {
 				o.enqueue(records...)
 			}
 		}
 	}
 }
 
-func (o *origins) ownRecords(service string, now time.Time) (records []unsentOrigin) {
-	o.own.Each(service, now, func(key origin.Key, at origin.Origin, until time.Time) {
+// recordsOf returns the records of a service that have not expired.
+func recordsOf(all *origin.Records, service string, now time.Time) (records []unsentOrigin) {
+	all.Each(service, now, func(key origin.Key, at origin.Origin, until time.Time) {
 		records = append(records, unsentOrigin{key, at, until})
 	})
 	return records
