origin, edge, platform: records of streams name the server's run, so that any instance doubts them

A server that is back under its id at another release serves before the list shows it. The instance that began the server's last streams doubts them once it sees the later run.

Records carry the run of the server, 32 bits of a hash of its id and 32 of its run, and the time since the stream began: BeganRuns and ToStoreRuns beside Began and ToStore in messages, two more fields in batches. Instances of the present build ignore them and send none; such records are used as before.

- An instance that sees a server change its run and release doubts its own records, those that it keeps, and those that it has read from the store, and sends the doubts of the first two.
Records of the doubted run that arrive later, own ones too, are doubts.
- A record read from the store is a doubt if its server is listed as a later run at another release that began, by the server's clock, less than 5 s after the stream by the writer's clock, or before it.
An instance that started later has not seen the former run.
Runs of streams that began more than 10 s ago are left out.

Signatures of Records.Doubt, Each and EachRecord change, and tests with them.

--- a/edge/doubts_test.go
+++ b/edge/doubts_test.go
@@ -7,8 +7,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/origin"
+	"github.com/mastwheel/mastwheel/registry"
 )
 
 // withBothReleases runs a test on instances that have just started while servers of two releases serve, so
@@ -35,9 +37,7 @@
 // doubtStreams makes an instance doubt the streams that it began.
 func doubtStreams(in *Instance) {
 	o, now := in.Origins, time.Now()
-	o.own.Doubt("s0@1", now.Add(-doubtFor), now, func(key origin.Key, until time.Time) {
-		o.enqueue(unsentOrigin{key: key, until: until})
-	})
+	o.own.Doubt(map[origin.Run]bool{origin.RunOf("s0@1"): true}, now.Add(-doubtFor), now, func(doubt origin.Record) { o.enqueue(doubt) })
 }
 
 // checkUnknown checks that an instance does not name a release for a stream.
@@ -203,8 +203,8 @@
 		defer f.store.mu.Unlock()
 		doubts := 0
 		for _, batch := range f.store.streams.batches[copied:] {
-			batch.EachRecord(batch.Began, time.Now(), func(_ origin.Key, at origin.Origin, _ time.Time) {
-				if at == (origin.Origin{}) {
+			batch.EachRecord(batch.Began, nil, time.Time{}, time.Now(), func(one origin.Record) {
+				if one.IsDoubt() {
 					doubts++
 				}
 			})
@@ -214,3 +214,122 @@
 		}
 	})
 }
+
+// restartedServer is a server that is back under its id at another release before the list shows it.
+type restartedServer struct {
+	*fleet
+	run string
+}
+
+// register lists the server at a release, as a process that started a time ago.
+func (s *restartedServer) register(at origin.Origin, ago time.Duration) {
+	entry := registry.Entry{ID: "e", Service: at.Service, Release: at.Release, Born: time.Now().Add(-ago).UnixMilli(), Address: "127.0.0.1:1"}
+	s.store.change(func() { s.store.servers = append(s.store.servers, registry.Change{ID: entry.ID, Entry: &entry}) })
+	s.run = entry.Run()
+}
+
+// begin records a stream at an instance, which takes the server for the run that is listed.
+func (s *restartedServer) begin(in *Instance, request string) {
+	in.Origins.Began(request, oldRelease, s.run, time.Now().Add(20*time.Second))
+}
+
+// withRestartedServer runs a test on instances of which the first one began a stream at a server some time before the
+// server restarted, and one just after it. The list does not show the later run yet. stopFirst and stopOthers stop the
+// instances.
+func withRestartedServer(t *testing.T, test func(s *restartedServer, stopFirst, stopOthers func())) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &restartedServer{fleet: newFleet(t, originInstances, DefaultConfig())}
+		s.store.registerRelease("o", oldRelease)
+		s.store.registerRelease("n", newRelease)
+		s.register(oldRelease, time.Minute)
+		stopFirst := s.startThese(s.instances[:1])
+		stopOthers := s.startThese(s.instances[1:])
+		time.Sleep(5 * time.Second)
+		s.begin(s.instances[0], "early")
+		time.Sleep(2*doubtFor + time.Second)
+		s.begin(s.instances[0], "late")
+		time.Sleep(time.Second)
+		test(s, stopFirst, stopOthers)
+		s.running.Wait()
+	})
+}
+
+// checkRestarted checks that some instances name the release of the stream that began before the restart, and none for
+// the other one.
+func (s *restartedServer) checkRestarted(what string, instances []*Instance) {
+	s.t.Helper()
+	for _, in := range instances {
+		if got := find(in, "early"); got != "v1" {
+			s.t.Errorf("%s: %s: the stream from before the restart is found at %s", what, in.config.Name, got)
+		}
+		checkUnknown(s.t, what, in, "late")
+	}
+}
+
+func TestStreamsOfARestartedServerAreDoubtedThoughTheirInstanceHasEnded(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		stopFirst()
+		s.register(newRelease, 1500*time.Millisecond)
+		time.Sleep(time.Second)
+		s.checkRestarted("at the keepers", s.instances[1:])
+		stopOthers()
+	})
+}
+
+func TestStreamsOfARestartedServerAreDoubtedAfterALossOfAll(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		stopFirst()
+		stopOthers()
+		s.register(newRelease, 1500*time.Millisecond)
+		s.running.Wait()
+		end := s.startNew()
+		time.Sleep(2 * time.Second)
+		s.checkRestarted("in the store", s.instances)
+		end()
+	})
+}
+
+// TestLaterRecordOfARestartedServerIsDoubted has an instance record a stream that it had sent to the former run, and
+// send a record to a sibling that has seen the later run, before it has seen that run itself.
+func TestLaterRecordOfARestartedServerIsDoubted(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		former := s.run
+		s.register(newRelease, 1500*time.Millisecond)
+		time.Sleep(time.Second)
+		s.run = former
+		s.begin(s.instances[0], "own")
+		message := &origin.Message{
+			Origins: []origin.Origin{oldRelease}, Began: []origin.Began{{Key: origin.KeyOf("sent"), LeftMillis: 20_000}},
+			BeganRuns: []origin.BeganRun{{Run: origin.RunOf(former)}},
+		}
+		for _, in := range s.instances[1:] {
+			in.Origins.apply(heartbeat.Message{Origins: message}, time.Time{}, time.Now())
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, in := range s.instances {
+			checkUnknown(t, "an own record", in, "own")
+			checkUnknown(t, "a record that was sent", in, "sent")
+		}
+		stopFirst()
+		stopOthers()
+	})
+}
+
+func TestRecordsWithRunsFitIntoOneUnfragmentedDatagram(t *testing.T) {
+	const payload = 1472
+	now := time.Now()
+	o := bareInstance("a", new(claims), enginesOf(0, 0)).Origins
+	messages := recordMessages{origins: o, now: now, to: make(map[string]*origin.Message)}
+	for i := range originsInMessage - 1 {
+		at := origin.Origin{Service: "dining-room-assistant", Release: fmt.Sprint("v1.2.", i%2)}
+		messages.add("x", origin.Record{Key: 1<<63 + origin.Key(i), At: at, Until: now.Add(time.Minute), Run: 1 << 63, Began: now.Add(-runMattersFor)}, i%2 == 0)
+	}
+	datagram, err := heartbeat.Encode(heartbeat.Message{Origins: messages.to["x"]})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if size := len(datagram) * originsInMessage / (originsInMessage - 1); size > payload {
+		t.Errorf("%d records have %d bytes", originsInMessage, size)
+	}
+}
--- a/edge/originlog.go
+++ b/edge/originlog.go
@@ -65,7 +65,7 @@
 
 // queuedOrigin is a record that is to be appended, and the number of failed calls.
 type queuedOrigin struct {
-	unsentOrigin
+	origin.Record
 	failures int
 }
 
@@ -95,15 +95,15 @@
 }
 
 // sendToStore adds each record to the message for the instance that appends it.
-func (o *origins) sendToStore(records []unsentOrigin, messages *recordMessages) {
+func (o *origins) sendToStore(records []origin.Record, messages *recordMessages) {
 	archivers := o.archivers()
 	if len(archivers.names) == 0 {
 		o.deps.OriginLog.Records(metrics.OriginDropped, len(records))
 		return
 	}
-	var own []unsentOrigin
+	var own []origin.Record
 	for _, one := range records {
-		to := archivers.addresses[origin.Keepers(one.key, archivers.names, 1)[0]]
+		to := archivers.addresses[origin.Keepers(one.Key, archivers.names, 1)[0]]
 		if to == "" {
 			own = append(own, one)
 		} else {
@@ -135,14 +135,14 @@
 }
 
 // enqueue queues records that are to be appended.
-func (s *storedOrigins) enqueue(records ...unsentOrigin) {
+func (s *storedOrigins) enqueue(records ...origin.Record) {
 	if len(records) == 0 {
 		return
 	}
 	queued := make([]queuedOrigin, 0, len(records))
 	for _, one := range records {
-		if one.at.CanBeStored() {
-			queued = append(queued, queuedOrigin{unsentOrigin: one})
+		if one.At.CanBeStored() {
+			queued = append(queued, queuedOrigin{Record: one})
 		}
 	}
 	s.mu.Lock()
@@ -161,7 +161,7 @@
 		return 0
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(one queuedOrigin) bool {
-		drop := dropped < excess && one.at != (origin.Origin{})
+		drop := dropped < excess && !one.IsDoubt()
 		if drop {
 			dropped++
 		}
@@ -201,11 +201,11 @@
 func (s *storedOrigins) takeBatch(now time.Time) []queuedOrigin {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queue = slices.DeleteFunc(s.queue, func(one queuedOrigin) bool { return one.until.Sub(now) < time.Millisecond })
+	s.queue = slices.DeleteFunc(s.queue, func(one queuedOrigin) bool { return one.Until.Sub(now) < time.Millisecond })
 	origins := make(map[origin.Origin]bool)
 	count := 0
 	for ; count < min(len(s.queue), origin.MaxBatch); count++ {
-		if origins[s.queue[count].at] = true; len(origins) > origin.MaxBatchOrigins {
+		if origins[s.queue[count].At] = true; len(origins) > origin.MaxBatchOrigins {
 			break
 		}
 	}
@@ -219,7 +219,7 @@
 func (s *storedOrigins) requeue(batch []queuedOrigin) {
 	kept := batch[:0]
 	for _, one := range batch {
-		if one.failures++; one.failures < originAppendTries || one.at == (origin.Origin{}) {
+		if one.failures++; one.failures < originAppendTries || one.IsDoubt() {
 			kept = append(kept, one)
 		}
 	}
@@ -242,10 +242,11 @@
 
 // batchOf returns a batch of records with the time that their callers have left.
 func batchOf(records []queuedOrigin, now time.Time) *origin.Message {
-	batch := &origin.Message{Began: make([]origin.Began, 0, len(records))}
+	batch := &origin.Message{Began: make([]origin.Began, 0, len(records)), SentMillis: now.UnixMilli()}
 	for _, one := range records {
-		left := max(one.until.Sub(now).Milliseconds(), 1)
-		batch.Began = append(batch.Began, origin.Began{Key: one.key, At: batch.Index(one.at), LeftMillis: left})
+		began, run := one.Message(batch.Index(one.At), runMattersFor, now)
+		began.LeftMillis = max(began.LeftMillis, 1)
+		batch.Began, batch.BeganRuns = append(batch.Began, began), append(batch.BeganRuns, run)
 	}
 	return batch
 }
--- a/edge/originlog_test.go
+++ b/edge/originlog_test.go
@@ -352,14 +352,11 @@
 // store has their records.
 func TestStoredDoubtOverridesEarlierRecords(t *testing.T) {
 	withTwoReleases(t, originInstances, func(f *fleet, end func()) func() {
-		first := f.instances[0].Origins
 		for i := range 20 {
 			begin(f.instances[0], fmt.Sprint("x", i), oldRelease)
 		}
 		time.Sleep(time.Second)
-		first.own.Doubt("s0@1", time.Now().Add(-doubtFor), time.Now(), func(key origin.Key, until time.Time) {
-			first.enqueue(unsentOrigin{key: key, until: until})
-		})
+		doubtStreams(f.instances[0])
 		time.Sleep(500 * time.Millisecond)
 		end = f.lossOfAll(end)
 		for _, in := range f.instances {
@@ -425,17 +422,17 @@
 	const doubts = 10
 	stored := bareInstance("a", new(claims), enginesOf(0, 0)).Origins.stored
 	until := time.Now().Add(time.Minute)
-	var records []unsentOrigin
+	var records []origin.Record
 	for i := range 2 * originRecords {
-		one := unsentOrigin{key: origin.Key(i), at: oldRelease, until: until}
+		one := origin.Record{Key: origin.Key(i), At: oldRelease, Until: until}
 		if i < doubts {
-			one.at = origin.Origin{}
+			one.At = origin.Origin{}
 		}
 		records = append(records, one)
 	}
 	stored.enqueue(records[:originRecords]...)
 	stored.enqueue(records[originRecords:]...)
-	if len(stored.queue) != originRecords || stored.queue[doubts-1].at != (origin.Origin{}) || stored.queue[doubts].key != originRecords+doubts {
+	if len(stored.queue) != originRecords || stored.queue[doubts-1].At != (origin.Origin{}) || stored.queue[doubts].Key != originRecords+doubts {
 		t.Fatalf("%d records, %v at the %dth", len(stored.queue), stored.queue[doubts], doubts)
 	}
 	batch := stored.takeBatch(time.Now())
@@ -446,7 +443,7 @@
 		stored.requeue(batch)
 		batch = stored.takeBatch(time.Now())
 	}
-	if batch[doubts-1].at != (origin.Origin{}) || batch[doubts].failures > 0 {
+	if batch[doubts-1].At != (origin.Origin{}) || batch[doubts].failures > 0 {
 		t.Errorf("after %d failures the next records are %v and %v", originAppendTries, batch[doubts-1], batch[doubts])
 	}
 }
--- a/edge/originreads.go
+++ b/edge/originreads.go
@@ -66,7 +66,28 @@
 		case <-ctx.Done():
 		}
 	}
-	return s.records.Find(key, clock.Now())
+	return s.findRead(key, clock.Now())
+}
+
+// findRead looks for a stream among the records that were read. The server of a record may be back at another release:
+// nobody can know then where a stream began that, by the clocks of the server and of the record's writer, did so when
+// the server may have been that later run. An instance that has just started has not seen the former run.
+func (s *storedOrigins) findRead(key origin.Key, now time.Time) (origin.Origin, bool) {
+	one, known := s.records.FindRecord(key, now)
+	if !known || one.Run == 0 {
+		return one.At, known
+	}
+	servers := s.registry.View().Servers
+	for i := range servers {
+		server := &servers[i].Entry
+		if server.Service != one.At.Service || server.Release == one.At.Release || server.Born == 0 {
+			continue
+		}
+		if origin.RunOf(server.Run()).IsOtherRunOf(one.Run) && one.Began.After(time.UnixMilli(server.Born).Add(-doubtFor)) {
+			return origin.Origin{}, true
+		}
+	}
+	return one.At, true
 }
 
 // isFresh reports whether the last read is recent.
@@ -132,7 +153,7 @@
 			replies[question.address] = reply
 		}
 		answer := origin.Answer{Key: question.key, At: origin.Unknown}
-		at, known := s.records.Find(question.key, now)
+		at, known := s.findRead(question.key, now)
 		if known && s.Origins.isDoubted(question.key, now) {
 			at = origin.Origin{}
 		}
@@ -221,9 +242,7 @@
 	}
 	now := clock.Now()
 	for _, batch := range batches {
-		batch.EachRecord(batch.Began, now, func(key origin.Key, at origin.Origin, until time.Time) {
-			r.records.Put(key, at, until, now)
-		})
+		batch.EachRecord(batch.Began, batch.BeganRuns, batch.SentAt(), now, func(one origin.Record) { r.records.PutRecord(one, now) })
 	}
 	r.next = next
 	return more, nil
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -61,8 +61,11 @@
 	// originBatch is the least pause between two sends of records, so that many share a datagram. A
 	// record that was not sent is lost with its instance.
 	originBatch = 10 * time.Millisecond
-	// originsInMessage bounds the records in one datagram, about 14 bytes each.
-	originsInMessage = 64
+	// originsInMessage bounds the records in one datagram, about 27 bytes each.
+	originsInMessage = 48
+	// runMattersFor is for how long a record tells the run of the server at which the stream began: until the
+	// list of each instance shows a later run that may have begun it.
+	runMattersFor = 2 * doubtFor
 )
 
 // origins holds where streams began, as far as this instance knows.
@@ -78,7 +81,7 @@
 
 	mu sync.Mutex
 	// unsent holds the own records that are still to be sent to their keepers.
-	unsent []unsentOrigin
+	unsent []origin.Record
 	// newcomers holds the addresses of instances that have just appeared, until they are sent the records
 	// that they keep.
 	newcomers []string
@@ -105,22 +108,13 @@
 	stored *storedOrigins
 }
 
-type unsentOrigin struct {
-	key   origin.Key
-	at    origin.Origin
-	until time.Time
-}
-
 // repeatedDoubt is a doubt that is sent so many more times, next at a time.
 type repeatedDoubt struct {
-	unsentOrigin
+	origin.Record
 	left int
 	next time.Time
 }
 
-// isDoubt reports whether nobody can know where the stream began.
-func (u unsentOrigin) isDoubt() bool { return u.at == origin.Origin{} }
-
 type originAnswer struct {
 	at    origin.Origin
 	known bool
@@ -142,14 +136,14 @@
 // request that brought its first event, and server the run of the server.
 func (o *origins) Began(request string, at origin.Origin, server string, until time.Time) {
 	now := clock.Now()
-	one := unsentOrigin{origin.KeyOf(request), at, until.Add(originGrace)}
-	o.own.PutOwn(one.key, one.at, server, one.until, now)
-	if _, sole := o.soleRelease(at.Service, now); !sole {
+	one := origin.Record{Key: origin.KeyOf(request), At: at, Until: until.Add(originGrace), Run: origin.RunOf(server), Began: now}
+	one.At = o.own.PutRecord(one, now)
+	if _, sole := o.soleRelease(at.Service, now); !sole || one.IsDoubt() {
 		o.enqueue(one)
 	}
 }
 
-func (o *origins) enqueue(records ...unsentOrigin) {
+func (o *origins) enqueue(records ...origin.Record) {
 	o.mu.Lock()
 	o.unsent = append(o.unsent, records...)
 	if excess := len(o.unsent) - originRecords; excess > 0 {
@@ -238,16 +232,23 @@
 	if before == nil {
 		return
 	}
+	replaced := make(map[origin.Run]bool)
 	for i := range after.Servers {
 		server := &after.Servers[i]
 		old := before.Find(server.ID)
-		if old == nil || old.Run() == server.Run() || old.Release == server.Release {
-			continue
+		if old != nil && old.Run() != server.Run() && old.Release != server.Release {
+			replaced[origin.RunOf(old.Run())] = true
 		}
-		o.own.Doubt(old.Run(), now.Add(-doubtFor), now, func(key origin.Key, until time.Time) {
-			o.enqueue(unsentOrigin{key: key, until: until})
-		})
 	}
+	if len(replaced) == 0 {
+		return
+	}
+	enqueue := func(doubt origin.Record) { o.enqueue(doubt) }
+	since := now.Add(-doubtFor)
+	o.own.Doubt(replaced, since, now, enqueue)
+	// The instances that began these streams may have ended.
+	o.kept.Doubt(replaced, since, now, enqueue)
+	o.stored.records.Doubt(replaced, since, now, func(origin.Record) {})
 }
 
 // lookUp returns where a stream began, as far as this instance knows.
@@ -368,10 +369,8 @@
 	if origins == nil {
 		return
 	}
-	origins.EachRecord(origins.Began, now, func(key origin.Key, at origin.Origin, until time.Time) { o.kept.Put(key, at, until, now) })
-	origins.EachRecord(origins.ToStore, now, func(key origin.Key, at origin.Origin, until time.Time) {
-		o.stored.enqueue(unsentOrigin{key, at, until})
-	})
+	origins.EachRecord(origins.Began, origins.BeganRuns, now, now, func(one origin.Record) { o.kept.PutRecord(one, now) })
+	origins.EachRecord(origins.ToStore, origins.ToStoreRuns, now, now, func(one origin.Record) { o.stored.enqueue(one) })
 	for _, answer := range origins.Answers {
 		at, known := origins.Origin(answer.At)
 		o.answered(answer.Key, originAnswer{at, known})
@@ -448,23 +447,23 @@
 
 // repeatDoubts sends again the doubts that are due, and has those among the records that were just sent be sent
 // again. They expire with the time that the callers of their streams have.
-func (o *origins) repeatDoubts(sent []unsentOrigin, now time.Time) {
-	var due []unsentOrigin
+func (o *origins) repeatDoubts(sent []origin.Record, now time.Time) {
+	var due []origin.Record
 	kept := o.doubts[:0]
 	for _, one := range o.doubts {
 		if !now.Before(one.next) {
-			due = append(due, one.unsentOrigin)
+			due = append(due, one.Record)
 			one.left--
 			one.next = now.Add(doubtRepeatEvery)
 		}
-		if one.left > 0 && now.Before(one.until) {
+		if one.left > 0 && now.Before(one.Until) {
 			kept = append(kept, one)
 		}
 	}
 	o.doubts = kept
 	o.sendToKeepers(due, nil, now)
 	for _, one := range sent {
-		if one.isDoubt() && len(o.doubts) < originRecords {
+		if one.IsDoubt() && len(o.doubts) < originRecords {
 			o.doubts = append(o.doubts, repeatedDoubt{one, doubtRepeats, now.Add(doubtRepeatEvery)})
 		}
 	}
@@ -472,7 +471,7 @@
 
 // ambiguousRecords returns the own doubts, and the own records of all services whose streams' release is not known
 // without them.
-func (o *origins) ambiguousRecords(now time.Time) []unsentOrigin {
+func (o *origins) ambiguousRecords(now time.Time) []origin.Record {
 	o.mu.Lock()
 	ambiguous := maps.Clone(o.ambiguous)
 	o.mu.Unlock()
@@ -509,15 +508,13 @@
 }
 
 // recordsOf returns the records of a service that have not expired.
-func recordsOf(all *origin.Records, service string, now time.Time) (records []unsentOrigin) {
-	all.Each(service, now, func(key origin.Key, at origin.Origin, until time.Time) {
-		records = append(records, unsentOrigin{key, at, until})
-	})
+func recordsOf(all *origin.Records, service string, now time.Time) (records []origin.Record) {
+	all.Each(service, now, func(one origin.Record) { records = append(records, one) })
 	return records
 }
 
 // sendRecords sends records to their keepers and to the instances that append them to the store.
-func (o *origins) sendRecords(records []unsentOrigin, now time.Time) {
+func (o *origins) sendRecords(records []origin.Record, now time.Time) {
 	if len(records) == 0 {
 		return
 	}
@@ -528,7 +525,7 @@
 }
 
 // sendToKeepers sends records to their keepers or, if only is not nil, to those that have the given addresses.
-func (o *origins) sendToKeepers(records []unsentOrigin, only []string, now time.Time) {
+func (o *origins) sendToKeepers(records []origin.Record, only []string, now time.Time) {
 	if len(records) == 0 {
 		return
 	}
@@ -546,14 +543,14 @@
 
 // addForKeepers adds each record for its keepers, if they have one of the given addresses or only is nil. A
 // doubt goes to all instances that may be asked: any of them may have an older record.
-func (m *recordMessages) addForKeepers(records []unsentOrigin, only []string) {
+func (m *recordMessages) addForKeepers(records []origin.Record, only []string) {
 	known := m.directory()
 	for _, one := range records {
 		keepers := originKeepers
-		if one.isDoubt() {
+		if one.IsDoubt() {
 			keepers = originAsked
 		}
-		for _, keeper := range known.keepers(one.key, keepers) {
+		for _, keeper := range known.keepers(one.Key, keepers) {
 			if only == nil || slices.Contains(only, keeper) {
 				m.add(keeper, one, false)
 			}
@@ -562,17 +559,17 @@
 }
 
 // add adds a record for an instance, which is to keep it or to append it to the store.
-func (m *recordMessages) add(address string, one unsentOrigin, toStore bool) {
+func (m *recordMessages) add(address string, one origin.Record, toStore bool) {
 	message := m.to[address]
 	if message == nil {
 		message = new(origin.Message)
 		m.to[address] = message
 	}
-	began := origin.Began{Key: one.key, At: message.Index(one.at), LeftMillis: one.until.Sub(m.now).Milliseconds()}
+	began, run := one.Message(message.Index(one.At), runMattersFor, m.now)
 	if toStore {
-		message.ToStore = append(message.ToStore, began)
+		message.ToStore, message.ToStoreRuns = append(message.ToStore, began), append(message.ToStoreRuns, run)
 	} else {
-		message.Began = append(message.Began, began)
+		message.Began, message.BeganRuns = append(message.Began, began), append(message.BeganRuns, run)
 	}
 	if len(message.Began)+len(message.ToStore) == originsInMessage {
 		m.send(heartbeat.Message{Origins: message}, address)
--- a/origin/message.go
+++ b/origin/message.go
@@ -20,6 +20,12 @@
 	History *History `cbor:"5,keyasint,omitempty"`
 	// ToStore holds streams whose records the receiver appends to the platform's store.
 	ToStore []Began `cbor:"6,keyasint,omitempty"`
+	// BeganRuns holds the runs of the servers of the first streams of Began, and ToStoreRuns those of ToStore.
+	// Messages of older instances have none.
+	BeganRuns   []BeganRun `cbor:"7,keyasint,omitempty"`
+	ToStoreRuns []BeganRun `cbor:"8,keyasint,omitempty"`
+	// SentMillis is when a batch was written, in milliseconds since 1970 by its writer's clock.
+	SentMillis int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Began is the record of one stream.
--- a/origin/records.go
+++ b/origin/records.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -25,52 +26,69 @@
 	first int
 	// origins holds one copy of each origin in use.
 	origins map[Origin]*Origin
+	// doubted holds the runs of servers whose streams that began after a time are doubted, also those whose
+	// records arrive later.
+	doubted map[Run]time.Time
 }
 
+const (
+	// Runs are doubted for doubtedFor, the time for which a record may be on its way or not be read, and
+	// doubtedRuns at most: those of servers that are back at another release.
+	doubtedFor  = 5 * time.Minute
+	doubtedRuns = 4096
+)
+
 type record struct {
 	at    *Origin
 	until time.Time
-	// server is a hash of the run of the server at which the stream began, and began when it did. Records
-	// of siblings have neither.
-	server uint64
-	began  time.Time
+	// run is the run of the server at which the stream began, 0 if unknown, and began when it did.
+	run   Run
+	began time.Time
 }
 
 // NewRecords returns an empty set for at most the given number of records.
 func NewRecords(most int) *Records {
-	return &Records{most: most, byKey: make(map[Key]record), origins: make(map[Origin]*Origin)}
+	return &Records{most: most, byKey: make(map[Key]record), origins: make(map[Origin]*Origin), doubted: make(map[Run]time.Time)}
 }
 
 // Put records where a stream began, until a time. A zero origin means that nobody can know.
 func (r *Records) Put(key Key, at Origin, until, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.put(key, at, record{until: until}, now)
+	r.PutRecord(Record{Key: key, At: at, Until: until}, now)
 }
 
-// PutOwn is like Put, for a stream that began now at a run of a server.
-func (r *Records) PutOwn(key Key, at Origin, server string, until, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.put(key, at, record{until: until, server: xxhash.Sum64String(server), began: now}, now)
+// PutOwn is like Put, for a stream that began now at the run of a server with a name. It returns the origin, zero if
+// streams of the run are doubted.
+func (r *Records) PutOwn(key Key, at Origin, server string, until, now time.Time) Origin {
+	return r.PutRecord(Record{Key: key, At: at, Until: until, Run: RunOf(server), Began: now}, now)
 }
 
-// put adds a record. A record that nobody can know where a stream began stays until it expires: records of
-// the stream that were sent or stored earlier may arrive later. The caller holds the lock.
-func (r *Records) put(key Key, at Origin, next record, now time.Time) {
-	if known, ok := r.byKey[key]; ok {
+// PutRecord adds a record and returns its origin. A record that nobody can know where a stream began stays until it
+// expires: records of the stream that were sent or stored earlier may arrive later. The run at which a stream began
+// stays too: a stream that is taken up goes on at another one, at the release where it began.
+func (r *Records) PutRecord(one Record, now time.Time) Origin {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := record{until: one.Until, run: one.Run, began: one.Began}
+	if known, ok := r.byKey[one.Key]; ok {
 		if *known.at == (Origin{}) && now.Before(known.until) {
-			at = Origin{}
+			one.At = Origin{}
+		}
+		if known.run != 0 && now.Before(known.until) {
+			next.run, next.began = known.run, known.began
 		}
 		if next.until.Before(known.until) {
 			next.until = known.until
 		}
 	} else {
 		r.dropOld(now)
-		r.order = append(r.order, key)
+		r.order = append(r.order, one.Key)
+	}
+	if since, doubted := r.doubted[next.run]; doubted && next.began.After(since) {
+		one.At = Origin{}
 	}
-	next.at = r.shared(at)
-	r.byKey[key] = next
+	next.at = r.shared(one.At)
+	r.byKey[one.Key] = next
+	return one.At
 }
 
 // shared returns the copy of an origin that all records use. The caller holds the lock.
@@ -81,17 +99,22 @@
 	return r.origins[at]
 }
 
-// Doubt records that nobody can know where the streams began that began at a run of a server since a
-// time. It calls visit for each of them.
-func (r *Records) Doubt(server string, since, now time.Time, visit func(key Key, until time.Time)) {
+// Doubt records that nobody can know where the streams began that began at runs of servers since a time, also those
+// whose records are added later. It calls visit for each of them that was not doubted before.
+func (r *Records) Doubt(runs map[Run]bool, since, now time.Time, visit func(doubt Record)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	hash := xxhash.Sum64String(server)
+	maps.DeleteFunc(r.doubted, func(_ Run, at time.Time) bool { return now.Sub(at) > doubtedFor })
+	for run := range runs {
+		if len(r.doubted) < doubtedRuns {
+			r.doubted[run] = since
+		}
+	}
 	for key, known := range r.byKey {
-		if known.server == hash && known.began.After(since) && now.Before(known.until) {
+		if runs[known.run] && known.began.After(since) && now.Before(known.until) && *known.at != (Origin{}) {
 			known.at = r.shared(Origin{})
 			r.byKey[key] = known
-			visit(key, known.until)
+			visit(Record{Key: key, Until: known.until})
 		}
 	}
 }
@@ -118,22 +141,32 @@
 
 // Find returns where a stream began.
 func (r *Records) Find(key Key, now time.Time) (Origin, bool) {
+	one, known := r.FindRecord(key, now)
+	return one.At, known
+}
+
+// FindRecord returns the record of a stream.
+func (r *Records) FindRecord(key Key, now time.Time) (Record, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known, ok := r.byKey[key]
 	if !ok || !now.Before(known.until) {
-		return Origin{}, false
+		return Record{}, false
 	}
-	return *known.at, true
+	return known.export(key), true
+}
+
+func (r record) export(key Key) Record {
+	return Record{Key: key, At: *r.at, Until: r.until, Run: r.run, Began: r.began}
 }
 
 // Each calls visit for each record of a service that has not expired.
-func (r *Records) Each(service string, now time.Time, visit func(key Key, at Origin, until time.Time)) {
+func (r *Records) Each(service string, now time.Time, visit func(one Record)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for key, known := range r.byKey {
 		if known.at.Service == service && now.Before(known.until) {
-			visit(key, *known.at, known.until)
+			visit(known.export(key))
 		}
 	}
 }
--- a/origin/size_test.go
+++ b/origin/size_test.go
@@ -16,12 +16,12 @@
 )
 
 func TestRecordsAreSmallAtTheSizeToDesignFor(t *testing.T) {
-	began := &Message{Origins: []Origin{{Service: "dining-room-assistant", Release: "v1.2.3"}}, Began: []Began{{Key: 1 << 63, LeftMillis: 19_000}}}
+	began := &Message{Origins: []Origin{{Service: "dining-room-assistant", Release: "v1.2.3"}}, Began: []Began{{Key: 1 << 63, LeftMillis: 19_000}}, BeganRuns: []BeganRun{{Run: 1 << 63}}}
 	one, err := cbor.Marshal(began)
 	if err != nil {
 		t.Fatal(err)
 	}
-	began.Began = append(began.Began, Began{Key: 1 << 63, LeftMillis: 19_000})
+	began.Began, began.BeganRuns = append(began.Began, Began{Key: 1 << 63, LeftMillis: 19_000}), append(began.BeganRuns, BeganRun{Run: 1 << 63})
 	two, err := cbor.Marshal(began)
 	if err != nil {
 		t.Fatal(err)
