origin, edge: a gap of up to 2 s hides no release that opened as the only one

A release opens without the wait while no other one of its service served within two windows. If it leaves again within 2 s, an instance that replaces its list in that time, instead of following the changes, never lists it. Gaps of up to 2 s did not count, since no streams can have begun in them at a release that waits: that instance took the next release for the only one, and let it open at once.

Such gaps are remembered with the services that had a release at the time, listed or within the retention less 4 s: a release of these that came and left was not the only one anywhere. Of the other services, no release counts as the only one until a window has passed since the gap, and a release that appears alone waits.

Treating a release that opened alone like others once another one appears, the other way weighed, does not help the instance that never listed it. Counting any gap in which the releases changed would miss one that came and left, and give up the only releases of all services at each restore of the store.

--- a/edge/releases.go
+++ b/edge/releases.go
@@ -103,6 +103,7 @@
 		known = confirmed
 	}
 	if now.Sub(known) <= origin.AnnounceWait {
+		o.releases.Gap(now)
 		return
 	}
 	klog.InfoS("Releases of the servers before now are not known, because the list was out of date for long", "ageMillis", now.Sub(confirmed).Milliseconds())
--- a/origin/announcements.go
+++ b/origin/announcements.go
@@ -183,7 +183,7 @@
 // isAlone reports whether no other release of the service can have served since streams began that may
 // still be taken up, in the view of any instance.
 func (r *Releases) isAlone(known *history, at Origin, now time.Time) bool {
-	if !known.complete || now.Sub(known.since) < r.Window()+AnnounceWait {
+	if !known.complete || now.Sub(known.since) < r.Window()+AnnounceWait || !known.lacksNothing(at.Service, now.Add(-r.Window()-AnnounceWait)) {
 		return false
 	}
 	for other := range known.listed {
--- a/origin/announcements_test.go
+++ b/origin/announcements_test.go
@@ -50,3 +50,39 @@
 		t.Error("a release is used at once that others have forgotten")
 	}
 }
+
+// TestGapHidesOnlyServicesWithoutAnyRelease: a release that came and left in a gap can have been used only if it was
+// the only one of its service.
+func TestGapHidesOnlyServicesWithoutAnyRelease(t *testing.T) {
+	unused := Origin{Service: "b", Release: "v1"}
+	began := time.Now()
+	r := NewReleases(testWindow)
+	r.Extend(began.Add(-time.Hour), nil, began)
+	r.SetListed(oldOnly, true, began)
+	// The second gap must not span the service, though a release of it has been listed since the first.
+	r.Gap(began)
+	r.SetListed(map[Origin]bool{old: true, unused: true}, true, began.Add(time.Second))
+	r.Gap(began.Add(2 * time.Second))
+	r.SetStored(Announced{unused: false}, began.Add(2*time.Second))
+	for _, test := range []struct {
+		after time.Duration
+		known bool
+	}{{2 * time.Second, false}, {testWindow, false}, {testWindow + 3*time.Second, true}} {
+		now := began.Add(test.after)
+		if _, known := r.Sole("b", now); known != test.known {
+			t.Errorf("after %v the only release of the service is known: %v", test.after, known)
+		}
+		if _, known := r.Sole("a", now); !known {
+			t.Errorf("after %v the only release of the service that served before is not known", test.after)
+		}
+	}
+	if _, ok := r.MayBegin(unused, began.Add(2*time.Second)); ok {
+		t.Error("a release opens without the wait that may not be the only one")
+	}
+	r.SetListed(oldOnly, true, began.Add(2*testWindow))
+	r.Gap(began.Add(2*testWindow + time.Second))
+	r.SetListed(map[Origin]bool{old: true, unused: true}, true, began.Add(2*testWindow+2*time.Second))
+	if _, known := r.Sole("b", began.Add(2*testWindow+2*time.Second)); !known {
+		t.Error("a gap just after a release left hides it")
+	}
+}
--- a/origin/releases.go
+++ b/origin/releases.go
@@ -25,6 +25,10 @@
 	// that are listed now.
 	lastListed map[Origin]time.Time
 	listed     map[Origin]bool
+	// gapAt is when the list was last replaced without its changes of a short time. spanned holds the services
+	// for which that hides nothing.
+	gapAt   time.Time
+	spanned map[string]bool
 	// announcements holds the announcements of the releases that are listed or were lately.
 	announcements map[Origin]announcement
 }
@@ -126,6 +130,32 @@
 	r.change(now, func(next *history) { next.complete, next.since = true, since })
 }
 
+// Gap records that the list was replaced without its changes of the last AnnounceWait at most. No streams began in that
+// time at a release that came and left, unless it was the only one of its service (isAlone).
+func (r *Releases) Gap(now time.Time) {
+	r.change(now, func(next *history) {
+		spanned := make(map[string]bool)
+		for at := range next.listed {
+			spanned[at.Service] = true
+		}
+		for at, last := range next.lastListed {
+			// Other instances may have noticed the end of the release sooner.
+			if now.Sub(last) <= r.Retention()-2*AnnounceWait {
+				spanned[at.Service] = true
+			}
+		}
+		if now.Sub(next.gapAt) < r.Window()+AnnounceWait {
+			maps.DeleteFunc(spanned, func(service string, _ bool) bool { return !next.spanned[service] })
+		}
+		next.gapAt, next.spanned = now, spanned
+	})
+}
+
+// lacksNothing reports whether no release of a service can have been missed in a gap since a time.
+func (h *history) lacksNothing(service string, since time.Time) bool {
+	return h.spanned[service] || !h.gapAt.After(since)
+}
+
 // Extend records a history that is known from elsewhere: it is complete since a time, and servers of
 // these releases were last listed at the given times.
 func (r *Releases) Extend(since time.Time, lastListed map[Origin]time.Time, now time.Time) {
@@ -191,6 +221,9 @@
 		return "", false
 	}
 	known := r.history.Load()
+	if !known.lacksNothing(service, now.Add(-r.Window())) {
+		return "", false
+	}
 	found := 0
 	for at := range known.listed {
 		if at.Service == service {
