--- a/edge/announce_test.go
+++ b/edge/announce_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/mastwheel/mastwheel/member"
 	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/racedetector"
 	"github.com/mastwheel/mastwheel/registry"
@@ -557,3 +558,65 @@
 		end()
 	})
 }
+
+// TestHistoryThatWaitedOpensNoRelease has a history say that streams may begin at a release. If it waited, it may be of a
+// time before the release left and was forgotten.
+func TestHistoryThatWaitedOpensNoRelease(t *testing.T) {
+	withReleases(t, 1, func(f *fleet) {
+		in := f.instances[0]
+		f.store.change(func() { f.store.savesRefused = true })
+		apply := func(sentAt time.Time) {
+			message := in.Origins.historyMessage(time.Now())
+			index := message.Index(newRelease)
+			message.History.Listed = append(message.History.Listed, origin.Listed{At: index})
+			message.History.Stored, message.History.Open = append(message.History.Stored, index), append(message.History.Open, index)
+			in.Origins.applyHistory(message, sentAt, time.Now())
+		}
+		check := func(what string, expected bool) {
+			t.Helper()
+			if got := mayBegin(in, newRelease); got != expected {
+				t.Errorf("%s: streams begin at the release: %v", what, got)
+			}
+		}
+		waited := time.Now()
+		time.Sleep(origin.AnnounceWait/2 - 100*time.Millisecond)
+		apply(waited)
+		time.Sleep(200 * time.Millisecond)
+		f.store.registerRelease("n", newRelease)
+		time.Sleep(100 * time.Millisecond)
+		check("a history that waited, applied before the release is listed", false)
+		apply(waited)
+		check("a history that waited, applied after it", false)
+		apply(time.Now())
+		check("a new history", true)
+	})
+}
+
+// TestTurnOfAHighRankIsBounded guards against a release that is stored late, or never, where the instances of low rank
+// cannot store it: at the size to design for, all turns would take 99 s.
+func TestTurnOfAHighRankIsBounded(t *testing.T) {
+	const instances = 986
+	in, now := bareInstance("z", new(claims), enginesOf(0, 0)), time.Now()
+	in.started = now.Add(-time.Hour)
+	a := &announcer{origins: in.Origins}
+	check := func(since time.Duration, expected bool) {
+		t.Helper()
+		a.unstoredSince = now.Add(-since)
+		if got := a.isAnnounceTurn(now); got != expected {
+			t.Errorf("rank %d: its turn %v after the release was listed: %v", a.orders.rank(), since, got)
+		}
+	}
+	check(0, true)
+	for i := range instances - 1 {
+		in.members.ApplyHeartbeat(member.Info{Name: fmt.Sprintf("i%03d", i), Incarnation: 1, Peer: fmt.Sprintf("10.0.0.1:%d", i+1), Uptime: time.Hour}, now)
+		if i == 2 {
+			check(3*announceTurn-1, false)
+			check(3*announceTurn, true)
+		}
+	}
+	if rank := a.orders.rank(); rank != instances-1 {
+		t.Fatalf("rank %d", rank)
+	}
+	check(announceTurnMax-1, false)
+	check(announceTurnMax, true)
+}
--- a/origin/announcements_test.go
+++ b/origin/announcements_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"strconv"
 	"testing"
 	"time"
 )
@@ -86,3 +87,20 @@
 		t.Error("a gap just after a release left hides it")
 	}
 }
+
+// TestLongHistoryIsNotSent guards against a history that is sent in part: a receiver would miss the other releases.
+func TestLongHistoryIsNotSent(t *testing.T) {
+	now := time.Now()
+	for count, sent := range map[int]bool{MaxReleases: true, MaxReleases + 1: false} {
+		listed := make(map[Origin]bool)
+		for i := range count {
+			listed[Origin{Service: "a", Release: strconv.Itoa(i)}] = true
+		}
+		r := NewReleases(testWindow)
+		r.SetListed(listed, true, now)
+		message := r.HistoryMessage(0, now)
+		if (message != nil) != sent || (sent && len(message.History.Listed) != count) {
+			t.Errorf("a history of %d releases: %v", count, message)
+		}
+	}
+}
