--- a/edge/originlog_test.go
+++ b/edge/originlog_test.go
@@ -271,6 +271,41 @@
 	}
 }
 
+// TestStreamsAreFoundSoonThoughTheFirstReadIsLate has a caller come back to an instance that has just started, and
+// whose store answers later than a caller waits, or not yet.
+func TestStreamsAreFoundSoonThoughTheFirstReadIsLate(t *testing.T) {
+	const away = time.Second
+	for name, late := range map[string]struct {
+		latency time.Duration
+		refused bool
+		most    time.Duration
+	}{
+		"slow": {latency: 2 * originTimeout, most: time.Second},
+		// The pause after a failed read is DefaultConfig().RetryAtMost.
+		"refused": {refused: true, most: away + DefaultConfig().RetryAtMost + originReadEvery},
+	} {
+		withTwoReleases(t, originInstances, func(f *fleet, end func()) func() {
+			begin(f.instances[0], "x", newRelease)
+			time.Sleep(500 * time.Millisecond)
+			end()
+			for i := range f.instances {
+				f.replace(i)
+			}
+			f.store.change(func() { f.store.streams.latency, f.store.streams.refused = late.latency, late.refused })
+			end = f.start()
+			started := time.Now()
+			for got := ""; got != newRelease.Release && time.Since(started) <= late.most; got = find(f.instances[1], "x") {
+				f.store.change(func() { f.store.streams.refused = late.refused && time.Since(started) < away })
+				time.Sleep(50 * time.Millisecond)
+			}
+			if took := time.Since(started); took > late.most {
+				t.Errorf("%s: the stream is not found after %v, expected %v", name, took, late.most)
+			}
+			return end
+		})
+	}
+}
+
 func TestStoreThatDoesNotAnswerDelaysNoTakeUpForLong(t *testing.T) {
 	withTwoReleases(t, originInstances, func(f *fleet, end func()) func() {
 		began := f.beginStreams("x", 2*time.Second)
