--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -364,6 +364,7 @@
 func TestOneRecordIsASmallDatagram(t *testing.T) {
 	message := heartbeat.Message{Origins: &origin.Message{
 		Origins: []origin.Origin{{Service: "dining-room-assistant", Release: "v1.2.3"}}, Began: []origin.Began{{Key: 1 << 63, LeftMillis: 19_000}},
+		BeganRuns: []origin.BeganRun{{Run: 1 << 63}},
 	}}
 	datagram, err := heartbeat.Encode(message)
 	if err != nil {
