--- a/edge/announce_test.go
+++ b/edge/announce_test.go
@@ -315,11 +315,7 @@
 	}
 	for seed := range (*announceSeeds + 5) / 6 {
 		synctest.Test(t, func(t *testing.T) {
-			s := &releaseSearch{fleet: newFleet(t, someInstances, manyServersConfig()), perRelease: 24}
-			s.store.pageSize = 50
-			for i := range manyServers {
-				s.store.registerIn(manyID(i), fmt.Sprint("z", i%3))
-			}
+			s := &releaseSearch{fleet: newFleetWithSubsets(t), perRelease: 24}
 			s.play(seed, time.Minute, 200*time.Millisecond)
 		})
 	}
@@ -408,11 +404,7 @@
 		t.Skip("too many goroutines for the race detector")
 	}
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, someInstances, manyServersConfig())
-		f.store.pageSize = 50
-		for i := range manyServers {
-			f.store.registerIn(manyID(i), fmt.Sprint("z", i%3))
-		}
+		f := newFleetWithSubsets(t)
 		f.store.registerRelease("new", newRelease)
 		end := f.start()
 		time.Sleep(20 * time.Second)
--- a/edge/freshness_test.go
+++ b/edge/freshness_test.go
@@ -277,10 +277,7 @@
 	for seed := *freshnessFirst; seed < *freshnessFirst+*freshnessSeeds/6; seed++ {
 		synctest.Test(t, func(t *testing.T) {
 			// A member and two hubs.
-			s := &freshnessSearch{releaseSearch: releaseSearch{fleet: newFleet(t, someInstances, manyServersConfig()), random: rand.New(rand.NewPCG(uint64(seed), 3))}, disturbed: []int{0, 7, 27}, still: make(map[int]standstill)}
-			for i := range manyServers {
-				s.store.registerIn(manyID(i), fmt.Sprint("z", i%3))
-			}
+			s := &freshnessSearch{releaseSearch: releaseSearch{fleet: newFleetWithSubsets(t), random: rand.New(rand.NewPCG(uint64(seed), 3))}, disturbed: []int{0, 7, 27}, still: make(map[int]standstill)}
 			s.search(2)
 			t.Logf("seed %d: the only release named at %d checks", seed, s.guessed)
 		})
--- a/edge/uses_test.go
+++ b/edge/uses_test.go
@@ -35,6 +35,17 @@
 // manyID returns the identifier of one of the many servers.
 func manyID(i int) string { return fmt.Sprintf("m%03d", i) }
 
+// newFleetWithSubsets returns instances that use subsets of many servers in three zones. It does not start them.
+func newFleetWithSubsets(t *testing.T) *fleet {
+	t.Helper()
+	f := newFleet(t, someInstances, manyServersConfig())
+	f.store.pageSize = 50
+	for i := range manyServers {
+		f.store.registerIn(manyID(i), fmt.Sprint("z", i%3))
+	}
+	return f
+}
+
 // withManyServers runs a test on instances that use subsets of many servers in three zones.
 func withManyServers(t *testing.T, test func(f *fleet)) {
 	t.Helper()
@@ -42,11 +53,7 @@
 		t.Skip("too many goroutines for the race detector")
 	}
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, someInstances, manyServersConfig())
-		f.store.pageSize = 50
-		for i := range manyServers {
-			f.store.registerIn(manyID(i), fmt.Sprint("z", i%3))
-		}
+		f := newFleetWithSubsets(t)
 		end := f.start()
 		time.Sleep(20 * time.Second)
 		test(f)
