origin, edge: a server whose run is listed again is not doubted for good

A run was doubted from when the list showed another run of the server at another release, for all streams that begin there later, and until another server restarted more than 5 minutes later. If the list shows the former run again for a time, because a process that drains renews its entry beside its successor, all streams of the later run were doubted from their beginning on. Doubts of a run now end when it is listed again, and after 5 minutes.

--- a/edge/doubts_test.go
+++ b/edge/doubts_test.go
@@ -316,6 +316,31 @@
 	})
 }
 
+// TestServerThatIsListedAgainIsNotDoubtedForGood has the list show the former run of a server for a second, whose process
+// renews its entry while it drains, and then the later run again.
+func TestServerThatIsListedAgainIsNotDoubtedForGood(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		born := time.Now().Add(-time.Second)
+		for _, turn := range []struct {
+			at  origin.Origin
+			ago time.Duration
+		}{{newRelease, time.Since(born)}, {oldRelease, time.Minute}, {newRelease, time.Since(born) + 2*time.Second}} {
+			s.register(turn.at, turn.ago)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(2 * doubtFor)
+		s.instances[0].Origins.Began("new", newRelease, s.run, time.Now().Add(20*time.Second))
+		time.Sleep(100 * time.Millisecond)
+		for _, in := range s.instances {
+			if got := find(in, "new"); got != "v2" {
+				t.Errorf("%s: a stream of the server that is listed again is found at %s", in.config.Name, got)
+			}
+		}
+		stopFirst()
+		stopOthers()
+	})
+}
+
 func TestRecordsWithRunsFitIntoOneUnfragmentedDatagram(t *testing.T) {
 	const payload = 1472
 	now := time.Now()
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -232,14 +232,21 @@
 	if before == nil {
 		return
 	}
-	replaced := make(map[origin.Run]bool)
+	replaced, relisted := make(map[origin.Run]bool), make(map[origin.Run]bool)
 	for i := range after.Servers {
 		server := &after.Servers[i]
 		old := before.Find(server.ID)
-		if old != nil && old.Run() != server.Run() && old.Release != server.Release {
+		if old != nil && old.Run() == server.Run() {
+			continue
+		}
+		relisted[origin.RunOf(server.Run())] = true
+		if old != nil && old.Release != server.Release {
 			replaced[origin.RunOf(old.Run())] = true
 		}
 	}
+	for _, records := range []*origin.Records{o.own, o.kept, o.stored.records} {
+		records.Relisted(relisted, now)
+	}
 	if len(replaced) == 0 {
 		return
 	}
--- a/origin/records.go
+++ b/origin/records.go
@@ -26,9 +26,15 @@
 	first int
 	// origins holds one copy of each origin in use.
 	origins map[Origin]*Origin
-	// doubted holds the runs of servers whose streams that began after a time are doubted, also those whose
-	// records arrive later.
-	doubted map[Run]time.Time
+	// doubted holds the runs of servers whose streams are doubted, also those whose records arrive later.
+	doubted map[Run]doubtedSpan
+}
+
+// doubtedSpan is the time in which streams began that are doubted. It has no end if until is zero.
+type doubtedSpan struct{ since, until time.Time }
+
+func (s doubtedSpan) contains(at time.Time) bool {
+	return at.After(s.since) && (s.until.IsZero() || !at.After(s.until))
 }
 
 const (
@@ -48,7 +54,7 @@
 
 // NewRecords returns an empty set for at most the given number of records.
 func NewRecords(most int) *Records {
-	return &Records{most: most, byKey: make(map[Key]record), origins: make(map[Origin]*Origin), doubted: make(map[Run]time.Time)}
+	return &Records{most: most, byKey: make(map[Key]record), origins: make(map[Origin]*Origin), doubted: make(map[Run]doubtedSpan)}
 }
 
 // Put records where a stream began, until a time. A zero origin means that nobody can know.
@@ -99,7 +105,7 @@
 		r.dropOld(now)
 		r.order = append(r.order, one.Key)
 	}
-	if since, doubted := r.doubted[next.run]; doubted && next.began.After(since) {
+	if span, doubted := r.doubted[next.run]; doubted && now.Sub(span.since) <= doubtedFor && span.contains(next.began) {
 		one.At = Origin{}
 	}
 	next.at = r.shared(one.At)
@@ -120,10 +126,10 @@
 func (r *Records) Doubt(runs map[Run]bool, since, now time.Time, visit func(doubt Record)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.DeleteFunc(r.doubted, func(_ Run, at time.Time) bool { return now.Sub(at) > doubtedFor })
+	maps.DeleteFunc(r.doubted, func(_ Run, span doubtedSpan) bool { return now.Sub(span.since) > doubtedFor })
 	for run := range runs {
 		if len(r.doubted) < doubtedRuns {
-			r.doubted[run] = since
+			r.doubted[run] = doubtedSpan{since: since}
 		}
 	}
 	for key, known := range r.byKey {
@@ -135,6 +141,19 @@
 	}
 }
 
+// Relisted records that runs are listed from now on. A run may be listed again after a later one: a process that drains
+// renews its entry beside its successor. Streams that begin there from now on are not doubted.
+func (r *Records) Relisted(runs map[Run]bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for run := range runs {
+		if span, doubted := r.doubted[run]; doubted && span.until.IsZero() {
+			span.until = now
+			r.doubted[run] = span
+		}
+	}
+}
+
 // dropOld drops the oldest records that have expired, and one more if there is no room. The caller holds
 // the lock.
 func (r *Records) dropOld(now time.Time) {
--- a/origin/run_test.go
+++ b/origin/run_test.go
@@ -59,6 +59,27 @@
 	}
 }
 
+// The list may show a later run and then the former one again, whose streams are then as certain as before.
+func TestRunsAreNotDoubtedForGood(t *testing.T) {
+	records, now := NewRecords(10), time.Now()
+	put := func(key Key, run string, began, now time.Time) bool {
+		at := records.PutRecord(Record{Key: key, At: old, Until: now.Add(time.Minute), Run: RunOf(run), Began: began}, now)
+		return at == Origin{}
+	}
+	doubted(records, "s@1", now, now)
+	doubted(records, "s@2", now, now)
+	relisted := now.Add(time.Second)
+	records.Relisted(map[Run]bool{RunOf("s@2"): true}, relisted)
+	records.Relisted(map[Run]bool{RunOf("s@2"): true}, relisted.Add(time.Minute))
+	later := now.Add(2 * time.Second)
+	if !put(1, "s@1", later, later) || !put(2, "s@2", relisted, later) || put(3, "s@2", later, later) {
+		t.Error("expected the streams of the run that is listed again to be doubted that began before, and no later ones")
+	}
+	if forgotten := now.Add(doubtedFor + time.Second); put(4, "s@1", forgotten, forgotten) {
+		t.Error("a run is doubted for longer than intended, because no other one was since")
+	}
+}
+
 // Instances of an older build know neither runs nor the time of a batch, and send none.
 func TestRunsAreOptionalInMessages(t *testing.T) {
 	now := time.Now()
