edge: lookups of nameless streams of two services do not share an answer

Lookups with the same key share the answers of siblings, since these do not name their sender. All streams whose callers do not name them had the same key, so that lookups of two services at the same time got the answer for one of them: the only release of the other service. Their key is now one per service.

--- a/edge/doubts_test.go
+++ b/edge/doubts_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/registry"
 )
@@ -95,6 +96,32 @@
 	})
 }
 
+// TestNamelessLookupsOfTwoServicesAreNotMixed has callers take up streams of two services at once without naming them,
+// at an instance that has to ask its siblings. Each service has one release.
+func TestNamelessLookupsOfTwoServicesAreNotMixed(t *testing.T) {
+	releases := []origin.Origin{{Service: "b", Release: "v1"}, {Service: "c", Release: "v7"}}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, originInstances, DefaultConfig())
+		for _, at := range releases {
+			f.store.registerRelease(at.Service, at)
+		}
+		end := f.start()
+		time.Sleep(originWindow + 5*time.Second)
+		in := f.instances[0]
+		in.Origins.releases.Restart(time.Now(), time.Now())
+		var running sync.WaitGroup
+		for _, want := range releases {
+			running.Go(func() {
+				if at, source := in.Origins.Find(t.Context(), "", want.Service); at != want || source != metrics.OriginSibling {
+					t.Errorf("%v by %s, expected %v", at, source, want)
+				}
+			})
+		}
+		running.Wait()
+		end()
+	})
+}
+
 // TestDoubtWinsOverOtherRecordsOfAnInstance: a stream that was taken up is recorded at each instance that it
 // came to, and only the first one doubts it.
 func TestDoubtWinsOverOtherRecordsOfAnInstance(t *testing.T) {
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -198,7 +198,7 @@
 // Find returns where a stream of a service began, and how that is known. request is the ID of the
 // request that brought its first event, empty if the caller does not name it.
 func (o *origins) Find(ctx context.Context, request, service string) (origin.Origin, metrics.OriginSource) {
-	key := origin.KeyOf(request)
+	key := keyOf(request, service)
 	at, source := o.lookUp(key, service, clock.Now())
 	if source == metrics.OriginUnknown {
 		at, source = o.findElsewhere(ctx, key, service)
@@ -210,6 +210,15 @@
 	return at, source
 }
 
+// keyOf returns the key of a stream of a service. Streams whose caller does not name them have one key per service,
+// since lookups with the same key share an answer. No request has the ID that it is made from, and so none has a record.
+func keyOf(request, service string) origin.Key {
+	if request == "" {
+		return origin.KeyOf("\x00" + service)
+	}
+	return origin.KeyOf(request)
+}
+
 // findElsewhere asks siblings where a stream began, and then looks for it in the store.
 func (o *origins) findElsewhere(ctx context.Context, key origin.Key, service string) (origin.Origin, metrics.OriginSource) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
