origin: a record of another release has its own server's run

The run at which a stream began stays when its record is replaced, since a stream that is taken up goes on at another server. A caller that uses the ID of a request again begins a new stream, maybe at another release; its record kept the run of the former stream, so that a restart of that server doubted it, and a restart of its own server did not. The run is now kept only if the release is the same.

TestNewStreamWithAnIDThatWasUsedHasItsOwnRun failed before on both counts.

--- a/origin/records.go
+++ b/origin/records.go
@@ -70,7 +70,8 @@
 
 // PutRecord adds a record and returns its origin. A record that nobody can know where a stream began stays until it
 // expires: records of the stream that were sent or stored earlier may arrive later. The run at which a stream began
-// stays too: a stream that is taken up goes on at another one, at the release where it began.
+// stays too: a stream that is taken up goes on at another one, at the release where it began. A record of another
+// release is that of a new stream, whose caller has used the ID of a request again.
 func (r *Records) PutRecord(one Record, now time.Time) Origin {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -95,7 +96,7 @@
 		if *known.at == (Origin{}) && now.Before(known.until) {
 			one.At = Origin{}
 		}
-		if known.run != 0 && now.Before(known.until) {
+		if known.run != 0 && *known.at == one.At && now.Before(known.until) {
 			next.run, next.began = known.run, known.began
 		}
 		if next.until.Before(known.until) {
--- a/origin/run_test.go
+++ b/origin/run_test.go
@@ -37,6 +37,21 @@
 	}
 }
 
+// A caller may use the ID of a request again for a new stream, which may begin at another release.
+func TestNewStreamWithAnIDThatWasUsedHasItsOwnRun(t *testing.T) {
+	records, now := NewRecords(10), time.Now()
+	again := now.Add(3 * time.Second)
+	records.PutOwn(1, old, "s@1", now.Add(20*time.Second), now)
+	records.PutOwn(1, Origin{Service: old.Service, Release: "v9"}, "o@1", now.Add(20*time.Second), again)
+	later := now.Add(4 * time.Second)
+	if keys := doubted(records, "s@1", now.Add(-time.Second), later); len(keys) > 0 {
+		t.Errorf("%v are doubted with the server of the former stream", keys)
+	}
+	if keys := doubted(records, "o@1", now, later); len(keys) != 1 {
+		t.Errorf("%v are doubted with the server of the new stream", keys)
+	}
+}
+
 func TestRecordThatArrivesAfterADoubtOfItsRunIsDoubted(t *testing.T) {
 	records, now := NewRecords(10), time.Now()
 	doubted(records, "s@1", now.Add(-5*time.Second), now)
