origin: a gap that may hide a release shortens the history that siblings get

An instance whose list was replaced without its changes of up to 2 s takes no release of a service that had none for the only one, for a window. Its history for siblings did not tell: an instance that had just started took the release for the only one. A history is now complete only since the gap, if it names a service of which a release can have come and left in it.

TestGapIsNotHiddenFromReceiversOfTheHistory failed before: v1 was taken for the only release. Services that had a release at the time of the gap are known as before.

--- a/origin/announcements_test.go
+++ b/origin/announcements_test.go
@@ -88,6 +88,40 @@
 	}
 }
 
+// TestGapIsNotHiddenFromReceiversOfTheHistory guards against a receiver that takes a release for the only one whose
+// sender does not, because another one of the service may have come and left in a gap.
+func TestGapIsNotHiddenFromReceiversOfTheHistory(t *testing.T) {
+	unused := Origin{Service: "b", Release: "v1"}
+	began := time.Now()
+	sender := NewReleases(testWindow)
+	sender.Extend(began.Add(-time.Hour), nil, began)
+	sender.SetListed(oldOnly, true, began)
+	sender.Gap(began)
+	received := func(listed map[Origin]bool, now time.Time) *Releases {
+		sender.SetListed(listed, true, now)
+		receiver := NewReleases(testWindow)
+		receiver.SetListed(listed, true, now)
+		since, lastListed, ok := sender.HistoryMessage(0, now).Times(now)
+		if !ok {
+			t.Fatal("the history is not usable")
+		}
+		receiver.ExtendFrom(since, now, lastListed, now)
+		return receiver
+	}
+	now := began.Add(time.Second)
+	if _, known := received(oldOnly, now).Sole("a", now); !known {
+		t.Error("a gap that hides no listed service makes the history unusable")
+	}
+	both := map[Origin]bool{old: true, unused: true}
+	if release, known := received(both, now).Sole("b", now); known {
+		t.Errorf("%s is taken for the only release", release)
+	}
+	now = began.Add(testWindow + time.Second)
+	if _, known := received(both, now).Sole("b", now); !known {
+		t.Error("the only release is not known a window after the gap")
+	}
+}
+
 // TestLongHistoryIsNotSent guards against a history that is sent in part: a receiver would miss the other releases.
 func TestLongHistoryIsNotSent(t *testing.T) {
 	now := time.Now()
--- a/origin/message.go
+++ b/origin/message.go
@@ -111,6 +111,13 @@
 	if !complete || len(retained) > MaxReleases {
 		return nil
 	}
+	known := r.history.Load()
+	for at := range retained {
+		if !known.lacksNothing(at.Service, since) {
+			// A message has one time for all services.
+			since = known.gapAt
+		}
+	}
 	message := &Message{History: &History{CompleteMillis: now.Sub(since).Milliseconds(), ListAgeMillis: listAge.Milliseconds()}}
 	for at, last := range retained {
 		index := message.Index(at)
