edge: streams of a server that was removed between its runs are doubted

A server that is back under its id at another release serves before the list shows it, so its last streams are doubted. If the list showed no run of it in between, for however short a time, nobody doubted them: the former run was looked up in the list just before.

--- a/edge/doubts_test.go
+++ b/edge/doubts_test.go
@@ -304,6 +304,35 @@
 	})
 }
 
+// TestStreamsOfAServerThatWasRemovedInBetweenAreDoubted has the list show neither run of the server for a short time.
+func TestStreamsOfAServerThatWasRemovedInBetweenAreDoubted(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		s.store.change(func() { s.store.servers = append(s.store.servers, registry.Change{ID: "e"}) })
+		time.Sleep(500 * time.Millisecond)
+		s.register(newRelease, 2*time.Second)
+		time.Sleep(time.Second)
+		s.checkRestarted("at once", s.instances)
+		stopFirst()
+		stopOthers()
+	})
+}
+
+func TestServersThatWereRemovedAreForgotten(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		s.store.change(func() { s.store.servers = append(s.store.servers, registry.Change{ID: "e"}) })
+		time.Sleep(doubtFor + time.Second)
+		s.register(newRelease, 0)
+		time.Sleep(time.Second)
+		for _, in := range s.instances {
+			if got := find(in, "late"); got != "v1" || len(in.Origins.removed) > 0 {
+				t.Errorf("%s: a stream from long before the restart is found at %s, and %d removed servers are remembered", in.config.Name, got, len(in.Origins.removed))
+			}
+		}
+		stopFirst()
+		stopOthers()
+	})
+}
+
 func TestStreamsOfARestartedServerAreDoubtedAfterALossOfAll(t *testing.T) {
 	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
 		stopFirst()
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -104,6 +104,8 @@
 	listedEra uint64
 	// announcerWoken wakes the announcer.
 	announcerWoken chan struct{}
+	// removed holds the servers that have left the list lately, by their ids. Only doubtRestarted uses it.
+	removed map[string]removedServer
 	// stored holds the records that are appended to the store or were read there.
 	stored *storedOrigins
 }
@@ -115,6 +117,12 @@
 	next time.Time
 }
 
+// removedServer is the last run of a server that left the list at a time.
+type removedServer struct {
+	run, release string
+	at           time.Time
+}
+
 type originAnswer struct {
 	at    origin.Origin
 	known bool
@@ -124,7 +132,7 @@
 	o := &origins{
 		Instance: in, own: origin.NewRecords(originRecords), kept: origin.NewRecords(originRecords), releases: origin.NewReleases(originWindow), leastWindow: originWindow,
 		waiting: make(map[origin.Key]chan originAnswer), ambiguous: make(map[string]bool), woken: make(chan struct{}, 1),
-		announcerWoken: make(chan struct{}, 1), stored: newStoredOrigins(in),
+		announcerWoken: make(chan struct{}, 1), removed: make(map[string]removedServer), stored: newStoredOrigins(in),
 	}
 	if in.config.FirstStart {
 		o.releases.Extend(in.started.Add(-longAgo), nil, in.started)
@@ -236,21 +244,28 @@
 }
 
 // doubtRestarted records that nobody can know where the last streams began of servers that are back
-// under their ids at another release. When these streams began, the list may have shown the former run.
+// under their ids at another release. When these streams began, the list may have shown the former run, also if it
+// has shown none since.
 func (o *origins) doubtRestarted(before, after *registry.View, now time.Time) {
 	if before == nil {
 		return
 	}
+	o.noteRemoved(before, after, now)
 	replaced, relisted := make(map[origin.Run]bool), make(map[origin.Run]bool)
 	for i := range after.Servers {
 		server := &after.Servers[i]
-		old := before.Find(server.ID)
-		if old != nil && old.Run() == server.Run() {
+		former, wasRemoved := o.removed[server.ID]
+		if old := before.Find(server.ID); old != nil {
+			former = removedServer{run: old.Run(), release: old.Release}
+		} else if !wasRemoved {
+			former.release = server.Release
+		}
+		if former.run == server.Run() {
 			continue
 		}
 		relisted[origin.RunOf(server.Run())] = true
-		if old != nil && old.Release != server.Release {
-			replaced[origin.RunOf(old.Run())] = true
+		if former.release != server.Release {
+			replaced[origin.RunOf(former.run)] = true
 		}
 	}
 	for _, records := range []*origin.Records{o.own, o.kept, o.stored.records} {
@@ -267,6 +282,17 @@
 	o.stored.records.Doubt(replaced, since, now, func(origin.Record) {})
 }
 
+// noteRemoved remembers the servers that a list no longer has, for as long as their last streams may be doubted.
+func (o *origins) noteRemoved(before, after *registry.View, now time.Time) {
+	maps.DeleteFunc(o.removed, func(_ string, one removedServer) bool { return now.Sub(one.at) > doubtFor })
+	for i := range before.Servers {
+		server := &before.Servers[i]
+		if after.Find(server.ID) == nil {
+			o.removed[server.ID] = removedServer{run: server.Run(), release: server.Release, at: now}
+		}
+	}
+}
+
 // lookUp returns where a stream began, as far as this instance knows.
 func (o *origins) lookUp(key origin.Key, service string, now time.Time) (origin.Origin, metrics.OriginSource) {
 	if o.isDoubted(key, now) {
