edge: doubts that are to be sent are not dropped before other records

An instance on whose list a server is back at another release doubts the server's last streams and, as the service has two releases now, sends the records of all its streams. Of more than 16,384 records that wait the oldest were dropped, and these are the doubts. They go last now, as in the queue of the records for the store.

TestDoubtsAreSentThoughManyRecordsWait: 0 of 10 doubts were left before, all are now.

--- a/edge/doubts_test.go
+++ b/edge/doubts_test.go
@@ -214,6 +214,35 @@
 	}
 }
 
+// TestDoubtsAreSentThoughManyRecordsWait has all records of a service wait behind doubts, as when a second release of it
+// appears: without the doubts, older records would count.
+func TestDoubtsAreSentThoughManyRecordsWait(t *testing.T) {
+	const doubts = 10
+	o, until := bareInstance("a", new(claims), enginesOf(0, 0)).Origins, time.Now().Add(time.Minute)
+	for key := range origin.Key(doubts) {
+		o.enqueue(origin.Record{Key: key, Until: until})
+	}
+	records := make([]origin.Record, originRecords)
+	for i := range records {
+		records[i] = origin.Record{Key: origin.Key(doubts + i), At: oldRelease, Until: until}
+	}
+	o.enqueue(records...)
+	for key := range origin.Key(doubts) {
+		if len(o.unsent) != originRecords || o.unsent[key].Key != key || !o.unsent[key].IsDoubt() {
+			t.Fatalf("doubt %d is not among the %d records that wait", key, len(o.unsent))
+		}
+	}
+	if oldest := o.unsent[doubts].Key; oldest != 2*doubts {
+		t.Errorf("record %d is the oldest that waits, expected %d", oldest, 2*doubts)
+	}
+	for range 2 {
+		o.enqueue(make([]origin.Record, originRecords)...)
+	}
+	if len(o.unsent) != originRecords {
+		t.Errorf("%d records wait", len(o.unsent))
+	}
+}
+
 // TestDoubtsAreAppendedAgainAfterARestoreOfTheStore: without them, older records that the store still has would count.
 func TestDoubtsAreAppendedAgainAfterARestoreOfTheStore(t *testing.T) {
 	withBothReleases(t, func(f *fleet) {
--- a/edge/originlog.go
+++ b/edge/originlog.go
@@ -163,22 +163,27 @@
 	wake(s.appendWoken)
 }
 
-// trim drops the oldest records beyond originRecords and returns their number. Those that nobody can know
-// where a stream began go last: without them an older record would count. The caller holds the lock.
+// trim drops the excess of the queue and returns the number of records. The caller holds the lock.
 func (s *storedOrigins) trim() (dropped int) {
-	excess := len(s.queue) - originRecords
+	s.queue, dropped = dropExcess(s.queue, func(one *queuedOrigin) bool { return one.IsDoubt() })
+	return dropped
+}
+
+// dropExcess drops the oldest records beyond originRecords and returns their number. Those that nobody can know
+// where a stream began go last: without them an older record would count.
+func dropExcess[T any](records []T, isDoubt func(one *T) bool) (kept []T, dropped int) {
+	excess := len(records) - originRecords
 	if excess <= 0 {
-		return 0
+		return records, 0
 	}
-	s.queue = slices.DeleteFunc(s.queue, func(one queuedOrigin) bool {
-		drop := dropped < excess && !one.IsDoubt()
+	kept = slices.DeleteFunc(records, func(one T) bool {
+		drop := dropped < excess && !isDoubt(&one)
 		if drop {
 			dropped++
 		}
 		return drop
 	})
-	s.queue = s.queue[excess-dropped:]
-	return excess
+	return kept[excess-dropped:], excess
 }
 
 // appendLoop appends what is queued until ctx ends, one batch each originAppendEvery. It does not wait for the
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -154,9 +154,7 @@
 func (o *origins) enqueue(records ...origin.Record) {
 	o.mu.Lock()
 	o.unsent = append(o.unsent, records...)
-	if excess := len(o.unsent) - originRecords; excess > 0 {
-		o.unsent = o.unsent[excess:]
-	}
+	o.unsent, _ = dropExcess(o.unsent, func(one *origin.Record) bool { return one.IsDoubt() })
 	o.mu.Unlock()
 	o.wake()
 }
