edge: streams of a server without a start time are doubted when it restarts

A server's start time is optional. Without it, all runs of the server have one name, and a restart at another release was not noticed, so nobody doubted its last streams. They are doubted now whenever a server's release changes; streams that begin there afterwards are not.

After a loss of all instances such a stream is still found at v1: its record in the store does not tell its run apart.

--- a/edge/doubts_test.go
+++ b/edge/doubts_test.go
@@ -346,6 +346,29 @@
 	})
 }
 
+// TestStreamsOfAServerWithoutAStartTimeAreDoubted has a server restart at another release whose runs have one name.
+func TestStreamsOfAServerWithoutAStartTimeAreDoubted(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		s.store.registerRelease("e", oldRelease)
+		time.Sleep(2*doubtFor + time.Second)
+		s.run = "e"
+		s.begin(s.instances[0], "unnamed")
+		time.Sleep(time.Second)
+		s.store.registerRelease("e", newRelease)
+		time.Sleep(time.Second)
+		s.instances[0].Origins.Began("new", newRelease, s.run, time.Now().Add(20*time.Second))
+		time.Sleep(100 * time.Millisecond)
+		for _, in := range s.instances {
+			checkUnknown(t, "a server without a start time", in, "unnamed")
+			if got := find(in, "new"); got != "v2" {
+				t.Errorf("%s: a stream from after the restart is found at %s", in.config.Name, got)
+			}
+		}
+		stopFirst()
+		stopOthers()
+	})
+}
+
 func TestServersThatWereRemovedAreForgotten(t *testing.T) {
 	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
 		s.store.change(func() { s.store.servers = append(s.store.servers, registry.Change{ID: "e"}) })
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -258,7 +258,8 @@
 		} else if !wasRemoved {
 			former.release = server.Release
 		}
-		if former.run == server.Run() {
+		// The runs of a server that states no start time have one name.
+		if former.run == server.Run() && former.release == server.Release {
 			continue
 		}
 		relisted[origin.RunOf(server.Run())] = true
@@ -266,18 +267,17 @@
 			replaced[origin.RunOf(former.run)] = true
 		}
 	}
+	if len(replaced) > 0 {
+		enqueue := func(doubt origin.Record) { o.enqueue(doubt) }
+		since := now.Add(-doubtFor)
+		o.own.Doubt(replaced, since, now, enqueue)
+		// The instances that began these streams may have ended.
+		o.kept.Doubt(replaced, since, now, enqueue)
+		o.stored.records.Doubt(replaced, since, now, func(origin.Record) {})
+	}
 	for _, records := range []*origin.Records{o.own, o.kept, o.stored.records} {
 		records.Relisted(relisted, now)
 	}
-	if len(replaced) == 0 {
-		return
-	}
-	enqueue := func(doubt origin.Record) { o.enqueue(doubt) }
-	since := now.Add(-doubtFor)
-	o.own.Doubt(replaced, since, now, enqueue)
-	// The instances that began these streams may have ended.
-	o.kept.Doubt(replaced, since, now, enqueue)
-	o.stored.records.Doubt(replaced, since, now, func(origin.Record) {})
 }
 
 // noteRemoved remembers the servers that a list no longer has, for as long as their last streams may be doubted.
