--- a/edge/doubts_test.go
+++ b/edge/doubts_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/member"
+	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/registry"
 )
@@ -95,6 +96,32 @@
 	})
 }
 
+// TestNamelessLookupsOfTwoServicesAreNotMixed has callers take up streams of two services at once without naming them,
+// at an instance that has to ask its siblings. Each service has one release.
+func TestNamelessLookupsOfTwoServicesAreNotMixed(t *testing.T) {
+	releases := []origin.Origin{{Service: "b", Release: "v1"}, {Service: "c", Release: "v7"}}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, originInstances, DefaultConfig())
+		for _, at := range releases {
+			f.store.registerRelease(at.Service, at)
+		}
+		end := f.start()
+		time.Sleep(originWindow + 5*time.Second)
+		in := f.instances[0]
+		in.Origins.releases.Restart(time.Now(), time.Now())
+		var running sync.WaitGroup
+		for _, want := range releases {
+			running.Go(func() {
+				if at, source := in.Origins.Find(t.Context(), "", want.Service); at != want || source != metrics.OriginSibling {
+					t.Errorf("%v by %s, expected %v", at, source, want)
+				}
+			})
+		}
+		running.Wait()
+		end()
+	})
+}
+
 // TestDoubtWinsOverOtherRecordsOfAnInstance: a stream that was taken up is recorded at each instance that it
 // came to, and only the first one doubts it.
 func TestDoubtWinsOverOtherRecordsOfAnInstance(t *testing.T) {
@@ -187,6 +214,35 @@
 	}
 }
 
+// TestDoubtsAreSentThoughManyRecordsWait has all records of a service wait behind doubts, as when a second release of it
+// appears: without the doubts, older records would count.
+func TestDoubtsAreSentThoughManyRecordsWait(t *testing.T) {
+	const doubts = 10
+	o, until := bareInstance("a", new(claims), enginesOf(0, 0)).Origins, time.Now().Add(time.Minute)
+	for key := range origin.Key(doubts) {
+		o.enqueue(origin.Record{Key: key, Until: until})
+	}
+	records := make([]origin.Record, originRecords)
+	for i := range records {
+		records[i] = origin.Record{Key: origin.Key(doubts + i), At: oldRelease, Until: until}
+	}
+	o.enqueue(records...)
+	for key := range origin.Key(doubts) {
+		if len(o.unsent) != originRecords || o.unsent[key].Key != key || !o.unsent[key].IsDoubt() {
+			t.Fatalf("doubt %d is not among the %d records that wait", key, len(o.unsent))
+		}
+	}
+	if oldest := o.unsent[doubts].Key; oldest != 2*doubts {
+		t.Errorf("record %d is the oldest that waits, expected %d", oldest, 2*doubts)
+	}
+	for range 2 {
+		o.enqueue(make([]origin.Record, originRecords)...)
+	}
+	if len(o.unsent) != originRecords {
+		t.Errorf("%d records wait", len(o.unsent))
+	}
+}
+
 // TestDoubtsAreAppendedAgainAfterARestoreOfTheStore: without them, older records that the store still has would count.
 func TestDoubtsAreAppendedAgainAfterARestoreOfTheStore(t *testing.T) {
 	withBothReleases(t, func(f *fleet) {
@@ -277,6 +333,58 @@
 	})
 }
 
+// TestStreamsOfAServerThatWasRemovedInBetweenAreDoubted has the list show neither run of the server for a short time.
+func TestStreamsOfAServerThatWasRemovedInBetweenAreDoubted(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		s.store.change(func() { s.store.servers = append(s.store.servers, registry.Change{ID: "e"}) })
+		time.Sleep(500 * time.Millisecond)
+		s.register(newRelease, 2*time.Second)
+		time.Sleep(time.Second)
+		s.checkRestarted("at once", s.instances)
+		stopFirst()
+		stopOthers()
+	})
+}
+
+// TestStreamsOfAServerWithoutAStartTimeAreDoubted has a server restart at another release whose runs have one name.
+func TestStreamsOfAServerWithoutAStartTimeAreDoubted(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		s.store.registerRelease("e", oldRelease)
+		time.Sleep(2*doubtFor + time.Second)
+		s.run = "e"
+		s.begin(s.instances[0], "unnamed")
+		time.Sleep(time.Second)
+		s.store.registerRelease("e", newRelease)
+		time.Sleep(time.Second)
+		s.instances[0].Origins.Began("new", newRelease, s.run, time.Now().Add(20*time.Second))
+		time.Sleep(100 * time.Millisecond)
+		for _, in := range s.instances {
+			checkUnknown(t, "a server without a start time", in, "unnamed")
+			if got := find(in, "new"); got != "v2" {
+				t.Errorf("%s: a stream from after the restart is found at %s", in.config.Name, got)
+			}
+		}
+		stopFirst()
+		stopOthers()
+	})
+}
+
+func TestServersThatWereRemovedAreForgotten(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		s.store.change(func() { s.store.servers = append(s.store.servers, registry.Change{ID: "e"}) })
+		time.Sleep(doubtFor + time.Second)
+		s.register(newRelease, 0)
+		time.Sleep(time.Second)
+		for _, in := range s.instances {
+			if got := find(in, "late"); got != "v1" || len(in.Origins.removed) > 0 {
+				t.Errorf("%s: a stream from long before the restart is found at %s, and %d removed servers are remembered", in.config.Name, got, len(in.Origins.removed))
+			}
+		}
+		stopFirst()
+		stopOthers()
+	})
+}
+
 func TestStreamsOfARestartedServerAreDoubtedAfterALossOfAll(t *testing.T) {
 	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
 		stopFirst()
@@ -316,6 +424,31 @@
 	})
 }
 
+// TestServerThatIsListedAgainIsNotDoubtedForGood has the list show the former run of a server for a second, whose process
+// renews its entry while it drains, and then the later run again.
+func TestServerThatIsListedAgainIsNotDoubtedForGood(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		born := time.Now().Add(-time.Second)
+		for _, turn := range []struct {
+			at  origin.Origin
+			ago time.Duration
+		}{{newRelease, time.Since(born)}, {oldRelease, time.Minute}, {newRelease, time.Since(born) + 2*time.Second}} {
+			s.register(turn.at, turn.ago)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(2 * doubtFor)
+		s.instances[0].Origins.Began("new", newRelease, s.run, time.Now().Add(20*time.Second))
+		time.Sleep(100 * time.Millisecond)
+		for _, in := range s.instances {
+			if got := find(in, "new"); got != "v2" {
+				t.Errorf("%s: a stream of the server that is listed again is found at %s", in.config.Name, got)
+			}
+		}
+		stopFirst()
+		stopOthers()
+	})
+}
+
 func TestRecordsWithRunsFitIntoOneUnfragmentedDatagram(t *testing.T) {
 	const payload = 1472
 	now := time.Now()
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -104,6 +104,8 @@
 	listedEra uint64
 	// announcerWoken wakes the announcer.
 	announcerWoken chan struct{}
+	// removed holds the servers that have left the list lately, by their ids. Only doubtRestarted uses it.
+	removed map[string]removedServer
 	// stored holds the records that are appended to the store or were read there.
 	stored *storedOrigins
 }
@@ -115,6 +117,12 @@
 	next time.Time
 }
 
+// removedServer is the last run of a server that left the list at a time.
+type removedServer struct {
+	run, release string
+	at           time.Time
+}
+
 type originAnswer struct {
 	at    origin.Origin
 	known bool
@@ -124,7 +132,7 @@
 	o := &origins{
 		Instance: in, own: origin.NewRecords(originRecords), kept: origin.NewRecords(originRecords), releases: origin.NewReleases(originWindow), leastWindow: originWindow,
 		waiting: make(map[origin.Key]chan originAnswer), ambiguous: make(map[string]bool), woken: make(chan struct{}, 1),
-		announcerWoken: make(chan struct{}, 1), stored: newStoredOrigins(in),
+		announcerWoken: make(chan struct{}, 1), removed: make(map[string]removedServer), stored: newStoredOrigins(in),
 	}
 	if in.config.FirstStart {
 		o.releases.Extend(in.started.Add(-longAgo), nil, in.started)
@@ -146,9 +154,7 @@
 func (o *origins) enqueue(records ...origin.Record) {
 	o.mu.Lock()
 	o.unsent = append(o.unsent, records...)
-	if excess := len(o.unsent) - originRecords; excess > 0 {
-		o.unsent = o.unsent[excess:]
-	}
+	o.unsent, _ = dropExcess(o.unsent, func(one *origin.Record) bool { return one.IsDoubt() })
 	o.mu.Unlock()
 	o.wake()
 }
@@ -198,7 +204,7 @@
 // Find returns where a stream of a service began, and how that is known. request is the ID of the
 // request that brought its first event, empty if the caller does not name it.
 func (o *origins) Find(ctx context.Context, request, service string) (origin.Origin, metrics.OriginSource) {
-	key := origin.KeyOf(request)
+	key := keyOf(request, service)
 	at, source := o.lookUp(key, service, clock.Now())
 	if source == metrics.OriginUnknown {
 		at, source = o.findElsewhere(ctx, key, service)
@@ -210,6 +216,15 @@
 	return at, source
 }
 
+// keyOf returns the key of a stream of a service. Streams whose caller does not name them have one key per service,
+// since lookups with the same key share an answer. No request has the ID that it is made from, and so none has a record.
+func keyOf(request, service string) origin.Key {
+	if request == "" {
+		return origin.KeyOf("\x00" + service)
+	}
+	return origin.KeyOf(request)
+}
+
 // findElsewhere asks siblings where a stream began, and then looks for it in the store.
 func (o *origins) findElsewhere(ctx context.Context, key origin.Key, service string) (origin.Origin, metrics.OriginSource) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
@@ -227,28 +242,53 @@
 }
 
 // doubtRestarted records that nobody can know where the last streams began of servers that are back
-// under their ids at another release. When these streams began, the list may have shown the former run.
+// under their ids at another release. When these streams began, the list may have shown the former run, also if it
+// has shown none since.
 func (o *origins) doubtRestarted(before, after *registry.View, now time.Time) {
 	if before == nil {
 		return
 	}
-	replaced := make(map[origin.Run]bool)
+	o.noteRemoved(before, after, now)
+	replaced, relisted := make(map[origin.Run]bool), make(map[origin.Run]bool)
 	for i := range after.Servers {
 		server := &after.Servers[i]
-		old := before.Find(server.ID)
-		if old != nil && old.Run() != server.Run() && old.Release != server.Release {
-			replaced[origin.RunOf(old.Run())] = true
+		former, wasRemoved := o.removed[server.ID]
+		if old := before.Find(server.ID); old != nil {
+			former = removedServer{run: old.Run(), release: old.Release}
+		} else if !wasRemoved {
+			former.release = server.Release
+		}
+		// The runs of a server that states no start time have one name.
+		if former.run == server.Run() && former.release == server.Release {
+			continue
+		}
+		relisted[origin.RunOf(server.Run())] = true
+		if former.release != server.Release {
+			replaced[origin.RunOf(former.run)] = true
 		}
 	}
-	if len(replaced) == 0 {
-		return
+	if len(replaced) > 0 {
+		enqueue := func(doubt origin.Record) { o.enqueue(doubt) }
+		since := now.Add(-doubtFor)
+		o.own.Doubt(replaced, since, now, enqueue)
+		// The instances that began these streams may have ended.
+		o.kept.Doubt(replaced, since, now, enqueue)
+		o.stored.records.Doubt(replaced, since, now, func(origin.Record) {})
+	}
+	for _, records := range []*origin.Records{o.own, o.kept, o.stored.records} {
+		records.Relisted(relisted, now)
+	}
+}
+
+// noteRemoved remembers the servers that a list no longer has, for as long as their last streams may be doubted.
+func (o *origins) noteRemoved(before, after *registry.View, now time.Time) {
+	maps.DeleteFunc(o.removed, func(_ string, one removedServer) bool { return now.Sub(one.at) > doubtFor })
+	for i := range before.Servers {
+		server := &before.Servers[i]
+		if after.Find(server.ID) == nil {
+			o.removed[server.ID] = removedServer{run: server.Run(), release: server.Release, at: now}
+		}
 	}
-	enqueue := func(doubt origin.Record) { o.enqueue(doubt) }
-	since := now.Add(-doubtFor)
-	o.own.Doubt(replaced, since, now, enqueue)
-	// The instances that began these streams may have ended.
-	o.kept.Doubt(replaced, since, now, enqueue)
-	o.stored.records.Doubt(replaced, since, now, func(origin.Record) {})
 }
 
 // lookUp returns where a stream began, as far as this instance knows.
