origin, edge: stored records of a server without a start time are doubted, and long deadlines fit into a batch

After a loss of all instances, a record that was read from the store named the former release if the server was back under its id at another one without a start time: all of its runs have one name. Nobody can know where such a stream began. And a caller's deadline, which has no bound, could make a full batch larger than a stored record may be.

TestStreamsOfAServerWithoutAStartTimeAreDoubtedAfterALossOfAll: 8 of 8 instances named v1 before. TestRecordOfALongDeadlineIsAsSmallAsAnyOther failed before.

--- a/edge/doubts_test.go
+++ b/edge/doubts_test.go
@@ -398,6 +398,27 @@
 	})
 }
 
+// TestStreamsOfAServerWithoutAStartTimeAreDoubtedAfterALossOfAll has all runs of the server have one name.
+func TestStreamsOfAServerWithoutAStartTimeAreDoubtedAfterALossOfAll(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		s.store.registerRelease("e", oldRelease)
+		time.Sleep(2*doubtFor + time.Second)
+		s.run = "e"
+		s.begin(s.instances[0], "unnamed")
+		time.Sleep(time.Second)
+		stopFirst()
+		stopOthers()
+		s.store.registerRelease("e", newRelease)
+		s.running.Wait()
+		end := s.startNew()
+		time.Sleep(2 * time.Second)
+		for _, in := range s.instances {
+			checkUnknown(t, "a stored record of a server without a start time", in, "unnamed")
+		}
+		end()
+	})
+}
+
 // TestLaterRecordOfARestartedServerIsDoubted has an instance record a stream that it had sent to the former run, and
 // send a record to a sibling that has seen the later run, before it has seen that run itself.
 func TestLaterRecordOfARestartedServerIsDoubted(t *testing.T) {
--- a/edge/originreads.go
+++ b/edge/originreads.go
@@ -80,10 +80,15 @@
 	servers := s.registry.View().Servers
 	for i := range servers {
 		server := &servers[i].Entry
-		if server.Service != one.At.Service || server.Release == one.At.Release || server.Born == 0 {
+		if server.Service != one.At.Service || server.Release == one.At.Release {
 			continue
 		}
-		if origin.RunOf(server.Run()).IsOtherRunOf(one.Run) && one.Began.After(time.UnixMilli(server.Born).Add(-doubtFor)) {
+		run := origin.RunOf(server.Run())
+		if server.Born == 0 && run.IsOfServerOf(one.Run) {
+			// The server may have been the later run at any time.
+			return origin.Origin{}, true
+		}
+		if run.IsOtherRunOf(one.Run) && one.Began.After(time.UnixMilli(server.Born).Add(-doubtFor)) {
 			return origin.Origin{}, true
 		}
 	}
--- a/origin/run.go
+++ b/origin/run.go
@@ -25,7 +25,10 @@
 }
 
 // IsOtherRunOf reports whether both are runs of one server, but not the same.
-func (r Run) IsOtherRunOf(other Run) bool { return r != other && r>>halfOfRun == other>>halfOfRun }
+func (r Run) IsOtherRunOf(other Run) bool { return r != other && r.IsOfServerOf(other) }
+
+// IsOfServerOf reports whether both are runs of one server. All runs of a server that states no start time have one name.
+func (r Run) IsOfServerOf(other Run) bool { return r>>halfOfRun == other>>halfOfRun }
 
 // BeganRun is the run of the server at which a stream began. Its elements are 0 if it is not known, or the stream began
 // so long ago that it does not matter.
@@ -48,10 +51,14 @@
 // IsDoubt reports whether nobody can know where the stream began.
 func (r *Record) IsDoubt() bool { return r.At == Origin{} }
 
+// maxLeft is the longest time for which a message has a record kept. Callers may state any deadline; the numbers of a full
+// batch would not fit into a stored record then.
+const maxLeft = 24 * time.Hour
+
 // Message returns the record's entries for a message that is sent now. The run is left out if the stream began longer
 // ago than a time.
 func (r *Record) Message(at int, runMattersFor time.Duration, now time.Time) (Began, BeganRun) {
-	began := Began{Key: r.Key, At: at, LeftMillis: r.Until.Sub(now).Milliseconds()}
+	began := Began{Key: r.Key, At: at, LeftMillis: min(r.Until.Sub(now), maxLeft).Milliseconds()}
 	age := now.Sub(r.Began)
 	if r.Run == 0 || r.IsDoubt() || age > runMattersFor {
 		return began, BeganRun{}
--- a/origin/run_test.go
+++ b/origin/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -151,3 +152,12 @@
 		}
 	}
 }
+
+// TestRecordOfALongDeadlineIsAsSmallAsAnyOther guards against batches that exceed the size of a stored record.
+func TestRecordOfALongDeadlineIsAsSmallAsAnyOther(t *testing.T) {
+	now := time.Unix(1000, 0)
+	long := Record{Key: 1, At: old, Until: now.Add(1 << 62)}
+	if began, _ := long.Message(0, time.Minute, now); began.LeftMillis > math.MaxUint32 {
+		t.Errorf("%d ms are left", began.LeftMillis)
+	}
+}
