edge: only the instance that began a stream repeats its doubt

A review counted 7,203 datagrams with 8,640 doubts for 50 streams of one restarted server, with 59 instances: the instance that began them and three keepers each sent every doubt six times to eight instances. Keepers send it once now, which is 9 of 24 as many.

TestOnlyTheInstanceThatBeganAStreamRepeatsItsDoubt failed before: three keepers repeated the doubt.

--- a/edge/doubts_test.go
+++ b/edge/doubts_test.go
@@ -419,6 +419,23 @@
 	})
 }
 
+// TestOnlyTheInstanceThatBeganAStreamRepeatsItsDoubt guards against as many datagrams as keepers, repeats and receivers of
+// a doubt together.
+func TestOnlyTheInstanceThatBeganAStreamRepeatsItsDoubt(t *testing.T) {
+	withRestartedServer(t, func(s *restartedServer, stopFirst, stopOthers func()) {
+		s.register(newRelease, 1500*time.Millisecond)
+		time.Sleep(3 * doubtRepeatEvery / 2)
+		stopFirst()
+		stopOthers()
+		s.running.Wait()
+		for i, in := range s.instances {
+			if repeats := len(in.Origins.doubts); (repeats > 0) != (i == 0) {
+				t.Errorf("%s repeats %d doubts", in.config.Name, repeats)
+			}
+		}
+	})
+}
+
 // TestLaterRecordOfARestartedServerIsDoubted has an instance record a stream that it had sent to the former run, and
 // send a record to a sibling that has seen the later run, before it has seen that run itself.
 func TestLaterRecordOfARestartedServerIsDoubted(t *testing.T) {
--- a/edge/origindoubts.go
+++ b/edge/origindoubts.go
@@ -85,7 +85,8 @@
 }
 
 // repeatDoubts sends again the doubts that are due, and has those among the records that were just sent be sent
-// again. They expire with the time that the callers of their streams have.
+// again, if the stream began here: up to three keepers send the same doubt. They expire with the time that the callers of
+// their streams have.
 func (o *origins) repeatDoubts(sent []origin.Record, now time.Time) {
 	var due []origin.Record
 	kept := o.doubts[:0]
@@ -102,7 +103,7 @@
 	o.doubts = kept
 	o.sendToKeepers(due, nil, now)
 	for _, one := range sent {
-		if one.IsDoubt() && len(o.doubts) < originRecords {
+		if _, own := o.own.Find(one.Key, now); one.IsDoubt() && own && len(o.doubts) < originRecords {
 			o.doubts = append(o.doubts, repeatedDoubt{one, doubtRepeats, now.Add(doubtRepeatEvery)})
 		}
 	}
