--- a/edge/originasks.go
+++ b/edge/originasks.go
@@ -13,6 +13,8 @@
 
 // Where a stream began is asked of the siblings that may have its record.
 
+// originAnswer is a sibling's answer. known is false if it does not know the stream; the origin is zero if nobody can
+// know where the stream began.
 type originAnswer struct {
 	at    origin.Origin
 	known bool
