--- a/edge/originreads.go
+++ b/edge/originreads.go
@@ -84,9 +84,12 @@
 			continue
 		}
 		run := origin.RunOf(server.Run())
-		if server.Born == 0 && run.IsOfServerOf(one.Run) {
-			// The server may have been the later run at any time.
-			return origin.Origin{}, true
+		if server.Born == 0 {
+			if run == one.Run {
+				// All runs of the server have one name: it may have been the later one at any time.
+				return origin.Origin{}, true
+			}
+			continue
 		}
 		if run.IsOtherRunOf(one.Run) && one.Began.After(time.UnixMilli(server.Born).Add(-doubtFor)) {
 			return origin.Origin{}, true
--- a/origin/run.go
+++ b/origin/run.go
@@ -25,10 +25,7 @@
 }
 
 // IsOtherRunOf reports whether both are runs of one server, but not the same.
-func (r Run) IsOtherRunOf(other Run) bool { return r != other && r.IsOfServerOf(other) }
-
-// IsOfServerOf reports whether both are runs of one server. All runs of a server that states no start time have one name.
-func (r Run) IsOfServerOf(other Run) bool { return r>>halfOfRun == other>>halfOfRun }
+func (r Run) IsOtherRunOf(other Run) bool { return r != other && r>>halfOfRun == other>>halfOfRun }
 
 // BeganRun is the run of the server at which a stream began. Its elements are 0 if it is not known, or the stream began
 // so long ago that it does not matter.
