forward: the log says what ended a request that got no whole answer

Cause: an end by the deadline, by a server, by a move that failed and by a silent run all were logged as stream_broken with the text of the last read, which named the server for ends of our own ("i/o timeout: no complete answer from the backend server").

Measured: the search over the life of a relay checks endedBy against what was played.

--- a/connwatch/connwatch.go
+++ b/connwatch/connwatch.go
@@ -184,15 +184,19 @@
 	}
 }
 
+// errDisconnected is the cause of the end of the context of a caller that has disconnected.
+var errDisconnected = errors.New("the caller disconnected")
+
 // Context returns a context that ends when the caller on conn disconnects.
 // release must be called before the connection is read again.
 func Context(conn net.Conn) (watched context.Context, release func()) {
-	watched, cancel := context.WithCancel(context.Background())
+	watched, end := context.WithCancelCause(context.Background())
+	cancel := func() { end(nil) }
 	c, ok := conn.(*Conn)
 	if !ok {
 		return watched, cancel
 	}
-	stop := c.Watch(cancel)
+	stop := c.Watch(func() { end(errDisconnected) })
 	return watched, func() {
 		stop()
 		cancel()
--- a/edge/deps.go
+++ b/edge/deps.go
@@ -21,6 +21,8 @@
 	// Raw is the encoded configuration that View was built from. It is sent to siblings.
 	Raw  []byte
 	View *table.View
+	// Since is when the instance began to use the table.
+	Since time.Time
 }
 
 // Tables is the source of the operators' configuration.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -185,6 +185,14 @@
 	return nil
 }
 
+// TableSince implements forward.View.
+func (in *Instance) TableSince() time.Time {
+	if revision := in.table.Load(); revision != nil {
+		return revision.Since
+	}
+	return time.Time{}
+}
+
 // Revision returns the number of the table in force, or 0 before there is one.
 func (in *Instance) Revision() uint64 {
 	if revision := in.table.Load(); revision != nil {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -85,6 +85,7 @@
 		klog.ErrorS(err, "Failed to decode configuration; keeping the table in force", "from", from)
 		return
 	}
+	revision.Since = clock.Now()
 	for {
 		before := in.table.Load()
 		if before != nil && before.Number >= revision.Number {
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -118,9 +118,15 @@
 			fields = append(fields, "sharedParts", parts, "partFingerprints", f.fingerprints().PartNames())
 		}
 	}
+	if f.endedBy != reason.NotEnded {
+		fields = append(fields, "endedBy", f.endedBy, "cut", f.cut)
+	}
 	if detail != "" {
 		fields = append(fields, "detail", detail)
 	}
+	if since := f.View.TableSince(); !since.IsZero() {
+		fields = append(fields, "revisionAgeMillis", clock.Since(since).Milliseconds())
+	}
 	fields = append(fields, "revision", f.revision, "listPosition", f.servers.Position)
 	klog.InfoS("Request ended", fields...)
 }
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,10 @@
 	// sentAt is when the request was sent to the last of them, and writingSince since when that one has been
 	// writing events; zero before the first.
 	sentAt, writingSince time.Time
+	// endedBy is what ended the request if it got no whole answer of a server. cut is set if its caller got a part of
+	// an answer, and then a closed connection.
+	endedBy reason.Ending
+	cut     bool
 	// unanswered counts the calls that got no answer: no connection could be opened, it broke off, or it
 	// stayed silent.
 	unanswered int
@@ -325,6 +330,7 @@
 	if !f.mayHaveRun {
 		return f.refuse(reason.DeadlineTooClose, detail)
 	}
+	f.endedBy = reason.EndedByDeadline
 	return f.end(&Reply{Status: statusTimeout, Reason: reason.AnswerLost}, detail)
 }
 
@@ -335,8 +341,10 @@
 		return f.timeout(err.Error())
 	}
 	if ctx.Err() != nil {
+		f.endedBy = reason.EndedByCaller
 		return f.end(&Reply{Status: statusBadGateway, Reason: reason.CallerGone}, err.Error())
 	}
+	f.endedBy = cmp.Or(f.endedBy, reason.EndedByServer)
 	return f.fail(reason.AnswerLost, err.Error())
 }
 
@@ -380,6 +388,9 @@
 	if f.team != nil {
 		f.Metrics.TeamEnded(f.team.Name, outcome, why)
 	}
+	if f.endedBy != reason.NotEnded {
+		f.Metrics.EndedWithoutAnswer(f.endedBy, f.cut)
+	}
 	f.Metrics.ObserveDuration(service, clock.Since(f.request.Arrived))
 	f.log(service, outcome, status, why, detail)
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -24,6 +24,8 @@
 type View interface {
 	// Table returns the table in force; nil before the first one.
 	Table() *table.View
+	// TableSince returns since when the instance has used the table; zero before the first one.
+	TableSince() time.Time
 	// Servers returns the registered backend servers, with the table rows that describe them.
 	Servers() *Servers
 	// Confirmed returns when the view of the servers was last known to be current.
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -42,6 +42,8 @@
 	// another engine. cancelRun ends the run immediately.
 	stallTimer *time.Timer
 	cancelRun  context.CancelFunc
+	// runCtx is the context of the current run.
+	runCtx context.Context
 
 	prefill *route.ScoredCandidate
 	decode  *route.ScoredCandidate
@@ -180,10 +182,9 @@
 	g.endOnWay()
 	g.endPromptRead = sync.OnceFunc(server.AddUnread(unread))
 	endAwait := server.AwaitAnswer(clock.Now())
-	var ctx context.Context
-	ctx, g.cancelRun = g.watchForStall()
+	g.runCtx, g.cancelRun = g.watchForStall()
 	g.recordSent(clock.Now())
-	stream, err := g.Backends.Decode(ctx, g.entry(g.decode), g.request, order, g.deadline)
+	stream, err := g.Backends.Decode(g.runCtx, g.entry(g.decode), g.request, order, g.deadline)
 	if g.ctx.Err() == nil {
 		g.updateServer(server, err)
 	}
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -139,7 +139,7 @@
 			f.declines.add(sibling.Name, clock.Now())
 		case err != nil:
 			defer cancel()
-			f.mayHaveRun = true
+			f.mayHaveRun, f.endedBy = true, reason.EndedBySibling
 			return f.endWithoutAnswer(ctx, err)
 		case lacksCapacity(reply):
 			overrun, refused = overrun+1, reply
@@ -253,6 +253,14 @@
 	return n, err
 }
 
+// ending returns what ended a stream that broke off.
+func (s *handedStream) ending() reason.Ending {
+	if !clock.Now().Before(s.flow.deadline) {
+		return reason.EndedByDeadline
+	}
+	return reason.EndedBySibling
+}
+
 // Close implements io.Closer.
 func (s *handedStream) Close() error {
 	if s.closed {
@@ -268,8 +276,10 @@
 	case s.ended == io.EOF:
 	case s.ended != nil && !departed:
 		why, detail = reason.StreamBroken, s.ended.Error()
+		s.flow.endedBy, s.flow.cut = s.ending(), true
 	default:
 		why = reason.CallerGone
+		s.flow.endedBy = reason.EndedByCaller
 	}
 	s.flow.close(s.status, why, detail)
 	return errors.Wrap(err, "close the stream of a sibling")
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -209,8 +209,9 @@
 	servers atomic.Pointer[Servers]
 }
 
-func (b *testView) Table() *table.View { return b.view }
-func (b *testView) Servers() *Servers  { return b.servers.Load() }
+func (b *testView) Table() *table.View    { return b.view }
+func (b *testView) TableSince() time.Time { return time.Now() }
+func (b *testView) Servers() *Servers     { return b.servers.Load() }
 
 // Confirmed implements View.
 func (b *testView) Confirmed() time.Time { return time.Now() }
--- a/forward/move.go
+++ b/forward/move.go
@@ -301,6 +301,7 @@
 	m := r.move
 	<-m.done
 	if !m.stopped {
+		r.stopPending = r.stopPending || m.mayHaveStopped
 		r.abandonMove(moveBrokenOff, m.err)
 		return false, nil
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"strconv"
 	"time"
@@ -175,7 +176,9 @@
 // event is sent again.
 func (r *relay) resumeAfterBreak(broken error) {
 	r.ended = broken
+	stalled := errors.Is(context.Cause(r.runCtx), errStalled)
 	stopped, err := r.resumeMoved()
+	mayBeStopped := stopped || r.stopPending
 	switch {
 	case stopped && err == nil:
 		return
@@ -185,6 +188,15 @@
 		r.stopStallTimer()
 		r.recordSend(r.ctx, r.decode, broken)
 	}
+	r.rerunBroken(stopped)
+	if r.ended != nil {
+		r.endedBy = r.endingOf(mayBeStopped, stalled)
+	}
+}
+
+// rerunBroken continues a broken stream at another engine, if mayRerun allows it. stopped is set if its engine has
+// not failed.
+func (r *relay) rerunBroken(stopped bool) {
 	if !r.mayRerun() || !clock.Now().Before(r.deadline) || (r.events > 0 && r.lastID == "") {
 		return
 	}
@@ -199,6 +211,22 @@
 	}
 }
 
+// endingOf returns what ended a stream that broke off. mayBeStopped is set if its run was, or may have been, stopped
+// for a move, and stalled if it was ended because it was silent.
+func (r *relay) endingOf(mayBeStopped, stalled bool) reason.Ending {
+	switch {
+	case r.ctx.Err() != nil && !clock.Now().Before(r.deadline):
+		return reason.EndedByDeadline
+	case r.ctx.Err() != nil:
+		return reason.EndedByCaller
+	case mayBeStopped:
+		return reason.EndedByMove
+	case stalled:
+		return reason.EndedByStall
+	}
+	return reason.EndedByServer
+}
+
 // endBrokenRun ends the run whose stream broke off, and makes the next run continue after the
 // last whole event.
 func (r *relay) endBrokenRun() {
@@ -229,6 +257,7 @@
 		return &statusError{status: next.Status}
 	}
 	r.ended, r.continuedBy, r.unfinished, r.stopPending = nil, how, 0, false
+	r.endedBy = reason.NotEnded
 	return nil
 }
 
@@ -307,6 +336,7 @@
 		r.recordLength()
 	}
 	why, detail := r.reason(departed)
+	r.recordEnding(departed)
 	r.record(stepStream, resultOf(r.ended), "events", r.events, "firstMillis", r.firstEventAfter.Milliseconds(), "longestGapMillis", r.longestPause.Milliseconds(),
 		"endsWithConnection", r.stream.EndsWithConnection, "unfinishedBytes", r.unfinished)
 	r.Metrics.StreamEnded(r.stream.EndsWithConnection, r.streamEnd())
@@ -315,6 +345,18 @@
 	return nil
 }
 
+// recordEnding records what ended a stream that did not reach its caller as a whole.
+func (r *relay) recordEnding(departed bool) {
+	switch {
+	case r.endPassedOn:
+		r.endedBy = reason.NotEnded
+	case departed || r.ended == nil || r.ended == io.EOF:
+		r.endedBy = reason.EndedByCaller
+	default:
+		r.cut = true
+	}
+}
+
 // streamEnd returns how the server's stream ended.
 func (r *relay) streamEnd() metrics.StreamEnd {
 	switch {
--- a/forward/relay_search_test.go
+++ b/forward/relay_search_test.go
@@ -745,6 +745,7 @@
 	if outcome != wantOutcome || why != wantWhy {
 		p.violated("logged outcome %q, reason %q; want %q, %q (status %d, error %v)", outcome, why, wantOutcome, wantWhy, reply.Status, err)
 	}
+	p.checkEnding(reply, field("endedBy"), err)
 	if outcome == reason.NotRun && p.executions > 0 {
 		p.violated("logged as not run, and it ran")
 	}
@@ -753,6 +754,23 @@
 	}
 }
 
+// checkEnding checks that the log tells an end by the caller or the deadline from one by a server or a move.
+func (p *searchPlay) checkEnding(reply *Reply, by string, err error) {
+	whole := reply.Stream != nil && err == io.EOF
+	deadline := !time.Now().Before(p.deadline)
+	switch {
+	case whole && by != "":
+		p.violated("a whole answer is logged as ended by %q", by)
+	case whole || reply.Stream == nil:
+	case p.left && by != string(reason.EndedByCaller):
+		p.violated("the caller left, and the end is logged as by %q", by)
+	case !p.left && deadline && by != string(reason.EndedByDeadline):
+		p.violated("the deadline passed, and the end is logged as by %q", by)
+	case !p.left && !deadline && (by == "" || by == string(reason.EndedByCaller) || by == string(reason.EndedByDeadline)):
+		p.violated("a stream that broke off is logged as ended by %q", by)
+	}
+}
+
 // checkMoves checks that a move is logged as done only if the stream continued at its
 // destination.
 func (p *searchPlay) checkMoves(decisions []decision) {
--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mastwheel/mastwheel/backpressure"
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/origin"
@@ -60,6 +62,9 @@
 	return g.readPrompt()
 }
 
+// errStalled is the cause of the end of a silent run that is to continue at another engine.
+var errStalled = errors.New("the run fell silent")
+
 // stallPauses is the silence after which a stream counts as stalled, as a multiple of the
 // longest tolerated pause between events. A preempted request pauses for one or two such pauses
 // while its prompt is read again, and a caller waits for eight (source: the platform's
@@ -80,7 +85,8 @@
 // another engine. If no other engine could take the run over, a silent server's run is not
 // ended.
 func (g *generation) watchForStall() (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(g.ctx)
+	ctx, end := context.WithCancelCause(g.ctx)
+	cancel := func() { end(nil) }
 	g.stallTimer = nil
 	if !g.mayRerun() {
 		return ctx, cancel
@@ -95,7 +101,7 @@
 			return
 		}
 		if g.Gateway.hasRoomElsewhere(at, service, need, allowed, began.Load()) {
-			cancel()
+			end(errStalled)
 			return
 		}
 		stall.Reset(recheck)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -29,6 +29,7 @@
 	retries    *prometheus.CounterVec
 	dropped    *prometheus.CounterVec
 	streamEnds *prometheus.CounterVec
+	endings    *prometheus.CounterVec
 	continued  *prometheus.CounterVec
 	lookups    *prometheus.CounterVec
 	// OriginLog counts the stored records of streams.
@@ -92,6 +93,7 @@
 		}, []string{labelService}),
 		dropped:    counters("dropped_answers_total", "Answers and tokens that were dropped, by reason.", labelReason),
 		streamEnds: newStreamEnds(),
+		endings:    newEndings(),
 		continued:  newContinuations(),
 		lookups:    newOriginLookups(),
 		OriginLog:  newOriginLog(),
@@ -107,7 +109,7 @@
 		CancelTries: counter("cancel_tries_total", "Cancel orders sent."),
 		Orphans:     counter("orphans_cancelled_total", "Streams of dead homes that were cancelled."),
 	}
-	s.Registry.MustRegister(s.requests, s.teams.requests, s.teams.refusals, s.allotments.refusals, s.allotments.returns, s.allotments.starts, s.refusals, s.retries, s.dropped, s.streamEnds, s.continued, s.lookups, s.notReturned, s.storeCalls, s.serverExits, s.serverFailures, s.handOvers, s.memory, s.speedChoices, s.overdueServers, s.withheld, s.requestSeconds, s.FirstToken, s.BetweenTokens,
+	s.Registry.MustRegister(s.requests, s.teams.requests, s.teams.refusals, s.allotments.refusals, s.allotments.returns, s.allotments.starts, s.refusals, s.retries, s.dropped, s.streamEnds, s.endings, s.continued, s.lookups, s.notReturned, s.storeCalls, s.serverExits, s.serverFailures, s.handOvers, s.memory, s.speedChoices, s.overdueServers, s.withheld, s.requestSeconds, s.FirstToken, s.BetweenTokens,
 		s.CancelsPending, s.CancelTries, s.Orphans)
 	s.Registry.MustRegister(s.slots.decisions, s.slots.waiting, s.slots.waits, s.OriginLog.records, s.OriginLog.reads)
 	for _, info := range reason.All {
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -15,6 +16,8 @@
 	stop      func() bool
 	written   <-chan error
 	onReceive func()
+	// ctx is the context of the request.
+	ctx context.Context
 	// bodyRead is set once the body was read to its end.
 	bodyRead bool
 	done     bool
@@ -49,7 +52,7 @@
 		a.bodyRead = true
 		return n, io.EOF
 	case err != nil:
-		return n, errors.WithMessage(ErrBroken, err.Error())
+		return n, broken(a.ctx, err)
 	}
 	return n, nil
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -77,9 +77,18 @@
 	if err != nil {
 		stop()
 		c.Discard()
-		return nil, errors.WithMessage(ErrBroken, err.Error())
+		return nil, broken(ctx, err)
 	}
-	return &Answer{Response: response, conn: c, stop: stop, written: written, onReceive: message.OnReceive}, nil
+	return &Answer{Response: response, conn: c, stop: stop, written: written, onReceive: message.OnReceive, ctx: ctx}, nil
+}
+
+// broken returns the error of an answer whose read failed. If the request's context has ended, that is the reason, and not
+// the server.
+func broken(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return errors.WithMessage(ErrBroken, "ended by this instance: "+context.Cause(ctx).Error())
+	}
+	return errors.WithMessage(ErrBroken, err.Error())
 }
 
 // maxSyncWrite is the size in bytes up to which a message is written before its
