forward: a stream that breaks off before its first event ends with a status

Cause: the reply was given as soon as the engine's header was there, so that a break behind it could only be told by closing the connection.

Change: the reply is given once there is something to pass on, or the proper end. A break before is answered with 502, an end at the deadline with 504. A rerun before the first event that answers with another status brings its own head. The HTTP server did not send the header before the first event either, so callers wait no longer than before.

The search over the life of a relay refuses replies with nothing behind them.

--- a/forward/generate.go
+++ b/forward/generate.go
@@ -99,7 +99,7 @@
 		stream, failed = g.rerun(failed.unknownOutcome)
 	}
 	if failed == nil {
-		return &Reply{Status: stream.Status, Fields: stream.Fields, Stream: newRelay(g, stream)}
+		return newRelay(g, stream).begin()
 	}
 	defer cancel()
 	g.releaseAll()
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -226,7 +226,17 @@
 		cancel()
 		return f.end(reply, "")
 	}
-	reply.Stream = &handedStream{ReadCloser: reply.Stream, flow: f, status: reply.Status, why: reply.Reason, cancel: cancel}
+	handed := &handedStream{ReadCloser: reply.Stream, flow: f, status: reply.Status, why: reply.Reason, cancel: cancel}
+	if !handed.begin() {
+		handed.status = statusBadGateway
+		if handed.ending() == reason.EndedByDeadline {
+			handed.status = statusTimeout
+		}
+		// The close of a stream that broke off fails as well, and says nothing new.
+		_ = handed.Close()
+		return &Reply{Status: handed.status, Reason: handed.why}
+	}
+	reply.Stream = handed
 	return reply
 }
 
@@ -240,12 +250,34 @@
 	status int
 	why    reason.Reason
 	cancel context.CancelFunc
+	// first holds bytes that were read before the reply was given.
+	first  []byte
+	begun  bool
 	ended  error
 	closed bool
 }
 
+// begin waits for the first bytes, and reports whether there are any, or the proper end.
+func (s *handedStream) begin() bool {
+	buffer := make([]byte, relayRead)
+	for len(s.first) == 0 && s.ended == nil {
+		n, err := s.ReadCloser.Read(buffer)
+		s.first, s.ended = buffer[:n], err
+	}
+	s.begun = len(s.first) > 0 || s.ended == io.EOF
+	return s.begun
+}
+
 // Read implements io.Reader.
 func (s *handedStream) Read(p []byte) (int, error) {
+	if len(s.first) > 0 {
+		n := copy(p, s.first)
+		s.first = s.first[n:]
+		return n, nil
+	}
+	if s.ended != nil {
+		return 0, s.ended
+	}
 	n, err := s.ReadCloser.Read(p)
 	if err != nil {
 		s.ended = err
@@ -271,16 +303,16 @@
 	departed := s.flow.caller.Err() != nil
 	s.cancel()
 	s.flow.release()
-	why, detail := s.why, ""
+	detail := ""
 	switch {
 	case s.ended == io.EOF:
 	case s.ended != nil && !departed:
-		why, detail = reason.StreamBroken, s.ended.Error()
-		s.flow.endedBy, s.flow.cut = s.ending(), true
+		s.why, detail = reason.StreamBroken, s.ended.Error()
+		s.flow.endedBy, s.flow.cut = s.ending(), s.begun
 	default:
-		why = reason.CallerGone
+		s.why = reason.CallerGone
 		s.flow.endedBy = reason.EndedByCaller
 	}
-	s.flow.close(s.status, why, detail)
+	s.flow.close(s.status, s.why, detail)
 	return errors.Wrap(err, "close the stream of a sibling")
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -18,9 +18,13 @@
 // in the middle of an event. Closing it ends the request.
 type relay struct {
 	*generation
-	// status is the status that the caller got. An engine that continues the stream has to answer
-	// with the same status.
+	// status and fields are the head that the caller gets. Once begun is set, it has got it, and an engine that continues
+	// the stream has to answer with the same status.
 	status int
+	fields []Field
+	begun  bool
+	// why is the reason that the end was logged with.
+	why reason.Reason
 	// stream is the answer that is being read. After a break it is another engine's answer.
 	stream *Stream
 	// buffer holds bytes that were read and not passed on yet. ready is the length of the
@@ -67,7 +71,7 @@
 const relayRead = 4 << 10
 
 func newRelay(g *generation, stream *Stream) *relay {
-	return &relay{generation: g, status: stream.Status, stream: stream, scratch: make([]byte, relayRead), lastEventAt: clock.Now(), plannedMemory: g.committed}
+	return &relay{generation: g, status: stream.Status, fields: stream.Fields, stream: stream, scratch: make([]byte, relayRead), lastEventAt: clock.Now(), plannedMemory: g.committed}
 }
 
 // Read implements io.Reader. It returns io.EOF only after the proper end of the server's
@@ -250,6 +254,9 @@
 // caller got, such as the engine's own failure, is not appended to what the caller got.
 func (r *relay) continueWith(next *Stream, how metrics.Continuation) error {
 	r.stream = next
+	if !r.begun && next.Status != r.status {
+		r.status, r.fields = next.Status, next.Fields
+	}
 	if next.Status != r.status {
 		r.stopStallTimer()
 		next.Close()
@@ -335,13 +342,14 @@
 	if r.ended == io.EOF && r.events > 0 && !r.resumed {
 		r.recordLength()
 	}
-	why, detail := r.reason(departed)
+	var detail string
+	r.why, detail = r.reason(departed)
 	r.recordEnding(departed)
 	r.record(stepStream, resultOf(r.ended), "events", r.events, "firstMillis", r.firstEventAfter.Milliseconds(), "longestGapMillis", r.longestPause.Milliseconds(),
 		"endsWithConnection", r.stream.EndsWithConnection, "unfinishedBytes", r.unfinished)
 	r.Metrics.StreamEnded(r.stream.EndsWithConnection, r.streamEnd())
 	r.alwaysLog = r.alwaysLog || r.unfinished > 0
-	r.close(r.status, why, detail)
+	r.close(r.status, r.why, detail)
 	return nil
 }
 
@@ -353,7 +361,7 @@
 	case departed || r.ended == nil || r.ended == io.EOF:
 		r.endedBy = reason.EndedByCaller
 	default:
-		r.cut = true
+		r.cut = r.begun
 	}
 }
 
--- a/forward/relay_search_test.go
+++ b/forward/relay_search_test.go
@@ -718,6 +718,8 @@
 	if len(lines) != 1 {
 		p.violated("%d log lines of the end: %q", len(lines), lines)
 		return
+	case body == "" && err != io.EOF && !p.left:
+		p.violated("a request without an answer: status %d, nothing behind it, %v", reply.Status, err)
 	}
 	field := func(name string) string {
 		_, value, _ := strings.Cut(lines[0], " "+name+"=")
