forward: a stream that was stopped for a move goes on after unanswered calls

Cause: a continuation without an answer was taken for a run, so that a route with one attempt had no way left; a stop without an answer left nothing to go on from, and its late answer was awaited for longer than engines keep the memory.

Change: the handle of a run's memory can be used once, and a request with a handle that was used is refused and not run (the platform's protocol). So the continuation is repeated up to three times at the destination on new connections, then where the run was stopped. Where no stop is answered within half of the time that engines keep the memory, the stream goes on from the copy made while it ran; a late handle is released. The retry budget is charged, but cannot refuse: the stream has no other way.

--- /dev/null
+++ b/forward/continue.go
@@ -0,0 +1,201 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/wait"
+)
+
+// A stream that was stopped for a move has no run until it continues, so a continuation that fails is tried on: at the
+// destination, then at the engine where the run was stopped. The handle of a run's memory can be used once, and a
+// request with a handle that was used is refused and not run (source: the platform's protocol). So a continuation that
+// got no answer may be repeated for streams that must not be repeated, too.
+
+const (
+	// continuationTries bounds the calls to one engine that continue a stopped run. A server at its limit of
+	// connections, or that closes an idle connection, may fail a call without having read it.
+	continuationTries = 3
+	// continuationPause is the pause between two of them.
+	continuationPause = 20 * time.Millisecond
+	// maxStopWait bounds the wait for the answer of a call that stopped a run, before the stream continues from the copy
+	// that was made while it ran.
+	maxStopWait = 400 * time.Millisecond
+)
+
+// resumeMoved continues the stream where its memory is, if it broke off because its run was
+// stopped for a move. stopped reports whether that is why it broke off: then its engine has not
+// failed. The error is why the stream does not continue.
+func (r *relay) resumeMoved() (stopped bool, err error) {
+	if r.move == nil {
+		return false, nil
+	}
+	m := r.move
+	if r.stopIsUnanswered(m) {
+		if decided, err := r.resumeFromCopy(m); decided {
+			return true, err
+		}
+	}
+	<-m.done
+	if !m.stopped {
+		r.stopPending = r.stopPending || m.mayHaveStopped
+		r.abandonMove(moveBrokenOff, m.err)
+		return false, nil
+	}
+	r.leaveSource()
+	if err := r.checkSend(); err != nil {
+		r.abandonMove(moveBrokenOff, err)
+		return true, err
+	}
+	order := r.continuation(m, m.result)
+	if !m.arrived || r.isLeaving(m.to.Name) {
+		r.releaseDestination(m)
+		return true, r.resumeAtSource(m, order)
+	}
+	err = r.resumeAtDestination(m, order)
+	if err == nil {
+		r.endMove(moveDone, nil)
+		return true, nil
+	}
+	if !usedUp(err) && r.ctx.Err() == nil && r.checkSend() == nil {
+		return true, r.resumeAtSource(m, order)
+	}
+	r.endMove(moveBrokenOff, err)
+	r.releaseUnlessUsed(m, err)
+	return true, err
+}
+
+// stopIsUnanswered waits a while for the calls that stop the run, and reports whether one of them may have stopped it
+// without an answer so far.
+func (r *relay) stopIsUnanswered(m *move) bool {
+	// Half of the time for which engines keep the memory leaves the other half for the continuation.
+	timer := time.NewTimer(min(r.service.Engine.Handle/2, maxStopWait))
+	defer timer.Stop()
+	select {
+	case <-m.done:
+		return !m.stopped && m.mayHaveStopped
+	case <-timer.C:
+		return true
+	}
+}
+
+// resumeFromCopy continues the stream at the destination from the copy that was made before the run was stopped. The
+// destination reads again what the copy lacks. decided is false if the copy was not used up.
+func (r *relay) resumeFromCopy(m *move) (decided bool, err error) {
+	copied := m.copied.Load()
+	if copied == nil || r.lastID == "" || r.isLeaving(m.to.Name) || r.checkSend() != nil {
+		return false, nil
+	}
+	// The engine may have broken off as well.
+	r.recordSend(r.ctx, m.from, r.ended)
+	r.leaveSource()
+	err = r.resumeAtDestination(m, r.continuation(m, *copied))
+	if err != nil && !usedUp(err) {
+		r.record(stepMove, "copy not used", "to", m.to.Name, "err", err.Error())
+		r.decode = m.from
+		return false, nil
+	}
+	outcome := moveDone
+	if err != nil {
+		outcome = moveBrokenOff
+	}
+	r.endMove(outcome, err)
+	r.releaseLateHandle(m, *copied)
+	return true, err
+}
+
+// releaseLateHandle releases the memory that a late answer to the call that stopped the run names, after the stream has
+// continued from a copy.
+func (r *relay) releaseLateHandle(m *move, used PrefillHandle) {
+	from := r.entry(m.from)
+	r.cleanup(func(ctx context.Context) {
+		<-m.done
+		if m.result != used {
+			r.freeMoved(ctx, from, m)
+		}
+	})
+}
+
+// leaveSource ends what the instance has at the engine where the run was stopped.
+func (r *relay) leaveSource() {
+	r.endBrokenRun()
+	r.releaseDecode()
+}
+
+// continuation returns the order that continues the stream from the memory of a stopped run.
+func (r *relay) continuation(m *move, result PrefillHandle) DecodeRequest {
+	return DecodeRequest{Source: r.entry(m.from), Result: result, LastEvent: r.request.LastEvent}
+}
+
+// usedUp reports whether an engine that failed to continue a stopped run has answered, and so used up its handle.
+func usedUp(failed error) bool {
+	var answered *statusError
+	return errors.As(failed, &answered)
+}
+
+// resumeAtDestination continues a stream at the engine to which its memory was moved.
+func (r *relay) resumeAtDestination(m *move, order DecodeRequest) error {
+	r.holdDestination(m)
+	r.decode, r.committed, r.plannedMemory = m.to, m.need, m.need
+	m.held = false
+	err := r.continueStopped(order)
+	if err != nil {
+		r.releaseDecode()
+	}
+	return err
+}
+
+// resumeAtSource continues a stream at the engine where it was stopped for a move that failed.
+func (r *relay) resumeAtSource(m *move, order DecodeRequest) error {
+	r.decode, r.committed = m.from, 0
+	r.grow(m.need)
+	err := r.continueStopped(order)
+	r.endMove(moveBack, err)
+	if err != nil {
+		r.releaseDecode()
+		r.releaseUnlessUsed(m, err)
+	}
+	return err
+}
+
+// continueStopped continues a stopped run at the decode engine. A call without an answer is repeated on a new connection.
+func (r *relay) continueStopped(order DecodeRequest) error {
+	for try := 1; ; try++ {
+		stream, err := r.decodeOnce(order, 0)
+		if err == nil {
+			return r.continueWith(stream, metrics.ContinuedByMove)
+		}
+		r.recordSend(r.ctx, r.decode, err)
+		var notRun *NotRunError
+		answered := errors.As(err, &notRun)
+		if !answered && try == 1 {
+			r.brokenAt = append(r.brokenAt, r.decode.Name)
+		}
+		if answered || try == continuationTries || !wait.For(r.ctx, continuationPause) || r.checkSend() != nil {
+			return errors.Wrap(err, "continue at "+r.decode.Name)
+		}
+		r.recordRepeatedContinuation(err)
+		order.NewConnection = true
+	}
+}
+
+// recordRepeatedContinuation records that a call which continues a stopped run is repeated. It uses the retry budget, but
+// does not depend on it: the stream has no other way to go on.
+func (r *relay) recordRepeatedContinuation(cause error) {
+	r.Budget(r.service.Name).Spend(clock.Now())
+	r.Metrics.Retried(reason.StreamBroken)
+	r.record(stepRetry, "continuation", "server", r.decode.Name, "cause", cause.Error())
+}
+
+// releaseUnlessUsed releases the memory of a stopped run, unless the engine that failed to
+// continue it has taken the memory over and answered.
+func (r *relay) releaseUnlessUsed(m *move, failed error) {
+	if !usedUp(failed) {
+		r.releaseMoved(m)
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -128,6 +128,8 @@
 	Result      PrefillHandle
 	Reservation Reservation
 	LastEvent   string
+	// NewConnection has the request sent over a new connection, because an open one may be dead.
+	NewConnection bool
 }
 
 // Backends sends requests to backend servers. An error is a *NotRunError if the request certainly
--- a/forward/move.go
+++ b/forward/move.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"math"
+	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/reason"
@@ -28,6 +27,10 @@
 	began    time.Time
 	// need is the memory that is accounted to the stream at the destination, in tokens.
 	need int
+	// held is set while need is accounted at the destination for the move. Only the stream's reader uses it.
+	held bool
+	// copied identifies the copy that was made while the run went on; nil before.
+	copied atomic.Pointer[PrefillHandle]
 	// done is closed once the fields below are final.
 	done chan struct{}
 	// result identifies the stream's memory. stopped is set if the run was stopped for the
@@ -39,6 +42,8 @@
 	arrived        bool
 	stops          []string
 	err            error
+	// ended is when the calls of the move had ended.
+	ended time.Time
 }
 
 const (
@@ -195,11 +200,12 @@
 func (r *relay) beginMove(m *move) {
 	r.move = m
 	r.moves++
-	m.to.Server.AddMemory(m.need)
+	r.holdDestination(m)
 	from, to, request := r.entry(m.from), r.entry(m.to), r.request
 	go func() {
 		defer close(m.done)
 		m.run(r.ctx, r.Backends, from, to, request)
+		m.ended = clock.Now()
 	}()
 }
 
@@ -209,6 +215,8 @@
 	if m.result, m.err = copyRun(ctx, backends, from, to, request); m.err != nil {
 		return
 	}
+	copied := m.result
+	m.copied.Store(&copied)
 	m.stopRun(ctx, func(ctx context.Context) (PrefillHandle, error) { return backends.Move(ctx, from, to, request, true) })
 }
 
@@ -226,7 +234,7 @@
 	default:
 		return
 	}
-	if r.move.stopped {
+	if r.move.stopped || r.move.mayUseCopy(r.service.Engine.Handle) {
 		return
 	}
 	// A call without an answer may still reach the engine, and stop the run after later events.
@@ -241,8 +249,14 @@
 	if r.tracked != nil {
 		r.tracked.to.Store(nil)
 	}
-	r.record(stepMove, outcome, "from", m.from.Name, "to", m.to.Name, "why", m.why, "need", m.need,
-		"tookMillis", clock.Since(m.began).Milliseconds(), "stops", m.stops, "mayHaveStopped", m.mayHaveStopped, "err", resultOf(err))
+	inputs := []any{"from", m.from.Name, "to", m.to.Name, "why", m.why, "need", m.need, "tookMillis", clock.Since(m.began).Milliseconds()}
+	select {
+	case <-m.done:
+		inputs = append(inputs, "stops", m.stops, "mayHaveStopped", m.mayHaveStopped)
+	default:
+		inputs = append(inputs, "stops", "unanswered")
+	}
+	r.record(stepMove, outcome, append(inputs, "err", resultOf(err))...)
 	if outcome == moveDone {
 		r.Metrics.Retried(m.why)
 	}
@@ -253,10 +267,32 @@
 func (r *relay) abandonMove(outcome string, err error) {
 	m := r.move
 	r.endMove(outcome, err)
-	m.to.Server.AddMemory(-m.need)
+	r.releaseDestination(m)
 	r.releaseMoved(m)
 }
 
+// mayUseCopy reports whether the run may have been stopped by a call without an answer, so that the stream, of which
+// events may still be on their way, has to go on from the copy. kept is for how long engines keep it.
+func (m *move) mayUseCopy(kept time.Duration) bool {
+	return m.mayHaveStopped && clock.Since(m.ended) < kept
+}
+
+// holdDestination accounts for the memory that the stream needs at its destination.
+func (r *relay) holdDestination(m *move) {
+	if !m.held {
+		m.held = true
+		m.to.Server.AddMemory(m.need)
+	}
+}
+
+// releaseDestination ends the accounting for that memory.
+func (r *relay) releaseDestination(m *move) {
+	if m.held {
+		m.held = false
+		m.to.Server.AddMemory(-m.need)
+	}
+}
+
 // releaseMoved releases the memory of a move that failed.
 func (r *relay) releaseMoved(m *move) {
 	from := r.entry(m.from)
@@ -291,99 +327,6 @@
 	return r.move.stopped || r.move.mayHaveStopped || r.stopPending
 }
 
-// resumeMoved continues the stream where its memory is, if it broke off because its run was
-// stopped for a move. stopped reports whether that is why it broke off: then its engine has not
-// failed. The error is why the stream does not continue.
-func (r *relay) resumeMoved() (stopped bool, err error) {
-	if r.move == nil {
-		return false, nil
-	}
-	m := r.move
-	<-m.done
-	if !m.stopped {
-		r.stopPending = r.stopPending || m.mayHaveStopped
-		r.abandonMove(moveBrokenOff, m.err)
-		return false, nil
-	}
-	r.endBrokenRun()
-	r.releaseDecode()
-	if err := r.checkSend(); err != nil {
-		r.abandonMove(moveBrokenOff, err)
-		return true, err
-	}
-	order := DecodeRequest{Source: r.entry(m.from), Result: m.result, LastEvent: r.request.LastEvent}
-	if !m.arrived || r.isLeaving(m.to.Name) {
-		m.to.Server.AddMemory(-m.need)
-		return true, r.resumeAtSource(m, order)
-	}
-	r.decode, r.committed, r.plannedMemory = m.to, m.need, m.need
-	err = r.continueStopped(order)
-	if err == nil {
-		r.endMove(moveDone, nil)
-		return true, nil
-	}
-	r.releaseDecode()
-	if r.mayReturn(err) {
-		return true, r.resumeAtSource(m, order)
-	}
-	r.endMove(moveBrokenOff, err)
-	r.releaseUnlessUsed(m, err)
-	return true, err
-}
-
-// mayReturn reports whether a stopped stream may continue where it was stopped, after its
-// destination has not continued it for the given reason. A destination that gave no answer may
-// run the stream too, so that the return counts as one more run.
-func (r *relay) mayReturn(failed error) bool {
-	var notRun *NotRunError
-	var answered *statusError
-	switch {
-	case errors.As(failed, &notRun):
-		return true
-	case errors.As(failed, &answered), !r.mayRerun(), !r.Budget(r.service.Name).Spend(clock.Now()):
-		return false
-	}
-	r.runs++
-	r.Metrics.Retried(reason.StreamBroken)
-	return true
-}
-
-// resumeAtSource continues a stream at the engine where it was stopped for a move that failed.
-func (r *relay) resumeAtSource(m *move, order DecodeRequest) error {
-	r.decode, r.committed = m.from, 0
-	r.grow(m.need)
-	err := r.continueStopped(order)
-	r.endMove(moveBack, err)
-	if err != nil {
-		r.releaseDecode()
-		r.releaseUnlessUsed(m, err)
-	}
-	return err
-}
-
-// continueStopped continues a stopped run at the decode engine.
-func (r *relay) continueStopped(order DecodeRequest) error {
-	stream, err := r.decodeOnce(order, 0)
-	if err == nil {
-		return r.continueWith(stream, metrics.ContinuedByMove)
-	}
-	r.recordSend(r.ctx, r.decode, err)
-	var notRun *NotRunError
-	if !errors.As(err, &notRun) {
-		r.brokenAt = append(r.brokenAt, r.decode.Name)
-	}
-	return errors.Wrap(err, "continue at "+r.decode.Name)
-}
-
-// releaseUnlessUsed releases the memory of a stopped run, unless the engine that failed to
-// continue it has taken the memory over and answered.
-func (r *relay) releaseUnlessUsed(m *move, failed error) {
-	var answered *statusError
-	if !errors.As(failed, &answered) {
-		r.releaseMoved(m)
-	}
-}
-
 // cancelMove ends the move that is in progress when the request ends.
 func (r *relay) cancelMove() {
 	m := r.move
@@ -394,7 +337,7 @@
 	from := r.entry(m.from)
 	r.cleanup(func(ctx context.Context) {
 		<-m.done
-		m.to.Server.AddMemory(-m.need)
+		r.releaseDestination(m)
 		r.freeMoved(ctx, from, m)
 	})
 }
