forward: a stream that goes on from the copy, or by a repeated call, is always logged

Served requests are logged one in fifty, so that the new ways of a moved stream could hardly be seen. A move from the copy has an outcome of its own.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -93,6 +93,7 @@
 	}
 	// The engine may have broken off as well.
 	r.recordSend(r.ctx, m.from, r.ended)
+	r.alwaysLog = true
 	r.leaveSource()
 	err = r.resumeAtDestination(m, r.continuation(m, *copied))
 	if err != nil && !usedUp(err) {
@@ -100,7 +101,7 @@
 		r.decode = m.from
 		return false, nil
 	}
-	outcome := moveDone
+	outcome := moveFromCopy
 	if err != nil {
 		outcome = moveBrokenOff
 	}
@@ -189,6 +190,7 @@
 func (r *relay) recordRepeatedContinuation(cause error) {
 	r.Budget(r.service.Name).Spend(clock.Now())
 	r.Metrics.Retried(reason.StreamBroken)
+	r.alwaysLog = true
 	r.record(stepRetry, "continuation", "server", r.decode.Name, "cause", cause.Error())
 }
 
--- a/forward/move.go
+++ b/forward/move.go
@@ -257,7 +257,7 @@
 		inputs = append(inputs, "stops", "unanswered")
 	}
 	r.record(stepMove, outcome, append(inputs, "err", resultOf(err))...)
-	if outcome == moveDone {
+	if outcome == moveDone || outcome == moveFromCopy {
 		r.Metrics.Retried(m.why)
 	}
 }
@@ -305,11 +305,12 @@
 	}
 }
 
-// Outcomes of a move. After moveDone the stream continues at its destination, after moveBack at
-// the engine where it was stopped, unless there is an error. After moveBrokenOff it does not
-// continue from its memory.
+// Outcomes of a move. After moveDone the stream continues at its destination, after moveFromCopy too, but from the copy
+// that was made before its run was stopped, and after moveBack at the engine where it was stopped, unless there is an
+// error. After moveBrokenOff it does not continue from its memory.
 const (
 	moveDone      = "ok"
+	moveFromCopy  = "from copy"
 	moveBack      = "back"
 	moveBrokenOff = "broken off"
 )
--- a/forward/relay_search_test.go
+++ b/forward/relay_search_test.go
@@ -804,7 +804,7 @@
 	moved, back := 0, 0
 	for _, made := range decisions {
 		switch {
-		case made.step == stepMove && made.outcome == moveDone:
+		case made.step == stepMove && (made.outcome == moveDone || made.outcome == moveFromCopy):
 			moved++
 		case made.step == stepMove && made.outcome == "back" && slices.Contains(made.inputs, any("ok")):
 			back++
