forward: a stopped stream goes on after a failed connection to its engine

Callers saw a stream cut that was stopped for a move, refused by its destination and kept at its engine, if the connection to that engine could not be opened at once: a reset on connecting, or the limit of connections of the pool. A call that was not sent counted as an answer of the engine, so that the call was not repeated although the engine still has the memory and no other one does.

A call that could not be sent is now repeated like one without an answer, at the engine where the run was stopped only. It uses nothing of the retry budget, because nothing arrived.

TestStoppedStreamGoesOnAfterAFailedConnection failed before: 526 of 1684 bytes in both cases. It passes now.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -171,17 +171,28 @@
 			return r.continueWith(stream, metrics.ContinuedByMove)
 		}
 		r.recordSend(r.ctx, r.decode, err)
-		var notRun *NotRunError
-		answered := errors.As(err, &notRun)
+		answered := isNotRun(err)
 		if !answered && try == 1 {
 			r.brokenAt = append(r.brokenAt, r.decode.Name)
 		}
-		if answered || try == continuationTries || !wait.For(r.ctx, continuationPause) || r.checkSend() != nil {
+		if !r.mayRepeatContinuation(order, err) || try == continuationTries || !wait.For(r.ctx, continuationPause) || r.checkSend() != nil {
 			return errors.Wrap(err, "continue at "+r.decode.Name)
 		}
-		r.recordRepeatedContinuation(err)
-		order.NewConnection = true
+		if !answered {
+			r.recordRepeatedContinuation(err)
+			order.NewConnection = true
+		}
+	}
+}
+
+// mayRepeatContinuation reports whether a call that continues a stopped run is repeated after an error at the same engine.
+// A call that could not be sent is repeated only at the engine where the run was stopped, because no other engine is left.
+func (r *relay) mayRepeatContinuation(order DecodeRequest, failed error) bool {
+	var notRun *NotRunError
+	if !errors.As(failed, &notRun) {
+		return true
 	}
+	return !notRun.Sent && order.Source.Run() == r.entry(r.decode).Run()
 }
 
 // recordRepeatedContinuation records that a call which continues a stopped run is repeated. It uses the retry budget, but
