forward: a stopped stream is not sent again to a destination that fell silent

Callers of a stream that may be resumed waited up to three times the silence of a stalled run (1.8 s each), if the destination of a move read the continuation and stayed silent: the call that this instance itself ended for silence was repeated at the same engine. The engine where the run was stopped keeps the memory for half a second.

After the first such call the stream goes on where it was stopped, or at another engine.

TestStoppedStreamIsNotSentAgainToASilentDestination failed before with 3 calls to the silent engine, and passes now with 1.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -187,10 +187,11 @@
 
 // mayRepeatContinuation reports whether a call that continues a stopped run is repeated after an error at the same engine.
 // A call that could not be sent is repeated only at the engine where the run was stopped, because no other engine is left.
+// An engine that stayed silent for longer than sound ones do is not asked again.
 func (r *relay) mayRepeatContinuation(order DecodeRequest, failed error) bool {
 	var notRun *NotRunError
 	if !errors.As(failed, &notRun) {
-		return true
+		return !errors.Is(context.Cause(r.runCtx), errStalled)
 	}
 	return !notRun.Sent && order.Source.Run() == r.entry(r.decode).Run()
 }
--- a/forward/continue_ends_test.go
+++ b/forward/continue_ends_test.go
@@ -1,10 +1,14 @@
 package forward
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/registry"
 )
 
 // Guards against a stopped stream that is cut because the engine that keeps its memory could not be connected to at once.
@@ -36,3 +40,41 @@
 		})
 	}
 }
+
+// silentEngines are engines of which one reads each request that continues a stream, and answers none of them.
+type silentEngines struct {
+	*engines
+	silent func(server string, order DecodeRequest) bool
+}
+
+func (e *silentEngines) Decode(ctx context.Context, server *registry.Entry, r *Request, order DecodeRequest, deadline time.Time) (*Stream, error) {
+	if e.silent(server.ID, order) {
+		e.record("decode", server.ID)
+		<-ctx.Done()
+		return nil, errors.Wrap(context.Cause(ctx), "no answer")
+	}
+	return e.engines.Decode(ctx, server, r, order, deadline)
+}
+
+// Guards against several waits in a row for a destination that has stayed silent for as long as a sound server may.
+func TestStoppedStreamIsNotSentAgainToASilentDestination(t *testing.T) {
+	withBench(t, func(b *bench) {
+		m := newMovingBench(b)
+		b.addDecodeEngine("d3")
+		silent := ""
+		b.Gateway.Backends = &silentEngines{engines: b.engines, silent: func(server string, order DecodeRequest) bool {
+			if order.LastEvent != "" && silent == "" {
+				silent = server
+			}
+			return server == silent
+		}}
+		m.drainAfter(300 * time.Millisecond)
+		r := m.longRequest("a")
+		r.Target, r.Path = "/resume/x", "/resume/x"
+		_, body, err := b.read(r)
+		if calls := b.callCount("decode " + silent); err != nil || body != wholeMovable() || calls != 1 {
+			t.Errorf("%d of %d bytes, error %v, %d calls to %s, calls %v", len(body), len(wholeMovable()), err, calls, silent, b.engines.calls)
+		}
+		b.checkNothingHeld()
+	})
+}
