forward: a stopped stream does not go on once its caller has disconnected

An engine got the continuation of a moved stream whose caller had disconnected while the run was stopped: only the deadline was checked before the call. The context has ended by then, so that the call broke off after it was sent, and the memory that it named was not always released. An unanswered stop had the same effect since streams go on from the copy: the end of the context leaves the stop without an answer.

The memory of such a stream is released, and nothing is sent.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -48,7 +48,7 @@
 		return false, nil
 	}
 	r.leaveSource()
-	if err := r.checkSend(); err != nil {
+	if err := r.checkContinue(); err != nil {
 		r.abandonMove(moveBrokenOff, err)
 		return true, err
 	}
@@ -62,7 +62,7 @@
 		r.endMove(moveDone, nil)
 		return true, nil
 	}
-	if !usedUp(err) && r.ctx.Err() == nil && r.checkSend() == nil {
+	if !usedUp(err) && r.checkContinue() == nil {
 		return true, r.resumeAtSource(m, order)
 	}
 	r.endMove(moveBrokenOff, err)
@@ -70,6 +70,14 @@
 	return true, err
 }
 
+// checkContinue returns an error if a stopped run must not continue: nobody waits for it, or an engine must not get it.
+func (r *relay) checkContinue() error {
+	if r.ctx.Err() != nil {
+		return context.Cause(r.ctx)
+	}
+	return r.checkSend()
+}
+
 // stopIsUnanswered waits a while for the calls that stop the run, and reports whether one of them may have stopped it
 // without an answer so far.
 func (r *relay) stopIsUnanswered(m *move) bool {
@@ -88,7 +96,7 @@
 // destination reads again what the copy lacks. decided is false if the copy was not used up.
 func (r *relay) resumeFromCopy(m *move) (decided bool, err error) {
 	copied := m.copied.Load()
-	if copied == nil || r.lastID == "" || r.isLeaving(m.to.Name) || r.checkSend() != nil {
+	if copied == nil || r.lastID == "" || r.isLeaving(m.to.Name) || r.checkContinue() != nil {
 		return false, nil
 	}
 	// The engine may have broken off as well.
--- a/forward/continue_ends_test.go
+++ b/forward/continue_ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -78,3 +79,48 @@
 		b.checkNothingHeld()
 	})
 }
+
+// endsWithRequest is a stream that ends as the context of its request does.
+type endsWithRequest struct {
+	io.ReadCloser
+	ctx context.Context
+}
+
+func (s *endsWithRequest) Read(p []byte) (int, error) {
+	if s.ctx.Err() != nil {
+		return 0, s.ctx.Err()
+	}
+	return s.ReadCloser.Read(p)
+}
+
+// Guards against a request to an engine that continues a stream whose caller has disconnected.
+func TestStreamDoesNotGoOnWhoseCallerDisconnects(t *testing.T) {
+	for name, answer := range map[string]time.Duration{"stopped": 0, "stop unanswered": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			withBench(t, func(b *bench) {
+				m := newMovingBench(b)
+				ctx, leave := context.WithCancel(context.Background())
+				defer leave()
+				m.onStop = func(stop func()) (PrefillHandle, error) {
+					leave()
+					time.Sleep(answer)
+					stop()
+					return "kept", nil
+				}
+				stream := b.engines.stream
+				b.engines.stream = func(ctx context.Context, server, lastEvent string) io.ReadCloser {
+					return &endsWithRequest{ReadCloser: stream(ctx, server, lastEvent), ctx: ctx}
+				}
+				m.drainAfter(300 * time.Millisecond)
+				reply := b.Serve(ctx, m.longRequest("a"))
+				_, err := io.ReadAll(reply.Stream)
+				reply.Stream.Close()
+				b.Wait()
+				if err == nil || b.callCount("decode") != 1 {
+					t.Errorf("error %v, calls %v", err, b.engines.calls)
+				}
+				b.checkNothingHeld()
+			})
+		})
+	}
+}
