forward: a stopped stream goes on even if its connection stays open

Callers saw a stream that must not be repeated end at its deadline, if the engine had stopped its run for a move and answered so, and the end of the stream's connection did not arrive: a lost end, or an engine that falls silent in between. The stream's reader waited for that end alone. A stream that may be resumed went on after the silence of a stalled run, longer than engines keep the memory.

Once a stop was answered with the memory of the run, the connection of the stopped run is closed after half of the time that engines keep the memory, 400 ms at most, and the stream goes on behind the last whole event.

TestStoppedStreamGoesOnWhoseConnectionStaysOpen failed before: 526 of 1684 bytes and the deadline on /stream/, a pause of 1.81 s on /resume/. It passes now, as does TestSearchOverTheLifeOfARelay.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -23,8 +23,8 @@
 	continuationTries = 3
 	// continuationPause is the pause between two of them.
 	continuationPause = 20 * time.Millisecond
-	// maxStopWait bounds the wait for the answer of a call that stopped a run, before the stream continues from the copy
-	// that was made while it ran.
+	// maxStopWait bounds the wait for one of the two signs of a stopped run behind the other one: the answer of the call
+	// that stopped it, and the end of its connection.
 	maxStopWait = 400 * time.Millisecond
 )
 
@@ -78,11 +78,16 @@
 	return r.checkSend()
 }
 
+// stopWait returns how long to wait for the second sign of a stopped run. Half of the time for which engines keep the
+// memory leaves the other half for the continuation.
+func (r *relay) stopWait() time.Duration {
+	return min(r.service.Engine.Handle/2, maxStopWait)
+}
+
 // stopIsUnanswered waits a while for the calls that stop the run, and reports whether one of them may have stopped it
 // without an answer so far.
 func (r *relay) stopIsUnanswered(m *move) bool {
-	// Half of the time for which engines keep the memory leaves the other half for the continuation.
-	timer := time.NewTimer(min(r.service.Engine.Handle/2, maxStopWait))
+	timer := time.NewTimer(r.stopWait())
 	defer timer.Stop()
 	select {
 	case <-m.done:
--- a/forward/continue_ends_test.go
+++ b/forward/continue_ends_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,3 +126,47 @@
 		})
 	}
 }
+
+// openAfterStop is a stream whose connection stays open without a byte once its run was stopped.
+type openAfterStop struct {
+	events
+	stopped *atomic.Bool
+}
+
+func (s *openAfterStop) Read(p []byte) (int, error) {
+	if s.rest == "" && s.stopped.Load() {
+		<-s.ctx.Done()
+		return 0, s.ctx.Err()
+	}
+	return s.events.Read(p)
+}
+
+// Guards against a stopped stream that waits for its deadline because the end of its connection does not arrive.
+func TestStoppedStreamGoesOnWhoseConnectionStaysOpen(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			withBench(t, func(b *bench) {
+				m := newMovingBench(b)
+				b.engines.stream = func(ctx context.Context, _, lastEvent string) io.ReadCloser {
+					first, _ := strconv.Atoi(lastEvent)
+					m.mu.Lock()
+					defer m.mu.Unlock()
+					m.stopped = new(atomic.Bool)
+					return &openAfterStop{events: events{ctx: ctx, next: first + 1, last: movableEvents, end: io.EOF}, stopped: m.stopped}
+				}
+				m.drainAfter(300 * time.Millisecond)
+				r := m.longRequest("a")
+				r.Target, r.Path = path, path
+				reply := b.Serve(context.Background(), r)
+				body, err := io.ReadAll(reply.Stream)
+				pause := reply.Stream.(*relay).longestPause
+				reply.Stream.Close()
+				b.Wait()
+				if err != nil || string(body) != wholeMovable() || b.callCount("prefill") != 1 || pause > r.Deadline.Sub(r.Arrived)/10 {
+					t.Errorf("%d of %d bytes, error %v, ran at %s, a pause of %s, calls %v", len(body), len(wholeMovable()), err, m.engineNames(), pause, b.engines.calls)
+				}
+				b.checkNothingHeld()
+			})
+		})
+	}
+}
--- a/forward/move.go
+++ b/forward/move.go
@@ -202,10 +202,15 @@
 	r.moves++
 	r.holdDestination(m)
 	from, to, request := r.entry(m.from), r.entry(m.to), r.request
+	endRun, wait := r.cancelRun, r.stopWait()
 	go func() {
 		defer close(m.done)
 		m.run(r.ctx, r.Backends, from, to, request)
 		m.ended = clock.Now()
+		if m.stopped {
+			// The engine ends the connection before it answers. If the end does not arrive, the stream goes on without it.
+			time.AfterFunc(wait, endRun)
+		}
 	}()
 }
 
