forward: a silent run is ended only once another engine has the memory

Callers of a stream that may be resumed saw it cut, if its server fell silent for 1.8 s and would have gone on: the instance ended the run because another engine seemed to have room, and that engine then refused the reservation.

Before the run is ended, its memory is reserved at another engine for a moment, at up to three of them, and released, so that the run there can reserve it. If none takes it, or an event arrives meanwhile, the run goes on and is looked at again after the same silence. hasRoomElsewhere becomes enginesWithRoom, which returns the engines; its check in TestRetriesStayInAllowedRegions asks for none and for some as before.

--- a/forward/generate.go
+++ b/forward/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,7 +42,9 @@
 	// stallTimer ends the current run if it falls silent; nil if the request cannot continue at
 	// another engine. cancelRun ends the run immediately.
 	stallTimer *time.Timer
-	cancelRun  context.CancelFunc
+	// stallResets counts the events that have restarted stallTimer.
+	stallResets atomic.Int64
+	cancelRun   context.CancelFunc
 	// runCtx is the context of the current run.
 	runCtx context.Context
 
--- a/forward/regions_test.go
+++ b/forward/regions_test.go
@@ -99,7 +99,7 @@
 		b.engines.call = func(string) (*Answer, error) { return &Answer{Status: 500}, nil }
 		b.serve(b.plain("c"))
 		b.checkNotCalled("s1")
-		if b.Gateway.hasRoomElsewhere("d2", "llm", 1000, regions{"east": true}, nil) || !b.Gateway.hasRoomElsewhere("d2", "llm", 1000, nil, nil) {
+		if len(b.enginesWithRoom("d2", "llm", 1000, regions{"east": true}, nil)) > 0 || len(b.enginesWithRoom("d2", "llm", 1000, nil, nil)) == 0 {
 			t.Error("memory outside of the allowed regions counts as usable")
 		}
 	})
--- a/forward/rerun.go
+++ b/forward/rerun.go
@@ -10,6 +10,7 @@
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/origin"
 	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/table"
 	"github.com/mastwheel/mastwheel/upstream"
 )
@@ -82,8 +83,7 @@
 }
 
 // watchForStall returns a context for one run that ends when the run stalls and can continue at
-// another engine. If no other engine could take the run over, a silent server's run is not
-// ended.
+// another engine. If no other engine takes the run over, a silent server's run is not ended.
 func (g *generation) watchForStall() (context.Context, context.CancelFunc) {
 	ctx, end := context.WithCancelCause(g.ctx)
 	cancel := func() { end(nil) }
@@ -100,11 +100,15 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if g.Gateway.hasRoomElsewhere(at, service, need, allowed, began.Load()) {
+		events := g.stallResets.Load()
+		taken := g.isTakenBy(ctx, g.Gateway.enginesWithRoom(at, service, need, allowed, began.Load()), need)
+		switch {
+		case ctx.Err() != nil || g.stallResets.Load() != events:
+		case taken:
 			end(errStalled)
-			return
+		default:
+			stall.Reset(recheck)
 		}
-		stall.Reset(recheck)
 	})
 	g.stallTimer = stall
 	close(ready)
@@ -115,12 +119,12 @@
 // the reading of its prompt.
 const rerunCost = 2
 
-// hasRoomElsewhere reports whether an engine other than excluded, in the allowed regions and of the
-// release at which the stream began, would accept a run that needs that much memory, and whether the
-// retry budget allows it. began is nil before the stream's first event.
-func (g *Gateway) hasRoomElsewhere(excluded, service string, need int, allowed regions, began *origin.Origin) bool {
+// enginesWithRoom returns the engines other than excluded, in the allowed regions and of the release at which the stream
+// began, that would accept a run that needs that much memory; none if the retry budget does not allow it. began is nil
+// before the stream's first event.
+func (g *Gateway) enginesWithRoom(excluded, service string, need int, allowed regions, began *origin.Origin) (engines []*registry.Entry) {
 	if g.Budget(service).Left(clock.Now()) < rerunCost {
-		return false
+		return nil
 	}
 	servers := g.View.Servers()
 	for _, backend := range servers.Decode[service] {
@@ -132,12 +136,35 @@
 			continue
 		}
 		if backend.MemoryTokens == 0 || g.freeMemoryAt(backend) >= need {
+			engines = append(engines, servers.ByRun[backend.Name])
+		}
+	}
+	return engines
+}
+
+// isTakenBy reports whether one of the engines has the memory for the stream now, which their known state may not show. The
+// memory is reserved for a moment, and released before the silent run ends: the run at the other engine reserves it anew.
+func (g *generation) isTakenBy(ctx context.Context, engines []*registry.Entry, need int) bool {
+	for _, engine := range engines[:min(len(engines), g.config.ReserveTries)] {
+		if g.reserveBriefly(ctx, engine, need) {
 			return true
 		}
 	}
 	return false
 }
 
+// reserveBriefly reserves memory at an engine and releases it.
+func (g *generation) reserveBriefly(ctx context.Context, engine *registry.Entry, need int) bool {
+	ctx, cancel := context.WithTimeout(ctx, g.config.ReserveTimeout)
+	defer cancel()
+	reservation, err := g.Backends.Reserve(ctx, engine, need, g.config.ReserveTimeout)
+	if err != nil {
+		return false
+	}
+	g.logLeak("reservation", engine, g.Backends.Release(ctx, engine, reservation))
+	return true
+}
+
 // mayRunAt reports whether a stream that its caller may take up may run at an engine. began is nil before
 // the stream's first event.
 func (g *Gateway) mayRunAt(servers *Servers, engine *table.BackendView, began *origin.Origin) bool {
@@ -155,6 +182,7 @@
 // resetStallTimer restarts the stall timer after an event of the run.
 func (g *generation) resetStallTimer(events int) {
 	if g.stallTimer != nil {
+		g.stallResets.Add(1)
 		g.stallTimer.Reset(g.stallAfter(events))
 	}
 }
--- /dev/null
+++ b/forward/stall_test.go
@@ -0,0 +1,57 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/mastwheel/mastwheel/reason"
+)
+
+// pausedStream is a whole stream that stays silent for a while after some events.
+type pausedStream struct {
+	events
+	after int
+	pause time.Duration
+}
+
+func (s *pausedStream) Read(p []byte) (int, error) {
+	if s.rest == "" && s.next > s.after && s.pause > 0 {
+		select {
+		case <-time.After(s.pause):
+			s.pause = 0
+		case <-s.ctx.Done():
+			return 0, s.ctx.Err()
+		}
+	}
+	return s.events.Read(p)
+}
+
+// Guards against a stream that is cut because its silent run was ended and no other engine takes it.
+func TestSilentRunIsNotEndedIfNoOtherEngineTakesTheStream(t *testing.T) {
+	for name, full := range map[string]func(b *bench){
+		"refused": func(b *bench) {
+			b.engines.reserve = func(string) error {
+				return &NotRunError{Why: reason.BackendRefused, Sent: true, Detail: "status 503"}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withBench(t, func(b *bench) {
+				b.engines.stream = func(ctx context.Context, _, lastEvent string) io.ReadCloser {
+					first, _ := strconv.Atoi(lastEvent)
+					if first == 0 {
+						time.AfterFunc(time.Second, func() { full(b) })
+					}
+					return &pausedStream{events: events{ctx: ctx, next: first + 1, last: testEvents, end: io.EOF}, after: 2, pause: 4 * time.Second}
+				}
+				if _, body, err := b.read(b.resumable("a")); err != nil || body != wholeStream() {
+					t.Errorf("%d of %d bytes, error %v, calls %v", len(body), len(wholeStream()), err, b.engines.calls)
+				}
+				b.checkNothingHeld()
+			})
+		})
+	}
+}
