forward: a stream under way may use the memory that engines keep free for others

Callers saw a stream cut that had lost its engine, or whose silent run was ended, although another engine had the memory: the run there was refused for the fraction of memory that new streams leave free. A stream that leaves its engine may use that memory already. An engine counts as one with room for a silent run without that fraction, so that the run was ended and could not go on.

A request that has run leaves nothing free for others.

--- a/forward/memory.go
+++ b/forward/memory.go
@@ -58,7 +58,7 @@
 	}
 	for range tries {
 		query := g.query()
-		query.MemoryTokens, query.Spare = g.need, g.spare()*g.yield()
+		query.MemoryTokens, query.Spare = g.need, g.spareForOthers()
 		var expected *memoryForecast
 		if g.forecasting() {
 			expected = g.newForecast(nil, g.yield())
@@ -146,6 +146,15 @@
 	return sizes.Spare(memory)
 }
 
+// spareForOthers returns the fraction of an engine's memory that the request leaves free for other requests. A stream under
+// way that has lost its engine may use it.
+func (g *generation) spareForOthers() float64 {
+	if g.runs > 0 {
+		return 0
+	}
+	return g.spare() * g.yield()
+}
+
 func (g *generation) requestReservation(chosen *route.ScoredCandidate) (Reservation, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, g.config.ReserveTimeout)
 	defer cancel()
--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/route"
 )
 
 // pausedStream is a whole stream that stays silent for a while after some events.
@@ -37,6 +38,12 @@
 				return &NotRunError{Why: reason.BackendRefused, Sent: true, Detail: "status 503"}
 			}
 		},
+		"memory kept free": func(b *bench) {
+			need := expectedMemory(b.resumable("a").Generation, testMaxTokens/2, b.config.LengthEstimateMargin)
+			for _, name := range []string{"d1", "d2"} {
+				b.Fleet.Server(name).SetOthers(route.Commitment{InFlight: 6, Memory: testMemoryTokens - need - 100})
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withBench(t, func(b *bench) {
