forward: a lost answer is counted also if no server is left for another try

Callers got 502 for a request whose first run got no answer and whose second try was refused everywhere. The log line had no endedBy, and mastwheel_requests_without_whole_answer_total did not count it: the end went through the refusal, which becomes a 502 for a request that may have run.

Each 502 of the instance's own for a request that may have run now says what ended it.

TestLostAnswerIsCountedIfNoServerIsLeft failed before with a count of 0, for a plain call and a stream, and passes now, as does TestSearchOverTheLifeOfARelay.

--- a/forward/flow.go
+++ b/forward/flow.go
@@ -322,6 +322,9 @@
 
 // fail ends a request that may have run. Its status guarantees nothing.
 func (f *flow) fail(why reason.Reason, detail string) *Reply {
+	if f.mayHaveRun {
+		f.endedBy = cmp.Or(f.endedBy, reason.EndedByServer)
+	}
 	return f.end(&Reply{Status: statusBadGateway, Reason: why}, detail)
 }
 
