forward, daemon: what is left at the end of a graceful shutdown is answered

Cause: at the end of the grace the process exited whatever was in flight. It also exited as soon as nothing was in flight, and a request counted as in flight only until its answer was known, not until it was written; a request that came while the log was flushed could still be passed on.

Change: 0.4 s before the kill the gateway ends what is left, by a context with a cause. Callers that have got nothing get 502, or 503 if no server ran the request, with the reason "stopping"; streams that have begun are closed and logged with endedBy "stop". Later requests are refused. The process exits once all answers to callers and siblings are written, 0.25 s before the kill at the latest, and closes its callers' connections.

--- a/connwatch/limit.go
+++ b/connwatch/limit.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,6 +124,30 @@
 	return oldest, since, held
 }
 
+// Active returns the number of connections with a request whose answer was not written completely.
+func (l *Limit) Active() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	active := 0
+	for c := range l.open {
+		if c.idleSince.Load() == connActive {
+			active++
+		}
+	}
+	return active
+}
+
+// CloseAll closes all connections.
+func (l *Limit) CloseAll() {
+	l.mu.Lock()
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	for _, c := range open {
+		// There is nothing to be done about a connection that does not close.
+		_ = c.Conn.Close()
+	}
+}
+
 func (l *Limit) remove(c *Conn) {
 	l.mu.Lock()
 	delete(l.open, c)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -37,6 +37,8 @@
 	settings platform.Settings
 	edge     *edge.Instance
 	gateway  *forward.Gateway
+	ingress  *platform.Ingress
+	siblings *sibling.Server
 	backends *platform.Backends
 	metrics  *metrics.Set
 	handOver *sibling.HandOver
@@ -119,6 +121,8 @@
 		Budget: p.edge.Budget, Allotments: p.edge.Allotments, Metrics: p.metrics, Poison: p.edge.Poison, Random: rand.Float64,
 		Origins: p.edge.Origins,
 	}, forward.DefaultConfig())
+	p.ingress = platform.NewIngress(p.gateway, p.budget)
+	p.siblings = sibling.NewServer(p.edge.SnapshotFor, p.gateway.Serve, p.budget)
 	p.registerMetrics()
 	p.registerEraMetrics()
 	return p, nil
@@ -295,10 +299,10 @@
 func (p *Platform) listeners() []endpoint {
 	directory := platform.NewDirectory(p.edge, p.settings.Bounds.EntryTTL)
 	all := []endpoint{
-		{p.settings.Callers, platform.NewIngress(p.gateway, p.budget).Serve},
+		{p.settings.Callers, p.ingress.Serve},
 		{p.settings.Ready, directory.Serve},
 		{p.settings.Directory, directory.Serve},
-		{p.settings.Siblings, sibling.NewServer(p.edge.SnapshotFor, p.gateway.Serve, p.budget).Serve},
+		{p.settings.Siblings, p.siblings.Serve},
 	}
 	if p.metricsPort > 0 {
 		all = append(all, endpoint{metricsAddress(p.settings.Callers, p.metricsPort), p.serveMetrics})
@@ -341,6 +345,7 @@
 	})
 	err := group.Wait()
 	if errors.Is(err, errStopped) {
+		p.ingress.Close()
 		klog.InfoS("Stop", "instance", p.settings.Name, "inFlight", p.gateway.InFlight())
 		return nil
 	}
@@ -363,27 +368,52 @@
 	// writing the last log lines and closing files and connections, before the
 	// platform kills the process.
 	shutdownReserve = 250 * time.Millisecond
+	// answerReserve is the part of the grace period before shutdownReserve that is reserved for the answers
+	// to the requests that are ended.
+	answerReserve = 150 * time.Millisecond
 	// idleExitLead is how long before the deadline an instance without requests
 	// in flight exits. Callers that still keep its address then find another
 	// instance sooner.
 	idleExitLead = 900 * time.Millisecond
 	// idlePollInterval is the pause between two checks for requests in flight.
 	idlePollInterval = 20 * time.Millisecond
+	// endedPollInterval is the pause between two checks for answers to requests that were ended.
+	endedPollInterval = 2 * time.Millisecond
 )
 
 // drain keeps serving for as long as the platform allows, because callers keep
-// this instance's address for a while after siblings have stopped returning it.
+// this instance's address for a while after siblings have stopped returning it. Then it ends what is left, and
+// returns once all answers are written.
 func (p *Platform) drain() {
 	began := clock.Now()
-	ends := began.Add(p.settings.Bounds.Grace - shutdownReserve)
+	exits := began.Add(p.settings.Bounds.Grace - shutdownReserve)
+	ends := exits.Add(-answerReserve)
 	p.gateway.Stop(began, ends)
 	klog.InfoS("Graceful shutdown begins", "instance", p.settings.Name, "inFlight", p.gateway.InFlight())
 	ctx, cancel := clock.WithDeadline(context.Background(), ends)
 	defer cancel()
 	p.edge.Stop(ctx)
 	wait.Until(ctx, ends.Add(-idleExitLead))
-	for p.gateway.InFlight() > 0 && wait.For(ctx, idlePollInterval) {
+	for !p.isIdle() && wait.For(ctx, idlePollInterval) {
 	}
+	p.endRequests(exits)
+}
+
+// isIdle reports whether all answers to callers and siblings are written.
+func (p *Platform) isIdle() bool {
+	return p.gateway.InFlight()+p.ingress.Answering()+p.siblings.Answering() == 0
+}
+
+// endRequests ends the requests that are left and waits for their answers to be written. A request that comes meanwhile is
+// refused: it must not be passed on by a process that is about to exit.
+func (p *Platform) endRequests(exits time.Time) {
+	left := p.gateway.InFlight()
+	p.gateway.End()
+	ctx, cancel := clock.WithDeadline(context.Background(), exits)
+	defer cancel()
+	for !p.isIdle() && wait.For(ctx, endedPollInterval) {
+	}
+	klog.InfoS("Graceful shutdown ends", "instance", p.settings.Name, "ended", left, "unanswered", p.ingress.Answering())
 }
 
 func metricsAddress(callers string, port int) string {
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -23,7 +23,7 @@
 type flow struct {
 	*Gateway
 	request *Request
-	// caller ends when the caller disconnects.
+	// caller ends when the caller disconnects, or at the end of a graceful shutdown.
 	caller context.Context
 	// askedSiblings is set once siblings were asked to serve the request.
 	askedSiblings bool
@@ -334,9 +334,12 @@
 	return f.end(&Reply{Status: statusTimeout, Reason: reason.AnswerLost}, detail)
 }
 
-// endWithoutAnswer ends a request that got no answer: its caller left, its deadline passed, or
-// the server failed.
+// endWithoutAnswer ends a request that got no answer: its caller left, its deadline passed, the
+// instance stops, or the server failed.
 func (f *flow) endWithoutAnswer(ctx context.Context, err error) *Reply {
+	if f.endedByStop() {
+		return f.endAtStop(err.Error())
+	}
 	if ctx.Err() != nil && !clock.Now().Before(f.deadline) {
 		return f.timeout(err.Error())
 	}
@@ -348,6 +351,14 @@
 	return f.fail(reason.AnswerLost, err.Error())
 }
 
+// endAtStop ends a request that the end of a graceful shutdown has interrupted.
+func (f *flow) endAtStop(detail string) *Reply {
+	if f.mayHaveRun {
+		f.endedBy = reason.EndedByStop
+	}
+	return f.refuse(reason.Stopping, errEnded.Error()+": "+detail)
+}
+
 // deliver ends a request with a backend server's own answer.
 func (f *flow) deliver(answer *Answer) *Reply {
 	return f.end(&Reply{Status: answer.Status, Fields: answer.Fields, Body: answer.Body, Held: answer.Held, Reason: answerReason(answer.Status)}, "")
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mastwheel/mastwheel/callerwait"
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/logging"
@@ -187,6 +189,9 @@
 	inFlight      atomic.Int64
 	// stopping is set once a graceful shutdown has begun.
 	stopping atomic.Pointer[shutdown]
+	// ended is done once a graceful shutdown has ended what was left of the requests.
+	ended  context.Context
+	endAll context.CancelCauseFunc
 	// logLimit bounds how many requests are logged.
 	logLimit *logging.Limit
 	// lengths holds a *route.Lengths for each service name: the corrected estimates of answer
@@ -223,9 +228,12 @@
 
 // New returns a gateway.
 func New(deps Deps, config Config) *Gateway {
+	ended, endAll := context.WithCancelCause(context.Background())
 	return &Gateway{
 		Deps:          deps,
 		config:        config,
+		ended:         ended,
+		endAll:        endAll,
 		prefill:       route.ForwardPrefill(),
 		decode:        route.ForwardDecode(),
 		readingDecode: route.ForwardReadingDecode(),
@@ -304,6 +312,23 @@
 // Stopping reports whether a graceful shutdown has begun.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() != nil }
 
+// errEnded is the cause with which End ends requests.
+var errEnded = errors.New("the graceful shutdown of the instance is over")
+
+// End ends the requests that are left at the end of a graceful shutdown, and refuses those that come later. Requests of which
+// the caller has nothing yet get a status: 502 if a backend server may have run them, 503 otherwise.
+func (g *Gateway) End() { g.endAll(errEnded) }
+
+// untilEnd returns a context that ends with the caller's, and when End ends the request. detach must be called at the end of
+// the request.
+func (g *Gateway) untilEnd(caller context.Context) (ctx context.Context, detach func() bool) {
+	ctx, cancel := context.WithCancelCause(caller)
+	return ctx, context.AfterFunc(g.ended, func() { cancel(errEnded) })
+}
+
+// endedByStop reports whether End has ended the request.
+func (f *flow) endedByStop() bool { return errors.Is(context.Cause(f.caller), errEnded) }
+
 // Wait blocks until all resources that requests hold have been released.
 func (g *Gateway) Wait() { g.cleanups.Wait() }
 
@@ -336,10 +361,16 @@
 	}
 	f.waited = g.waitsOf(f.route.Name).Waited(f.deadline.Sub(r.Arrived), r.Arrived)
 	g.inFlight.Add(1)
+	ctx, detach := g.untilEnd(ctx)
+	f.caller = ctx
 	f.release = sync.OnceFunc(func() {
+		detach()
 		g.inFlight.Add(-1)
 		f.admission.Release()
 	})
+	if g.ended.Err() != nil {
+		return f.refuse(reason.Stopping, errEnded.Error())
+	}
 	if r.HandedOver == "" {
 		g.Budget(f.service.Name).Earn(r.Arrived)
 	}
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -287,6 +287,9 @@
 
 // ending returns what ended a stream that broke off.
 func (s *handedStream) ending() reason.Ending {
+	if s.flow.endedByStop() {
+		return reason.EndedByStop
+	}
 	if !clock.Now().Before(s.flow.deadline) {
 		return reason.EndedByDeadline
 	}
@@ -300,7 +303,7 @@
 	}
 	s.closed = true
 	err := s.ReadCloser.Close()
-	departed := s.flow.caller.Err() != nil
+	departed := s.flow.caller.Err() != nil && !s.flow.endedByStop()
 	s.cancel()
 	s.flow.release()
 	detail := ""
@@ -309,6 +312,9 @@
 	case s.ended != nil && !departed:
 		s.why, detail = reason.StreamBroken, s.ended.Error()
 		s.flow.endedBy, s.flow.cut = s.ending(), s.begun
+		if s.flow.endedBy == reason.EndedByStop {
+			s.why = reason.Stopping
+		}
 	default:
 		s.why = reason.CallerGone
 		s.flow.endedBy = reason.EndedByCaller
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -200,6 +200,9 @@
 	switch {
 	case err == nil:
 		return f.deliver(answer)
+	case f.endedByStop():
+		f.mayHaveRun = f.mayHaveRun || !isNotRun(err)
+		return f.endAtStop(err.Error())
 	case errors.Is(err, errDeadlinePassed):
 		return f.timeout(err.Error())
 	case errors.Is(err, errPoison):
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -219,6 +219,8 @@
 // for a move, and stalled if it was ended because it was silent.
 func (r *relay) endingOf(mayBeStopped, stalled bool) reason.Ending {
 	switch {
+	case r.endedByStop():
+		return reason.EndedByStop
 	case r.ctx.Err() != nil && !clock.Now().Before(r.deadline):
 		return reason.EndedByDeadline
 	case r.ctx.Err() != nil:
@@ -333,7 +335,7 @@
 	r.cancelRun()
 	// A rerun that failed may still hold a reservation and a prefill result.
 	r.releaseAll()
-	departed := r.ctx.Err() != nil && clock.Now().Before(r.deadline)
+	departed := r.ctx.Err() != nil && clock.Now().Before(r.deadline) && !r.endedByStop()
 	r.cancel()
 	r.release()
 	if r.ended == io.EOF {
@@ -385,6 +387,8 @@
 		return answerReason(r.status), ""
 	case departed:
 		return reason.CallerGone, ""
+	case r.endedBy == reason.EndedByStop:
+		return reason.Stopping, r.ended.Error()
 	case r.ended != nil && r.ended != io.EOF:
 		return reason.StreamBroken, r.ended.Error()
 	default:
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -102,7 +102,7 @@
 	{OperationExpired, "the operation id is older than its home allows", "limits.operation_seconds (settings)"},
 	{OperationForeign, "the operation id names another home or an earlier incarnation", "none"},
 	{NoWitness, "the witness did not acknowledge the intent, so the call was not sent", "none"},
-	{Stopping, "the instance is shutting down and could not have seen the stream to its end", "none"},
+	{Stopping, "the instance is shutting down, and could not or did not see the request to its end", "none"},
 	{UnknownKey, "the caller shows no key, or one that no team of the table holds", "team.keys"},
 	{OverAllotment, "the team has used what it may, over all instances", "team.rate, team.burst"},
 	{CrashesServers, "three servers or more have ended under earlier attempts of the same request, or under a part of its prompt that other requests share; it is sent to none", "none"},
--- a/sibling/sibling.go
+++ b/sibling/sibling.go
@@ -43,6 +43,8 @@
 	serve    func(context.Context, *forward.Request) *forward.Reply
 	budget   *membudget.Budget
 	http     *fasthttp.Server
+	// answering counts the siblings that wait for an answer.
+	answering connwatch.Answering
 }
 
 // NewServer returns a server that answers requests for snapshots with the result of snapshot, and
@@ -51,7 +53,7 @@
 	s := &Server{snapshot: snapshot, serve: serve, budget: budget}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, NoDefaultServerHeader: true, MaxRequestBodySize: handOverLimit, StreamRequestBody: true,
-		ReadTimeout: readTimeout, IdleTimeout: serverIdleTimeout, Logger: logging.Silent{},
+		ReadTimeout: readTimeout, IdleTimeout: serverIdleTimeout, Logger: logging.Silent{}, ConnState: s.answering.Note,
 	}
 	return s
 }
@@ -61,6 +63,9 @@
 	return errors.Wrap(s.http.Serve(connwatch.Listener{Listener: listener}), "serve siblings")
 }
 
+// Answering returns the number of requests whose answer was not written completely.
+func (s *Server) Answering() int { return s.answering.Count() }
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	body, err := s.readBody(ctx)
 	if err != nil {
