forward: a stopping instance passes late calls on only if they end in time

Cause: plain calls were taken until 1.6 s before the end of the shutdown, whatever their own deadline and however long the calls of their service take.

Change: from 3 s after the signal on, up to which the platform's rules excuse a cut, a call is passed on only if its deadline comes before the end, or if half of the time left is enough for the longest call of its service that this instance has seen in the last 30 to 60 s. No such measure counts while a call takes longer than all that have ended: servers may have turned slow. Calls in the queue for a slot are decided about anew, as before. Calls and streams are refused before they are handed over to a sibling or charged to their team.

Evidence: shutdown_test.go plays shutdowns with a call each 100 ms.

--- a/forward/end_test.go
+++ b/forward/end_test.go
@@ -44,11 +44,21 @@
 
 // untilEnded makes calls to servers fail once the graceful shutdown ends the requests.
 func (b *bench) untilEnded() error {
-	<-b.ended.Done()
+	<-b.shutdownOver.Done()
 	time.Sleep(time.Millisecond)
 	return errCrashed
 }
 
+// cancelledLast returns a context that ends after those of the requests that the graceful shutdown ends.
+func (b *bench) cancelledLast() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	context.AfterFunc(b.shutdownOver, func() {
+		time.Sleep(time.Millisecond)
+		cancel()
+	})
+	return ctx
+}
+
 // Guards against requests that a stopping instance cuts off, or holds beyond its end: whoever has got nothing yet gets a status
 // at once, which promises that the request has not run only if that is so.
 func TestEndOfAStopAnswersWhatIsLeft(t *testing.T) {
@@ -93,11 +103,13 @@
 			handedOver(b, func() (*Reply, error) { return nil, b.untilEnded() })
 		}, plain, statusBadGateway, "stop status"},
 		"stream of a sibling": {func(b *bench) {
-			handedOver(b, func() (*Reply, error) { return &Reply{Status: 200, Stream: &events{ctx: b.ended, next: 1}}, nil })
+			handedOver(b, func() (*Reply, error) {
+				return &Reply{Status: 200, Stream: &events{ctx: b.cancelledLast(), next: 1}}, nil
+			})
 		}, plain, statusBadGateway, "stop status"},
 		"stream of a sibling midway": {func(b *bench) {
 			handedOver(b, func() (*Reply, error) {
-				return &Reply{Status: 200, Stream: &events{ctx: b.ended, next: 1, last: 3}}, nil
+				return &Reply{Status: 200, Stream: &events{ctx: b.cancelledLast(), next: 1, last: 3}}, nil
 			})
 		}, plain, 200, "stop part"},
 	} {
--- a/forward/flow.go
+++ b/forward/flow.go
@@ -351,14 +351,6 @@
 	return f.fail(reason.AnswerLost, err.Error())
 }
 
-// endAtStop ends a request that the end of a graceful shutdown has interrupted.
-func (f *flow) endAtStop(detail string) *Reply {
-	if f.mayHaveRun {
-		f.endedBy = reason.EndedByStop
-	}
-	return f.refuse(reason.Stopping, errEnded.Error()+": "+detail)
-}
-
 // deliver ends a request with a backend server's own answer.
 func (f *flow) deliver(answer *Answer) *Reply {
 	return f.end(&Reply{Status: answer.Status, Fields: answer.Fields, Body: answer.Body, Held: answer.Held, Reason: answerReason(answer.Status)}, "")
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/mastwheel/mastwheel/callerwait"
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/logging"
@@ -88,6 +86,10 @@
 	// PlainShutdownMargin is how long before the end of a graceful shutdown plain requests are
 	// no longer accepted. Nearly all plain requests take less time.
 	PlainShutdownMargin time.Duration
+	// PlainGrace is how long after the start of a graceful shutdown all plain requests are accepted. Later ones are accepted
+	// only if they will end in time (source: the service requirements, which allow requests to be cut off that were sent up
+	// to 3 s after the signal to stop).
+	PlainGrace time.Duration
 	// StoppingRetryDelay is the retry delay for callers that a stopping instance refuses, or that take
 	// up a stream of which the instance does not know where it began. It is short because other
 	// instances can serve them immediately.
@@ -136,6 +138,7 @@
 		RetryLatest:          0.32,
 		FirstTokenMargin:     150 * time.Millisecond,
 		PlainShutdownMargin:  1600 * time.Millisecond,
+		PlainGrace:           3 * time.Second,
 		StoppingRetryDelay:   50 * time.Millisecond,
 		StreamGrace:          2500 * time.Millisecond,
 		LengthEstimateMargin: 0.6,
@@ -189,9 +192,9 @@
 	inFlight      atomic.Int64
 	// stopping is set once a graceful shutdown has begun.
 	stopping atomic.Pointer[shutdown]
-	// ended is done once a graceful shutdown has ended what was left of the requests.
-	ended  context.Context
-	endAll context.CancelCauseFunc
+	// shutdownOver is done once a graceful shutdown has ended what was left of the requests.
+	shutdownOver context.Context
+	endShutdown  context.CancelCauseFunc
 	// logLimit bounds how many requests are logged.
 	logLimit *logging.Limit
 	// lengths holds a *route.Lengths for each service name: the corrected estimates of answer
@@ -206,6 +209,8 @@
 	pauses sync.Map
 	// waits holds a *callerwait.Estimator for each route name.
 	waits sync.Map
+	// callTimes holds a *callTimes for each service name: how long plain calls take.
+	callTimes sync.Map
 	// fewSlots holds a *serviceSlots for the name of each service whose servers have few slots.
 	fewSlots sync.Map
 	// reaches holds a *reach.Service for each service name: how this instance reaches its servers.
@@ -228,12 +233,12 @@
 
 // New returns a gateway.
 func New(deps Deps, config Config) *Gateway {
-	ended, endAll := context.WithCancelCause(context.Background())
+	shutdownOver, endShutdown := context.WithCancelCause(context.Background())
 	return &Gateway{
 		Deps:          deps,
 		config:        config,
-		ended:         ended,
-		endAll:        endAll,
+		shutdownOver:  shutdownOver,
+		endShutdown:   endShutdown,
 		prefill:       route.ForwardPrefill(),
 		decode:        route.ForwardDecode(),
 		readingDecode: route.ForwardReadingDecode(),
@@ -246,9 +251,6 @@
 // InFlight returns the number of requests that are being forwarded.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
-// shutdown holds the times of a graceful shutdown.
-type shutdown struct{ began, ends time.Time }
-
 // lengthsOf returns the estimates of answer lengths for a service.
 func (g *Gateway) lengthsOf(service string) *route.Lengths {
 	known, _ := g.lengths.LoadOrStore(service, new(route.Lengths))
@@ -274,6 +276,15 @@
 	return known.(*pauses)
 }
 
+// callTimesOf returns how long the plain calls of a service take.
+func (g *Gateway) callTimesOf(service string) *callTimes {
+	if known, ok := g.callTimes.Load(service); ok {
+		return known.(*callTimes)
+	}
+	known, _ := g.callTimes.LoadOrStore(service, new(callTimes))
+	return known.(*callTimes)
+}
+
 // waitsOf returns the estimator of how long callers of a route have waited before their requests.
 func (g *Gateway) waitsOf(route string) *callerwait.Estimator {
 	if known, ok := g.waits.Load(route); ok {
@@ -304,31 +315,6 @@
 	return max(route.FreeTokens(route.Candidate{Backend: backend, Server: server}), 0)
 }
 
-// Stop begins a graceful shutdown. Requests that might outlast it are refused.
-func (g *Gateway) Stop(now, ends time.Time) {
-	g.stopping.CompareAndSwap(nil, &shutdown{began: now, ends: ends})
-}
-
-// Stopping reports whether a graceful shutdown has begun.
-func (g *Gateway) Stopping() bool { return g.stopping.Load() != nil }
-
-// errEnded is the cause with which End ends requests.
-var errEnded = errors.New("the graceful shutdown of the instance is over")
-
-// End ends the requests that are left at the end of a graceful shutdown, and refuses those that come later. Requests of which
-// the caller has nothing yet get a status: 502 if a backend server may have run them, 503 otherwise.
-func (g *Gateway) End() { g.endAll(errEnded) }
-
-// untilEnd returns a context that ends with the caller's, and when End ends the request. detach must be called at the end of
-// the request.
-func (g *Gateway) untilEnd(caller context.Context) (ctx context.Context, detach func() bool) {
-	ctx, cancel := context.WithCancelCause(caller)
-	return ctx, context.AfterFunc(g.ended, func() { cancel(errEnded) })
-}
-
-// endedByStop reports whether End has ended the request.
-func (f *flow) endedByStop() bool { return errors.Is(context.Cause(f.caller), errEnded) }
-
 // Wait blocks until all resources that requests hold have been released.
 func (g *Gateway) Wait() { g.cleanups.Wait() }
 
@@ -368,8 +354,8 @@
 		g.inFlight.Add(-1)
 		f.admission.Release()
 	})
-	if g.ended.Err() != nil {
-		return f.refuse(reason.Stopping, errEnded.Error())
+	if f.stopsTooSoon() {
+		return f.refuse(reason.Stopping, errStopping.Error())
 	}
 	if r.HandedOver == "" {
 		g.Budget(f.service.Name).Earn(r.Arrived)
@@ -383,7 +369,7 @@
 	if refused := f.admit(); refused != nil {
 		return refused
 	}
-	if f.service.Type == table.TypeModel && r.Generation != nil {
+	if f.isGeneration() {
 		return f.generate(ctx)
 	}
 	return f.call(ctx)
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -12,6 +12,7 @@
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/reason"
 	"github.com/mastwheel/mastwheel/route"
+	"github.com/mastwheel/mastwheel/table"
 )
 
 // generation is the state of a request to a model service while it is forwarded. Memory at a
@@ -78,6 +79,11 @@
 	unknownOutcome error
 }
 
+// isGeneration reports whether the request is for a model.
+func (f *flow) isGeneration() bool {
+	return f.service.Type == table.TypeModel && f.request.Generation != nil
+}
+
 func (f *flow) generate(caller context.Context) *Reply {
 	ctx, cancel := clock.WithDeadline(caller, f.deadline)
 	g := &generation{
@@ -116,7 +122,7 @@
 func (g *generation) run() (*Stream, *stepError) {
 	want := g.request.Generation
 	g.record(stepEstimate, strconv.Itoa(g.need), "prompt", want.PromptTokens, "hint", want.LengthHint, "most", want.MaxTokens)
-	for _, step := range []func() *stepError{g.checkStopping, g.checkOrigin, g.choosePrefill, g.reserve, g.readPrompt} {
+	for _, step := range []func() *stepError{g.checkOrigin, g.choosePrefill, g.reserve, g.readPrompt} {
 		if failed := step(); failed != nil {
 			return nil, failed
 		}
@@ -124,15 +130,6 @@
 	return g.startDecode()
 }
 
-// checkStopping refuses a stream that a stopping instance could not complete.
-func (g *generation) checkStopping() *stepError {
-	stopping := g.stopping.Load()
-	if stopping == nil || clock.Since(stopping.began) < g.config.StreamGrace {
-		return nil
-	}
-	return &stepError{why: reason.Stopping, detail: "the instance is stopping"}
-}
-
 // startDecode starts the stream at the decode engine that has the reservation. If that engine
 // began to leave while the prompt was read, another engine is used: an engine must get no new
 // work from one second after it reported its drain.
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -252,6 +252,10 @@
 			table.ColHost: "h", table.ColPath: "/safe/", table.ColSplit: "web:100", table.ColRepeat: table.RepeatSafe,
 			table.ColTimeout: "1500", table.ColTTFT: "300", table.ColAttempts: "2",
 		},
+		{Kind: table.Route, Name: "slow"}: {
+			table.ColHost: "h", table.ColPath: "/slow/", table.ColSplit: "web:100", table.ColRepeat: table.RepeatNever,
+			table.ColTimeout: "14000", table.ColTTFT: "900", table.ColAttempts: "1",
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -16,9 +16,6 @@
 // call forwards a plain request to one server, and to another server only if nextStep allows
 // it.
 func (f *flow) call(caller context.Context) *Reply {
-	if f.stopsTooSoon() {
-		return f.refuse(reason.Stopping, errStopping.Error())
-	}
 	ctx, cancel := clock.WithDeadline(caller, f.deadline)
 	defer cancel()
 	// failed is the last answer of a failed server.
@@ -112,7 +109,9 @@
 	defer chosen.Server.RequestSent(0)()
 	defer chosen.Server.AwaitAnswer(clock.Now())()
 	f.recordSent(clock.Now())
+	ended := f.callTimesOf(f.service.Name).began(clock.Now())
 	answer, err = f.Backends.Call(ctx, f.entry(chosen), f.request, f.deadline)
+	ended(clock.Now())
 	f.record(stepCall, callResult(answer, err), "server", chosen.Name, "inFlight", chosen.Server.InFlight())
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		// If the caller disconnected, the failed call says nothing about the server.
--- /dev/null
+++ b/forward/shutdown_test.go
@@ -0,0 +1,133 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Times of the graceful shutdowns that are played.
+const (
+	testShutdown = 7600 * time.Millisecond
+	// excusedSends is how long after the signal to stop a request may be sent that is cut off (source: the platform's rules).
+	excusedSends = 3 * time.Second
+)
+
+// slow returns a plain request that must not be repeated.
+func (b *bench) slow(id string, left time.Duration) *Request {
+	r := b.plain(id)
+	r.Method, r.Target, r.Path, r.Deadline = "POST", "/slow/x", "/slow/x", time.Now().Add(left)
+	return r
+}
+
+// lateCalls plays a shutdown with a call in each tenth of a second, and returns the statuses of calls by whether they were sent
+// later than excusedSends after its start. took returns how long the server works on a call.
+func (b *bench) lateCalls(left time.Duration, took func() time.Duration) (early, late map[int]int) {
+	early, late = make(map[int]int), make(map[int]int)
+	b.engines.call = func(string) (*Answer, error) {
+		select {
+		case <-time.After(took()):
+			return &Answer{Status: 200}, nil
+		case <-b.shutdownOver.Done():
+			time.Sleep(time.Millisecond)
+			return nil, errCrashed
+		}
+	}
+	for i := range 12 {
+		b.Serve(context.Background(), b.slow(fmt.Sprint("before-", i), left))
+	}
+	began := time.Now()
+	b.Stop(began, began.Add(testShutdown))
+	time.AfterFunc(testShutdown, b.End)
+	var calls sync.WaitGroup
+	var mu sync.Mutex
+	for i := 0; time.Since(began) < testShutdown; i++ {
+		counts := early
+		if time.Since(began) > excusedSends {
+			counts = late
+		}
+		calls.Go(func() {
+			reply := b.Serve(context.Background(), b.slow(fmt.Sprint("during-", i), left))
+			mu.Lock()
+			defer mu.Unlock()
+			counts[reply.Status]++
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	calls.Wait()
+	return early, late
+}
+
+// Guards against calls that come late in a graceful shutdown and are passed on although their server cannot answer in time: they
+// run, and their callers get 502, where another instance would have served them.
+func TestLateCallsArePassedOnOnlyIfTheyEndInTime(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	fixed := func(took time.Duration) func(*bench) func() time.Duration {
+		return func(*bench) func() time.Duration { return func() time.Duration { return took } }
+	}
+	for name, test := range map[string]struct {
+		took func(b *bench) func() time.Duration
+		left time.Duration
+		// served is set if late calls are served.
+		served bool
+	}{
+		"fast":                    {fixed(30 * time.Millisecond), 14 * time.Second, true},
+		"slow":                    {fixed(2500 * time.Millisecond), 14 * time.Second, false},
+		"slow, with little time":  {fixed(1900 * time.Millisecond), 2 * time.Second, true},
+		"some of a second":        {fixed(1200 * time.Millisecond), 14 * time.Second, true},
+		"a twelfth of them slow":  {func(*bench) func() time.Duration { return tailed(random) }, 14 * time.Second, false},
+		"slower during the stop":  {slowerAfter(time.Second), 14 * time.Second, false},
+		"slower late in the stop": {slowerAfter(2900 * time.Millisecond), 14 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withBench(t, func(b *bench) {
+				early, late := b.lateCalls(test.left, test.took(b))
+				if late[statusBadGateway] > 0 || test.served != (late[200] > 0) || late[200]+late[statusUnavailable]+late[statusTimeout] == 0 {
+					t.Errorf("statuses %v, of calls in the first %v %v", late, excusedSends, early)
+				}
+				b.checkNothingHeld()
+			})
+		})
+	}
+}
+
+// tailed returns how long calls take of which one in twelve takes 2.5 s.
+func tailed(random *rand.Rand) func() time.Duration {
+	calls := random.IntN(12)
+	return func() time.Duration {
+		if calls++; calls%12 == 0 {
+			return 2500 * time.Millisecond
+		}
+		return 30 * time.Millisecond
+	}
+}
+
+// slowerAfter makes calls take 5 s from a while after the start of the shutdown on.
+func slowerAfter(after time.Duration) func(b *bench) func() time.Duration {
+	return func(b *bench) func() time.Duration {
+		return func() time.Duration {
+			if stopping := b.stopping.Load(); stopping != nil && time.Since(stopping.began) > after {
+				return 5 * time.Second
+			}
+			return 30 * time.Millisecond
+		}
+	}
+}
+
+// Guards against an instance that has measured no calls of a service and takes late ones that it cannot see to their end.
+func TestLateCallsOfAServiceWithoutMeasurementsNeedAnEarlyDeadline(t *testing.T) {
+	withBench(t, func(b *bench) {
+		began := time.Now()
+		b.Stop(began, began.Add(testShutdown))
+		time.Sleep(excusedSends + time.Millisecond)
+		for left, want := range map[time.Duration]int{14 * time.Second: statusUnavailable, 4 * time.Second: 200} {
+			if reply := b.serve(b.slow(fmt.Sprint(left), left)); reply.Status != want {
+				t.Errorf("with %v left: status %d, want %d", left, reply.Status, want)
+			}
+		}
+		b.checkNothingHeld()
+	})
+}
--- a/forward/slots.go
+++ b/forward/slots.go
@@ -161,7 +161,7 @@
 // errNoSlot is the error of a call for which no slot is expected soon enough.
 var errNoSlot = errors.New("no slot is expected to be free soon enough")
 
-// errStopping is the error of a waiting call that an instance drops because it stops.
+// errStopping is the error of a request that an instance refuses because it may stop before the request would end.
 var errStopping = errors.New("the instance is stopping")
 
 // chooseBySlots selects a server with few slots. The call waits in the instance if a slot is
@@ -243,12 +243,6 @@
 	return nil
 }
 
-// stopsTooSoon reports whether the instance stops before a plain call could end.
-func (f *flow) stopsTooSoon() bool {
-	stopping := f.stopping.Load()
-	return stopping != nil && clock.Until(stopping.ends) < f.config.PlainShutdownMargin
-}
-
 // candidateNamed returns the candidate of that name.
 func candidateNamed(rated []route.ScoredCandidate, name string) *route.ScoredCandidate {
 	for i := range rated {
