daemon: an instance that cannot accept a connection serves on

Callers saw: all connections of an instance closed at once, without answers (found while looking for what ends requests; not reported).

Cause: fasthttp's server ends at the first connection that it cannot accept, for example with EMFILE at the limit of open files. The first listener that ends, also that of the readiness checks, ends Run and so the process.

Change: accepting is tried again until the listener is closed.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -321,7 +321,7 @@
 		}
 		defer listener.Close()
 		context.AfterFunc(ctx, func() { listener.Close() })
-		group.Go(func() error { return ignoreAfterDone(ctx, served.serve(listener)) })
+		group.Go(func() error { return ignoreAfterDone(ctx, served.serve(steadyListener{listener})) })
 	}
 	group.Go(func() error { return p.edge.Run(ctx) })
 	group.Go(func() error {
