upstream: interim answers are no answers

Callers of a server that sent an interim answer (RFC 9110, section 15.2: 100, 102, 103, 199) before its answer got neither: the router passed the interim one on as the answer, and the caller waited for the final one without an end.

Conn.answer took the first head that belongs to the request. It now drops all heads with a status of 1xx until the final one. The bound on the size of a head is one for all of them, so that interim answers without an end end as a broken answer. 101 and statuses below 100 are broken answers: no request asks for another protocol. An interim answer needs no ID of the request, and one with another ID makes nothing of the final answer a stray one.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -115,16 +115,12 @@
 // answer reads answers until one belongs to the request. Any other answer is a
 // late duplicate of an answer to an earlier request and is dropped.
 func (c *Conn) answer(message Message) (*http.Response, error) {
-	c.head.limit(maxHeadBytes)
 	defer c.head.unlimit()
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: message.Method})
+		response, err := c.finalAnswer(message)
 		if err != nil {
 			return nil, err
 		}
-		if message.OnReceive != nil {
-			message.OnReceive()
-		}
 		if message.Matches == nil || message.Matches(response.Header) {
 			return response, nil
 		}
@@ -132,15 +128,36 @@
 		if err := discardAnswer(response); err != nil {
 			return nil, err
 		}
-		c.head.limit(maxHeadBytes)
 	}
 }
 
-// maxHeadBytes bounds the bytes that are received until the header of an answer is complete. Headers of servers have
-// some hundred bytes.
+// finalAnswer reads the head of an answer and drops the interim answers before it (RFC 9110, section 15.2). The bound on
+// the size of a head is one for all of them, so that interim answers without an end are broken.
+func (c *Conn) finalAnswer(message Message) (*http.Response, error) {
+	c.head.limit(maxHeadBytes)
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: message.Method})
+		if err != nil {
+			return nil, err
+		}
+		if message.OnReceive != nil {
+			message.OnReceive()
+		}
+		switch {
+		case response.StatusCode >= http.StatusOK:
+			return response, nil
+		case response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols:
+			// No request has asked for another protocol.
+			return nil, errors.Errorf("status %d is no answer", response.StatusCode)
+		}
+	}
+}
+
+// maxHeadBytes bounds the bytes that are received until the header of an answer is complete, with those of the interim
+// answers before it. Headers of servers have some hundred bytes.
 const maxHeadBytes = 32 << 10
 
-// errHeadTooLong is the error of an answer whose header has more than maxHeadBytes.
+// errHeadTooLong is the error of a header of more than maxHeadBytes.
 var errHeadTooLong = errors.New("the header of the answer is too long")
 
 // headReader reads from a connection, up to a limit while a header is read: http.ReadResponse has none of its own.
