upstream: answers to other requests are bounded for each request

Callers of a server that answered with answers to other requests, without an end, were held until their deadline and got 504; each such answer was discarded, up to 1 MB, without a bound on their number.

One request now discards at most 8 of them with 1 MB of bodies together, counted as received, so that the frames of chunks count too.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -23,20 +23,21 @@
 	done     bool
 }
 
-// maxStrayBytes is the maximum size of the body of an answer to another request, in
-// bytes.
-const maxStrayBytes = 1 << 20
+const (
+	// maxStrayAnswers is the number of answers to other requests that one request discards. An earlier request of the
+	// connection leaves one at most, and a server that sends more has no answer to this one behind them.
+	maxStrayAnswers = 8
+	// maxStrayBytes is the maximum size in bytes of the bodies of all of them.
+	maxStrayBytes = 1 << 20
+)
 
-// discardAnswer reads and discards an answer to another request. It fails for an answer
+// discardAnswer reads and discards the body of an answer to another request. It fails for an answer
 // whose end is the end of the connection, because no other answer can follow it.
 func discardAnswer(response *http.Response) error {
 	if endsWithConnection(response) {
 		return errors.New("answer to another request has neither length nor chunks")
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
-	if err == nil && n == maxStrayBytes {
-		return errors.New("answer to another request is too long")
-	}
+	_, err := io.Copy(io.Discard, response.Body)
 	return err
 }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -116,7 +116,8 @@
 // late duplicate of an answer to an earlier request and is dropped.
 func (c *Conn) answer(message Message) (*http.Response, error) {
 	defer c.head.unlimit()
-	for {
+	strayBytes := maxStrayBytes
+	for range 1 + maxStrayAnswers {
 		response, err := c.finalAnswer(message)
 		if err != nil {
 			return nil, err
@@ -124,11 +125,13 @@
 		if message.Matches == nil || message.Matches(response.Header) {
 			return response, nil
 		}
-		c.head.unlimit()
+		c.head.limit(strayBytes)
 		if err := discardAnswer(response); err != nil {
 			return nil, err
 		}
+		strayBytes = c.head.left
 	}
+	return nil, errors.New("too many answers to other requests")
 }
 
 // finalAnswer reads the head of an answer and drops the interim answers before it (RFC 9110, section 15.2). The bound on
@@ -157,10 +160,11 @@
 // answers before it. Headers of servers have some hundred bytes.
 const maxHeadBytes = 32 << 10
 
-// errHeadTooLong is the error of a header of more than maxHeadBytes.
-var errHeadTooLong = errors.New("the header of the answer is too long")
+// errTooLong is the error of a header of more than maxHeadBytes, or of answers to other requests of more than maxStrayBytes.
+var errTooLong = errors.New("the header of the answer, or what precedes it, is too long")
 
-// headReader reads from a connection, up to a limit while a header is read: http.ReadResponse has none of its own.
+// headReader reads from a connection, up to a limit until the answer to the request has begun: http.ReadResponse has
+// none of its own.
 type headReader struct {
 	conn    net.Conn
 	limited bool
@@ -176,7 +180,7 @@
 		return r.conn.Read(p)
 	}
 	if r.left <= 0 {
-		return 0, errHeadTooLong
+		return 0, errTooLong
 	}
 	n, err := r.conn.Read(p[:min(len(p), r.left)])
 	r.left -= n
