--- a/forward/continue.go
+++ b/forward/continue.go
@@ -23,8 +23,8 @@
 	continuationTries = 3
 	// continuationPause is the pause between two of them.
 	continuationPause = 20 * time.Millisecond
-	// maxStopWait bounds the wait for the answer of a call that stopped a run, before the stream continues from the copy
-	// that was made while it ran.
+	// maxStopWait bounds the wait for one of the two signs of a stopped run behind the other one: the answer of the call
+	// that stopped it, and the end of its connection.
 	maxStopWait = 400 * time.Millisecond
 )
 
@@ -48,7 +48,7 @@
 		return false, nil
 	}
 	r.leaveSource()
-	if err := r.checkSend(); err != nil {
+	if err := r.checkContinue(); err != nil {
 		r.abandonMove(moveBrokenOff, err)
 		return true, err
 	}
@@ -62,7 +62,7 @@
 		r.endMove(moveDone, nil)
 		return true, nil
 	}
-	if !usedUp(err) && r.ctx.Err() == nil && r.checkSend() == nil {
+	if !usedUp(err) && r.checkContinue() == nil {
 		return true, r.resumeAtSource(m, order)
 	}
 	r.endMove(moveBrokenOff, err)
@@ -70,11 +70,24 @@
 	return true, err
 }
 
+// checkContinue returns an error if a stopped run must not continue: nobody waits for it, or an engine must not get it.
+func (r *relay) checkContinue() error {
+	if r.ctx.Err() != nil {
+		return context.Cause(r.ctx)
+	}
+	return r.checkSend()
+}
+
+// stopWait returns how long to wait for the second sign of a stopped run. Half of the time for which engines keep the
+// memory leaves the other half for the continuation.
+func (r *relay) stopWait() time.Duration {
+	return min(r.service.Engine.Handle/2, maxStopWait)
+}
+
 // stopIsUnanswered waits a while for the calls that stop the run, and reports whether one of them may have stopped it
 // without an answer so far.
 func (r *relay) stopIsUnanswered(m *move) bool {
-	// Half of the time for which engines keep the memory leaves the other half for the continuation.
-	timer := time.NewTimer(min(r.service.Engine.Handle/2, maxStopWait))
+	timer := time.NewTimer(r.stopWait())
 	defer timer.Stop()
 	select {
 	case <-m.done:
@@ -88,11 +101,12 @@
 // destination reads again what the copy lacks. decided is false if the copy was not used up.
 func (r *relay) resumeFromCopy(m *move) (decided bool, err error) {
 	copied := m.copied.Load()
-	if copied == nil || r.lastID == "" || r.isLeaving(m.to.Name) || r.checkSend() != nil {
+	if copied == nil || r.lastID == "" || r.isLeaving(m.to.Name) || r.checkContinue() != nil {
 		return false, nil
 	}
 	// The engine may have broken off as well.
 	r.recordSend(r.ctx, m.from, r.ended)
+	r.alwaysLog = true
 	r.leaveSource()
 	err = r.resumeAtDestination(m, r.continuation(m, *copied))
 	if err != nil && !usedUp(err) {
@@ -100,7 +114,7 @@
 		r.decode = m.from
 		return false, nil
 	}
-	outcome := moveDone
+	outcome := moveFromCopy
 	if err != nil {
 		outcome = moveBrokenOff
 	}
@@ -171,17 +185,29 @@
 			return r.continueWith(stream, metrics.ContinuedByMove)
 		}
 		r.recordSend(r.ctx, r.decode, err)
-		var notRun *NotRunError
-		answered := errors.As(err, &notRun)
+		answered := isNotRun(err)
 		if !answered && try == 1 {
 			r.brokenAt = append(r.brokenAt, r.decode.Name)
 		}
-		if answered || try == continuationTries || !wait.For(r.ctx, continuationPause) || r.checkSend() != nil {
+		if !r.mayRepeatContinuation(order, err) || try == continuationTries || !wait.For(r.ctx, continuationPause) || r.checkSend() != nil {
 			return errors.Wrap(err, "continue at "+r.decode.Name)
 		}
-		r.recordRepeatedContinuation(err)
-		order.NewConnection = true
+		if !answered {
+			r.recordRepeatedContinuation(err)
+			order.NewConnection = true
+		}
+	}
+}
+
+// mayRepeatContinuation reports whether a call that continues a stopped run is repeated after an error at the same engine.
+// A call that could not be sent is repeated only at the engine where the run was stopped, because no other engine is left.
+// An engine that stayed silent for longer than sound ones do is not asked again.
+func (r *relay) mayRepeatContinuation(order DecodeRequest, failed error) bool {
+	var notRun *NotRunError
+	if !errors.As(failed, &notRun) {
+		return !errors.Is(context.Cause(r.runCtx), errStalled)
 	}
+	return !notRun.Sent && order.Source.Run() == r.entry(r.decode).Run()
 }
 
 // recordRepeatedContinuation records that a call which continues a stopped run is repeated. It uses the retry budget, but
@@ -189,6 +215,7 @@
 func (r *relay) recordRepeatedContinuation(cause error) {
 	r.Budget(r.service.Name).Spend(clock.Now())
 	r.Metrics.Retried(reason.StreamBroken)
+	r.alwaysLog = true
 	r.record(stepRetry, "continuation", "server", r.decode.Name, "cause", cause.Error())
 }
 
--- a/forward/move.go
+++ b/forward/move.go
@@ -202,10 +202,15 @@
 	r.moves++
 	r.holdDestination(m)
 	from, to, request := r.entry(m.from), r.entry(m.to), r.request
+	endRun, wait := r.cancelRun, r.stopWait()
 	go func() {
 		defer close(m.done)
 		m.run(r.ctx, r.Backends, from, to, request)
 		m.ended = clock.Now()
+		if m.stopped {
+			// The engine ends the connection before it answers. If the end does not arrive, the stream goes on without it.
+			time.AfterFunc(wait, endRun)
+		}
 	}()
 }
 
@@ -257,7 +262,7 @@
 		inputs = append(inputs, "stops", "unanswered")
 	}
 	r.record(stepMove, outcome, append(inputs, "err", resultOf(err))...)
-	if outcome == moveDone {
+	if outcome == moveDone || outcome == moveFromCopy {
 		r.Metrics.Retried(m.why)
 	}
 }
@@ -305,11 +310,12 @@
 	}
 }
 
-// Outcomes of a move. After moveDone the stream continues at its destination, after moveBack at
-// the engine where it was stopped, unless there is an error. After moveBrokenOff it does not
-// continue from its memory.
+// Outcomes of a move. After moveDone the stream continues at its destination, after moveFromCopy too, but from the copy
+// that was made before its run was stopped, and after moveBack at the engine where it was stopped, unless there is an
+// error. After moveBrokenOff it does not continue from its memory.
 const (
 	moveDone      = "ok"
+	moveFromCopy  = "from copy"
 	moveBack      = "back"
 	moveBrokenOff = "broken off"
 )
