--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -543,6 +543,25 @@
 	})
 }
 
+// Guards against a stream that is cut because its destination begins to leave while the call that stopped its run is
+// unanswered.
+func TestStreamGoesOnFromItsCopyWhenItsDestinationLeaves(t *testing.T) {
+	withBench(t, func(b *bench) {
+		m := newMovingBench(b)
+		m.onStop = func(stop func()) (PrefillHandle, error) {
+			stop()
+			b.drain("d1")
+			b.drain("d2")
+			return "", errors.New("connection reset")
+		}
+		m.drainAfter(300 * time.Millisecond)
+		if _, body, err := b.read(m.longRequest("a")); err != nil || body != wholeMovable() {
+			t.Errorf("%d of %d bytes, error %v, calls %v", len(body), len(wholeMovable()), err, b.engines.calls)
+		}
+		b.checkNothingHeld()
+	})
+}
+
 // Guards against a run at the old engine that is not counted after the destination used the stream's handle up: the route's
 // attempts bound the runs.
 func TestRerunAfterLostAnswerCountsAsRun(t *testing.T) {
