forward: a test of a repeated stop call that ends the stream that goes on

Traced by the logs and the engines' events: the answer to the first call comes late, the destination leaves meanwhile, the stream goes on where it was stopped, and is stopped there again 25 and 65 ms later by the repeated call, whose answer nobody awaits.

--- a/forward/move_test.go
+++ b/forward/move_test.go
@@ -562,6 +562,37 @@
 	})
 }
 
+// Guards against a stream that is cut because a repeated call that stops its run reaches the engine late, when the stream
+// goes on there because the destination leaves.
+func TestRepeatedStopDoesNotEndTheStreamThatGoesOn(t *testing.T) {
+	withBench(t, func(b *bench) {
+		m := newMovingBench(b)
+		calls := new(atomic.Int64)
+		m.onStop = func(stop func()) (PrefillHandle, error) {
+			if calls.Add(1) == 1 {
+				stop()
+				b.drain("d1")
+				b.drain("d2")
+				time.Sleep(moveStopTimeout + 10*time.Millisecond)
+				return "kept", nil
+			}
+			time.Sleep(60 * time.Millisecond)
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if m.runs[len(m.runs)-1].server != m.runs[0].server {
+				return "", &NotRunError{Why: reason.BackendRefused, Sent: true, Detail: "status 404"}
+			}
+			m.stopped.Store(true)
+			return "again", nil
+		}
+		m.drainAfter(300 * time.Millisecond)
+		if _, body, err := b.read(m.longRequest("a")); err != nil || body != wholeMovable() {
+			t.Errorf("%d of %d bytes, error %v, calls %v", len(body), len(wholeMovable()), err, b.engines.calls)
+		}
+		b.checkNothingHeld()
+	})
+}
+
 // Guards against a run at the old engine that is not counted after the destination used the stream's handle up: the route's
 // attempts bound the runs.
 func TestRerunAfterLostAnswerCountsAsRun(t *testing.T) {
