--- a/forward/flow.go
+++ b/forward/flow.go
@@ -23,7 +23,7 @@
 type flow struct {
 	*Gateway
 	request *Request
-	// caller ends when the caller disconnects.
+	// caller ends when the caller disconnects, or at the end of a graceful shutdown.
 	caller context.Context
 	// askedSiblings is set once siblings were asked to serve the request.
 	askedSiblings bool
@@ -322,6 +322,9 @@
 
 // fail ends a request that may have run. Its status guarantees nothing.
 func (f *flow) fail(why reason.Reason, detail string) *Reply {
+	if f.mayHaveRun {
+		f.endedBy = cmp.Or(f.endedBy, reason.EndedByServer)
+	}
 	return f.end(&Reply{Status: statusBadGateway, Reason: why}, detail)
 }
 
@@ -334,9 +337,12 @@
 	return f.end(&Reply{Status: statusTimeout, Reason: reason.AnswerLost}, detail)
 }
 
-// endWithoutAnswer ends a request that got no answer: its caller left, its deadline passed, or
-// the server failed.
+// endWithoutAnswer ends a request that got no answer: its caller left, its deadline passed, the
+// instance stops, or the server failed.
 func (f *flow) endWithoutAnswer(ctx context.Context, err error) *Reply {
+	if f.endedByStop() {
+		return f.endAtStop(err.Error())
+	}
 	if ctx.Err() != nil && !clock.Now().Before(f.deadline) {
 		return f.timeout(err.Error())
 	}
