forward: a stream under way waits longer for memory elsewhere

Callers of a stream that may be resumed saw it cut after its engine broke off, if no other engine had memory for a quarter of the route's first-token target (225 ms with 900 ms). That limit is for requests that are refused and come back; a request that has run gets a closed connection or 502 instead.

Such a request waits for as long as a silent run is waited for (three tolerated pauses, 1.8 s at least), within its deadline.

All of package forward passes.

--- a/forward/forecast.go
+++ b/forward/forecast.go
@@ -388,7 +388,7 @@
 // the moment at which the forecast expects it, and is refused at once if that is too late. Less urgent
 // requests of this instance leave the memory that it waits for free, unless it is late.
 func (g *generation) reserveByForecast() *stepError {
-	allowed := time.Duration(g.config.RefuseWithin * float64(g.route.TTFT))
+	allowed := g.memoryWait()
 	until := g.since.Add(allowed)
 	// waits counts the waits for memory alone: one for another reason, such as a rate limit, takes no
 	// try for memory.
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -24,7 +24,7 @@
 	if g.forecasting() {
 		return g.reserveByForecast()
 	}
-	until := g.since.Add(time.Duration(g.config.RefuseWithin * float64(g.route.TTFT)))
+	until := g.since.Add(g.memoryWait())
 	for {
 		failed := g.reserveOnce()
 		if failed == nil || !g.mayClear(failed.why, until) {
@@ -41,6 +41,16 @@
 	}
 }
 
+// memoryWait returns how long the request waits for memory at most. A request that has run cannot come back as a new one, so
+// that it waits for as long as callers bear the silence of a stream.
+func (g *generation) memoryWait() time.Duration {
+	refuseWithin := time.Duration(g.config.RefuseWithin * float64(g.route.TTFT))
+	if g.runs > 0 {
+		return max(refuseWithin, g.stallAfter(1))
+	}
+	return refuseWithin
+}
+
 // mayClear reports whether the reason that prevented a reservation may have gone by the given
 // time. A request that a sibling can serve does not wait.
 func (g *generation) mayClear(why reason.Reason, by time.Time) bool {
