forward: a stopped stream goes on where it was stopped by the handle of its copy

Cause: only the destination was asked with the handle of the copy.

Change: the engine where the run was stopped is asked too, which the platform's protocol allows for a source that stopped; one that has not refuses with 503.

TestSearchOverTheLifeOfARelay passes.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -101,28 +101,38 @@
 	}
 }
 
-// resumeFromCopy continues the stream at the destination from the copy that was made before the run was stopped. The
-// destination reads again what the copy lacks. decided is false if the copy was not used up.
+// errDestinationLeaves is why a stream does not continue at the destination of its move.
+var errDestinationLeaves = errors.New("the destination is leaving")
+
+// resumeFromCopy continues the stream by the handle of the copy that was made before the run was stopped: at the
+// destination, which reads again what the copy lacks, or where the run was stopped. decided is false if the handle was not
+// used up.
 func (r *relay) resumeFromCopy(m *move) (decided bool, err error) {
 	copied := m.copied.Load()
-	if copied == nil || r.lastID == "" || r.isLeaving(m.to.Name) || r.checkContinue() != nil {
+	if copied == nil || r.lastID == "" || r.checkContinue() != nil {
 		return false, nil
 	}
 	// The engine may have broken off as well.
 	r.recordSend(r.ctx, m.from, r.ended)
 	r.alwaysLog = true
 	r.leaveSource()
-	err = r.resumeAtDestination(m, r.continuation(m, *copied))
+	order, outcome := r.continuation(m, *copied), moveFromCopy
+	if err = errDestinationLeaves; !r.isLeaving(m.to.Name) {
+		err = r.resumeAtDestination(m, order)
+	}
+	if err != nil && !usedUp(err) && r.checkContinue() == nil {
+		outcome, err = moveBack, r.continueAtSource(m, order)
+	}
 	if err != nil && !usedUp(err) {
 		r.record(stepMove, "copy not used", "to", m.to.Name, "err", err.Error())
 		r.decode = m.from
 		return false, nil
 	}
-	outcome := moveFromCopy
 	if err != nil {
 		outcome = moveBrokenOff
 	}
 	r.endMove(outcome, err)
+	r.releaseDestination(m)
 	r.releaseLateHandle(m, *copied)
 	return true, err
 }
@@ -170,13 +180,21 @@
 
 // resumeAtSource continues a stream at the engine where it was stopped for a move that failed.
 func (r *relay) resumeAtSource(m *move, order DecodeRequest) error {
+	err := r.continueAtSource(m, order)
+	r.endMove(moveBack, err)
+	if err != nil {
+		r.releaseUnlessUsed(m, err)
+	}
+	return err
+}
+
+// continueAtSource continues a stopped run at the engine where it was stopped.
+func (r *relay) continueAtSource(m *move, order DecodeRequest) error {
 	r.decode, r.committed = m.from, 0
 	r.grow(m.need)
 	err := r.continueStopped(order)
-	r.endMove(moveBack, err)
 	if err != nil {
 		r.releaseDecode()
-		r.releaseUnlessUsed(m, err)
 	}
 	return err
 }
