forward: a call that stops a run is not repeated once its stream has ended

Cause: a call without an answer in 400 ms was repeated, also where the end of the stream already showed that the first one had been carried out.

Change: it is not repeated then. The handle of the copy, or the late answer, lets the stream go on.

TestSearchOverTheLifeOfARelay passes.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -87,6 +87,7 @@
 // stopIsUnanswered waits a while for the calls that stop the run, and reports whether one of them may have stopped it
 // without an answer so far.
 func (r *relay) stopIsUnanswered(m *move) bool {
+	m.streamOver.Store(true)
 	if m.awaited {
 		return !m.isDone() || (!m.stopped && m.mayHaveStopped)
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -34,6 +34,9 @@
 	awaited bool
 	// copied identifies the copy that was made while the run went on; nil before.
 	copied atomic.Pointer[PrefillHandle]
+	// streamOver is set once the stream has ended. Its run has stopped then, so that a repeated call can only stop the run
+	// that goes on.
+	streamOver atomic.Bool
 	// done is closed once the fields below are final.
 	done chan struct{}
 	// result identifies the stream's memory. stopped is set if the run was stopped for the
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -58,7 +58,7 @@
 	for send(); pending > 0; {
 		select {
 		case <-repeat.C:
-			if made < moveStopAttempts {
+			if made < moveStopAttempts && !m.streamOver.Load() {
 				send()
 			}
 		case answer := <-answers:
@@ -67,7 +67,7 @@
 			if m.stopped {
 				return
 			}
-			if !answer.answered() && made < moveStopAttempts && ctx.Err() == nil {
+			if !answer.answered() && made < moveStopAttempts && ctx.Err() == nil && !m.streamOver.Load() {
 				send()
 			}
 		}
