sibling: a reply without framing is broken, and its status one that callers can get

A sibling's reply whose head has lost its length, or the field that says it comes in chunks, ended with its connection, so that a reply that was cut looked whole to the caller. A head with a status of 1xx, of less than 100, below 0 or above 999 was passed on; behind an interim status the caller waits for the answer without an end.

Siblings always send a length or chunks, so that a reply without either is a broken answer, and so is one with such a status.

--- a/sibling/handover.go
+++ b/sibling/handover.go
@@ -213,13 +213,21 @@
 	return reply, nil
 }
 
+// maxStatus is the highest status that has three digits.
+const maxStatus = 999
+
+// readHead reads the head of a reply. Siblings send replies with a length or in chunks, so one without either has lost a
+// part of its head, and its end cannot be told from a break.
 func readHead(answer *upstream.Answer) (replyHead, error) {
 	var head replyHead
+	if answer.EndsWithConnection() {
+		return head, errors.WithMessage(upstream.ErrBroken, "a sibling's reply has neither length nor chunks")
+	}
 	raw, err := base64.StdEncoding.DecodeString(answer.Header.Get(headField))
 	if err != nil {
 		return head, errors.Wrap(err, "decode the head of a sibling's reply")
 	}
-	if answer.StatusCode != http.StatusOK || cbor.Unmarshal(raw, &head) != nil || head.Status == 0 {
+	if answer.StatusCode != http.StatusOK || cbor.Unmarshal(raw, &head) != nil || head.Status < http.StatusOK || head.Status > maxStatus {
 		return head, errors.Errorf("sibling gave no reply: status %d", answer.StatusCode)
 	}
 	return head, nil
