--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -23,8 +23,14 @@
 	// idleTimeout is the time for which the connection may stay idle.
 	idleTimeout time.Duration
 	idleUntil   time.Time
+	// reused is set once the connection was idle between two requests.
+	reused bool
 }
 
+// Reused reports whether the connection was idle between two requests. Its server may close such a connection as a
+// request is sent, without having read it.
+func (c *Conn) Reused() bool { return c.reused }
+
 // usable reports whether an idle connection may carry another request.
 func (c *Conn) usable(now time.Time) bool {
 	return now.Before(c.idleUntil) && c.reader.Buffered() == 0 && noPendingInput(c.raw)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -66,6 +66,7 @@
 			return p.dial(ctx)
 		}
 		if conn.usable(clock.Now()) {
+			conn.reused = true
 			return conn, nil
 		}
 		conn.Discard()
