mastwheeld: SIGHUP right after the start does not end the process

Callers saw: nothing reported; found while looking for signals that cut requests off. A process that is started and reloaded at once may be serving already.

Cause: the goroutine that watches for SIGHUP was started, and not waited for, after the instance had been made. Until it runs, SIGHUP ends the process.

Change: the signal is watched for before the instance is made.

--- a/cmd/mastwheeld/platform.go
+++ b/cmd/mastwheeld/platform.go
@@ -58,6 +58,7 @@
 	limitMemory(settings.MemoryBytes)
 	// The instance keeps running when the reader of its output has exited.
 	signal.Ignore(syscall.SIGPIPE)
+	watchHangups()
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	instance, err := daemon.NewPlatform(settings, daemon.PlatformOptions{
@@ -67,7 +68,6 @@
 	if err != nil {
 		return err
 	}
-	go watchHangups()
 	klog.InfoS("Start", "instance", settings.Name, "zone", settings.Zone, "callers", settings.Callers,
 		"siblings", settings.Siblings, "store", settings.Store)
 	defer output.Flush(logFlushTimeout)
@@ -93,17 +93,24 @@
 	}
 }
 
-// watchHangups checks the settings on every SIGHUP and logs the result. It does not
+// watchHangups makes the process check the settings on every SIGHUP and log the result, from its return on. It does not
 // apply them: the addresses and bounds of a running instance do not change.
 func watchHangups() {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	for range hangups {
-		settings, err := platform.LoadSettings()
-		if err != nil {
-			klog.ErrorS(err, "Reload failed: the settings are unusable; the current settings stay in use")
-			continue
+	go func() {
+		for range hangups {
+			reload()
 		}
-		klog.InfoS("Reload", "instance", settings.Name)
+	}()
+}
+
+// reload checks the settings.
+func reload() {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		klog.ErrorS(err, "Reload failed: the settings are unusable; the current settings stay in use")
+		return
 	}
+	klog.InfoS("Reload", "instance", settings.Name)
 }
