platform: a request that has not come completely at the end of a shutdown gets 408

Callers saw: a closed connection in the middle of their body, without the promise that the request has not run. An instance without other requests exited 0.9 s early beside a body that was on its way: the HTTP server reads the first kilobytes of a body before the handler is called.

Change: a request that has begun to come counts as one whose answer is not written. As requests are ended, the reads of callers' connections end as at a timeout, so that these callers get 408. A connection whose rest is discarded no longer counts, since its answer is written.

--- a/connwatch/connwatch.go
+++ b/connwatch/connwatch.go
@@ -49,9 +49,10 @@
 	// idleSince is when the connection was left without a request, or when the header of one began to come, in
 	// nanoseconds since 1970, or a state.
 	idleSince atomic.Int64
-	// used is set once a request has begun, and reading while its header is received. Only the reader of the
-	// connection uses them.
-	used, reading bool
+	// used is set once a request has begun. Only the reader of the connection uses it.
+	used bool
+	// reading is set while the header of a request is received, and a body of some kilobytes, which the server reads with it.
+	reading atomic.Bool
 	// charge is what the connection takes from the budget, in bytes.
 	charge atomic.Int64
 
@@ -93,6 +94,8 @@
 	answeredUnread := c.answeredUnread
 	c.answeredUnread = false
 	c.mu.Unlock()
+	// All answers are written.
+	c.idleSince.Store(connEvicted)
 	if answeredUnread {
 		c.discardUnread()
 	}
--- a/connwatch/limit.go
+++ b/connwatch/limit.go
@@ -124,25 +124,37 @@
 	return oldest, since, held
 }
 
-// Active returns the number of connections with a request whose answer was not written completely.
+// Active returns the number of connections with a request that has begun to come and whose answer was not written completely.
 func (l *Limit) Active() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	active := 0
 	for c := range l.open {
-		if c.idleSince.Load() == connActive {
+		if since := c.idleSince.Load(); since == connActive || (since != connEvicted && c.reading.Load()) {
 			active++
 		}
 	}
 	return active
 }
 
+// all returns all connections.
+func (l *Limit) all() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.open))
+}
+
+// EndReads makes the reads that are under way fail as at a timeout. Requests that were read are not affected.
+func (l *Limit) EndReads() {
+	for _, c := range l.all() {
+		// A connection that is closed has no read.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // CloseAll closes all connections.
 func (l *Limit) CloseAll() {
-	l.mu.Lock()
-	open := slices.Collect(maps.Keys(l.open))
-	l.mu.Unlock()
-	for _, c := range open {
+	for _, c := range l.all() {
 		// There is nothing to be done about a connection that does not close.
 		_ = c.Conn.Close()
 	}
@@ -190,7 +202,7 @@
 		return true
 	}
 	since := c.idleSince.Load()
-	if since == connActive || (since != connEvicted && c.reading) {
+	if since == connActive || (since != connEvicted && c.reading.Load()) {
 		return true
 	}
 	// The connection must not make room for itself.
@@ -200,7 +212,7 @@
 		return false
 	}
 	if c.use() {
-		c.reading = true
+		c.reading.Store(true)
 		c.idleSince.Store(clock.Now().UnixNano())
 		return true
 	}
@@ -230,7 +242,8 @@
 	if !ok || c.limit == nil {
 		return true
 	}
-	c.reading = false
+	// Active counts the connection all the while.
+	defer c.reading.Store(false)
 	since := c.idleSince.Load()
 	return since != connEvicted && c.idleSince.CompareAndSwap(since, connActive)
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -411,6 +411,7 @@
 func (p *Platform) endRequests(exits time.Time) {
 	left := p.gateway.InFlight()
 	p.gateway.End()
+	p.ingress.EndReads()
 	ctx, cancel := clock.WithDeadline(context.Background(), exits)
 	defer cancel()
 	for !p.isIdle() && wait.For(ctx, endedPollInterval) {
