forward: the test of silent runs changes no fake while it is used

TestSilentRunIsNotEndedIfNoOtherEngineTakesTheStream set a function of the fake engines from a timer, beside their use: the race detector reported it in one run of several. The fake now refuses from its second reservation on.

--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -35,23 +35,26 @@
 	for name, full := range map[string]func(b *bench){
 		"refused": func(b *bench) {
 			b.engines.reserve = func(string) error {
+				if b.callCount("reserve") == 1 {
+					return nil
+				}
 				return &NotRunError{Why: reason.BackendRefused, Sent: true, Detail: "status 503"}
 			}
 		},
 		"memory kept free": func(b *bench) {
 			need := expectedMemory(b.resumable("a").Generation, testMaxTokens/2, b.config.LengthEstimateMargin)
-			for _, name := range []string{"d1", "d2"} {
-				b.Fleet.Server(name).SetOthers(route.Commitment{InFlight: 6, Memory: testMemoryTokens - need - 100})
-			}
+			time.AfterFunc(time.Second, func() {
+				for _, name := range []string{"d1", "d2"} {
+					b.Fleet.Server(name).SetOthers(route.Commitment{InFlight: 6, Memory: testMemoryTokens - need - 100})
+				}
+			})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withBench(t, func(b *bench) {
+				full(b)
 				b.engines.stream = func(ctx context.Context, _, lastEvent string) io.ReadCloser {
 					first, _ := strconv.Atoi(lastEvent)
-					if first == 0 {
-						time.AfterFunc(time.Second, func() { full(b) })
-					}
 					return &pausedStream{events: events{ctx: ctx, next: first + 1, last: testEvents, end: io.EOF}, after: 2, pause: 4 * time.Second}
 				}
 				if _, body, err := b.read(b.resumable("a")); err != nil || body != wholeStream() {
