forward: a stopped stream without framing goes on before its memory lapses

Callers saw a stream that ends with its connection cut, if it was stopped for a move and the stop was answered later than engines keep the memory of a stopped run.

An end before the first of these calls is no stop. After it, an answer is awaited for half of the time that engines keep the memory, as for streams in chunks, and then the stream goes on from the copy. If the copy is refused, and then the stop too, the end was the proper one, and is passed on.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -87,12 +87,17 @@
 // stopIsUnanswered waits a while for the calls that stop the run, and reports whether one of them may have stopped it
 // without an answer so far.
 func (r *relay) stopIsUnanswered(m *move) bool {
-	timer := time.NewTimer(r.stopWait())
+	patience := r.stopWait()
+	if m.unanswered {
+		patience = 0
+	}
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case <-m.done:
 		return !m.stopped && m.mayHaveStopped
 	case <-timer.C:
+		m.unanswered = true
 		return true
 	}
 }
--- a/forward/continue_ends_test.go
+++ b/forward/continue_ends_test.go
@@ -170,3 +170,52 @@
 		})
 	}
 }
+
+// Guards against a stream without framing that is cut because its stop is answered after the engines have dropped its memory.
+func TestStreamWithoutFramingGoesOnBeforeItsMemoryLapses(t *testing.T) {
+	withBench(t, func(b *bench) {
+		m := newClosingBench(b)
+		var lapses atomic.Pointer[time.Time]
+		m.onStop = func(stop func()) (PrefillHandle, error) {
+			at := time.Now().Add(m.View.Table().Services["llm"].Engine.Handle)
+			if lapses.CompareAndSwap(nil, &at) {
+				stop()
+			}
+			time.Sleep(time.Second)
+			return "late", nil
+		}
+		decode := b.engines.decode
+		b.engines.decode = func(server string, order DecodeRequest) error {
+			if order.LastEvent != "" && time.Now().After(*lapses.Load()) {
+				return &NotRunError{Why: reason.HandoffRefused, Sent: true, Detail: "status 503"}
+			}
+			return decode(server, order)
+		}
+		m.drainAfter(300 * time.Millisecond)
+		m.expectWholeFromCopy()
+		b.checkNothingHeld()
+	})
+}
+
+// Guards against a whole stream without framing that is reported as cut, because the call that was to stop it is refused late.
+func TestStreamWithoutFramingThatEndsBesideALateRefusalIsComplete(t *testing.T) {
+	withBench(t, func(b *bench) {
+		m := newClosingBench(b)
+		m.onStop = func(func()) (PrefillHandle, error) {
+			time.Sleep(1200 * time.Millisecond)
+			return "", noSuchRun
+		}
+		decode := b.engines.decode
+		b.engines.decode = func(server string, order DecodeRequest) error {
+			if order.LastEvent != "" {
+				return &NotRunError{Why: reason.HandoffRefused, Sent: true, Detail: "status 503"}
+			}
+			return decode(server, order)
+		}
+		m.drainAfter(300 * time.Millisecond)
+		if _, body, err := b.read(m.longRequest("a")); err != nil || body != wholeMovable() {
+			t.Errorf("error %v, %d of %d bytes", err, len(body), len(wholeMovable()))
+		}
+		b.checkNothingHeld()
+	})
+}
--- a/forward/move.go
+++ b/forward/move.go
@@ -29,6 +29,8 @@
 	need int
 	// held is set while need is accounted at the destination for the move. Only the stream's reader uses it.
 	held bool
+	// unanswered is set once the stream's reader has waited in vain for the answer of a call that stops the run.
+	unanswered bool
 	// copied identifies the copy that was made while the run went on; nil before.
 	copied atomic.Pointer[PrefillHandle]
 	// done is closed once the fields below are final.
@@ -325,11 +327,11 @@
 	if !r.stream.EndsWithConnection {
 		return false
 	}
-	if r.move == nil {
+	if r.move == nil || r.move.copied.Load() == nil {
+		// No call of the present move that stops the run was sent before the end.
 		return r.stopPending
 	}
-	<-r.move.done
-	return r.move.stopped || r.move.mayHaveStopped || r.stopPending
+	return r.stopIsUnanswered(r.move) || r.move.stopped || r.stopPending
 }
 
 // cancelMove ends the move that is in progress when the request ends.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -188,6 +188,10 @@
 		return
 	case stopped:
 		r.ended = err
+	case errors.Is(broken, errStopped) && !r.stopPending && !r.exitedAtEnd():
+		// All calls that were to stop the run were refused: the end was the proper one.
+		r.ended = io.EOF
+		return
 	default:
 		r.stopStallTimer()
 		r.recordSend(r.ctx, r.decode, broken)
