--- a/forward/move.go
+++ b/forward/move.go
@@ -341,14 +341,11 @@
 	if !r.stream.EndsWithConnection {
 		return false
 	}
-	if r.move == nil {
+	if r.move == nil || r.move.copied.Load() == nil {
+		// No call of the present move that stops the run was sent before the end.
 		return r.stopPending
 	}
-	if r.stopIsUnanswered(r.move) && r.move.copied.Load() != nil {
-		return true
-	}
-	<-r.move.done
-	return r.move.stopped || r.move.mayHaveStopped || r.stopPending
+	return r.stopIsUnanswered(r.move) || r.move.stopped || r.stopPending
 }
 
 // cancelMove ends the move that is in progress when the request ends.
