forward: a stopped stream goes on at its source beside a silent destination

Cause: the continuation waited for the destination alone. When it went on, the memory of the stopped run had lapsed at both engines.

Change: after half of the time that engines keep the memory (at most 400 ms) without an answer, the continuation is sent to the source too, while the first call is open. The handle can be used once, so that one of the two is refused and not run (the platform's protocol); the call that lost is closed. It is charged to the retry budget like a repeated continuation. There is no standby where the stop is unanswered, since the source may not have stopped.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -15,7 +15,8 @@
 // A stream that was stopped for a move has no run until it continues, so a continuation that fails is tried on: at the
 // destination, then at the engine where the run was stopped. The handle of a run's memory can be used once, and a
 // request with a handle that was used is refused and not run (source: the platform's protocol). So a continuation that
-// got no answer may be repeated for streams that must not be repeated, too.
+// got no answer may be repeated for streams that must not be repeated, too, and sent to the source while the destination
+// is silent (standby).
 
 const (
 	// continuationTries bounds the calls to one engine that continue a stopped run. A server at its limit of
@@ -58,6 +59,10 @@
 		return true, r.resumeAtSource(m, order)
 	}
 	err = r.resumeAtDestination(m, order)
+	if err == nil && r.decode == m.from {
+		r.endMove(moveBack, nil)
+		return true, nil
+	}
 	if err == nil {
 		r.endMove(moveDone, nil)
 		return true, nil
@@ -147,7 +152,9 @@
 	r.holdDestination(m)
 	r.decode, r.committed, r.plannedMemory = m.to, m.need, m.need
 	m.held = false
+	r.standby = r.newStandby(m)
 	err := r.continueStopped(order)
+	r.standby = nil
 	if err != nil {
 		r.releaseDecode()
 	}
@@ -174,6 +181,9 @@
 		if err == nil {
 			return r.continueWith(stream, metrics.ContinuedByMove)
 		}
+		if r.standby != nil && r.standby.stream != nil {
+			return r.continueAtStandby(r.standby)
+		}
 		r.recordSend(r.ctx, r.decode, err)
 		var notRun *NotRunError
 		answered := errors.As(err, &notRun)
@@ -183,17 +193,17 @@
 		if answered || try == continuationTries || !wait.For(r.ctx, continuationPause) || r.checkSend() != nil {
 			return errors.Wrap(err, "continue at "+r.decode.Name)
 		}
-		r.recordRepeatedContinuation(err)
+		r.recordRepeatedContinuation(r.decode.Name, err)
 		order.NewConnection = true
 	}
 }
 
 // recordRepeatedContinuation records that a call which continues a stopped run is repeated. It uses the retry budget, but
 // does not depend on it: the stream has no other way to go on.
-func (r *relay) recordRepeatedContinuation(cause error) {
+func (r *relay) recordRepeatedContinuation(at string, cause error) {
 	r.Budget(r.service.Name).Spend(clock.Now())
 	r.Metrics.Retried(reason.StreamBroken)
-	r.record(stepRetry, "continuation", "server", r.decode.Name, "cause", cause.Error())
+	r.record(stepRetry, "continuation", "server", at, "cause", cause.Error())
 }
 
 // releaseUnlessUsed releases the memory of a stopped run, unless the engine that failed to
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -11,6 +11,7 @@
 	"github.com/mastwheel/mastwheel/clock"
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/registry"
 	"github.com/mastwheel/mastwheel/route"
 )
 
@@ -42,6 +43,8 @@
 	// another engine. cancelRun ends the run immediately.
 	stallTimer *time.Timer
 	cancelRun  context.CancelFunc
+	// standby, if set, continues the run if its decode engine is silent.
+	standby *standby
 	// runCtx is the context of the current run.
 	runCtx context.Context
 
@@ -173,6 +176,18 @@
 	return nil, &stepError{why: reason.DecodeFailed, detail: err.Error(), unknownOutcome: err}
 }
 
+// callDecode sends the request to the decode engine, and to its standby if it has one.
+func (g *generation) callDecode(order DecodeRequest) (*Stream, error) {
+	request := g.request
+	call := func(ctx context.Context, at *registry.Entry) (*Stream, error) {
+		return g.Backends.Decode(ctx, at, request, order, g.deadline)
+	}
+	if g.standby == nil {
+		return call(g.runCtx, g.entry(g.decode))
+	}
+	return g.standby.decode(g.runCtx, g.ctx, call, g.entry(g.decode))
+}
+
 // decodeOnce has the decode engine run the request once. unread is the number of prompt tokens
 // that the engine still has to read.
 func (g *generation) decodeOnce(order DecodeRequest, unread int) (*Stream, error) {
@@ -184,7 +199,7 @@
 	endAwait := server.AwaitAnswer(clock.Now())
 	g.runCtx, g.cancelRun = g.watchForStall()
 	g.recordSent(clock.Now())
-	stream, err := g.Backends.Decode(g.runCtx, g.entry(g.decode), g.request, order, g.deadline)
+	stream, err := g.callDecode(order)
 	if g.ctx.Err() == nil {
 		g.updateServer(server, err)
 	}
--- /dev/null
+++ b/forward/standby.go
@@ -0,0 +1,132 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/clock"
+	"github.com/mastwheel/mastwheel/metrics"
+	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/registry"
+)
+
+// standby continues a stopped run at its source beside a call to the destination that has got no answer for a while.
+// Engines keep the memory for a short time only, and a sound one may be silent for longer. The handle can be used once
+// (source: the platform's protocol), so that one of the two calls is refused and not run.
+type standby struct {
+	// after is how long the destination may be silent.
+	after  time.Duration
+	move   *move
+	source *registry.Entry
+	// recordCall records that the source is called.
+	recordCall func()
+	// stream is the stream at the source, if it continues there. cancel ends it.
+	stream *Stream
+	cancel context.CancelFunc
+}
+
+// newStandby returns the standby of a move; nil if it has none.
+func (r *relay) newStandby(m *move) *standby {
+	after := min(r.service.Engine.Handle/2, maxStopWait)
+	if !m.isDone() || !m.stopped || after == 0 {
+		return nil
+	}
+	return &standby{after: after, move: m, source: r.entry(m.from), recordCall: func() { r.recordRepeatedContinuation(m.from.Name, errSilent) }}
+}
+
+// errSilent is why a run is continued at its source beside a call to the destination.
+var errSilent = errors.New("the destination has not answered")
+
+// errContinuedAtSource is the error of a call to the destination that was ended because the source continues the run.
+var errContinuedAtSource = &NotRunError{Why: reason.HandoffRefused, Withheld: true, Detail: "the run continues where it was stopped"}
+
+// decodeResult is the result of a call that continues a run.
+type decodeResult struct {
+	stream *Stream
+	err    error
+}
+
+// closeStream ends a stream that is not used.
+func (d decodeResult) closeStream() {
+	if d.stream != nil {
+		d.stream.Close()
+	}
+}
+
+// decodeCall is a call that continues a run at an engine.
+type decodeCall func(ctx context.Context, at *registry.Entry) (*Stream, error)
+
+// decode calls the destination, and the source too if there is no answer for a while. The context that ends the stream
+// of the destination is ctx, and that of the source, whose stream is left in s, is derived from parent.
+func (s *standby) decode(ctx, parent context.Context, call decodeCall, destination *registry.Entry) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	first := callAsync(ctx, call, destination)
+	timer := time.NewTimer(s.after)
+	defer timer.Stop()
+	select {
+	case got := <-first:
+		return keepUnlessFailed(got, cancel)
+	case <-timer.C:
+	}
+	s.recordCall()
+	sourceCtx, cancelSource := context.WithCancel(parent)
+	second := callAsync(sourceCtx, call, s.source)
+	select {
+	case got := <-first:
+		if got.err == nil {
+			cancelSource()
+			go func() { (<-second).closeStream() }()
+			return keepUnlessFailed(got, cancel)
+		}
+		if other := <-second; other.err == nil {
+			s.stream, s.cancel, got.err = other.stream, cancelSource, errContinuedAtSource
+		} else {
+			cancelSource()
+		}
+		return keepUnlessFailed(got, cancel)
+	case other := <-second:
+		if other.err != nil {
+			cancelSource()
+			return keepUnlessFailed(<-first, cancel)
+		}
+		s.stream, s.cancel = other.stream, cancelSource
+		cancel()
+		go func() { (<-first).closeStream() }()
+		return nil, errContinuedAtSource
+	}
+}
+
+func callAsync(ctx context.Context, call decodeCall, at *registry.Entry) <-chan decodeResult {
+	result := make(chan decodeResult, 1)
+	go func() {
+		stream, err := call(ctx, at)
+		result <- decodeResult{stream: stream, err: err}
+	}()
+	return result
+}
+
+// keepUnlessFailed returns a result, and ends its context if there is no stream. The context of a stream ends with its
+// parent.
+func keepUnlessFailed(got decodeResult, cancel context.CancelFunc) (*Stream, error) {
+	if got.err != nil {
+		cancel()
+		return nil, got.err
+	}
+	return got.stream, nil
+}
+
+// continueAtStandby goes on with the stream at the source, which continued the run while the destination was silent.
+func (r *relay) continueAtStandby(s *standby) error {
+	r.releaseDecode()
+	r.decode, r.committed = s.move.from, 0
+	r.grow(s.move.need)
+	r.sentTo = append(r.sentTo, r.decode.Name)
+	r.cancelRun, r.mayHaveRun = s.cancel, true
+	r.endRun = sync.OnceFunc(r.decode.Server.RequestSent(0))
+	r.recordSent(clock.Now())
+	r.record(stepDecode, resultOf(nil), "server", r.decode.Name, "version", s.source.Release, "besides", s.move.to.Name)
+	return r.continueWith(s.stream, metrics.ContinuedByMove)
+}
--- /dev/null
+++ b/forward/standby_test.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mastwheel/mastwheel/reason"
+)
+
+// Guards against a stopped stream that is cut, or that runs twice, because the engine with its copy is silent for longer
+// than engines keep the memory, or begins late.
+func TestStoppedStreamContinuesOnceBesideASilentDestination(t *testing.T) {
+	const kept = time.Second
+	for name, play := range map[string]struct {
+		// silent is how long the destination does not read the call, and late how long it takes to answer then.
+		silent, late time.Duration
+		// back is set if the stream continues at its source, and calls is the number of continuations.
+		back  bool
+		calls int
+	}{
+		"silent for longer than memory is kept": {silent: 1200 * time.Millisecond, back: true, calls: 2},
+		"silent for a moment":                   {silent: 200 * time.Millisecond, calls: 1},
+		"begins late":                           {late: 600 * time.Millisecond, calls: 2},
+		"begins at once":                        {calls: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withBench(t, func(b *bench) {
+				m := newMovingBench(b)
+				m.drainAfter(300 * time.Millisecond)
+				var source, servedAt string
+				var stopped time.Time
+				calls := 0
+				m.onStop = func(stop func()) (PrefillHandle, error) {
+					if !stopped.IsZero() {
+						// A stream that is back at its source is not moved again.
+						return "", noSuchRun
+					}
+					stop()
+					stopped = time.Now()
+					return "moved", nil
+				}
+				b.engines.decode = func(server string, order DecodeRequest) error {
+					if order.Result != "moved" {
+						m.mu.Lock()
+						defer m.mu.Unlock()
+						source = server
+						m.runs = append(m.runs, streamRun{server: server, order: order})
+						return nil
+					}
+					if server != source {
+						time.Sleep(play.silent)
+					}
+					m.mu.Lock()
+					calls++
+					if servedAt != "" || time.Since(stopped) >= kept {
+						m.mu.Unlock()
+						return &NotRunError{Why: reason.HandoffRefused, Sent: true, Detail: "status 503"}
+					}
+					servedAt = server
+					m.mu.Unlock()
+					if server != source {
+						time.Sleep(play.late)
+					}
+					return nil
+				}
+				_, body, err := b.read(m.longRequest("a"))
+				time.Sleep(2 * kept)
+				if err != nil || body != wholeMovable() {
+					t.Errorf("error %v, %d of %d bytes", err, strings.Count(body, "\n"), strings.Count(wholeMovable(), "\n"))
+				}
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				if (servedAt == source) != play.back || calls != play.calls {
+					t.Errorf("began at %s, continued at %s, %d calls", source, servedAt, calls)
+				}
+				b.checkNothingHeld()
+			})
+		})
+	}
+}
