--- a/forward/standby.go
+++ b/forward/standby.go
@@ -121,6 +121,8 @@
 // continueAtStandby goes on with the stream at the source, which continued the run while the destination was silent.
 func (r *relay) continueAtStandby(s *standby) error {
 	r.releaseDecode()
+	// The stream may have to move again.
+	r.brokenAt = append(r.brokenAt, s.move.to.Name)
 	r.decode, r.committed = s.move.from, 0
 	r.grow(s.move.need)
 	r.sentTo = append(r.sentTo, r.decode.Name)
