--- a/sibling/cut_test.go
+++ b/sibling/cut_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,9 +116,10 @@
 	} {
 		for end := range endings - 1 {
 			t.Run(fmt.Sprint(name, end), func(t *testing.T) {
-				at := 0
-				to := rawSibling(t, func() (string, ending) { return whole[:at], end })
-				for ; at < len(whole); at++ {
+				var cutAt atomic.Int64
+				to := rawSibling(t, func() (string, ending) { return whole[:cutAt.Load()], end })
+				for at := range len(whole) {
+					cutAt.Store(int64(at))
 					reply, body, err := receive(t.Context(), NewHandOver("a", nil), to)
 					var notRun *forward.NotRunError
 					if err == nil || errors.As(err, &notRun) {
