--- a/connwatch/connwatch_test.go
+++ b/connwatch/connwatch_test.go
@@ -1,6 +1,7 @@
 package connwatch
 
 import (
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -42,6 +43,20 @@
 	<-gone
 }
 
+// A caller that closes its sending side is treated as gone, as the documentation for operators says.
+func TestHalfCloseIsADisconnect(t *testing.T) {
+	watched, callerEnd := pair(t)
+	ctx, release := Context(watched)
+	defer release()
+	if err := callerEnd.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	<-ctx.Done()
+	if cause := context.Cause(ctx); cause != errDisconnected {
+		t.Errorf("ended by %v", cause)
+	}
+}
+
 func TestConnectedCallerIsNotGone(t *testing.T) {
 	watched, callerEnd := pair(t)
 	for range 3 {
--- a/forward/end_test.go
+++ b/forward/end_test.go
@@ -152,3 +152,23 @@
 		b.checkNothingHeld()
 	})
 }
+
+// Guards against an end by the caller that is logged as an end by the shutdown, or the other way round.
+func TestCallerThatLeavesAStoppingInstanceIsLoggedAsCaller(t *testing.T) {
+	withBench(t, func(b *bench) {
+		ctx, leave := context.WithCancel(context.Background())
+		b.engines.call = func(string) (*Answer, error) {
+			<-ctx.Done()
+			return nil, errCrashed
+		}
+		now := time.Now()
+		b.Stop(now, now.Add(time.Minute))
+		time.AfterFunc(50*time.Millisecond, leave)
+		reply := b.Serve(ctx, b.plain("a"))
+		b.End()
+		if got := b.endings(); reply.Reason != reason.CallerGone || got["caller status"] != 1 || len(got) != 1 {
+			t.Errorf("%q, endings %v", reply.Reason, got)
+		}
+		b.checkNothingHeld()
+	})
+}
