forward: no move begins shortly before the end of a graceful shutdown

Cause: moves began up to the last moment, and a stream whose move is under way has no run.

TestNoMoveBeginsShortlyBeforeTheEndOfAStop failed before (one copy), and passes.

--- a/forward/end_test.go
+++ b/forward/end_test.go
@@ -9,6 +9,18 @@
 	"github.com/mastwheel/mastwheel/reason"
 )
 
+// Guards against a stream whose run was stopped for a move that the end of a graceful shutdown interrupts.
+func TestNoMoveBeginsShortlyBeforeTheEndOfAStop(t *testing.T) {
+	withBench(t, func(b *bench) {
+		m := newMovingBench(b)
+		m.drainAfter(300 * time.Millisecond)
+		b.Stop(time.Now(), time.Now().Add(moveStopLimit+200*time.Millisecond))
+		if _, body, err := b.read(m.longRequest("a")); err != nil || body != wholeMovable() || b.callCount("copy") != 0 {
+			t.Errorf("error %v, %d bytes, calls %v", err, len(body), b.engines.calls)
+		}
+	})
+}
+
 // whileServing calls act while a request is served, and returns the reply and the error of its stream.
 func (b *bench) whileServing(r *Request, act func()) (reply *Reply, err error) {
 	ended := make(chan struct{})
--- a/forward/shutdown.go
+++ b/forward/shutdown.go
@@ -24,6 +24,13 @@
 // Stopping reports whether a graceful shutdown has begun.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() != nil }
 
+// endsWithin reports whether the instance stops so soon. A stream whose move is under way then has no run, and would be cut
+// although its engine could still end it.
+func (g *Gateway) endsWithin(limit time.Duration) bool {
+	stopping := g.stopping.Load()
+	return stopping != nil && clock.Until(stopping.ends) < limit
+}
+
 // errEnded is the cause with which End ends requests.
 var errEnded = errors.New("the graceful shutdown of the instance is over")
 
