--- a/forward/continue.go
+++ b/forward/continue.go
@@ -15,7 +15,8 @@
 // A stream that was stopped for a move has no run until it continues, so a continuation that fails is tried on: at the
 // destination, then at the engine where the run was stopped. The handle of a run's memory can be used once, and a
 // request with a handle that was used is refused and not run (source: the platform's protocol). So a continuation that
-// got no answer may be repeated for streams that must not be repeated, too.
+// got no answer may be repeated for streams that must not be repeated, too, and sent to the source while the destination
+// is silent (standby).
 
 const (
 	// continuationTries bounds the calls to one engine that continue a stopped run. A server at its limit of
@@ -58,6 +59,10 @@
 		return true, r.resumeAtSource(m, order)
 	}
 	err = r.resumeAtDestination(m, order)
+	if err == nil && r.decode == m.from {
+		r.endMove(moveBack, nil)
+		return true, nil
+	}
 	if err == nil {
 		r.endMove(moveDone, nil)
 		return true, nil
@@ -87,6 +92,7 @@
 // stopIsUnanswered waits a while for the calls that stop the run, and reports whether one of them may have stopped it
 // without an answer so far.
 func (r *relay) stopIsUnanswered(m *move) bool {
+	m.streamOver.Store(true)
 	if m.awaited {
 		return !m.isDone() || (!m.stopped && m.mayHaveStopped)
 	}
@@ -101,28 +107,38 @@
 	}
 }
 
-// resumeFromCopy continues the stream at the destination from the copy that was made before the run was stopped. The
-// destination reads again what the copy lacks. decided is false if the copy was not used up.
+// errDestinationLeaves is why a stream does not continue at the destination of its move.
+var errDestinationLeaves = errors.New("the destination is leaving")
+
+// resumeFromCopy continues the stream by the handle of the copy that was made before the run was stopped: at the
+// destination, which reads again what the copy lacks, or where the run was stopped. decided is false if the handle was not
+// used up.
 func (r *relay) resumeFromCopy(m *move) (decided bool, err error) {
 	copied := m.copied.Load()
-	if copied == nil || r.lastID == "" || r.isLeaving(m.to.Name) || r.checkContinue() != nil {
+	if copied == nil || r.lastID == "" || r.checkContinue() != nil {
 		return false, nil
 	}
 	// The engine may have broken off as well.
 	r.recordSend(r.ctx, m.from, r.ended)
 	r.alwaysLog = true
 	r.leaveSource()
-	err = r.resumeAtDestination(m, r.continuation(m, *copied))
+	order, outcome := r.continuation(m, *copied), moveFromCopy
+	if err = errDestinationLeaves; !r.isLeaving(m.to.Name) {
+		err = r.resumeAtDestination(m, order)
+	}
+	if err != nil && !usedUp(err) && r.checkContinue() == nil {
+		outcome, err = moveBack, r.continueAtSource(m, order)
+	}
 	if err != nil && !usedUp(err) {
 		r.record(stepMove, "copy not used", "to", m.to.Name, "err", err.Error())
 		r.decode = m.from
 		return false, nil
 	}
-	outcome := moveFromCopy
 	if err != nil {
 		outcome = moveBrokenOff
 	}
 	r.endMove(outcome, err)
+	r.releaseDestination(m)
 	r.releaseLateHandle(m, *copied)
 	return true, err
 }
@@ -161,7 +177,9 @@
 	r.holdDestination(m)
 	r.decode, r.committed, r.plannedMemory = m.to, m.need, m.need
 	m.held = false
+	r.standby = r.newStandby(m)
 	err := r.continueStopped(order)
+	r.standby = nil
 	if err != nil {
 		r.releaseDecode()
 	}
@@ -170,13 +188,21 @@
 
 // resumeAtSource continues a stream at the engine where it was stopped for a move that failed.
 func (r *relay) resumeAtSource(m *move, order DecodeRequest) error {
+	err := r.continueAtSource(m, order)
+	r.endMove(moveBack, err)
+	if err != nil {
+		r.releaseUnlessUsed(m, err)
+	}
+	return err
+}
+
+// continueAtSource continues a stopped run at the engine where it was stopped.
+func (r *relay) continueAtSource(m *move, order DecodeRequest) error {
 	r.decode, r.committed = m.from, 0
 	r.grow(m.need)
 	err := r.continueStopped(order)
-	r.endMove(moveBack, err)
 	if err != nil {
 		r.releaseDecode()
-		r.releaseUnlessUsed(m, err)
 	}
 	return err
 }
@@ -188,6 +214,9 @@
 		if err == nil {
 			return r.continueWith(stream, metrics.ContinuedByMove)
 		}
+		if r.standby != nil && r.standby.stream != nil {
+			return r.continueAtStandby(r.standby)
+		}
 		r.recordSend(r.ctx, r.decode, err)
 		answered := isNotRun(err)
 		if !answered && try == 1 {
@@ -197,7 +226,7 @@
 			return errors.Wrap(err, "continue at "+r.decode.Name)
 		}
 		if !answered {
-			r.recordRepeatedContinuation(err)
+			r.recordRepeatedContinuation(r.decode.Name, err)
 			order.NewConnection = true
 		}
 	}
@@ -216,11 +245,11 @@
 
 // recordRepeatedContinuation records that a call which continues a stopped run is repeated. It uses the retry budget, but
 // does not depend on it: the stream has no other way to go on.
-func (r *relay) recordRepeatedContinuation(cause error) {
+func (r *relay) recordRepeatedContinuation(at string, cause error) {
 	r.Budget(r.service.Name).Spend(clock.Now())
 	r.Metrics.Retried(reason.StreamBroken)
 	r.alwaysLog = true
-	r.record(stepRetry, "continuation", "server", r.decode.Name, "cause", cause.Error())
+	r.record(stepRetry, "continuation", "server", at, "cause", cause.Error())
 }
 
 // releaseUnlessUsed releases the memory of a stopped run, unless the engine that failed to
--- a/forward/move.go
+++ b/forward/move.go
@@ -34,6 +34,9 @@
 	awaited bool
 	// copied identifies the copy that was made while the run went on; nil before.
 	copied atomic.Pointer[PrefillHandle]
+	// streamOver is set once the stream has ended. Its run has stopped then, so that a repeated call can only stop the run
+	// that goes on.
+	streamOver atomic.Bool
 	// done is closed once the fields below are final.
 	done chan struct{}
 	// result identifies the stream's memory. stopped is set if the run was stopped for the
@@ -79,7 +82,7 @@
 		r.endFailedMove()
 		return
 	}
-	if !r.service.Engine.Moves || r.lastID == "" || !r.isOriginClear(r.View.Servers()) || r.moves >= maxMoves || now.Before(r.nextMoveCheck) {
+	if !r.service.Engine.Moves || r.lastID == "" || !r.isOriginClear(r.View.Servers()) || r.moves >= maxMoves || now.Before(r.nextMoveCheck) || r.endsWithin(moveStopLimit) {
 		return
 	}
 	r.nextMoveCheck = now.Add(moveCheckInterval)
@@ -338,14 +341,11 @@
 	if !r.stream.EndsWithConnection {
 		return false
 	}
-	if r.move == nil {
+	if r.move == nil || r.move.copied.Load() == nil {
+		// No call of the present move that stops the run was sent before the end.
 		return r.stopPending
 	}
-	if r.stopIsUnanswered(r.move) && r.move.copied.Load() != nil {
-		return true
-	}
-	<-r.move.done
-	return r.move.stopped || r.move.mayHaveStopped || r.stopPending
+	return r.stopIsUnanswered(r.move) || r.move.stopped || r.stopPending
 }
 
 // cancelMove ends the move that is in progress when the request ends.
