--- a/forward/continue_ends_test.go
+++ b/forward/continue_ends_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strconv"
 	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,7 +66,10 @@
 		m := newMovingBench(b)
 		b.addDecodeEngine("d3")
 		silent := ""
+		var mu sync.Mutex
 		b.Gateway.Backends = &silentEngines{engines: b.engines, silent: func(server string, order DecodeRequest) bool {
+			mu.Lock()
+			defer mu.Unlock()
 			if order.LastEvent != "" && silent == "" {
 				silent = server
 			}
--- a/forward/shutdown_test.go
+++ b/forward/shutdown_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -96,9 +97,10 @@
 
 // tailed returns how long calls take of which one in twelve takes 2.5 s.
 func tailed(random *rand.Rand) func() time.Duration {
-	calls := random.IntN(12)
+	var calls atomic.Int64
+	calls.Store(int64(random.IntN(12)))
 	return func() time.Duration {
-		if calls++; calls%12 == 0 {
+		if calls.Add(1)%12 == 0 {
 			return 2500 * time.Millisecond
 		}
 		return 30 * time.Millisecond
