--- a/forward/continue_ends_test.go
+++ b/forward/continue_ends_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"io"
 	"strconv"
-	"sync/atomic"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
