--- a/forward/flow.go
+++ b/forward/flow.go
@@ -22,6 +22,8 @@
 // flow is the state of one request while it is forwarded.
 type flow struct {
 	*Gateway
+	// id is the request's ID. Tasks that outlive a step use it, because request is replaced when a stream continues.
+	id      string
 	request *Request
 	// caller ends when the caller disconnects, or at the end of a graceful shutdown.
 	caller context.Context
--- a/forward/memory.go
+++ b/forward/memory.go
@@ -310,7 +310,7 @@
 func (g *generation) logLeak(what string, server *registry.Entry, err error) {
 	if err != nil {
 		g.Metrics.NotReleased(what)
-		logNotReleased(g.request.ID, what, server.ID, err)
+		logNotReleased(g.id, what, server.ID, err)
 	}
 }
 
