socket: a check for bytes that wait leaves the error of a reset to the reader

Callers saw: a part of an unframed answer passed as whole if its server reset the connection as a graceful shutdown ended its request. Cause: IsEmpty peeked with recv(2). A socket reports its error once (socket(7)); the peek took ECONNRESET, and the next read met the end of the stream. The reader of pending answers checks with IsEmpty and then reads. Change: poll(2) without a wait, which reports an error and leaves it in place. Evidence: TestCheckLeavesTheErrorToTheReader read EOF after the check on the code before ("read after the check: EOF"), and reads ECONNRESET now.

--- a/socket/socket.go
+++ b/socket/socket.go
@@ -9,7 +9,8 @@
 )
 
 // IsEmpty reports whether neither data nor the end of the stream waits to be read from a connection. Connections that are no
-// sockets count as empty, and closed ones do not.
+// sockets count as empty, and closed ones do not. A socket reports its error once (socket(7)), and poll(2) leaves it to the reader,
+// while a peek would take it: the reader would meet the end of a stream that was reset.
 func IsEmpty(conn net.Conn) bool {
 	access, ok := conn.(syscall.Conn)
 	if !ok {
@@ -21,13 +22,22 @@
 	}
 	empty := false
 	err = raw.Control(func(fd uintptr) {
-		var buffer [1]byte
-		_, _, failed := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = failed == unix.EAGAIN
+		ready, failed := pollNow([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}})
+		empty = ready == 0 && failed == nil
 	})
 	return err == nil && empty
 }
 
+// pollNow is poll(2) without a wait. It goes on after a signal.
+func pollNow(fds []unix.PollFd) (ready int, err error) {
+	for {
+		ready, err = unix.Poll(fds, 0)
+		if err != unix.EINTR {
+			return ready, err
+		}
+	}
+}
+
 // Backlog returns the number of connections that wait to be accepted from a TCP listener; 0 if it is not known. For a socket that
 // listens, the kernel states the length of its queue in place of the segments that are not acknowledged.
 func Backlog(listener net.Listener) int {
