upstream: an unframed answer is whole only if its server closed in order

The caller got the part as a complete answer. Cause: a socket reports its error once. A message over 8 KiB is written beside the read of its answer; the write took ECONNRESET, and the next read returned the end of the stream, which Answer.Read took for the end of the body. The error of a small message's write was not looked at either. Change: at the end of an unframed body, Answer.Read ends the write and looks at its error. The end counts if the write succeeded, was ended by this instance, or failed with EPIPE: the kernel reports that only behind the server's own end of the stream. Anything else is ErrBroken. An early unframed answer behind an end in order is still passed on without a wait (RFC 9112, sections 8 and 9.6).

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,7 +16,7 @@
 	*http.Response
 	conn      *Conn
 	stop      func() bool
-	written   <-chan error
+	written   *writeResult
 	onReceive func()
 	// ctx is the context of the request.
 	ctx context.Context
@@ -42,7 +44,7 @@
 }
 
 // Read reads the body. It returns io.EOF only after a complete body, and
-// ErrBroken after a body that ended early.
+// ErrBroken after a body that ended early or whose end is not known to be the end.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
 	if n > 0 && a.onReceive != nil {
@@ -50,6 +52,9 @@
 	}
 	switch {
 	case err == io.EOF:
+		if err := a.checkEnd(); err != nil {
+			return n, broken(a.ctx, err)
+		}
 		a.bodyRead = true
 		return n, io.EOF
 	case err != nil:
@@ -58,6 +63,34 @@
 	return n, nil
 }
 
+// checkEnd returns why the end of a body is not known to be the end of the answer. Of an answer that ends with its connection,
+// the end is known if the server closed its side in order (RFC 9112, section 8). A read does not show that: a socket reports its
+// error once, and after a reset whose error went to the write, the read meets the same end. A server that closes its side in order may
+// leave the rest of the request unread (RFC 9112, section 9.6).
+func (a *Answer) checkEnd() error {
+	if !a.EndsWithConnection() {
+		return nil
+	}
+	if err := a.stopWrite(); err != nil && !closedInOrder(err) {
+		return errors.WithMessage(err, "the connection failed while the request was written, so that its end is not that of the answer")
+	}
+	return nil
+}
+
+// stopWrite ends the write of the request and returns its error. The server needs no more of the request.
+func (a *Answer) stopWrite() error {
+	// The error is that of a closed connection, on which the write has ended.
+	_ = a.conn.raw.SetWriteDeadline(pastDeadline)
+	<-a.written.ended
+	return a.written.err
+}
+
+// closedInOrder reports whether a write that failed leaves an end that was read as an end in order. The write was ended by this
+// instance, or the reset came behind the end: the kernel reports EPIPE then, and ECONNRESET without an end.
+func closedInOrder(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE)
+}
+
 // ReadAll reads the full body of at most limit bytes.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a, limit+1))
@@ -100,8 +133,8 @@
 // fullyWritten reports whether the whole request was written.
 func (a *Answer) fullyWritten() bool {
 	select {
-	case err := <-a.written:
-		return err == nil
+	case <-a.written.ended:
+		return a.written.err == nil
 	default:
 		return false
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -105,18 +105,30 @@
 // may answer before it has read all of it.
 const maxSyncWrite = 8 << 10
 
-// write sends the message. The channel receives the result of the write.
-func (c *Conn) write(message Message) <-chan error {
-	written := make(chan error, 1)
+// writeResult is the result of the write of a message.
+type writeResult struct {
+	// ended is closed when the write has ended, and err is set before that.
+	ended chan struct{}
+	err   error
+}
+
+func (r *writeResult) end(err error) {
+	r.err = err
+	close(r.ended)
+}
+
+// write sends the message.
+func (c *Conn) write(message Message) *writeResult {
+	written := &writeResult{ended: make(chan struct{})}
 	if len(message.Head)+len(message.Body) <= maxSyncWrite {
 		_, err := c.raw.Write(append(message.Head, message.Body...))
-		written <- err
+		written.end(err)
 		return written
 	}
 	go func() {
 		parts := net.Buffers{message.Head, message.Body}
 		_, err := parts.WriteTo(c.raw)
-		written <- err
+		written.end(err)
 	}()
 	return written
 }
