upstream: an answer with a field whose name is no token is broken

Cause: http.ReadResponse accepts a blank in a name and behind it, and takes the field for an unknown one. A server's identity, its attempt ID and "Connection : close" were ignored likewise. Change: package upstream records the bytes of each head it reads and checks the names of its fields as tokens (RFC 9112, section 5.1). The rule holds for interim answers, late answers to other requests and trailers as well: a control byte there broke the answer before, a blank did not. Such an answer is ErrBroken: its connection is closed and its request ends as one whose answer was lost.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -39,8 +39,10 @@
 	if endsWithConnection(response) {
 		return errors.New("answer to another request has neither length nor chunks")
 	}
-	_, err := io.Copy(io.Discard, response.Body)
-	return err
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
+	return checkTrailer(response)
 }
 
 // Read reads the body. It returns io.EOF only after a complete body, and
@@ -69,7 +71,7 @@
 // leave the rest of the request unread (RFC 9112, section 9.6).
 func (a *Answer) checkEnd() error {
 	if !a.EndsWithConnection() {
-		return nil
+		return checkTrailer(a.Response)
 	}
 	if err := a.stopWrite(); err != nil && !closedInOrder(err) {
 		return errors.WithMessage(err, "the connection failed while the request was written, so that its end is not that of the answer")
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -160,7 +159,7 @@
 func (c *Conn) finalAnswer(message Message) (*http.Response, error) {
 	c.head.limit(maxHeadBytes)
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: message.Method})
+		response, err := c.readHead(message.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -177,50 +176,17 @@
 	}
 }
 
-// maxHeadBytes bounds the bytes that are received until the header of an answer is complete, with those of the interim
-// answers before it. Headers of servers have some hundred bytes.
-const maxHeadBytes = 32 << 10
-
-// errTooLong is the error of a header of more than maxHeadBytes, or of answers to other requests of more than maxStrayBytes.
-var errTooLong = errors.New("the header of the answer, or what precedes it, is too long")
-
-// headReader reads from a connection, up to a limit until the answer to the request has begun: http.ReadResponse has
-// none of its own.
-type headReader struct {
-	conn    net.Conn
-	limited bool
-	left    int
-	// ctx is the context of the request, and pending reads what has come by its end.
-	ctx     context.Context
-	pending pendingReader
-}
-
-// begin prepares for the answer to a request.
-func (r *headReader) begin(ctx context.Context) { r.ctx, r.pending = ctx, pendingReader{conn: r.conn} }
-
-// read reads from the connection. At the end of a graceful shutdown it reads what has come already, before it fails.
-func (r *headReader) read(p []byte) (int, error) {
-	n, err := r.conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && r.ctx != nil && errors.Is(context.Cause(r.ctx), ErrShutdownOver) {
-		return r.pending.next(p, err)
-	}
-	return n, err
-}
-
-func (r *headReader) limit(bytes int) { r.limited, r.left = true, bytes }
-func (r *headReader) unlimit()        { r.limited = false }
-
-// Read implements io.Reader.
-func (r *headReader) Read(p []byte) (int, error) {
-	if !r.limited {
-		return r.read(p)
+// readHead reads the head of one answer to a request with that method.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.head.record(c.reader)
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
 	}
-	if r.left <= 0 {
-		return 0, errTooLong
+	if err := checkHead(c.head.recorded(c.reader)); err != nil {
+		return nil, err
 	}
-	n, err := r.read(p[:min(len(p), r.left)])
-	r.left -= n
-	return n, err
+	return response, nil
 }
 
 // keepAlive returns the idle timeout that a server announces, if any.
--- /dev/null
+++ b/upstream/head.go
@@ -0,0 +1,127 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"os"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// checkHead returns what makes the head of an answer invalid (RFC 9112, section 5). http.ReadResponse, which has read it, takes a
+// name with a blank for that of another field, so that the framing of the answer may not be that of its body.
+func checkHead(head []byte) error {
+	_, fields := cutLine(head)
+	for line, rest := cutLine(fields); len(line) > 0; line, rest = cutLine(rest) {
+		if err := checkLine(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cutLine returns the first line of a head, without its end, and what follows.
+func cutLine(head []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(head, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest
+}
+
+// checkLine checks a line of a head behind its first one.
+func checkLine(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		// The line continues the value of the one before it (RFC 9112, section 5.2).
+		return nil
+	}
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found {
+		return errors.New("a line of the answer's head has no colon")
+	}
+	return checkName(string(name))
+}
+
+// checkName checks the name of a field. The error does not show it, because it may hold any bytes.
+func checkName(name string) error {
+	if !httpguts.ValidHeaderFieldName(name) {
+		return errors.New("the answer has a field whose name is no token")
+	}
+	return nil
+}
+
+// checkTrailer checks the fields behind a body in chunks.
+func checkTrailer(response *http.Response) error {
+	for name := range response.Trailer {
+		if err := checkName(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// maxHeadBytes bounds the bytes that are received until the header of an answer is complete, with those of the interim
+// answers before it. Headers of servers have some hundred bytes.
+const maxHeadBytes = 32 << 10
+
+// errTooLong is the error of a header of more than maxHeadBytes, or of answers to other requests of more than maxStrayBytes.
+var errTooLong = errors.New("the header of the answer, or what precedes it, is too long")
+
+// headReader reads from a connection, up to a limit until the answer to the request has begun: http.ReadResponse has
+// none of its own.
+type headReader struct {
+	conn    net.Conn
+	limited bool
+	left    int
+	// head holds the bytes from the start of a head on, while recording is set.
+	recording bool
+	head      []byte
+	// ctx is the context of the request, and pending reads what has come by its end.
+	ctx     context.Context
+	pending pendingReader
+}
+
+// begin prepares for the answer to a request.
+func (r *headReader) begin(ctx context.Context) { r.ctx, r.pending = ctx, pendingReader{conn: r.conn} }
+
+// read reads from the connection. At the end of a graceful shutdown it reads what has come already, before it fails.
+func (r *headReader) read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && r.ctx != nil && errors.Is(context.Cause(r.ctx), ErrShutdownOver) {
+		return r.pending.next(p, err)
+	}
+	return n, err
+}
+
+func (r *headReader) limit(bytes int) { r.limited, r.left = true, bytes }
+func (r *headReader) unlimit()        { r.limited, r.recording, r.head = false, false, nil }
+
+// record begins to record the head that buffered, which reads from r, reads next.
+func (r *headReader) record(buffered *bufio.Reader) {
+	// As many bytes as are buffered can be peeked at.
+	begun, _ := buffered.Peek(buffered.Buffered())
+	r.recording, r.head = true, append(r.head[:0], begun...)
+}
+
+// recorded ends the recording and returns the head. What buffered has not read yet is not part of it.
+func (r *headReader) recorded(buffered *bufio.Reader) []byte {
+	r.recording = false
+	return r.head[:len(r.head)-buffered.Buffered()]
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.read(p)
+	}
+	if r.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := r.read(p[:min(len(p), r.left)])
+	r.left -= n
+	if r.recording {
+		r.head = append(r.head, p[:n]...)
+	}
+	return n, err
+}
--- /dev/null
+++ b/upstream/head_test.go
@@ -0,0 +1,74 @@
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// doText sends two requests to a server that answers the first one with text, and returns what the first gets. It checks that the
+// second one gets its own answer.
+func doText(t *testing.T, text string) (status int, body string, err error) {
+	t.Helper()
+	s := newScriptedServer(t, text, answerTo("a", "two"), answerTo("a", "two"))
+	pool := s.pool()
+	status, body, err = doFor(t, pool, "a")
+	if next, got, failed := doFor(t, pool, "a"); next != http.StatusOK || got != "two" || failed != nil {
+		t.Errorf("behind %q the next request got status %d, %q, %v", text, next, got, failed)
+	}
+	return status, body, err
+}
+
+// wantBroken checks that no answer is read from text.
+func wantBroken(t *testing.T, text string) {
+	t.Helper()
+	if status, body, err := doText(t, text); !errors.Is(err, ErrBroken) {
+		t.Errorf("%q: status %d, %q, %v", text, status, body, err)
+	}
+}
+
+// Guards against a field that is passed on, or whose framing is not that of the body, because its name holds a byte that a name
+// may not have (RFC 9112, section 5.1).
+func TestHeadsWithABadNameAreBroken(t *testing.T) {
+	for _, line := range []string{
+		"X Y: z", "X-Y : z", "X-Y\t: z", ": z", "X-Y", "Content-Length : 2", "Content-Length\t: 2", "Transfer-Encoding : chunked",
+		"Transfer-Encoding : chunked\r\nContent-Length: 12", "Connection : close", "Id : other", "X\rY: z",
+	} {
+		for _, before := range []string{"", "X: y\r\n", "Content-Length: 2\r\n"} {
+			wantBroken(t, "HTTP/1.1 200 OK\r\nId: a\r\n"+before+line+"\r\n\r\n2\r\nok\r\n0\r\n\r\ncut")
+			wantBroken(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+answerTo("a", "one")+"cut")
+			wantBroken(t, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n"+line+"\r\n\r\n"+answerTo("a", "one")+"cut")
+		}
+	}
+}
+
+// Guards against a byte in a name that only one of the readers of a head refuses, and names that are refused although they are valid.
+func TestNamesHaveTheBytesOfTokens(t *testing.T) {
+	for b := range 256 {
+		name := "X" + string([]byte{byte(b)}) + "Y"
+		if b == ':' || b == '\n' {
+			continue
+		}
+		text := "HTTP/1.1 200 OK\r\nId: a\r\n" + name + ": z\r\nContent-Length: 3\r\n\r\none"
+		status, body, err := doText(t, text)
+		if whole := status == http.StatusOK && body == "one" && err == nil; whole != httpguts.ValidHeaderFieldName(name) {
+			t.Errorf("byte %#02x: status %d, %q, %v", b, status, body, err)
+		}
+	}
+}
+
+// Guards against a bad name behind the body, which ends the connection's framing as one in front of it does.
+func TestTrailersWithABadNameAreBroken(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n%s\r\n\r\ncut"
+	for _, line := range []string{"X Y: z", "X-Y : z", "Content-Length : 2", "X\x01Y: z"} {
+		wantBroken(t, fmt.Sprintf(chunked, line))
+		wantBroken(t, strings.Replace(fmt.Sprintf(chunked, line), "Id: a", "Id: other", 1)+answerTo("a", "one"))
+	}
+	if status, body, err := doText(t, fmt.Sprintf(chunked, "X-Y: z")); status != http.StatusOK || body != "one" || err != nil {
+		t.Errorf("status %d, %q, %v", status, body, err)
+	}
+}
