upstream: an answer of another major version of the protocol is broken

Cause: http.ReadResponse parses the version and reads on whatever it is. A major version stands for another syntax (RFC 9112, section 2.3), so the bytes behind it are no valid answer. Change: the check of a head refuses a major version other than 1. HTTP/1.0 and later minor versions are answers as before. Evidence: TestAnswersOfAnotherVersionAreBroken failed for 12 of 27 forms on the code before (four versions in a final answer, behind and in an interim one); none fails now.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(c.head.recorded(c.reader)); err != nil {
+	if err := checkHead(response, c.head.recorded(c.reader)); err != nil {
 		return nil, err
 	}
 	return response, nil
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -12,10 +12,14 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// checkHead returns what makes the head of an answer invalid (RFC 9112, section 5). http.ReadResponse, which has read it, takes a
-// name with a blank for that of another field, so that the framing of the answer may not be that of its body.
-func checkHead(head []byte) error {
+// checkHead returns what makes the head of an answer invalid (RFC 9112, sections 2 to 6), where http.ReadResponse, which has read it
+// as response, does not. It takes a name with a blank for that of another field, so that the framing of the answer may not be that
+// of its body.
+func checkHead(response *http.Response, head []byte) error {
 	_, fields := cutLine(head)
+	if response.ProtoMajor != 1 {
+		return errors.Errorf("the answer has version %d.%d of the protocol", response.ProtoMajor, response.ProtoMinor)
+	}
 	for line, rest := cutLine(fields); len(line) > 0; line, rest = cutLine(rest) {
 		if err := checkLine(line); err != nil {
 			return err
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -72,3 +72,18 @@
 		t.Errorf("status %d, %q, %v", status, body, err)
 	}
 }
+
+// Guards against an answer that is read by the rules of another version of the protocol than its own (RFC 9112, section 2.3).
+func TestAnswersOfAnotherVersionAreBroken(t *testing.T) {
+	const rest = " 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\none"
+	for _, version := range []string{"HTTP/2.0", "HTTP/0.9", "HTTP/3.0", "HTTP/9.9", "http/1.1", "HTTP/1.10", "HTTP/1", "HTTP/11", "ICY"} {
+		wantBroken(t, version+rest)
+		wantBroken(t, "HTTP/1.1 103 Early Hints\r\n\r\n"+version+rest)
+		wantBroken(t, version+" 103 Early Hints\r\n\r\n"+answerTo("a", "one"))
+	}
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1", "HTTP/1.2"} {
+		if status, body, err := doText(t, version+rest); status != http.StatusOK || body != "one" || err != nil {
+			t.Errorf("%s: status %d, %q, %v", version, status, body, err)
+		}
+	}
+}
