upstream: an answer with a control byte in its status line is broken

Callers saw: an answer whose reason phrase held NUL, CR or another control byte, as garbled bytes have it, passed as valid. The phrase itself is not passed on. Cause: http.ReadResponse checks the bytes of values of fields, and not those of the reason phrase (RFC 9112, section 4). Change: the check of a head applies the rule for values to the status line. Evidence: TestValuesHaveNoControlBytes sends each byte in a value, a folded value, a value of an interim answer, of a late answer to another request and of a trailer, and in the reason phrase. On the code before, the reason phrase alone took control bytes (31 of them); values were refused already. All pass now.

--- a/upstream/head.go
+++ b/upstream/head.go
@@ -16,7 +16,10 @@
 // as response, does not. It takes a name with a blank for that of another field, so that the framing of the answer may not be that
 // of its body.
 func checkHead(response *http.Response, head []byte) error {
-	_, fields := cutLine(head)
+	status, fields := cutLine(head)
+	if !httpguts.ValidHeaderFieldValue(string(status)) {
+		return errors.New("the status line of the answer has a control byte")
+	}
 	if response.ProtoMajor != 1 {
 		return errors.Errorf("the answer has version %d.%d of the protocol", response.ProtoMajor, response.ProtoMinor)
 	}
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -87,3 +87,27 @@
 		}
 	}
 }
+
+// Guards against a byte in a value that ends a line for the next reader of the answer, and values that are refused although they are
+// valid (RFC 9110, section 5.5).
+func TestValuesHaveNoControlBytes(t *testing.T) {
+	for b := range 256 {
+		if b == '\n' {
+			continue
+		}
+		value := "x" + string([]byte{byte(b)}) + "y"
+		for place, text := range map[string]string{
+			"head":    "HTTP/1.1 200 OK\r\nId: a\r\nX: " + value + "\r\nContent-Length: 3\r\n\r\none",
+			"folded":  "HTTP/1.1 200 OK\r\nId: a\r\nX: z\r\n " + value + "\r\nContent-Length: 3\r\n\r\none",
+			"interim": "HTTP/1.1 103 Early Hints\r\nX: " + value + "\r\n\r\n" + answerTo("a", "one"),
+			"trailer": "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\nX: " + value + "\r\n\r\n",
+			"reason":  "HTTP/1.1 200 " + value + "\r\nId: a\r\nContent-Length: 3\r\n\r\none",
+			"stray":   "HTTP/1.1 200 OK\r\nId: other\r\nX: " + value + "\r\nContent-Length: 0\r\n\r\n" + answerTo("a", "one"),
+		} {
+			status, body, err := doText(t, text)
+			if whole := status == http.StatusOK && body == "one" && err == nil; whole != httpguts.ValidHeaderFieldValue(value) {
+				t.Errorf("%s, byte %#02x: status %d, %q, %v", place, b, status, body, err)
+			}
+		}
+	}
+}
