upstream: chunks in an answer of HTTP/1.0 are broken

Callers saw: the frames of chunks as the body of an answer ("3\r\none\r\n0\r\n"). Cause: HTTP/1.0 has no transfer encodings. http.ReadResponse drops the field of such an answer and reads to the end of the connection, or as many bytes as a length beside it says. RFC 9112, section 6.1: the framing of such a message is faulty. Change: the check of a head refuses the field in an answer of a version before 1.1. Evidence: TestAnswersWithChunksOfAVersionWithoutAreBroken got the frames with status 200 in 4 of 4 forms on the code before; all are broken now.

--- a/upstream/head.go
+++ b/upstream/head.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
@@ -24,7 +25,7 @@
 		return errors.Errorf("the answer has version %d.%d of the protocol", response.ProtoMajor, response.ProtoMinor)
 	}
 	for line, rest := cutLine(fields); len(line) > 0; line, rest = cutLine(rest) {
-		if err := checkLine(line); err != nil {
+		if err := checkLine(response, line); err != nil {
 			return err
 		}
 	}
@@ -38,7 +39,7 @@
 }
 
 // checkLine checks a line of a head behind its first one.
-func checkLine(line []byte) error {
+func checkLine(response *http.Response, line []byte) error {
 	if line[0] == ' ' || line[0] == '\t' {
 		// The line continues the value of the one before it (RFC 9112, section 5.2).
 		return nil
@@ -47,6 +48,10 @@
 	if !found {
 		return errors.New("a line of the answer's head has no colon")
 	}
+	if !response.ProtoAtLeast(1, 1) && strings.EqualFold(string(name), "Transfer-Encoding") {
+		// http.ReadResponse drops the field and takes the frames of the chunks for the body.
+		return errors.New("the answer has a transfer encoding, which its version of the protocol has not")
+	}
 	return checkName(string(name))
 }
 
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -111,3 +111,11 @@
 		}
 	}
 }
+
+// Guards against the frames of chunks that are taken for the body, in an answer of a version of the protocol without chunks (RFC 9112,
+// section 6.1).
+func TestAnswersWithChunksOfAVersionWithoutAreBroken(t *testing.T) {
+	for _, field := range []string{"Transfer-Encoding: chunked", "transfer-encoding: chunked", "Transfer-Encoding: gzip", "Transfer-Encoding: chunked\r\nContent-Length: 3"} {
+		wantBroken(t, "HTTP/1.0 200 OK\r\nId: a\r\n"+field+"\r\n\r\n3\r\none\r\n0\r\n\r\ncut")
+	}
+}
