--- a/engine/http.go
+++ b/engine/http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/mastwheel/mastwheel/upstream"
 )
 
 // Paths of the engine API.
@@ -36,34 +38,27 @@
 const (
 	// dialTimeout limits the time to open a connection inside one region.
 	dialTimeout = 500 * time.Millisecond
-	// maxIdlePerEngine is the maximum number of idle connections to one
-	// engine. They are kept for its streams.
-	maxIdlePerEngine = 64
 	// maxControlBodyBytes is the maximum size of an answer other than a stream, in
 	// bytes.
 	maxControlBodyBytes = 1 << 20
 )
 
-// HTTP implements Client with JSON and server-sent events over HTTP. It uses
-// net/http because a decode stream must end as soon as its context does, which
-// fasthttp's client does not support.
+// HTTP implements Client with JSON and server-sent events over HTTP.
 type HTTP struct {
-	client *http.Client
+	transport *upstream.Transport
 }
 
 // NewHTTP returns a Client over HTTP.
 func NewHTTP() *HTTP {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdlePerEngine,
-		DisableCompression:  true,
-	}
-	return &HTTP{client: &http.Client{Transport: transport}}
+	config := upstream.DefaultConfig()
+	config.DialTimeout = dialTimeout
+	// The keep-alive probes of the default dialer detect a dead connection under a stream, which sends nothing.
+	config.Dial = new(net.Dialer).DialContext
+	return &HTTP{transport: upstream.NewTransport(config)}
 }
 
 // Close closes idle connections.
-func (h *HTTP) Close() { h.client.CloseIdleConnections() }
+func (h *HTTP) Close() { h.transport.CloseIdleConnections() }
 
 // Prefill implements Client.
 func (h *HTTP) Prefill(ctx context.Context, address string, order PrefillOrder) (PrefillResult, error) {
@@ -150,7 +145,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create engine request")
 	}
-	response, err := h.client.Do(request)
+	response, err := h.transport.RoundTrip(request)
 	if err != nil {
 		return nil, transportError(err)
 	}
@@ -160,8 +155,7 @@
 // transportError distinguishes a connection that was never opened, so that no
 // byte was sent, from a connection that failed later.
 func transportError(err error) error {
-	var opErr *net.OpError
-	if errors.As(err, &opErr) && opErr.Op == "dial" {
+	if errors.Is(err, upstream.ErrNotSent) {
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
 	return errors.Wrap(ErrBroken, err.Error())
