engine: an answer that is longer than its limit is broken

What happened: a call without a result (import, cancel, order) to an engine that sends a body without end succeeded once the first MiB was read. Cause: the body was read through a limit, at which it ended like a whole one. Change: a body beyond the limit is ErrBroken, and the connection is closed. Evidence: TestAnswerThatIsTooLongIsBroken got no error on the code before.

--- a/engine/http.go
+++ b/engine/http.go
@@ -116,10 +116,13 @@
 		return err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxControlBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxControlBodyBytes+1))
 	if err != nil {
 		return errors.Wrap(ErrBroken, err.Error())
 	}
+	if len(body) > maxControlBodyBytes {
+		return errors.Wrap(ErrBroken, "the answer is too long")
+	}
 	if err := statusError(response.StatusCode); err != nil {
 		return err
 	}
--- a/engine/http_test.go
+++ b/engine/http_test.go
@@ -42,3 +42,13 @@
 		}
 	}
 }
+
+// Guards against an answer without an end that counts as a success once its first part is read.
+func TestAnswerThatIsTooLongIsBroken(t *testing.T) {
+	address := upstreamtest.Serve(t, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat(" ", maxControlBodyBytes+1), upstreamtest.Close)
+	h := NewHTTP()
+	defer h.Close()
+	if err := h.Cancel(t.Context(), address, Attempt{}); !errors.Is(err, ErrBroken) {
+		t.Error(err)
+	}
+}
