--- a/service/service.go
+++ b/service/service.go
@@ -4,12 +4,16 @@
 package service
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
+
+	"github.com/mastwheel/mastwheel/upstream"
 )
 
 // HeaderOutcome is the header field that carries an outcome. A backend server
@@ -65,74 +69,87 @@
 )
 
 // HTTP implements Client over HTTP.
-type HTTP struct{ client *fasthttp.Client }
-
-// errDial marks a failed dial, to distinguish it from a failure after bytes
-// were sent.
-type errDial struct{ cause error }
-
-func (e *errDial) Error() string { return e.cause.Error() }
+type HTTP struct{ transport *upstream.Transport }
 
 // NewHTTP returns a Client over HTTP. It never retries a call by itself and
 // opens one connection per call. On a kept-alive connection that the server is
 // closing, it could not determine whether the server had read the call.
 func NewHTTP() *HTTP {
-	dial := func(address string) (net.Conn, error) {
-		conn, err := fasthttp.DialTimeout(address, dialTimeout)
-		if err != nil {
-			return nil, &errDial{cause: err}
-		}
-		return conn, nil
-	}
-	return &HTTP{client: &fasthttp.Client{
-		Dial:                      dial,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxResponseBodySize:       maxAnswerBytes,
-		NoDefaultUserAgentHeader:  true,
-	}}
+	config := upstream.DefaultConfig()
+	config.DialTimeout = dialTimeout
+	config.Dial = new(net.Dialer).DialContext
+	return &HTTP{transport: upstream.NewTransport(config)}
 }
 
 // Do implements Client.
 func (h *HTTP) Do(ctx context.Context, address string, call Call) (Answer, error) {
-	request := fasthttp.AcquireRequest()
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + call.Path)
-	request.Header.SetMethod(call.Method)
-	request.SetConnectionClose()
-	for _, header := range call.Headers {
-		request.Header.Add(header.Name, header.Value)
+	if _, ok := ctx.Deadline(); !ok {
+		bounded, cancel := context.WithTimeout(ctx, defaultTimeout)
+		defer cancel()
+		ctx = bounded
 	}
-	request.SetBodyRaw(call.Body)
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(defaultTimeout)
+	request, err := newRequest(ctx, address, call)
+	if err != nil {
+		return Answer{}, errors.Wrap(ErrNotRun, err.Error())
 	}
-	if err := h.client.DoDeadline(request, response, deadline); err != nil {
+	response, err := h.transport.RoundTrip(request)
+	if err != nil {
 		return Answer{}, callError(err)
 	}
-	if response.StatusCode() == fasthttp.StatusServiceUnavailable &&
-		string(response.Header.Peek(HeaderOutcome)) == outcomeNotRun {
+	defer response.Body.Close()
+	answer, err := readAnswer(response)
+	if err != nil {
+		return Answer{}, errors.Wrap(ErrLost, err.Error())
+	}
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderOutcome) == outcomeNotRun {
 		return Answer{}, ErrNotRun
 	}
-	return newAnswer(response), nil
+	return answer, nil
+}
+
+// newRequest returns a call as a request that closes its connection.
+func newRequest(ctx context.Context, address string, call Call) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "create call")
+	}
+	request.Close = true
+	// Without a value, the request gets the name of net/http's client.
+	request.Header.Set("User-Agent", "")
+	for _, header := range call.Headers {
+		switch name := http.CanonicalHeaderKey(header.Name); name {
+		case "User-Agent":
+			request.Header.Set(name, header.Value)
+		case "Host":
+			request.Host = header.Value
+		default:
+			request.Header.Add(name, header.Value)
+		}
+	}
+	return request, nil
 }
 
 func callError(err error) error {
-	var dial *errDial
-	if errors.As(err, &dial) {
+	if errors.Is(err, upstream.ErrNotSent) {
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
 	return errors.Wrap(ErrLost, err.Error())
 }
 
-func newAnswer(response *fasthttp.Response) Answer {
-	answer := Answer{Status: response.StatusCode()}
-	answer.Body = append(answer.Body, response.Body()...)
-	for name, value := range response.Header.All() {
-		answer.Headers = append(answer.Headers, Header{Name: string(name), Value: string(value)})
+// readAnswer reads a whole answer.
+func readAnswer(response *http.Response) (Answer, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, err
+	}
+	if len(body) > maxAnswerBytes {
+		return Answer{}, errors.New("the answer is too long")
+	}
+	answer := Answer{Status: response.StatusCode, Body: body}
+	for name, values := range response.Header {
+		for _, value := range values {
+			answer.Headers = append(answer.Headers, Header{Name: name, Value: value})
+		}
 	}
-	return answer
+	return answer, nil
 }
--- a/upstream/upstreamtest/upstreamtest.go
+++ b/upstream/upstreamtest/upstreamtest.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 )
 
@@ -64,3 +65,11 @@
 		_ = conn.SetLinger(0)
 	}
 }
+
+// Handle starts a server of sound answers. It returns its address.
+func Handle(t testing.TB, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
