--- a/sibling/sibling.go
+++ b/sibling/sibling.go
@@ -5,8 +5,11 @@
 package sibling
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,6 +21,7 @@
 	"github.com/mastwheel/mastwheel/forward"
 	"github.com/mastwheel/mastwheel/logging"
 	"github.com/mastwheel/mastwheel/membudget"
+	"github.com/mastwheel/mastwheel/upstream"
 )
 
 const (
@@ -31,6 +35,8 @@
 	// request. After a longer time the connection may be dead without a reset,
 	// and a request on it would time out.
 	idleTimeout = time.Second
+	// maxSnapshotBytes bounds a snapshot in bytes, so that a sibling in trouble does not fill the memory.
+	maxSnapshotBytes = 32 << 20
 	// readTimeout limits the time to receive one request of a sibling, and serverIdleTimeout the time for which
 	// a connection without a request is kept.
 	readTimeout       = 5 * time.Second
@@ -121,55 +127,49 @@
 }
 
 // Client requests snapshots from siblings.
-type Client struct{ http *fasthttp.Client }
+type Client struct{ transport *upstream.Transport }
 
 // NewClient returns a client.
 func NewClient() *Client {
-	return &Client{http: &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
-		// A request that timed out must not keep its connection open forever.
-		ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, MaxIdleConnDuration: idleTimeout,
-	}}
+	config := upstream.DefaultConfig()
+	config.DialTimeout, config.IdleTimeout = requestTimeout, idleTimeout
+	return &Client{transport: upstream.NewTransport(config)}
 }
 
 // Snapshot implements edge.Siblings.
 func (c *Client) Snapshot(ctx context.Context, address string, have edge.Have) (edge.Snapshot, error) {
-	type result struct {
-		snapshot edge.Snapshot
-		err      error
-	}
-	done := make(chan result, 1)
-	go func() {
-		snapshot, err := c.request(address, have)
-		done <- result{snapshot, err}
-	}()
-	select {
-	case got := <-done:
-		return got.snapshot, got.err
-	case <-ctx.Done():
-		// The request goes on until requestTimeout. An instance that exits does not wait for it.
-		return edge.Snapshot{}, errors.Wrap(ctx.Err(), "request snapshot from sibling")
-	}
-}
-
-// request requests a snapshot.
-func (c *Client) request(address string, have edge.Have) (edge.Snapshot, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
 	body, err := cbor.Marshal(have)
 	if err != nil {
 		return edge.Snapshot{}, errors.Wrap(err, "encode snapshot request")
 	}
-	request.SetRequestURI("http://" + address + snapshotPath)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetBody(body)
-	if err := c.http.DoTimeout(request, response, requestTimeout); err != nil {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+snapshotPath, bytes.NewReader(body))
+	if err != nil {
+		return edge.Snapshot{}, errors.Wrap(err, "create snapshot request")
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil && ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	if err != nil {
 		return edge.Snapshot{}, errors.Wrap(err, "request snapshot from sibling")
 	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return edge.Snapshot{}, errors.Errorf("request snapshot from sibling: status %d", response.StatusCode())
+	defer response.Body.Close()
+	return readSnapshot(response)
+}
+
+// readSnapshot reads a sibling's answer.
+func readSnapshot(response *http.Response) (edge.Snapshot, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxSnapshotBytes+1))
+	switch {
+	case err != nil:
+		return edge.Snapshot{}, errors.Wrap(err, "read snapshot from sibling")
+	case len(body) > maxSnapshotBytes:
+		return edge.Snapshot{}, errors.New("read snapshot from sibling: the answer is too long")
+	case response.StatusCode != http.StatusOK:
+		return edge.Snapshot{}, errors.Errorf("request snapshot from sibling: status %d", response.StatusCode)
 	}
 	var snapshot edge.Snapshot
-	return snapshot, errors.Wrap(cbor.Unmarshal(response.Body(), &snapshot), "decode snapshot from sibling")
+	return snapshot, errors.Wrap(cbor.Unmarshal(body, &snapshot), "decode snapshot from sibling")
 }
