upstream: a peer's announcement does not keep a transport's connections idle for longer

Cause: a Keep-Alive field replaces the idle timeout of a pool.

Change: Config.NoLongerIdle bounds the announced time by IdleTimeout, and a Transport sets it. An announced time that is shorter holds. Evidence: with "Keep-Alive: timeout=999" TestTransportKeepsConnectionsForAWhile failed with "an idle connection is kept" without the change to answer.go.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -152,8 +152,12 @@
 
 // prepareReuse prepares the connection for another request.
 func (a *Answer) prepareReuse() {
+	config := a.conn.pool.config
 	if announced, ok := keepAlive(a.Header); ok {
-		a.conn.idleTimeout = max(announced-a.conn.pool.config.IdleMargin, 0)
+		a.conn.idleTimeout = max(announced-config.IdleMargin, 0)
+	}
+	if config.NoLongerIdle {
+		a.conn.idleTimeout = min(a.conn.idleTimeout, config.IdleTimeout)
 	}
 	a.conn.raw.SetDeadline(time.Time{})
 }
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -24,8 +24,10 @@
 	pruning bool
 }
 
-// NewTransport returns a transport without connections.
+// NewTransport returns a transport without connections. It keeps no connection idle for longer than config says, whatever a peer
+// announces.
 func NewTransport(config Config) *Transport {
+	config.NoLongerIdle = true
 	return &Transport{config: config, pools: make(map[string]*Pool)}
 }
 
--- a/upstream/transport_test.go
+++ b/upstream/transport_test.go
@@ -75,7 +75,7 @@
 
 // Guards against a connection that is opened for each request, and one that is kept past its time.
 func TestTransportKeepsConnectionsForAWhile(t *testing.T) {
-	s := newScriptedServer(t, answerTo("a", "one"), answerTo("a", "two"))
+	s := newScriptedServer(t, answerTo("a", "one"), "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=999\r\nContent-Length: 3\r\n\r\ntwo")
 	config := newTransport().config
 	config.IdleTimeout = 50 * time.Millisecond
 	transport := NewTransport(config)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -48,6 +48,9 @@
 	// IdleTimeout is the time after which an idle connection is closed, unless
 	// the server announced another time.
 	IdleTimeout time.Duration
+	// NoLongerIdle keeps an announced time that is longer than IdleTimeout from replacing it, for peers whose connections
+	// may die without a sign of it.
+	NoLongerIdle bool
 	// SourceAddress, if set, is the local IP address of the connections.
 	SourceAddress string
 	// Dial, if set, opens connections in place of a net.Dialer. Its context ends after DialTimeout.
