upstream: the error of a broken answer quotes a bounded part of it

What happened: the cause of a request whose answer was garbled was up to 68 KB long in the log and in the record for operators, since net/http quotes the whole line that it cannot read. Change: the cause in ErrBroken is cut after 200 bytes.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -96,7 +96,19 @@
 	if ctx.Err() != nil {
 		return errors.WithMessage(ErrBroken, "ended by this instance: "+context.Cause(ctx).Error())
 	}
-	return errors.WithMessage(ErrBroken, err.Error())
+	return errors.WithMessage(ErrBroken, bounded(err.Error()))
+}
+
+// maxCauseBytes bounds the text of an error that may quote bytes of an answer, which are many in an answer that is none. It has
+// room for the start of a line of a head.
+const maxCauseBytes = 200
+
+// bounded returns the start of a text.
+func bounded(text string) string {
+	if len(text) <= maxCauseBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxCauseBytes], "") + "..."
 }
 
 // maxSyncWrite is the size in bytes up to which a message is written before its
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"unicode"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
@@ -119,3 +120,29 @@
 		wantBroken(t, "HTTP/1.0 200 OK\r\nId: a\r\n"+field+"\r\n\r\n3\r\none\r\n0\r\n\r\ncut")
 	}
 }
+
+// Guards against bytes of an answer that fill the log, or end a line of it, as part of the error that says what is wrong.
+func TestErrorsDoNotQuoteAnswersAtLength(t *testing.T) {
+	long := strings.Repeat("x\x01\x7f\xe4\r\t", 4000)
+	for name, text := range map[string]string{
+		"name":        "HTTP/1.1 200 OK\r\nX" + long + ": z\r\n\r\n",
+		"no colon":    "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"value":       "HTTP/1.1 200 OK\r\nX: " + long + "\r\n\r\n",
+		"status":      "HTTP/1.1 2" + long + "\r\n\r\n",
+		"status line": "HTTP/1.1 200 " + long + "\r\n\r\n",
+		"protocol":    long + "\r\n\r\n",
+		"length":      "HTTP/1.1 200 OK\r\nContent-Length: " + strings.Repeat("9", 20000) + "\r\n\r\n",
+		"encoding":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + strings.Repeat("z", 20000) + "\r\n\r\n",
+		"chunk":       "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n" + long + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, _, err := doFor(t, newScriptedServer(t, text).pool(), "a")
+			if !errors.Is(err, ErrBroken) {
+				t.Fatal(err)
+			}
+			if said := err.Error(); len(said) > 300 || strings.ContainsFunc(said, func(r rune) bool { return !unicode.IsPrint(r) }) {
+				t.Errorf("%d bytes: %.300q", len(said), said)
+			}
+		})
+	}
+}
