--- a/client/client.go
+++ b/client/client.go
@@ -22,13 +22,18 @@
 	"github.com/mastwheel/mastwheel/instance"
 	"github.com/mastwheel/mastwheel/operation"
 	"github.com/mastwheel/mastwheel/reason"
+	"github.com/mastwheel/mastwheel/upstream"
 )
 
 // ErrNoInstance means that none of the known addresses answered.
 var ErrNoInstance = errors.New("no instance answered")
 
-// maxAnswerBytes bounds the size of one answer.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes bounds the size of one answer.
+	maxAnswerBytes = 16 << 20
+	// dialTimeout bounds the time to open a connection. Callers may be far from an instance.
+	dialTimeout = 3 * time.Second
+)
 
 // Client is one caller. It is safe for concurrent use.
 type Client struct {
@@ -36,8 +41,8 @@
 	// connect to.
 	Addresses func() []string
 	// Zone is the caller's availability zone. It may be empty.
-	Zone string
-	http *http.Client
+	Zone      string
+	transport *upstream.Transport
 
 	mu           sync.Mutex
 	entry        instance.Entry
@@ -53,12 +58,14 @@
 
 // NewWithAddresses returns a Client whose known addresses may change.
 func NewWithAddresses(addresses func() []string, zone string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
-	return &Client{Addresses: addresses, Zone: zone, http: &http.Client{Transport: transport}}
+	config := upstream.DefaultConfig()
+	config.DialTimeout = dialTimeout
+	config.Dial = new(net.Dialer).DialContext
+	return &Client{Addresses: addresses, Zone: zone, transport: upstream.NewTransport(config)}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // Entry returns the address of the instance to connect to. It queries an instance when the
 // cached answer has expired.
@@ -105,7 +112,7 @@
 	if err != nil {
 		return errors.Wrap(err, "build request")
 	}
-	response, err := c.http.Do(request)
+	response, err := c.transport.RoundTrip(request)
 	if err != nil {
 		return errors.Wrap(err, "query instance")
 	}
@@ -113,7 +120,20 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Errorf("query instance: unexpected status %d", response.StatusCode)
 	}
-	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(into), "decode answer")
+	body, err := readBody(response)
+	if err != nil {
+		return errors.Wrap(err, "query instance")
+	}
+	return errors.Wrap(json.Unmarshal(body, into), "decode answer")
+}
+
+// readBody reads a whole body of at most maxAnswerBytes.
+func readBody(response *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errors.New("the answer is too long")
+	}
+	return body, err
 }
 
 // Result is the outcome of one request as the caller knows it.
@@ -186,24 +206,19 @@
 const maxDials = 3
 
 // isDialError reports whether no connection was made, so that no byte was sent.
-func isDialError(err error) bool {
-	var opErr *net.OpError
-	return errors.As(err, &opErr) && opErr.Op == "dial"
-}
+func isDialError(err error) bool { return errors.Is(err, upstream.ErrNotSent) }
 
 func (c *Client) post(ctx context.Context, method, url string, body []byte, headers map[string]string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
-	// With GetBody set, net/http could resend the request by itself.
-	request.GetBody = nil
 	for name, value := range headers {
 		if value != "" {
 			request.Header.Set(name, value)
 		}
 	}
-	return c.http.Do(request)
+	return c.transport.RoundTrip(request)
 }
 
 func (c *Client) lostResult(ctx context.Context, err error) Result {
@@ -359,7 +374,7 @@
 		return result, !isDialError(err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := readBody(response)
 	result.Result = headerResult(response)
 	result.Text = string(body)
 	result.Took = time.Since(started)
