forecast: a forecast before the first stream of an instance has figures

Cause: an instance that has started no stream yet, but continues one, has means of zero for prompts and lengths. The mean age of the other instances' streams was then 0/0. A figure that is no number converts to the least integer on x86-64, which is no index, and to 0 on arm64, where the forecast was no number either and so none of the engine's memory counted. Change: without such means, the memory of those streams counts as it is, as for streams without a count.

--- a/forecast/engine.go
+++ b/forecast/engine.go
@@ -116,9 +116,10 @@
 	return min(max(age, 0), g.Memory/g.Count)
 }
 
-// addGroup adds streams of which only the sums are known.
+// addGroup adds streams of which only the sums are known. Without a count, or as long as the instance has started no stream, their
+// memory counts as it is.
 func (c *Curve) addGroup(t Typical, g Group, rate float64) {
-	if g.Count <= 0 {
+	if g.Count <= 0 || t.Expected <= 0 {
 		for i := range c.Mean {
 			c.Mean[i] += max(g.Memory, 0)
 		}
--- a/forecast/forecast_test.go
+++ b/forecast/forecast_test.go
@@ -262,3 +262,17 @@
 		testModel.Admit(e, testStream(0), 1.7)
 	}
 }
+
+// Guards against a forecast before the instance has started a stream, whose figures are no numbers: the process ended on x86-64, where such a
+// figure becomes a negative index, and other processors forecast no memory.
+func TestForecastBeforeTheFirstStream(t *testing.T) {
+	engine := &Engine{Capacity: 1000, Others: Group{Count: 3, Memory: 600}, Rate: 150}
+	for name, typical := range map[string]Typical{"nothing is known": {Max: testMax}, "only prompts are": {Prompt: testPrompt, Max: testMax}} {
+		curve := (&Model{Typical: typical}).Forecast(engine)
+		for i, mean := range curve.Mean {
+			if mean != 600 || curve.Variance[i] != 0 {
+				t.Errorf("%s: %g tokens after %s, variance %g", name, mean, horizon[i], curve.Variance[i])
+			}
+		}
+	}
+}
