upstream: an answer to HEAD without a length is whole behind its head

Cause: since the end of an unframed answer depends on the write of the request, an answer to HEAD without a length counted as one whose end is not known, although it has no body. Change: the check is for answers with a body. A test of the transport waited for a failed write that had ended in the buffers of the kernel, and hung in one of 15 repetitions; it waits for the end of the write now.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -70,7 +70,7 @@
 // error once, and after a reset whose error went to the write, the read meets the same end. A server that closes its side in order may
 // leave the rest of the request unread (RFC 9112, section 9.6).
 func (a *Answer) checkEnd() error {
-	if !a.EndsWithConnection() {
+	if a.Body == http.NoBody || !a.EndsWithConnection() {
 		return checkTrailer(a.Response)
 	}
 	if err := a.stopWrite(); err != nil && !closedInOrder(err) {
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -22,9 +22,10 @@
 	net.Conn
 	// beforeWrite and beforeEnd, if set, are called before each write, and before a read behind the first one.
 	beforeWrite, beforeEnd func()
-	failed                 chan struct{}
-	failOnce               sync.Once
-	reads                  int
+	// ended is closed when the write of a large request has ended.
+	ended   chan struct{}
+	endOnce sync.Once
+	reads   int
 }
 
 func (c *orderedConn) Write(p []byte) (int, error) {
@@ -32,8 +33,8 @@
 		c.beforeWrite()
 	}
 	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.failOnce.Do(func() { close(c.failed) })
+	if err != nil || n > maxSyncWrite {
+		c.endOnce.Do(func() { close(c.ended) })
 	}
 	return n, err
 }
@@ -53,12 +54,15 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
+	// A connection that is reset at once may fail to open.
+	dialed := make(chan struct{})
 	go func() {
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
 		defer conn.Close()
+		<-dialed
 		serve(conn.(*net.TCPConn))
 	}()
 	config := DefaultConfig()
@@ -67,22 +71,23 @@
 		if err != nil {
 			return nil, err
 		}
-		ordered := &orderedConn{Conn: conn, failed: make(chan struct{})}
+		ordered := &orderedConn{Conn: conn, ended: make(chan struct{})}
 		prepare(ordered)
+		close(dialed)
 		return ordered, nil
 	}
 	return NewPool(listener.Addr().String(), config)
 }
 
 // upload sends a request with a body of that size, and returns what its caller gets.
-func upload(t *testing.T, pool *Pool, bytes int) (string, error) {
+func upload(t *testing.T, pool *Pool, method string, bytes int) (string, error) {
 	t.Helper()
 	conn, err := acquire(t.Context(), pool)
 	if err != nil {
 		t.Fatal(err)
 	}
 	message := messageOf("a")
-	message.Method, message.Body = http.MethodPost, make([]byte, bytes)
+	message.Method, message.Body = method, make([]byte, bytes)
 	answer, err := conn.Do(t.Context(), message)
 	if err != nil {
 		return "", err
@@ -104,10 +109,10 @@
 		var once sync.Once
 		c.beforeEnd = func() {
 			once.Do(func() { close(read) })
-			<-c.failed
+			<-c.ended
 		}
 	})
-	if got, err := upload(t, pool, uploadBytes); !errors.Is(err, ErrBroken) {
+	if got, err := upload(t, pool, http.MethodPost, uploadBytes); !errors.Is(err, ErrBroken) {
 		t.Errorf("%q, %v", got, err)
 	}
 }
@@ -123,7 +128,7 @@
 	}, func(c *orderedConn) {
 		c.beforeWrite = func() { <-reset }
 	})
-	if got, err := upload(t, pool, 10); !errors.Is(err, ErrBroken) {
+	if got, err := upload(t, pool, http.MethodPost, 10); !errors.Is(err, ErrBroken) {
 		t.Errorf("%q, %v", got, err)
 	}
 }
@@ -144,7 +149,7 @@
 				conn.CloseWrite()
 				after(conn, done)
 			}, func(*orderedConn) {})
-			got, err := upload(t, pool, uploadBytes)
+			got, err := upload(t, pool, http.MethodPost, uploadBytes)
 			close(done)
 			if got != "begin" || err != nil {
 				t.Errorf("%q, %v", got, err)
@@ -167,13 +172,29 @@
 				io.WriteString(conn, answer)
 				conn.SetLinger(0)
 			}, func(*orderedConn) {})
-			if got, err := upload(t, pool, uploadBytes); got != "begin" || err != nil {
+			if got, err := upload(t, pool, http.MethodPost, uploadBytes); got != "begin" || err != nil {
 				t.Errorf("%q, %v", got, err)
 			}
 		})
 	}
 }
 
+// Guards against an answer without a body that is taken for one whose body has no known end.
+func TestAnswerToHeadIsWholeBeforeAReset(t *testing.T) {
+	reset := make(chan struct{})
+	pool := oneServer(t, func(conn *net.TCPConn) {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\n")
+		conn.SetLinger(0)
+		conn.Close()
+		close(reset)
+	}, func(c *orderedConn) {
+		c.beforeWrite = func() { <-reset }
+	})
+	if got, err := upload(t, pool, http.MethodHead, 0); got != "" || err != nil {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
 // Guards against a reset at the end of a graceful shutdown that passes for the end of an unframed answer, since a check for bytes
 // that wait to be read took its error.
 func TestUnframedAnswerThatIsResetAtTheEndOfAShutdownIsBroken(t *testing.T) {
--- a/upstream/transport_test.go
+++ b/upstream/transport_test.go
@@ -65,10 +65,10 @@
 		io.WriteString(conn, part)
 		conn.SetLinger(0)
 	}, func(c *orderedConn) {
-		c.beforeEnd = func() { <-c.failed }
+		c.beforeEnd = func() { <-c.ended }
 	})
 	transport := NewTransport(pool.config)
-	if status, got, err := roundTrip(t, transport, http.MethodPost, pool.address, strings.Repeat("x", 1<<20)); !errors.Is(err, ErrBroken) {
+	if status, got, err := roundTrip(t, transport, http.MethodPost, pool.address, strings.Repeat("x", uploadBytes/4)); !errors.Is(err, ErrBroken) {
 		t.Errorf("status %d, %q, %v", status, got, err)
 	}
 }
