upstream: one function reads a bounded body, one makes the transports of clients

Cause: six clients each read a body through a limit and compared its size, and four each set the same dialer. Change: ReadBody and NewClientTransport. A request that cannot be encoded is ErrNotSent, so that no client takes it for one that may have run. Evidence: packages upstream, client, engine, httpjson, service and sibling pass, the tests of the store too.

--- a/client/client.go
+++ b/client/client.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -58,10 +57,7 @@
 
 // NewWithAddresses returns a Client whose known addresses may change.
 func NewWithAddresses(addresses func() []string, zone string) *Client {
-	config := upstream.DefaultConfig()
-	config.DialTimeout = dialTimeout
-	config.Dial = new(net.Dialer).DialContext
-	return &Client{Addresses: addresses, Zone: zone, transport: upstream.NewTransport(config)}
+	return &Client{Addresses: addresses, Zone: zone, transport: upstream.NewClientTransport(dialTimeout)}
 }
 
 // Close closes idle connections.
@@ -120,22 +116,13 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Errorf("query instance: unexpected status %d", response.StatusCode)
 	}
-	body, err := readBody(response)
+	body, err := upstream.ReadBody(response.Body, maxAnswerBytes)
 	if err != nil {
 		return errors.Wrap(err, "query instance")
 	}
 	return errors.Wrap(json.Unmarshal(body, into), "decode answer")
 }
 
-// readBody reads a whole body of at most maxAnswerBytes.
-func readBody(response *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errors.New("the answer is too long")
-	}
-	return body, err
-}
-
 // Result is the outcome of one request as the caller knows it.
 type Result struct {
 	RequestID string
@@ -374,7 +361,7 @@
 		return result, !isDialError(err)
 	}
 	defer response.Body.Close()
-	body, err := readBody(response)
+	body, err := upstream.ReadBody(response.Body, maxAnswerBytes)
 	result.Result = headerResult(response)
 	result.Text = string(body)
 	result.Took = time.Since(started)
--- a/engine/http.go
+++ b/engine/http.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -50,11 +49,7 @@
 
 // NewHTTP returns a Client over HTTP.
 func NewHTTP() *HTTP {
-	config := upstream.DefaultConfig()
-	config.DialTimeout = dialTimeout
-	// The keep-alive probes of the default dialer detect a dead connection under a stream, which sends nothing.
-	config.Dial = new(net.Dialer).DialContext
-	return &HTTP{transport: upstream.NewTransport(config)}
+	return &HTTP{transport: upstream.NewClientTransport(dialTimeout)}
 }
 
 // Close closes idle connections.
@@ -116,13 +111,10 @@
 		return err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxControlBodyBytes+1))
+	body, err := upstream.ReadBody(response.Body, maxControlBodyBytes)
 	if err != nil {
 		return errors.Wrap(ErrBroken, err.Error())
 	}
-	if len(body) > maxControlBodyBytes {
-		return errors.Wrap(ErrBroken, "the answer is too long")
-	}
 	if err := statusError(response.StatusCode); err != nil {
 		return err
 	}
--- a/httpjson/httpjson.go
+++ b/httpjson/httpjson.go
@@ -6,8 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -38,10 +36,7 @@
 
 // New returns a client that sends token as a bearer token if it is not empty.
 func New(token string) *Client {
-	config := upstream.DefaultConfig()
-	config.DialTimeout = dialTimeout
-	config.Dial = new(net.Dialer).DialContext
-	return &Client{transport: upstream.NewTransport(config), token: token}
+	return &Client{transport: upstream.NewClientTransport(dialTimeout), token: token}
 }
 
 // Do sends body as JSON, if it is not nil, and decodes the body of a 2xx answer
@@ -98,10 +93,7 @@
 		return 0, nil, err
 	}
 	defer response.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errors.New("the answer is too long")
-	}
+	body, err = upstream.ReadBody(response.Body, maxAnswerBytes)
 	return response.StatusCode, body, err
 }
 
--- a/service/service.go
+++ b/service/service.go
@@ -6,8 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -75,10 +73,7 @@
 // opens one connection per call. On a kept-alive connection that the server is
 // closing, it could not determine whether the server had read the call.
 func NewHTTP() *HTTP {
-	config := upstream.DefaultConfig()
-	config.DialTimeout = dialTimeout
-	config.Dial = new(net.Dialer).DialContext
-	return &HTTP{transport: upstream.NewTransport(config)}
+	return &HTTP{transport: upstream.NewClientTransport(dialTimeout)}
 }
 
 // Do implements Client.
@@ -138,13 +133,10 @@
 
 // readAnswer reads a whole answer.
 func readAnswer(response *http.Response) (Answer, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	body, err := upstream.ReadBody(response.Body, maxAnswerBytes)
 	if err != nil {
 		return Answer{}, err
 	}
-	if len(body) > maxAnswerBytes {
-		return Answer{}, errors.New("the answer is too long")
-	}
 	answer := Answer{Status: response.StatusCode, Body: body}
 	for name, values := range response.Header {
 		for _, value := range values {
--- a/sibling/sibling.go
+++ b/sibling/sibling.go
@@ -7,7 +7,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -161,13 +160,11 @@
 
 // readSnapshot reads a sibling's answer.
 func readSnapshot(response *http.Response) (edge.Snapshot, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxSnapshotBytes+1))
-	switch {
-	case err != nil:
+	body, err := upstream.ReadBody(response.Body, maxSnapshotBytes)
+	if err != nil {
 		return edge.Snapshot{}, errors.Wrap(err, "read snapshot from sibling")
-	case len(body) > maxSnapshotBytes:
-		return edge.Snapshot{}, errors.New("read snapshot from sibling: the answer is too long")
-	case response.StatusCode != http.StatusOK:
+	}
+	if response.StatusCode != http.StatusOK {
 		return edge.Snapshot{}, errors.Errorf("request snapshot from sibling: status %d", response.StatusCode)
 	}
 	var snapshot edge.Snapshot
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -94,8 +94,11 @@
 }
 
 // ReadAll reads the full body of at most limit bytes.
-func (a *Answer) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, limit+1))
+func (a *Answer) ReadAll(limit int64) ([]byte, error) { return ReadBody(a, limit) }
+
+// ReadBody reads the full body of an answer, of at most limit bytes. The error of a longer one is ErrBroken.
+func ReadBody(answer io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(answer, limit+1))
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -31,8 +31,17 @@
 	return &Transport{config: config, pools: make(map[string]*Pool)}
 }
 
-// RoundTrip implements http.RoundTripper. Its error is ErrNotSent or ErrBroken, or that of a request that cannot be encoded. The body
-// of the answer fails with ErrBroken where its end is not known to be the end.
+// NewClientTransport returns a transport for a peer that is no backend server. Its connections have the keep-alive probes of the default
+// dialer, which detect a dead one under a stream that sends nothing.
+func NewClientTransport(dialTimeout time.Duration) *Transport {
+	config := DefaultConfig()
+	config.DialTimeout = dialTimeout
+	config.Dial = new(net.Dialer).DialContext
+	return NewTransport(config)
+}
+
+// RoundTrip implements http.RoundTripper. Its error is ErrNotSent, also for a request that cannot be encoded, or ErrBroken. The body of
+// the answer fails with ErrBroken where its end is not known to be the end.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	message, err := encode(request)
 	if err != nil {
@@ -56,11 +65,11 @@
 		if request.Body != nil {
 			request.Body.Close()
 		}
-		return Message{}, errors.Errorf("encode request: scheme %q is not supported", request.URL.Scheme)
+		return Message{}, errors.WithMessagef(ErrNotSent, "encode request: scheme %q is not supported", request.URL.Scheme)
 	}
 	var out bytes.Buffer
 	if err := request.Write(&out); err != nil {
-		return Message{}, errors.Wrap(err, "encode request")
+		return Message{}, errors.WithMessagef(ErrNotSent, "encode request: %v", err)
 	}
 	return Message{Method: request.Method, Head: out.Bytes()}, nil
 }
--- a/upstream/transport_test.go
+++ b/upstream/transport_test.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if response, err := newTransport().RoundTrip(request); err == nil || errors.Is(err, ErrNotSent) {
+	if response, err := newTransport().RoundTrip(request); !errors.Is(err, ErrNotSent) || !strings.Contains(err.Error(), "scheme") {
 		t.Errorf("%+v, %v", response, err)
 	}
 }
