sibling: a test of replies to hand-overs with broken heads

What it guards: a sibling's reply whose head is not valid counts as a reply, or as one that says that the request did not run. Package upstream reads these replies.

--- a/sibling/snapshot_test.go
+++ b/sibling/snapshot_test.go
@@ -1,13 +1,18 @@
 package sibling
 
 import (
+	"encoding/base64"
 	"fmt"
 	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"github.com/mastwheel/mastwheel/edge"
+	"github.com/mastwheel/mastwheel/forward"
+	"github.com/mastwheel/mastwheel/membudget"
+	"github.com/mastwheel/mastwheel/upstream"
 	"github.com/mastwheel/mastwheel/upstream/upstreamtest"
 )
 
@@ -40,3 +45,20 @@
 		t.Error("read")
 	}
 }
+
+// Guards against a reply to a request that is handed over whose head is none, and that counts as a reply, or as a request that did not run.
+func TestBrokenRepliesMayHaveRun(t *testing.T) {
+	head, err := cbor.Marshal(replyHead{Status: 200})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, broken := range upstreamtest.BrokenHeads() {
+		text := broken + headField + ": " + base64.StdEncoding.EncodeToString(head) + "\r\nContent-Length: 0\r\n\r\n"
+		to := forward.Sibling{Name: "b", Address: upstreamtest.Serve(t, text, upstreamtest.Close)}
+		_, _, err := receive(t.Context(), NewHandOver("a", membudget.New(1<<20)), to)
+		var notRun *forward.NotRunError
+		if !errors.Is(err, upstream.ErrBroken) || errors.As(err, &notRun) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
