--- a/socket/reset_test.go
+++ b/socket/reset_test.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 )
 
-// Guards against a check that takes the error of a reset from the socket, so that the next read meets an end in order.
+// Guards against a check that takes the error of a reset from the socket, so that the next read returns io.EOF.
 func TestCheckLeavesTheErrorToTheReader(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -10,7 +10,7 @@
 
 // IsEmpty reports whether neither data nor the end of the stream waits to be read from a connection. Connections that are no
 // sockets count as empty, and closed ones do not. A socket reports its error once (socket(7)), and poll(2) leaves it to the reader,
-// while a peek would take it: the reader would meet the end of a stream that was reset.
+// while a peek would take it, so that the next read of a stream that was reset returned io.EOF.
 func IsEmpty(conn net.Conn) bool {
 	access, ok := conn.(syscall.Conn)
 	if !ok {
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -65,16 +65,16 @@
 	return n, nil
 }
 
-// checkEnd returns why the end of a body is not known to be the end of the answer. Of an answer that ends with its connection,
-// the end is known if the server closed its side in order (RFC 9112, section 8). A read does not show that: a socket reports its
-// error once, and after a reset whose error went to the write, the read meets the same end. A server that closes its side in order may
-// leave the rest of the request unread (RFC 9112, section 9.6).
+// checkEnd reports why the end of the body may not be the end of the answer. An answer that ends with its connection is complete only
+// after an orderly close (RFC 9112, section 8). The read cannot tell: a socket reports its error once, and if the concurrent write of
+// the request got the error of a reset, the read returns io.EOF as after an orderly close. A server may close orderly without reading
+// the rest of the request (RFC 9112, section 9.6), so an unfinished write is no error.
 func (a *Answer) checkEnd() error {
 	if a.Body == http.NoBody || !a.EndsWithConnection() {
 		return checkTrailer(a.Response)
 	}
-	if err := a.stopWrite(); err != nil && !closedInOrder(err) {
-		return errors.WithMessage(err, "the connection failed while the request was written, so that its end is not that of the answer")
+	if err := a.stopWrite(); err != nil && !followsOrderlyClose(err) {
+		return errors.WithMessage(err, "the connection failed while the request was written, so the end of the answer is unknown")
 	}
 	return nil
 }
@@ -87,9 +87,10 @@
 	return a.written.err
 }
 
-// closedInOrder reports whether a write that failed leaves an end that was read as an end in order. The write was ended by this
-// instance, or the reset came behind the end: the kernel reports EPIPE then, and ECONNRESET without an end.
-func closedInOrder(err error) bool {
+// followsOrderlyClose reports whether the server had closed its side orderly, given the error of the write and that the read returned
+// io.EOF. Either this instance stopped the write, or a reset followed the close: Linux reports EPIPE for a reset after a FIN, and
+// ECONNRESET for one without.
+func followsOrderlyClose(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE)
 }
 
--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -13,7 +13,7 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// textConn is a connection to a server that sends a text and closes its side in order.
+// textConn is a connection to a server that sends a text and closes its side orderly.
 type textConn struct {
 	net.Conn
 	io.Reader
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -13,16 +13,16 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// checkHead returns what makes the head of an answer invalid (RFC 9112, sections 2 to 6), where http.ReadResponse, which has read it
-// as response, does not. It takes a name with a blank for that of another field, so that the framing of the answer may not be that
-// of its body.
+// checkHead validates the header section that http.ReadResponse has parsed into response, where the parser is more lenient than
+// RFC 9112, sections 2 to 6. For example, it accepts a blank in a field name, so that "Content-Length : 2" is an unknown field and the
+// body has another length.
 func checkHead(response *http.Response, head []byte) error {
 	status, fields := cutLine(head)
 	if !httpguts.ValidHeaderFieldValue(string(status)) {
-		return errors.New("the status line of the answer has a control byte")
+		return errors.New("the status line contains a control character")
 	}
 	if response.ProtoMajor != 1 {
-		return errors.Errorf("the answer has version %d.%d of the protocol", response.ProtoMajor, response.ProtoMinor)
+		return errors.Errorf("unsupported protocol version HTTP/%d.%d", response.ProtoMajor, response.ProtoMinor)
 	}
 	for line, rest := cutLine(fields); len(line) > 0; line, rest = cutLine(rest) {
 		if err := checkLine(response, line); err != nil {
@@ -38,32 +38,32 @@
 	return bytes.TrimSuffix(line, []byte("\r")), rest
 }
 
-// checkLine checks a line of a head behind its first one.
+// checkLine checks one line of a header section after the status line.
 func checkLine(response *http.Response, line []byte) error {
 	if line[0] == ' ' || line[0] == '\t' {
-		// The line continues the value of the one before it (RFC 9112, section 5.2).
+		// Line folding: the line continues the previous value (RFC 9112, section 5.2).
 		return nil
 	}
 	name, _, found := bytes.Cut(line, []byte(":"))
 	if !found {
-		return errors.New("a line of the answer's head has no colon")
+		return errors.New("a header line has no colon")
 	}
 	if !response.ProtoAtLeast(1, 1) && strings.EqualFold(string(name), "Transfer-Encoding") {
-		// http.ReadResponse drops the field and takes the frames of the chunks for the body.
-		return errors.New("the answer has a transfer encoding, which its version of the protocol has not")
+		// http.ReadResponse drops the field and takes the chunk framing for the body (RFC 9112, section 6.1).
+		return errors.New("a transfer encoding in an HTTP/1.0 answer")
 	}
 	return checkName(string(name))
 }
 
-// checkName checks the name of a field. The error does not show it, because it may hold any bytes.
+// checkName checks a field name. The error does not quote it, because it may contain any bytes.
 func checkName(name string) error {
 	if !httpguts.ValidHeaderFieldName(name) {
-		return errors.New("the answer has a field whose name is no token")
+		return errors.New("a field name is not a token")
 	}
 	return nil
 }
 
-// checkTrailer checks the fields behind a body in chunks.
+// checkTrailer checks the trailer fields of a chunked answer whose body was read.
 func checkTrailer(response *http.Response) error {
 	for name := range response.Trailer {
 		if err := checkName(name); err != nil {
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// Guards against a whole unframed answer that is taken for broken, or waited for until the deadline, because its server closed its side in
-// order and reads no further (RFC 9112, sections 8 and 9.6).
+// Guards against a whole unframed answer that is taken for broken, or waited for until the deadline, because its server closed its side
+// orderly and reads no further (RFC 9112, sections 8 and 9.6).
 func TestUnframedAnswerOfAServerThatStopsReadingIsWhole(t *testing.T) {
 	for name, after := range map[string]func(conn *net.TCPConn, done <-chan struct{}){
 		"half-closed, unread":      func(_ *net.TCPConn, done <-chan struct{}) { <-done },
