--- a/review/kit2/deadlypart.go
+++ b/review/kit2/deadlypart.go
@@ -19,22 +19,30 @@
 	lapsesAfter = 3 * beatEvery
 	// deadlyEvery makes such requests about 3 in 100 of the streams.
 	deadlyEvery = 3
+	// crashAfter is how long after an engine has begun an answer it crashes, and crashLate the same in another case.
+	crashAfter = 20 * time.Millisecond
+	crashLate  = 900 * time.Millisecond
 	// crashesKnown is after how many crashes the rule counts, and deadlyAllowed how many requests may reach workers then.
 	crashesKnown, deadlyAllowed = 5, 3
 )
 
 func deadlyPart(d *deployment, trouble bool) ([]string, error) {
-	return withDeadlyPart(d, trouble, lateDeadly)
+	return withDeadlyPart(d, trouble, lateDeadly, crashAfter)
 }
 
 // deadlyPartEarly is the same with the part among the first of the prompt, to compare.
 func deadlyPartEarly(d *deployment, trouble bool) ([]string, error) {
-	return withDeadlyPart(d, trouble, earlyDeadly)
+	return withDeadlyPart(d, trouble, earlyDeadly, crashAfter)
+}
+
+// deadlyPartLate is the same with the part among the first, and engines that crash later.
+func deadlyPartLate(d *deployment, trouble bool) ([]string, error) {
+	return withDeadlyPart(d, trouble, earlyDeadly, crashLate)
 }
 
 // withDeadlyPart has one part of prompts crash each engine that begins to write an answer on it. Requests with that part
 // come at any instance, no two alike.
-func withDeadlyPart(d *deployment, trouble bool, position int) (broken []string, err error) {
+func withDeadlyPart(d *deployment, trouble bool, position int, crashAt time.Duration) (broken []string, err error) {
 	c := newClients(d)
 	const seconds = 75
 	var ids []string
@@ -46,7 +54,7 @@
 		ids = append(ids, id)
 	}
 	if trouble {
-		d.crashOn(deadlyID)
+		d.crashOn(deadlyID, crashAt)
 	}
 	c.send(pathStream, 1.2, seconds)
 	c.send(pathResume, 9.2, seconds)
@@ -109,13 +117,13 @@
 }
 
 // crashOn makes a part crash all engines, also those that start later.
-func (d *deployment) crashOn(part string) {
+func (d *deployment) crashOn(part string, after time.Duration) {
 	d.mu.Lock()
-	d.deadly = part
+	d.deadly, d.deadlyAfter = part, after
 	d.mu.Unlock()
 	for _, w := range d.all() {
 		w.mu.Lock()
-		w.deadlyPart = part
+		w.deadlyPart, w.deadlyAfter = part, after
 		w.mu.Unlock()
 	}
 }
--- a/review/kit2/deployment.go
+++ b/review/kit2/deployment.go
@@ -46,13 +46,14 @@
 
 	mu      sync.Mutex
 	workers []*worker
-	// deadly is the part of prompts that crashes engines, and crashes are when it did.
-	deadly    string
-	crashes   []time.Time
-	instances []*instance
-	ended     atomic.Int64
-	stopping  atomic.Bool
-	done      chan struct{}
+	// deadly is the part of prompts that crashes engines, deadlyAfter after how long, and crashes are when it did.
+	deadly      string
+	deadlyAfter time.Duration
+	crashes     []time.Time
+	instances   []*instance
+	ended       atomic.Int64
+	stopping    atomic.Bool
+	done        chan struct{}
 }
 
 // instance is one process of the daemon.
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -27,9 +27,9 @@
 
 var scenarios = map[string]scenario{
 	"second-answer": {usualWorkers, secondAnswer},
-	"several-leave": {usualWorkers, severalLeave},
 	"deadly-part":   {usualWorkers, deadlyPart},
 	"deadly-early":  {usualWorkers, deadlyPartEarly},
+	"deadly-late":   {usualWorkers, deadlyPartLate},
 	"higher-rank":   {withOtherService, higherRank},
 }
 
--- a/review/kit2/worker.go
+++ b/review/kit2/worker.go
@@ -19,10 +19,9 @@
 const (
 	plainWork   = 60 * time.Millisecond
 	readTime    = 60 * time.Millisecond
-	eventPause  = 15 * time.Millisecond
+	eventPause  = 50 * time.Millisecond
 	eventCount  = 24
 	handleKept  = 500 * time.Millisecond
-	crashAfter  = 20 * time.Millisecond
 	headerTried = "Mastwheel-Attempt-Id"
 )
 
@@ -42,8 +41,9 @@
 	holds   map[string]bool
 	conns   map[net.Conn]bool
 	// deadlyPart crashes the engine when it begins to write an answer on a prompt that has it, unless it is the last part.
-	deadlyPart string
-	crashed    bool
+	deadlyPart  string
+	deadlyAfter time.Duration
+	crashed     bool
 	// secondAnswers is the share of the answers that come twice while it is set, the second time late.
 	secondAnswers float64
 	// arrivals and answers are by the id of the request.
@@ -81,7 +81,7 @@
 	}
 	d.mu.Lock()
 	d.workers = append(d.workers, w)
-	w.deadlyPart = d.deadly
+	w.deadlyPart, w.deadlyAfter = d.deadly, d.deadlyAfter
 	d.mu.Unlock()
 	go w.serve()
 	w.beat()
@@ -310,26 +310,26 @@
 	} else if !c.take(source, id) {
 		return c.notRun(r, http.StatusServiceUnavailable)
 	}
-	if c.crashesOn(r) {
-		time.Sleep(crashAfter)
-		c.line("crashes", "id", id, "worker", c.id)
-		c.crash(c.worker)
-		return false
+	if after, crashes := c.crashesOn(r); crashes {
+		time.AfterFunc(after, func() {
+			c.line("crashes", "id", id, "worker", c.id)
+			c.crash(c.worker)
+		})
 	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	return c.stream(id, first)
 }
 
-// crashesOn reports whether a request has the part that crashes the engine, other than as the last one.
-func (c *conn) crashesOn(r *http.Request) bool {
+// crashesOn reports whether a request has the part that crashes the engine, other than as the last one, and after how long.
+func (c *conn) crashesOn(r *http.Request) (after time.Duration, crashes bool) {
 	c.mu.Lock()
-	part := c.deadlyPart
+	part, after := c.deadlyPart, c.deadlyAfter
 	c.mu.Unlock()
 	parts := strings.Split(r.Header.Get("Mastwheel-Prompt-Prefix"), ",")
 	for _, one := range parts[:len(parts)-1] {
 		if id, _, _ := strings.Cut(one, ":"); part != "" && id == part {
-			return true
+			return after, true
 		}
 	}
-	return false
+	return 0, false
 }
