--- a/review/kit2/deadlypart.go
+++ b/review/kit2/deadlypart.go
@@ -30,12 +30,7 @@
 	return withDeadlyPart(d, trouble, lateDeadly, crashAfter)
 }
 
-// deadlyPartEarly is the same with the part among the first of the prompt, to compare.
-func deadlyPartEarly(d *deployment, trouble bool) ([]string, error) {
-	return withDeadlyPart(d, trouble, earlyDeadly, crashAfter)
-}
-
-// deadlyPartLate is the same with the part among the first, and engines that crash later.
+// deadlyPartLate has the part among the first of the prompt, and engines that crash later.
 func deadlyPartLate(d *deployment, trouble bool) ([]string, error) {
 	return withDeadlyPart(d, trouble, earlyDeadly, crashLate)
 }
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -28,7 +28,6 @@
 var scenarios = map[string]scenario{
 	"second-answer": {usualWorkers, secondAnswer},
 	"deadly-part":   {usualWorkers, deadlyPart},
-	"deadly-early":  {usualWorkers, deadlyPartEarly},
 	"deadly-late":   {usualWorkers, deadlyPartLate},
 	"higher-rank":   {withOtherService, higherRank},
 }
