forward: waiting memory is counted for any priority of a route

Cause: an array for priorities 0 to 9 counted the requests that wait for memory. All priorities from 9 on shared its last entry, so that a request of priority 10 took all waiting requests, also less urgent ones and itself, for more urgent.

--- a/forward/forecast.go
+++ b/forward/forecast.go
@@ -37,9 +37,7 @@
 type memoryModel struct {
 	// streams is the set of the instance's *trackedStream.
 	streams sync.Map
-	// waiting holds the memory that requests of this instance wait for, in tokens, by the priority of
-	// their routes.
-	waiting [priorities]waitingMemory
+	waiting waitingMemory
 	// rates holds the last rate observed at each engine, in tokens a second, by the run's name.
 	rates sync.Map
 
@@ -48,32 +46,6 @@
 	learned atomic.Pointer[learnedStreams]
 }
 
-// priorities is the number of route priorities. 0 is the highest.
-const priorities = 10
-
-// waitingMemory is the memory that waiting requests of one priority need.
-type waitingMemory struct{ requests, tokens atomic.Int64 }
-
-// add counts a waiting request, and returns a function that ends the count.
-func (w *waitingMemory) add(tokens int) (end func()) {
-	w.requests.Add(1)
-	w.tokens.Add(int64(tokens))
-	return func() {
-		w.requests.Add(-1)
-		w.tokens.Add(-int64(tokens))
-	}
-}
-
-// waitingBefore returns the number of requests that wait for memory and are more urgent, and the memory
-// that they hold when they start.
-func (m *memoryModel) waitingBefore(priority int) (sum forecast.Group) {
-	for i := range min(priority, priorities) {
-		sum.Count += float64(m.waiting[i].requests.Load())
-		sum.Memory += float64(m.waiting[i].tokens.Load())
-	}
-	return sum
-}
-
 // learnedStreams is an immutable summary of the service's streams.
 type learnedStreams struct {
 	started          float64
@@ -180,7 +152,7 @@
 func (g *generation) newForecast(self *trackedStream, yield float64) *memoryForecast {
 	made := g.newEmptyForecast(self)
 	if self == nil {
-		made.ahead = g.memoryModelOf(g.service.Name).waitingBefore(g.route.Priority)
+		made.ahead = g.memoryModelOf(g.service.Name).waiting.before(g.route.Priority)
 	}
 	g.memoryModelOf(g.service.Name).streams.Range(func(key, _ any) bool {
 		if s := key.(*trackedStream); s != self {
@@ -427,7 +399,7 @@
 			if !counted && !late {
 				counted = true
 				model := g.memoryModelOf(g.service.Name)
-				defer model.waiting[min(g.route.Priority, priorities-1)].add(g.request.Generation.PromptTokens)()
+				defer model.waiting.add(g.route.Priority, g.request.Generation.PromptTokens)()
 			}
 		} else if now.Add(pause).After(until) {
 			return failed
--- a/forward/forecast_test.go
+++ b/forward/forecast_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -374,7 +375,7 @@
 				if got[0] != test.firstGets || got[1] == test.firstGets {
 					t.Errorf("the first gets memory: %v, the second: %v, want one, the first: %v; %v", got[0], got[1], test.firstGets, b.engines.calls)
 				}
-				if left := b.memoryModelOf("llm").waitingBefore(priorities); left != (forecast.Group{}) {
+				if left := b.memoryModelOf("llm").waiting.before(math.MaxInt); left != (forecast.Group{}) {
 					t.Errorf("%+v still counts as waited for", left)
 				}
 			})
