forward: the tokens before a stream that is taken up do not overflow

Cause: the number of the last event, which a caller chooses, was multiplied by the tokens of an event, which the operators choose, before either was bounded. A wider bound of the second would have made the product overflow for smaller numbers of the first.

Change: the events are compared with the quotient of the largest length first.

--- a/forward/shutdown_stream.go
+++ b/forward/shutdown_stream.go
@@ -58,7 +58,12 @@
 	if err != nil || r.Generation == nil {
 		return 0
 	}
-	return min(max(events, 0)*eventTokens, r.Generation.MaxTokens)
+	// Both bounds come first, because the product of two numbers from outside may overflow.
+	limit := max(r.Generation.MaxTokens, 0)
+	if events = max(events, 0); events > limit/max(eventTokens, 1) {
+		return limit
+	}
+	return events * eventTokens
 }
 
 // streamStopsTooSoon reports whether the instance may stop before the end of a stream whose prompt has not been read, and that
