allotment: delays at a low rate do not overflow

Cause: the time until a refused caller should come back was computed as a float and converted to a time.Duration, which overflows for a team with a low rate and a large burst or request. The delay became negative, and callers came back at once.

Change: delays from rates are at most 24 hours before they are converted.

Measured: at rates of 0.001 and less TestDelaysAtALowRateDoNotOverflow failed before with a wait of -2562047h; now the caller's longest delay.

--- a/allotment/ledger.go
+++ b/allotment/ledger.go
@@ -292,7 +292,7 @@
 	if decision.Admitted {
 		a.consume(request.Cost, now, l.config.RememberFor)
 	} else {
-		decision.Wait = time.Duration(max(ramp.high-a.balance, 0) / (a.limit.Rate * l.share) * float64(time.Second))
+		decision.Wait = boundedSeconds(max(ramp.high-a.balance, 0) / (a.limit.Rate * l.share))
 		if l.bounds.enabled() {
 			decision.Scheduling = true
 			decision.Wait, decision.Scheduled = l.schedule(a, request, decision.Wait, now)
@@ -301,6 +301,15 @@
 	return decision
 }
 
+// longestDelay bounds the delays that are computed from rates. A team's rate may be so low that a delay is longer than a
+// time.Duration can hold. No caller waits for that long.
+const longestDelay = 24 * time.Hour
+
+// boundedSeconds converts a number of seconds to a delay of at most longestDelay.
+func boundedSeconds(seconds float64) time.Duration {
+	return time.Duration(min(seconds, longestDelay.Seconds()) * float64(time.Second))
+}
+
 // schedule returns the time after which a refused caller should come back, by virtual scheduling
 // (generic cell rate algorithm): each refusal advances the theoretical arrival time by the request's
 // cost at this instance's part of the team's rate. free is the time until requests of the class are
@@ -312,7 +321,7 @@
 	if request.Class.Stream {
 		arrival = &a.streamArrival
 	}
-	cost := time.Duration(request.Cost * float64(l.instances) / a.limit.Rate * float64(time.Second))
+	cost := boundedSeconds(request.Cost * float64(l.instances) / a.limit.Rate)
 	at := now.Add(free)
 	if arrival.After(at) {
 		at = *arrival
--- a/allotment/schedule_test.go
+++ b/allotment/schedule_test.go
@@ -41,6 +41,21 @@
 	}
 }
 
+// Guards against delays that overflow at a low rate and become negative, so that refused callers come back at once.
+func TestDelaysAtALowRateDoNotOverflow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, rate := range []float64{1e-3, 1e-6, 1e-12} {
+		l := New(DefaultConfig(), func() float64 { return 0.5 })
+		l.SetBounds(Bounds{Window: 8 * time.Second, Overage: 0.1, Slack: 100})
+		l.SetInstances(1400)
+		l.SetLimits(map[string]Limit{testTeam: {Rate: rate, Burst: 1e9}}, now)
+		made := l.Admit(Request{Team: testTeam, Cost: 1e6, Class: Class{Stream: true}, MaxWait: 3 * time.Second}, now.Add(time.Minute))
+		if made.Admitted || made.Scheduled || made.Wait != 3*time.Second {
+			t.Errorf("rate %g: %+v", rate, made)
+		}
+	}
+}
+
 // The balance of a hub includes what other instances had at their disposal when this one started. If
 // the instance credited itself that again, each member of a hub would spend it once more.
 func TestAdoptedBalanceEndsTheCreditOfTheStart(t *testing.T) {
