forward: a prompt is read though no engine could meet the target

Cause: a request whose prompt would not be read in time was refused if a decode engine could not read it within the gap target either. With a target that no engine can meet, such as one of under a millisecond, that refused all streams of the route for ever.

Change: if no prefill engine without other work could meet the target, the request stays with its prefill engine; it is late at any time. A request that another time could serve in time is refused as before.

--- a/forward/read.go
+++ b/forward/read.go
@@ -28,12 +28,32 @@
 	}
 	pause := g.pauseDuringRead()
 	g.record(stepRead, "at_decode", "why", reason.DeadlineTooClose, "aheadMillis", ahead.Milliseconds(), "pauseMillis", pause.Milliseconds())
+	if pause > g.route.TBT && !g.canMeetTarget() {
+		// To refuse the request would not help: it would be late at any time.
+		g.readAtDecode = false
+		g.record(stepRead, "late_at_any_time", "target", g.route.TTFT.String())
+		return nil
+	}
 	if pause > g.route.TBT {
 		return &stepError{why: reason.DeadlineTooClose, detail: "reading the prompt at the decode engine would delay its other streams by " + pause.String()}
 	}
 	return nil
 }
 
+// canMeetTarget reports whether some prefill engine without other work could read the prompt within the target of the route.
+func (g *generation) canMeetTarget() bool {
+	if g.route.TTFT <= g.config.FirstTokenMargin {
+		return false
+	}
+	for _, backend := range g.servers.Prefill[g.service.Name] {
+		server := g.Fleet.Server(backend.Name)
+		if server == nil || !server.ReadTimeKnown() || server.ReadTime(g.request.Generation.PromptTokens)+g.config.FirstTokenMargin <= g.route.TTFT {
+			return true
+		}
+	}
+	return false
+}
+
 // decodeReadFactor is how many times longer a decode engine takes to read a prompt than a
 // prefill engine (source: the platform's protocol, half the speed).
 const decodeReadFactor = 2
--- a/forward/reading_test.go
+++ b/forward/reading_test.go
@@ -27,6 +27,21 @@
 	})
 }
 
+// Guards against a target that no engine can meet, as one of under a millisecond, for which all requests were refused for ever.
+func TestRequestThatIsLateAtAnyTimeIsRead(t *testing.T) {
+	withBench(t, func(b *bench) {
+		for _, id := range []string{"p1", "p2"} {
+			defer b.Fleet.Server(id).AddUnread(2 * testPrefillRate)()
+		}
+		for _, route := range b.View.Table().Routes["h"] {
+			route.TTFT = time.Millisecond
+		}
+		if reply := b.serve(b.generation("long", 7000)); reply.Status != 200 || b.callCount("prefill") != 1 {
+			t.Errorf("status %d, reason %s after %v", reply.Status, reply.Reason, b.engines.calls)
+		}
+	})
+}
+
 func TestDecodeEnginesPrefillAnyPromptWithoutPrefillEngines(t *testing.T) {
 	withBench(t, func(b *bench) {
 		b.View.Servers().Prefill["llm"] = nil
