metrics: series by priority are bounded

Cause: calls that wait for a slot are counted by the priority of their route, which operators may choose freely. Each priority had a gauge and a histogram of its own.

Change: priorities from 10 on are counted together, as teams beyond the 64th are.

--- a/metrics/slots.go
+++ b/metrics/slots.go
@@ -41,14 +41,30 @@
 	s.slots.decisions.WithLabelValues(service, decision).Inc()
 }
 
+const (
+	// maxPrioritySeries is the number of priorities with their own series, from 0. Operators choose priorities freely, and
+	// each has a histogram.
+	maxPrioritySeries = 10
+	// otherPriorities is the label value of all other priorities.
+	otherPriorities = "(others)"
+)
+
+// priorityLabel returns the label value under which calls of a priority are counted.
+func priorityLabel(priority int) string {
+	if priority < 0 || priority >= maxPrioritySeries {
+		return otherPriorities
+	}
+	return strconv.Itoa(priority)
+}
+
 // SlotWaitBegan counts a call that begins to wait for a slot.
 func (s *Set) SlotWaitBegan(service string, priority int) {
-	s.slots.waiting.WithLabelValues(service, strconv.Itoa(priority)).Inc()
+	s.slots.waiting.WithLabelValues(service, priorityLabel(priority)).Inc()
 }
 
 // SlotWaitEnded counts a call that no longer waits for a slot, after the given time.
 func (s *Set) SlotWaitEnded(service string, priority int, waited time.Duration) {
-	label := strconv.Itoa(priority)
+	label := priorityLabel(priority)
 	s.slots.waiting.WithLabelValues(service, label).Dec()
 	s.slots.waits.WithLabelValues(service, label).Observe(waited.Seconds())
 }
