table, platform: no value of one cell makes a whole configuration unusable

Names with commas broke the text of a split.

Change: rows are decoded one by one. A row with a cell of another type is left out, with a log line; a route among them keeps its host and path and is refused with 503, so that no shorter prefix takes its requests, and a team among them has no keys, so that its routes stay closed. The end of a refused request names the row. A configuration is rejected as a whole only if it is no object with a version and lists, or if none of its routes and services can be used. The bounds of edits stay, since all instances must reach the same verdict on an edit whichever version they run. Gauges count the rows and cells concerned.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -188,6 +188,14 @@
 		return float64(givenUp)
 	})
 	p.metrics.RegisterCounter("store_records_rejected_total", "Records of the store that cannot be used.", func() float64 { return float64(p.rejected.Count()) })
+	p.metrics.RegisterGauge("table_rows_left_out", "Rows of the configuration in force that cannot be used.", func() float64 {
+		rows, _ := p.edge.TableFaults()
+		return float64(rows)
+	})
+	p.metrics.RegisterGauge("table_cells_adjusted", "Cells of the configuration in force that are used with another value.", func() float64 {
+		_, cells := p.edge.TableFaults()
+		return float64(cells)
+	})
 	p.metrics.RegisterGauge("servers_known", "Backend servers on the list that this instance knows.", func() float64 { return float64(p.edge.Known()) })
 	p.metrics.RegisterGauge("servers", "Backend servers that this instance uses.", func() float64 { return float64(len(p.edge.Servers().ByRun)) })
 	p.metrics.RegisterGauge("siblings_serving", "Siblings that serve.", func() float64 { return float64(p.edge.Serving()) })
--- a/edge/deps.go
+++ b/edge/deps.go
@@ -9,22 +9,11 @@
 	"github.com/mastwheel/mastwheel/metrics"
 	"github.com/mastwheel/mastwheel/oplog"
 	"github.com/mastwheel/mastwheel/registry"
-	"github.com/mastwheel/mastwheel/table"
 )
 
 // This file declares the interfaces to what an instance depends on: the platform, its siblings
 // and the engines.
 
-// Revision is one version of the operators' table.
-type Revision struct {
-	Number uint64
-	// Raw is the encoded configuration that View was built from. It is sent to siblings.
-	Raw  []byte
-	View *table.View
-	// Since is when the instance began to use the table.
-	Since time.Time
-}
-
 // Tables is the source of the operators' configuration.
 type Tables interface {
 	// Newest returns the full configuration in force and the position to follow changes from.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -78,18 +78,18 @@
 	return in.deps.Tables.Newest(ctx)
 }
 
-// adoptTable makes a configuration the table in force if it is newer.
-func (in *Instance) adoptTable(raw []byte, from string) {
+// adoptTable makes a configuration the table in force if it is newer. It reports whether the configuration can be used.
+func (in *Instance) adoptTable(raw []byte, from string) (usable bool) {
 	revision, err := in.deps.Tables.Decode(raw)
 	if err != nil {
 		klog.ErrorS(err, "Failed to decode configuration; keeping the table in force", "from", from)
-		return
+		return false
 	}
 	revision.Since = clock.Now()
 	for {
 		before := in.table.Load()
 		if before != nil && before.Number >= revision.Number {
-			return
+			return true
 		}
 		if in.table.CompareAndSwap(before, revision) {
 			break
@@ -99,8 +99,8 @@
 	if in.usesHubs() || in.longPolls.Load() {
 		in.sendHeartbeats()
 	}
-	klog.InfoS("Table in force", "revision", revision.Number, "from", from, "hosts", len(revision.View.Routes),
-		"services", len(revision.View.Services), "bytes", len(raw))
+	revision.log(from)
+	return true
 }
 
 // readPause returns the pause between two reads of the list of servers.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -348,15 +348,15 @@
 	}
 	f.route = view.Route(r.Host, r.Path)
 	if f.route == nil {
-		return f.end(&Reply{Status: statusNotFound, Reason: reason.UnknownService}, "no route matches the request")
+		return f.end(&Reply{Status: statusNotFound, Reason: reason.UnknownService}, "no route matches the request"+view.LeftOutNote(table.Route))
 	}
 	if refused := f.authenticate(view); refused != nil {
 		return refused
 	}
 	f.regions = allowedRegions(f.route, f.team)
-	f.service = view.Services[f.route.Service(cmp.Or(r.Resumes, r.ID))]
-	if f.service == nil {
-		return f.refuse(reason.UnknownService, "the route's service is unknown")
+	service := f.route.Service(cmp.Or(r.Resumes, r.ID))
+	if f.service = view.Services[service]; f.service == nil {
+		return f.refuse(reason.UnknownService, view.WhyUnserved(f.route, service))
 	}
 	f.tokensBefore = tokensBefore(r, f.service.Engine.EventTokens)
 	f.deadline = r.Arrived.Add(f.route.Timeout)
--- a/forward/team.go
+++ b/forward/team.go
@@ -29,7 +29,7 @@
 	}
 	team := view.Keys[f.request.Key]
 	if team == nil {
-		return f.end(&Reply{Status: statusUnknownKey, Reason: reason.UnknownKey}, "key "+f.request.Key.String())
+		return f.end(&Reply{Status: statusUnknownKey, Reason: reason.UnknownKey}, "key "+f.request.Key.String()+view.LeftOutNote(table.Team))
 	}
 	f.team = team
 	f.request.Team = team.Name
--- a/table/column.go
+++ b/table/column.go
@@ -264,6 +264,11 @@
 }
 
 func checkSplit(value string) error {
+	_, err := parsePlainSplit(value)
+	return err
+}
+
+func checkAnySplit(value string) error {
 	_, err := ParseSplit(value)
 	return err
 }
--- a/table/edit.go
+++ b/table/edit.go
@@ -95,7 +95,7 @@
 	}
 	for _, kind := range Kinds {
 		for _, key := range t.Keys(kind) {
-			if err := t.checkRow(key); err != nil {
+			if err := t.checkRow(key, editCheck); err != nil {
 				return err
 			}
 		}
@@ -103,7 +103,13 @@
 	return nil
 }
 
-func (t *Table) checkRow(key RowKey) error {
+// columnCheck returns the check of a column of a kind of rows.
+type columnCheck func(kind Kind, s columnSpec) cellCheck
+
+// editCheck returns the check of a column for edits.
+func editCheck(_ Kind, s columnSpec) cellCheck { return s.check }
+
+func (t *Table) checkRow(key RowKey, checkOf columnCheck) *CellError {
 	cells := t.rows[key].Cells
 	for column := range cells {
 		if _, ok := findSpec(key.Kind, column); !ok {
@@ -111,7 +117,7 @@
 		}
 	}
 	for _, s := range columns[key.Kind] {
-		if err := t.checkCell(key, s, cells[s.column]); err != nil {
+		if err := t.checkCell(key, s, checkOf(key.Kind, s), cells[s.column]); err != nil {
 			return err
 		}
 	}
@@ -121,14 +127,14 @@
 	return nil
 }
 
-func (t *Table) checkCell(key RowKey, s columnSpec, value string) error {
+func (t *Table) checkCell(key RowKey, s columnSpec, check cellCheck, value string) *CellError {
 	if value == "" && s.required {
 		return &CellError{Row: key, Column: s.column, Cause: errors.New("is missing")}
 	}
 	if value == "" {
 		return nil
 	}
-	if err := s.check(value); err != nil {
+	if err := check(value); err != nil {
 		return &CellError{Row: key, Column: s.column, Cause: err}
 	}
 	if s.refers == "" {
@@ -141,7 +147,7 @@
 }
 
 // checkService checks that a service has the cells that its type requires.
-func (t *Table) checkService(key RowKey, cells map[Column]string) error {
+func (t *Table) checkService(key RowKey, cells map[Column]string) *CellError {
 	needed := []Column{ColModel, ColPrefillPool, ColDecodePool}
 	if cells[ColType] == TypePlain {
 		needed = []Column{ColPool}
--- a/table/routes.go
+++ b/table/routes.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"encoding/json"
 	"slices"
 	"strconv"
 	"strings"
@@ -79,8 +80,26 @@
 // maxWeight bounds the weight of one service in a split, so that the sum of the weights does not overflow.
 const maxWeight = 1_000_000_000
 
-// ParseSplit parses a list of services with weights, such as "a:90,b:10".
+// ParseSplit parses the output of FormatSplit.
 func ParseSplit(text string) ([]Share, error) {
+	shares, err := parsePlainSplit(text)
+	if err == nil || !strings.HasPrefix(text, "[") {
+		return shares, err
+	}
+	var listed []Share
+	if err := json.Unmarshal([]byte(text), &listed); err != nil {
+		return nil, errors.Wrap(err, "decode split")
+	}
+	for _, share := range listed {
+		if share.Weight < 0 || share.Weight > maxWeight {
+			return nil, errors.Errorf("%d is no share up to %d", share.Weight, maxWeight)
+		}
+	}
+	return listed, nil
+}
+
+// parsePlainSplit parses a list of services with weights, such as "a:90,b:10".
+func parsePlainSplit(text string) ([]Share, error) {
 	var shares []Share
 	for _, part := range strings.Split(text, ",") {
 		colon := strings.LastIndexByte(part, ':')
@@ -96,8 +115,14 @@
 	return shares, nil
 }
 
-// FormatSplit is the inverse of ParseSplit.
+// FormatSplit formats services with weights as "a:90,b:10", or as JSON if a name contains the separator of that list or is
+// empty.
 func FormatSplit(shares []Share) string {
+	if slices.ContainsFunc(shares, func(s Share) bool { return s.Service == "" || strings.Contains(s.Service, ",") }) {
+		if encoded, err := json.Marshal(shares); err == nil {
+			return string(encoded)
+		}
+	}
 	parts := make([]string, 0, len(shares))
 	for _, share := range shares {
 		parts = append(parts, share.Service+":"+strconv.Itoa(share.Weight))
--- a/table/view.go
+++ b/table/view.go
@@ -102,6 +102,38 @@
 	// TopPriority is the highest priority value of any model service plus that of
 	// any team.
 	TopPriority int
+	// LeftOut holds the rows of the source that cannot be used, sorted by kind and name, with the reasons. A route that
+	// has a host and a path is among Routes nevertheless, without a service, so that no other route takes its requests.
+	LeftOut []*CellError
+}
+
+// WhyUnserved returns why the route has no service, or has one that is unknown.
+func (v *View) WhyUnserved(route *RouteView, service string) string {
+	for _, row := range v.LeftOut {
+		if row.Row == (RowKey{Kind: Route, Name: route.Name}) || (service != "" && row.Row == RowKey{Kind: Service, Name: service}) {
+			return unusableRow(row)
+		}
+	}
+	return "the route's service is unknown"
+}
+
+// LeftOutNote returns a note about the first row of a kind that is left out, to be appended to a message. It is empty if
+// there is none.
+func (v *View) LeftOutNote(kind Kind) string {
+	for _, row := range v.LeftOut {
+		if row.Row.Kind == kind {
+			return "; " + unusableRow(row)
+		}
+	}
+	return ""
+}
+
+// maxNote bounds a note about a row, in bytes. Names come from the configuration.
+const maxNote = 256
+
+func unusableRow(row *CellError) string {
+	note := "the configuration has an unusable row: " + row.Error()
+	return note[:min(len(note), maxNote)]
 }
 
 // Defaults for empty cells.
