edge: a revision that cannot be used is requested from siblings once

Instances of two versions of the software may differ in what they can decode.

Change: the revision of the sibling is remembered, and not requested again; a later one is.

--- a/edge/catchup.go
+++ b/edge/catchup.go
@@ -176,7 +176,7 @@
 	table := in.tableFeed.overdue(now, in.config.CatchUpEvery)
 	list := in.list.overdue(now, in.config.CatchUpEvery)
 	for _, sibling := range in.members.View().Serving() {
-		newer := (table && sibling.Revision > mine.Revision) || (list && !sibling.UsesSubset && oplog.Position(sibling.Next) > mine.Position)
+		newer := (table && sibling.Revision > mine.Revision && sibling.Revision != in.unusableRevision.Load()) || (list && !sibling.UsesSubset && oplog.Position(sibling.Next) > mine.Position)
 		if !newer {
 			continue
 		}
@@ -202,7 +202,9 @@
 		return err
 	}
 	if snapshot.Table != nil {
-		in.adoptTable(snapshot.Table, sibling.Name)
+		if !in.adoptTable(snapshot.Table, sibling.Name) {
+			in.unusableRevision.Store(sibling.Revision)
+		}
 		in.tableFeed.noteProgress(mine.Revision)
 	}
 	if snapshot.Servers != nil {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -39,13 +39,15 @@
 	// partsLeftOut counts the parts of messages that did not fit into a datagram.
 	partsLeftOut atomic.Uint64
 	table        atomic.Pointer[Revision]
-	registry     *registry.Registry
-	servers      atomic.Pointer[forward.Servers]
-	Fleet        *route.Fleet
-	members      *member.Members
-	peers        *peers
-	transit      *transit
-	budgets      *budgets
+	// unusableRevision is the last revision of a sibling that this instance could not use. It is not requested again.
+	unusableRevision atomic.Uint64
+	registry         *registry.Registry
+	servers          atomic.Pointer[forward.Servers]
+	Fleet            *route.Fleet
+	members          *member.Members
+	peers            *peers
+	transit          *transit
+	budgets          *budgets
 	// tableFeed keeps table up to date, and list keeps registry up to date.
 	tableFeed *feed
 	list      *feed
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mastwheel/mastwheel/engine"
 	"github.com/mastwheel/mastwheel/heartbeat"
 	"github.com/mastwheel/mastwheel/lease"
@@ -426,6 +428,40 @@
 	})
 }
 
+// unusableTables is a source of configurations that cannot be used.
+type unusableTables struct {
+	Tables
+	decoded int
+}
+
+func (u *unusableTables) Decode([]byte) (*Revision, error) {
+	u.decoded++
+	return nil, errors.New("unusable")
+}
+
+// Guards against an instance that requests a configuration which it cannot use at each check, as beside siblings of a newer version
+// of the software.
+func TestRevisionThatCannotBeUsedIsRequestedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := bareInstance("a", new(claims), enginesOf(0, 0))
+		tables := new(unusableTables)
+		sibling := &fixedSibling{snapshot: Snapshot{Table: []byte("{}")}}
+		in.deps.Siblings, in.deps.Tables = sibling, tables
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { in.catchUp(ctx) })
+		for _, revision := range []uint64{7, 7, 8} {
+			in.members.ApplyHeartbeat(member.Info{Name: "b", Incarnation: 1, Peer: "127.0.0.1:1", Revision: revision}, time.Now())
+			time.Sleep(5 * in.config.CatchUpEvery)
+		}
+		cancel()
+		running.Wait()
+		if sibling.calls != 2 || tables.decoded != 2 {
+			t.Fatalf("two revisions were requested %d times and decoded %d times", sibling.calls, tables.decoded)
+		}
+	})
+}
+
 func TestHeartbeatsToManySiblings(t *testing.T) {
 	in := bareInstance("a", new(claims), enginesOf(0, 0))
 	in.config.Zone = "near"
